--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+DEPLOYMENT ?= baltkomponents
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test lint generate
+
+$(STAMP): pyproject.toml constraints.txt
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet -c constraints.txt -e '.[dev]'
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(PYTHON) -m tools.demo --deployment $(DEPLOYMENT)
+
+test: $(STAMP)
+	$(PYTHON) -m tools.run_tests
+
+generate: $(STAMP)
+	$(PYTHON) -m tools.generate
--- /dev/null
+++ b/persimmonroute/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the commands of the persimmonroute tool."""
--- /dev/null
+++ b/persimmonroute/composition.py
@@ -0,0 +1,78 @@
+"""Wire the parts of a process from its settings."""
+
+from __future__ import annotations
+
+import uuid
+
+from persimmonroute.entry import board as entry_boards
+from persimmonroute.entry import core as entry_cores
+from persimmonroute.entry import http_api
+from persimmonroute.entry import routing
+from persimmonroute.entry import server
+from persimmonroute.entry import shell as entry_shells
+from persimmonroute.platform import client
+from persimmonroute.platform import grouping
+from persimmonroute.sidecar import admission
+from persimmonroute.sidecar import board as sidecar_boards
+from persimmonroute.sidecar import core as sidecar_cores
+from persimmonroute.sidecar import endpoints
+from persimmonroute.sidecar import limits
+from persimmonroute.sidecar import shell as sidecar_shells
+
+ENDPOINT_CLIENTS = {
+    'model': endpoints.ModelEngineClient,
+    'plain': endpoints.PlainServiceClient,
+}
+LIMITS = {'model': limits.ModelLimit, 'plain': limits.PlainLimit}
+
+
+def build_entry_core(name, region, failure_domain, policy=None):
+    """Return the core of an entry."""
+    place = entry_boards.Place(region, failure_domain)
+    board = entry_boards.EntryBoard(name, place)
+    return entry_cores.EntryCore(
+        board, policy or routing.PredictedFirstToken()
+    )
+
+
+def build_sidecar_core(name, service, kind, incarnation=None):
+    """Return the core of a sidecar."""
+    board = sidecar_boards.SidecarBoard(
+        name, incarnation or uuid.uuid4().hex, service
+    )
+    limit = LIMITS[kind]()
+    policy = admission.TieredAdmission(board, limit)
+    return sidecar_cores.SidecarCore(board, limit, policy)
+
+
+def build_entry(settings):
+    """Return the process of an entry."""
+    core = build_entry_core(
+        settings.instance, settings.region, settings.failure_domain
+    )
+    platform = client.HttpPlatform(settings.platform)
+    grouper = grouping.WriteGrouper(platform)
+    shell = entry_shells.EntryShell(core, platform, grouper)
+    app = http_api.HttpApi(shell).build_app()
+    return server.EntryServer(shell, app, settings)
+
+
+def build_sidecar(settings):
+    """Return the process of a sidecar."""
+    core = build_sidecar_core(
+        settings.instance, settings.service, settings.endpoint_kind
+    )
+    client_class = ENDPOINT_CLIENTS[settings.endpoint_kind]
+
+    def make_client(sink):
+        return client_class(settings.endpoint, sink)
+
+    return sidecar_shells.SidecarShell(core, settings, make_client)
+
+
+BUILDERS = {'entry': build_entry, 'sidecar': build_sidecar}
+
+
+def build_process(settings):
+    """Return the process that the settings describe."""
+    return BUILDERS[settings.role](settings)
--- /dev/null
+++ b/persimmonroute/config/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the settings of processes and the declarations of operators."""
--- /dev/null
+++ b/persimmonroute/config/settings.py
@@ -0,0 +1,96 @@
+"""Read the settings of one process."""
+
+from __future__ import annotations
+
+import json
+import typing
+
+from persimmonroute.config import options
+from persimmonroute import exceptions
+
+SCHEMA = {
+    'role': options.Choice(
+        ('entry', 'sidecar'), 'What the process does.', required=True
+    ),
+    'instance': options.Text('Name of the instance.', required=True),
+    'address': options.Address(
+        'Own address; HTTP for an entry, gRPC for a sidecar.', required=True
+    ),
+    'region': options.Text('Region of the instance.', required=True),
+    'failure_domain': options.Text(
+        'Failure domain of the instance.', required=True
+    ),
+    'platform': options.Address(
+        'Address of the platform service; used by entries.'
+    ),
+    'endpoint': options.Address('Address of the endpoint beside a sidecar.'),
+    'endpoint_kind': options.Choice(
+        ('model', 'plain'), 'Kind of the endpoint beside a sidecar.'
+    ),
+    'service': options.Text('Service that the endpoint belongs to.'),
+    'log_level': options.Choice(
+        ('DEBUG', 'INFO', 'WARNING', 'ERROR'),
+        'Least level that is logged.',
+        default='INFO',
+    ),
+    'log_format': options.Choice(
+        ('human', 'json'), 'Form of the log lines.', default='human'
+    ),
+    'stop_grace_s': options.Number(
+        1,
+        3600,
+        'Seconds that a planned stop waits for requests in progress.',
+        default=120,
+    ),
+}
+ROLE_OPTIONS = {
+    'entry': ('platform',),
+    'sidecar': ('endpoint', 'endpoint_kind', 'service'),
+}
+
+
+class Settings(typing.NamedTuple):
+    """Hold the settings of one process."""
+
+    role: str
+    instance: str
+    address: str
+    region: str
+    failure_domain: str
+    platform: str | None
+    endpoint: str | None
+    endpoint_kind: str | None
+    service: str | None
+    log_level: str
+    log_format: str
+    stop_grace_s: float
+
+
+def check_settings(document):
+    """Return the settings and the problems of a parsed document."""
+    problems = []
+    fields = options.validate_object(document, SCHEMA, 'settings', problems)
+    for name in ROLE_OPTIONS.get(fields.get('role'), ()):
+        if fields[name] is None:
+            problems.append(
+                options.Problem(
+                    f'settings.{name}', f'is missing for an {fields["role"]}'
+                )
+            )
+    if problems:
+        return None, problems
+    return Settings(**fields), problems
+
+
+def load_settings(path):
+    """Return the settings of a file or raise SettingsError."""
+    try:
+        with open(path, encoding='utf-8') as file:
+            document = json.load(file)
+    except (OSError, ValueError) as error:
+        raise exceptions.SettingsError(f'cannot read {path}: {error}')
+    settings, problems = check_settings(document)
+    if problems:
+        listed = '\n  '.join(str(p) for p in problems)
+        raise exceptions.SettingsError(f'{path} is not valid:\n  {listed}\n')
+    return settings
--- /dev/null
+++ b/persimmonroute/daemon.py
@@ -0,0 +1,55 @@
+"""Run one process of the system.
+
+Usage:
+  persimmonrouted --config FILE [--check-config]
+  persimmonrouted --version
+
+Options:
+  --config FILE   Settings of the process, in JSON.
+  --check-config  Validate the settings and exit.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+
+import docopt
+
+import persimmonroute
+from persimmonroute import composition
+from persimmonroute.config import settings as settings_module
+from persimmonroute import exceptions
+from persimmonroute import logs
+
+
+def main(argv=None):
+    """Run the daemon and return its exit status."""
+    arguments = docopt.docopt(
+        __doc__, argv, version=persimmonroute.__version__
+    )
+    try:
+        settings = settings_module.load_settings(arguments['--config'])
+    except exceptions.SettingsError as error:
+        print(error, file=sys.stderr)
+        return 2
+    if arguments['--check-config']:
+        print('settings are valid')
+        return 0
+    logs.setup_logs(settings.instance, settings.log_level, settings.log_format)
+    asyncio.run(_run(settings))
+    return 0
+
+
+async def _run(settings):
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    process = composition.build_process(settings)
+    await process.run(stop)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/persimmonroute/entry/board.py
@@ -0,0 +1,122 @@
+"""Hold the state that an entry's controllers share."""
+
+from __future__ import annotations
+
+import typing
+
+from persimmonroute.config import declarations
+from persimmonroute.entry import messages
+from persimmonroute.generated import exchange_pb2 as pb
+from persimmonroute import timers
+
+
+class Place(typing.NamedTuple):
+    """Name where a process runs."""
+
+    region: str
+    failure_domain: str
+
+
+class SidecarView:
+    """Hold what an entry knows of one sidecar."""
+
+    def __init__(self, instance):
+        self.instance = instance
+        self.linked = False
+        self.incarnation = ''
+        self.load = pb.Load()
+        self.revision = 0
+        # Seconds of work offered that the load does not show yet.
+        self.outstanding_s = {}
+
+    @property
+    def usable(self):
+        """Tell whether new work may go to the sidecar."""
+        return (
+            self.linked
+            and not self.instance.leaving
+            and not self.load.leaving
+            and not self.load.endpoint_down
+        )
+
+
+class CallRecord:
+    """Hold the progress of one request."""
+
+    def __init__(self, call, work_class, now):
+        self.call = call
+        self.work_class = work_class
+        self.state = 'new'
+        self.arrived_at = now
+        self.sidecar = None
+        self.incarnation = ''
+        # Id of the offer, own or another's, whose answer is awaited.
+        self.attempt = ''
+        self.attached = False
+        self.offers = 0
+        self.refused_by = set()
+        self.received = 0
+
+    @property
+    def request_id(self):
+        """Return the id of the request."""
+        return self.call.request_id
+
+
+class EntryBoard:
+    """Hold the state of an entry and the effects it asks for."""
+
+    def __init__(self, name, place):
+        self.name = name
+        self.place = place
+        self.declarations = declarations.EMPTY
+        self.revision = 0
+        self.document = b''
+        self.sidecars: dict[str, SidecarView] = {}
+        self.calls: dict[str, CallRecord] = {}
+        # Requests that await the answer of an attempt.
+        self._followers: dict[str, list[CallRecord]] = {}
+        self.refused_fingerprints: set[str] = set()
+        self.timers = timers.TimerQueue()
+        self.stopping = False
+        self._effects = []
+
+    def put(self, effect):
+        """Ask for an effect."""
+        self._effects.append(effect)
+
+    def log(self, event, **fields):
+        """Ask for a log line."""
+        self._effects.append(messages.LogEvent(event, fields))
+
+    def take_effects(self):
+        """Remove and return the effects asked for."""
+        effects, self._effects = self._effects, []
+        return effects
+
+    def follow(self, record, attempt):
+        """Let a request await the answer of an attempt."""
+        self.unfollow(record)
+        record.attempt = attempt
+        self._followers.setdefault(attempt, []).append(record)
+
+    def unfollow(self, record):
+        """Let a request await no answer."""
+        followers = self._followers.get(record.attempt, [])
+        if record in followers:
+            followers.remove(record)
+        if not followers:
+            self._followers.pop(record.attempt, None)
+        record.attempt = ''
+
+    def followers(self, attempt):
+        """Return the requests that await the answer of an attempt."""
+        return list(self._followers.get(attempt, ()))
+
+    def candidates(self, service):
+        """Return the sidecars of a service that take new work."""
+        return [
+            view
+            for view in self.sidecars.values()
+            if view.instance.service == service and view.usable
+        ]
--- /dev/null
+++ b/persimmonroute/entry/claims.py
@@ -0,0 +1,267 @@
+"""Claim keys of non-idempotent requests in the table service."""
+
+from __future__ import annotations
+
+import base64
+import typing
+
+from persimmonroute.entry import messages
+from persimmonroute.entry.messages import Outcome
+from persimmonroute.events import Event
+from persimmonroute import store
+from persimmonroute.store import StoreStatus
+
+TABLE = 'claims'
+CLAIM_TIMEOUT_S = 2.0
+WRITE_RETRY_S = 0.1
+SETTLE_RETRY_S = 0.5
+RETRY_AFTER_STORE_S = 5.0
+RECORD_LIMIT_BYTES = 65536
+
+CLAIMED = 'claimed'
+RELEASED = 'released'
+FINISHED = 'finished'
+
+
+class ClaimRow(typing.TypedDict):
+    """Lay out the value of one row of the claims table."""
+
+    request: str
+    attempt: str
+    sidecar: str
+    incarnation: str
+    state: str
+    fingerprint: str
+    status: int
+    content_type: str
+    body: str
+
+
+class Claim:
+    """Hold the progress of one request's claim."""
+
+    def __init__(self, record, now):
+        self.request_id = record.request_id
+        self.attempt = record.attempt
+        self.row_key = f'{record.call.workspace}/{record.call.key}'
+        self.fingerprint = record.call.fingerprint
+        self.sidecar = record.sidecar
+        self.incarnation = record.incarnation
+        self.version = 0
+        self.state = CLAIMED
+        self.confirmed = False
+        self.in_flight = False
+        # Set once the request may never start again.
+        self.abandoned = False
+        # Set while the row belongs to another request.
+        self.owner: ClaimRow | None = None
+        self.deadline = now + CLAIM_TIMEOUT_S
+        self.answer: list[bytes] = []
+        self.finished: ClaimRow | None = None
+
+    def row(self):
+        """Return the row that the claim wants to see written."""
+        if self.finished is not None:
+            return self.finished
+        return ClaimRow(
+            request=self.request_id,
+            attempt=self.attempt,
+            sidecar=self.sidecar,
+            incarnation=self.incarnation,
+            state=RELEASED if self.abandoned else CLAIMED,
+            fingerprint=self.fingerprint,
+            status=0,
+            content_type='',
+            body='',
+        )
+
+
+class ClaimKeeper:
+    """Insert, move, release and complete claim rows.
+
+    Every write names the version it replaces. A write whose answer is
+    lost is sent again; the conflict then shows the writer its own row.
+    """
+
+    def __init__(self, board):
+        self._board = board
+        self._claims: dict[str, Claim] = {}
+        self.dispatcher = None
+
+    def begin(self, record, now):
+        """Claim the key for the sidecar that a request is offered to."""
+        claim = self._claims.get(record.request_id)
+        if claim is None:
+            claim = Claim(record, now)
+            self._claims[record.request_id] = claim
+            self._schedule(claim.deadline, 'claim', claim)
+        claim.attempt = record.attempt
+        claim.sidecar = record.sidecar
+        claim.incarnation = record.incarnation
+        claim.confirmed = False
+        claim.owner = None
+        self._write(claim)
+
+    def holds(self, record):
+        """Tell whether the row names the request and its sidecar."""
+        claim = self._claims.get(record.request_id)
+        return claim is not None and claim.confirmed and not claim.abandoned
+
+    def keep_answer(self, record, data):
+        """Keep a part of the answer for the record of the key."""
+        claim = self._claims.get(record.request_id)
+        if claim is not None and not record.attached:
+            claim.answer.append(data)
+
+    def record_outcome(self, record, finished, now):
+        """Write the answer into the row of its key."""
+        claim = self._claims.get(record.request_id)
+        if claim is None or record.attached:
+            return
+        body = b''.join(claim.answer)
+        if len(body) > RECORD_LIMIT_BYTES:
+            body = b''
+        row = claim.row()
+        row['state'] = FINISHED
+        row['status'] = finished.status
+        row['content_type'] = finished.content_type
+        row['body'] = base64.b64encode(body).decode()
+        claim.finished = row
+        self._write(claim)
+
+    def on_call_ended(self, record, outcome):
+        """Free or leave the row of a request that has its final answer."""
+        claim = self._claims.get(record.request_id)
+        if claim is None or claim.finished is not None:
+            return
+        if claim.owner is not None or outcome is not Outcome.NOT_RUN:
+            del self._claims[record.request_id]
+            return
+        claim.abandoned = True
+        claim.confirmed = False
+        self._write(claim)
+
+    def take_over(self, record, now):
+        """Claim a row whose owner can never start."""
+        claim = self._claims[record.request_id]
+        claim.deadline = now + CLAIM_TIMEOUT_S
+        self._schedule(claim.deadline, 'claim', claim)
+        self.dispatcher.offer_again(record, now)
+
+    def on_reply(self, event, now):
+        """Handle the answer of the table service."""
+        claim = self._claims.get(event.token)
+        if claim is None or not claim.in_flight:
+            return
+        claim.in_flight = False
+        reply = event.reply
+        if reply.status is StoreStatus.FAILED:
+            delay = SETTLE_RETRY_S if claim.abandoned else WRITE_RETRY_S
+            self._schedule(now + delay, 'claim-write', claim)
+        elif reply.status is StoreStatus.COMMITTED:
+            claim.version = reply.rows[0].version
+            self._on_written(claim, reply.rows[0].value)
+        else:
+            self._on_conflict(claim, reply.rows[0], now)
+
+    def on_timer(self, timer, now):
+        """Act on deadlines of claims."""
+        claim = self._claims.get(timer.subject)
+        if claim is None:
+            return
+        if timer.kind == 'claim-write':
+            self._write(claim)
+        elif timer.kind == 'claim' and now >= claim.deadline:
+            self._give_up(claim)
+
+    def _give_up(self, claim):
+        record = self._board.calls.get(claim.request_id)
+        waiting = ('offered', 'queued')
+        if claim.confirmed or record is None or record.state not in waiting:
+            return
+        self._board.log(
+            Event.CLAIM_FAILED, request=claim.request_id, key=claim.row_key
+        )
+        self.dispatcher.give_up(
+            record, 'the table service is out of reach', RETRY_AFTER_STORE_S
+        )
+
+    def _schedule(self, at, kind, claim):
+        self._board.timers.schedule(at, kind, claim.request_id)
+
+    def _write(self, claim):
+        if claim.in_flight:
+            return
+        claim.in_flight = True
+        write = store.Write(TABLE, claim.row_key, claim.row(), claim.version)
+        self._board.put(messages.Transact(claim.request_id, (write,)))
+
+    def _on_written(self, claim, value):
+        if value != claim.row():
+            self._write(claim)
+        elif claim.finished is not None:
+            del self._claims[claim.request_id]
+        elif claim.abandoned:
+            self._board.log(
+                Event.CLAIM_SETTLED,
+                request=claim.request_id,
+                key=claim.row_key,
+            )
+            del self._claims[claim.request_id]
+        else:
+            self._confirm(claim)
+
+    def _confirm(self, claim):
+        claim.confirmed = True
+        self._board.log(
+            Event.CLAIM_CONFIRMED, request=claim.request_id, key=claim.row_key
+        )
+        record = self._board.calls.get(claim.request_id)
+        if record is not None:
+            self.dispatcher.on_claim_confirmed(record)
+
+    def _on_conflict(self, claim, row, now):
+        claim.version = row.version
+        value = row.value
+        if value['request'] == claim.request_id:
+            self._on_written(claim, value)
+        elif claim.abandoned or claim.finished is not None:
+            # The row went to another request, so nothing is left to free.
+            del self._claims[claim.request_id]
+        else:
+            self._on_other_owner(claim, value, now)
+
+    def _on_other_owner(self, claim, value, now):
+        record = self._board.calls.get(claim.request_id)
+        if record is None:
+            del self._claims[claim.request_id]
+            return
+        self._board.log(
+            Event.CLAIM_CONFLICT,
+            request=claim.request_id,
+            key=claim.row_key,
+            owner=value['attempt'],
+            state=value['state'],
+        )
+        if value['fingerprint'] != claim.fingerprint:
+            claim.owner = value
+            self.dispatcher.reject_key(record)
+        elif value['state'] == RELEASED:
+            self._write(claim)
+        elif value['state'] == FINISHED:
+            claim.owner = value
+            self.dispatcher.replay(
+                record,
+                value['status'],
+                value['content_type'],
+                base64.b64decode(value['body']),
+            )
+        else:
+            claim.owner = value
+            self.dispatcher.attach(
+                record,
+                value['attempt'],
+                value['sidecar'],
+                value['incarnation'],
+                now,
+            )
--- /dev/null
+++ b/persimmonroute/entry/configuration.py
@@ -0,0 +1,73 @@
+"""Keep the highest configuration revision that an entry has seen."""
+
+from __future__ import annotations
+
+from persimmonroute.config import declarations
+from persimmonroute.entry import messages
+from persimmonroute.events import Event
+from persimmonroute import exceptions
+from persimmonroute.generated import exchange_pb2 as pb
+
+
+class ConfigurationKeeper:
+    """Adopt higher revisions and pass them to peers that lag."""
+
+    def __init__(self, board):
+        self._board = board
+        self._frame_handlers = {
+            'configuration_request': self._on_request,
+            'configuration_update': self._on_update,
+        }
+
+    def on_heard(self, event, now):
+        """Adopt a document whose revision is higher than the present."""
+        board = self._board
+        if event.revision <= board.revision:
+            return
+        try:
+            adopted = declarations.parse_declarations(event.document)
+        except exceptions.DeclarationError as error:
+            board.log(
+                Event.CONFIGURATION_REJECTED,
+                revision=event.revision,
+                problem=str(error),
+            )
+            return
+        board.declarations = adopted
+        board.revision = event.revision
+        board.document = event.document
+        board.log(Event.CONFIGURATION_IN_FORCE, revision=event.revision)
+        for name, view in board.sidecars.items():
+            if view.linked:
+                self._send_update(name)
+
+    def on_envelope(self, event, now):
+        """Ask a peer that knows a higher revision for it."""
+        if event.envelope.revision > self._board.revision:
+            request = pb.ConfigurationRequest(
+                known_revision=self._board.revision
+            )
+            frame = pb.Frame(configuration_request=request)
+            self._board.put(messages.SendFrame(event.sidecar, frame))
+
+    def on_frame(self, sidecar, frame, now):
+        """Handle one frame about configuration."""
+        kind = frame.WhichOneof('body')
+        handler = self._frame_handlers.get(kind)
+        if handler is not None:
+            handler(sidecar, getattr(frame, kind), now)
+
+    def _on_request(self, sidecar, request, now):
+        if request.known_revision < self._board.revision:
+            self._send_update(sidecar)
+
+    def _on_update(self, sidecar, update, now):
+        heard = messages.ConfigurationHeard(update.revision, update.document)
+        self.on_heard(heard, now)
+
+    def _send_update(self, sidecar):
+        update = pb.ConfigurationUpdate(
+            revision=self._board.revision, document=self._board.document
+        )
+        frame = pb.Frame(configuration_update=update)
+        self._board.put(messages.SendFrame(sidecar, frame))
--- /dev/null
+++ b/persimmonroute/entry/core.py
@@ -0,0 +1,72 @@
+"""Bring events to the controllers of an entry."""
+
+from __future__ import annotations
+
+from persimmonroute.entry import claims
+from persimmonroute.entry import configuration
+from persimmonroute.entry import dispatch
+from persimmonroute.entry import membership
+from persimmonroute.entry import messages
+
+
+class EntryCore:
+    """Turn events and the time into effects, without I/O."""
+
+    def __init__(self, board, policy):
+        self._board = board
+        self._claims = claims.ClaimKeeper(board)
+        self._dispatcher = dispatch.Dispatcher(board, policy, self._claims)
+        self._claims.dispatcher = self._dispatcher
+        self._membership = membership.MembershipKeeper(board)
+        self._configuration = configuration.ConfigurationKeeper(board)
+        self._handlers = {
+            messages.CallArrived: [self._dispatcher.on_call],
+            messages.CallerGone: [self._dispatcher.on_caller_gone],
+            messages.LinkOpened: [
+                self._membership.on_link_opened,
+                self._dispatcher.on_link_opened,
+            ],
+            messages.LinkClosed: [
+                self._membership.on_link_closed,
+                self._dispatcher.on_link_closed,
+            ],
+            messages.EnvelopeArrived: [self._on_envelope],
+            messages.InstancesListed: [self._membership.on_instances],
+            messages.StoreReplied: [self._claims.on_reply],
+            messages.ConfigurationHeard: [self._configuration.on_heard],
+            messages.TimePassed: [],
+            messages.StopRequested: [self._on_stop],
+        }
+
+    @property
+    def board(self):
+        """Return the state of the entry."""
+        return self._board
+
+    @property
+    def next_timer_at(self):
+        """Return the time in seconds of the next timer, or None."""
+        return self._board.timers.next_at
+
+    def check_call(self, call):
+        """Return the class of a call or raise BadRequestError."""
+        return self._dispatcher.check_call(call)
+
+    def handle(self, event, now):
+        """Return the effects of an event at a time in seconds."""
+        for timer in self._board.timers.take_due(now):
+            self._claims.on_timer(timer, now)
+            self._dispatcher.on_timer(timer, now)
+        for handler in self._handlers[type(event)]:
+            handler(event, now)
+        return self._board.take_effects()
+
+    def _on_envelope(self, event, now):
+        self._membership.on_envelope(event, now)
+        self._configuration.on_envelope(event, now)
+        for frame in event.envelope.frames:
+            self._configuration.on_frame(event.sidecar, frame, now)
+            self._dispatcher.on_frame(event.sidecar, frame, now)
+
+    def _on_stop(self, event, now):
+        self._board.stopping = True
--- /dev/null
+++ b/persimmonroute/entry/http_api.py
@@ -0,0 +1,199 @@
+"""Serve callers over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import uuid
+
+from starlette import applications
+from starlette import responses
+from starlette import routing
+
+from persimmonroute.entry import intake
+from persimmonroute.entry import messages
+from persimmonroute.entry.messages import Outcome
+from persimmonroute import exceptions
+
+OUTCOME_HEADER = 'Persimmon-Outcome'
+REQUEST_ID_HEADER = 'Persimmon-Request-Id'
+STATUS_CALLER_GONE = 499
+CALLER_GONE = messages.AnswerEnded(
+    '', Outcome.UNKNOWN, STATUS_CALLER_GONE, problem='caller has gone'
+)
+STREAM_TYPE = 'text/event-stream'
+METHODS = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE']
+
+
+class HttpApi:
+    """Translate between HTTP and the entry's shell."""
+
+    def __init__(self, shell):
+        self._shell = shell
+
+    def build_app(self):
+        """Return the ASGI application."""
+        return applications.Starlette(
+            routes=[
+                routing.Route(
+                    '/v1/completions', self._complete, methods=['POST']
+                ),
+                routing.Route(
+                    '/v1/chat/completions', self._complete, methods=['POST']
+                ),
+                routing.Route(
+                    '/services/{service}/{path:path}',
+                    self._call_service,
+                    methods=METHODS,
+                ),
+                routing.Route('/ready', self._ready),
+                routing.Route('/admin/v1/status', self._status),
+            ],
+            exception_handlers={
+                exceptions.BadRequestError: self._refuse_bad_request
+            },
+        )
+
+    async def _complete(self, request):
+        body = await self._read_body(request)
+        call = intake.read_completion(
+            uuid.uuid4().hex, request.url.path, request.headers, body
+        )
+        return await self._serve(request, call)
+
+    async def _call_service(self, request):
+        body = await self._read_body(request)
+        path = f'/{request.path_params["path"]}'
+        if request.url.query:
+            path += f'?{request.url.query}'
+        call = intake.read_service_call(
+            uuid.uuid4().hex, request.method, path, request.headers, body
+        )
+        work_class = self._shell.core.check_call(call)
+        service = request.path_params['service']
+        if work_class.service != service:
+            raise exceptions.WrongServiceError(
+                f'class {call.class_name!r} belongs to service'
+                f' {work_class.service!r}, not {service!r}'
+            )
+        return await self._serve(request, call)
+
+    async def _read_body(self, request):
+        parts, size = [], 0
+        async for part in request.stream():
+            size += len(part)
+            intake.check_size(size)
+            parts.append(part)
+        return b''.join(parts)
+
+    async def _serve(self, request, call):
+        queue = self._shell.submit(call)
+        if call.stream:
+            first = await self._first(request, call, queue)
+            if isinstance(first, messages.AnswerData):
+                return self._stream_response(call, first, queue)
+            return self._final_response(call, first, b'')
+        return await self._whole(request, call, queue)
+
+    async def _first(self, request, call, queue):
+        gone = asyncio.create_task(_wait_disconnect(request))
+        first = asyncio.create_task(queue.get())
+        try:
+            await asyncio.wait(
+                (gone, first), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not first.done():
+                self._shell.abandon(call.request_id)
+                return CALLER_GONE
+            return first.result()
+        finally:
+            gone.cancel()
+            first.cancel()
+
+    async def _whole(self, request, call, queue):
+        parts = []
+        item = await self._first(request, call, queue)
+        while isinstance(item, messages.AnswerData):
+            parts.append(item.data)
+            item = await queue.get()
+        return self._final_response(call, item, b''.join(parts))
+
+    def _stream_response(self, call, first, queue):
+        headers = {REQUEST_ID_HEADER: call.request_id}
+        return responses.StreamingResponse(
+            self._stream(call, first, queue),
+            media_type=STREAM_TYPE,
+            headers=headers,
+        )
+
+    async def _stream(self, call, first, queue):
+        item = first
+        try:
+            while isinstance(item, messages.AnswerData):
+                yield item.data
+                item = await queue.get()
+            yield _outcome_event(item)
+        finally:
+            self._shell.abandon(call.request_id)
+
+    def _final_response(self, call, ended, body):
+        headers = {
+            OUTCOME_HEADER: ended.outcome.value,
+            REQUEST_ID_HEADER: call.request_id,
+        }
+        if ended.retry_after_s is not None:
+            headers['Retry-After'] = str(math.ceil(ended.retry_after_s))
+        if ended.outcome is Outcome.COMPLETED:
+            return responses.Response(
+                body,
+                ended.status,
+                headers,
+                media_type=ended.content_type or None,
+            )
+        error = {'type': ended.outcome.value, 'message': ended.problem}
+        return responses.JSONResponse({'error': error}, ended.status, headers)
+
+    async def _refuse_bad_request(self, request, error):
+        headers = {OUTCOME_HEADER: Outcome.NOT_RUN.value}
+        body = {'error': {'type': error.kind, 'message': str(error)}}
+        return responses.JSONResponse(body, error.status, headers)
+
+    async def _ready(self, request):
+        stopping = self._shell.core.board.stopping
+        return responses.PlainTextResponse(
+            'stopping' if stopping else 'ready', 503 if stopping else 200
+        )
+
+    async def _status(self, request):
+        board = self._shell.core.board
+        return responses.JSONResponse(
+            {
+                'instance': board.name,
+                'revision': board.revision,
+                'in_progress': len(board.calls),
+                'sidecars': {
+                    name: {
+                        'linked': view.linked,
+                        'usable': view.usable,
+                        'revision': view.revision,
+                        'running': view.load.running,
+                        'queued': view.load.queued,
+                        'limit': view.load.limit,
+                    }
+                    for name, view in sorted(board.sidecars.items())
+                },
+            }
+        )
+
+
+async def _wait_disconnect(request):
+    while True:
+        message = await request.receive()
+        if message['type'] == 'http.disconnect':
+            return
+
+
+def _outcome_event(ended):
+    fields = {'outcome': ended.outcome.value, 'problem': ended.problem}
+    return f': persimmon-outcome {json.dumps(fields)}\n\n'.encode()
--- /dev/null
+++ b/persimmonroute/entry/membership.py
@@ -0,0 +1,74 @@
+"""Follow which sidecars exist and what they report."""
+
+from __future__ import annotations
+
+from persimmonroute.entry import board as boards
+from persimmonroute.entry import messages
+from persimmonroute.events import Event
+
+
+class MembershipKeeper:
+    """Keep a view of each sidecar on the platform's list."""
+
+    def __init__(self, board):
+        self._board = board
+
+    def on_instances(self, event, now):
+        """Open and close links to match the platform's list."""
+        board = self._board
+        listed = {instance.name: instance for instance in event.instances}
+        for name in list(board.sidecars):
+            if name not in listed and not board.sidecars[name].linked:
+                del board.sidecars[name]
+                board.put(messages.CloseLink(name))
+        for name, instance in listed.items():
+            self._keep(name, instance)
+
+    def on_link_opened(self, event, now):
+        """Mark a sidecar as connected."""
+        view = self._board.sidecars.get(event.sidecar)
+        if view is None:
+            return
+        view.linked = True
+        view.incarnation = event.incarnation
+        self._board.log(
+            Event.SIDECAR_LINKED,
+            sidecar=event.sidecar,
+            incarnation=event.incarnation,
+        )
+
+    def on_link_closed(self, event, now):
+        """Mark a sidecar as disconnected."""
+        view = self._board.sidecars.get(event.sidecar)
+        if view is None or not view.linked:
+            return
+        view.linked = False
+        view.outstanding_s.clear()
+        self._board.log(Event.SIDECAR_UNLINKED, sidecar=event.sidecar)
+
+    def on_envelope(self, event, now):
+        """Take the load from a message of a sidecar."""
+        view = self._board.sidecars.get(event.sidecar)
+        envelope = event.envelope
+        if view is None:
+            return
+        view.revision = envelope.revision
+        if not envelope.HasField('load'):
+            return
+        if envelope.load.leaving and not view.load.leaving:
+            self._board.log(Event.SIDECAR_LEAVING, sidecar=event.sidecar)
+        view.load = envelope.load
+        self._board.refused_fingerprints.update(
+            envelope.load.refused_fingerprints
+        )
+
+    def _keep(self, name, instance):
+        board = self._board
+        view = board.sidecars.get(name)
+        if view is None:
+            board.sidecars[name] = boards.SidecarView(instance)
+            board.put(messages.OpenLink(name, instance.sidecar))
+            return
+        if view.instance.sidecar != instance.sidecar:
+            board.put(messages.OpenLink(name, instance.sidecar))
+        view.instance = instance
--- /dev/null
+++ b/persimmonroute/entry/routing.py
@@ -0,0 +1,170 @@
+"""Choose the sidecar to which a request is offered."""
+
+from __future__ import annotations
+
+import abc
+import collections
+import typing
+
+LINK_SAME_DOMAIN_S = 0.0005
+LINK_SAME_REGION_S = 0.001
+LINK_OTHER_REGION_S = 0.008
+LINK_OTHER_REGION_BYTES_PER_S = 15e6 / 8
+BYTES_PER_TOKEN = 4
+# Share of the link that one request may count on.
+LINK_SHARE = 0.25
+DEFAULT_PREFILL_TOKENS_PER_S = 5000.0
+BLOCK_TOKENS = 64
+PREFIX_INDEX_BLOCKS = 200_000
+
+
+class Prediction(typing.NamedTuple):
+    """Predict the time to the first token at one sidecar, in seconds."""
+
+    sidecar: str
+    wait_s: float
+    prefill_s: float
+    link_s: float
+
+    @property
+    def total_s(self):
+        """Return the predicted time to the first token."""
+        return self.wait_s + self.prefill_s + self.link_s
+
+    def __str__(self):
+        return (
+            f'{self.sidecar}:wait={self.wait_s:.3f}'
+            f',prefill={self.prefill_s:.3f},link={self.link_s:.4f}'
+        )
+
+
+class Decision(typing.NamedTuple):
+    """Hold the chosen sidecar and the predictions it rests on."""
+
+    chosen: Prediction | None
+    predictions: tuple[Prediction, ...]
+
+
+class RoutingPolicy(abc.ABC):
+    """Decide where a request goes."""
+
+    @abc.abstractmethod
+    def choose(self, record, candidates, place):
+        """Return a Decision for a request and its candidates."""
+
+    def note_offered(self, record, sidecar):
+        """Learn that a request was offered to a sidecar."""
+
+
+class PrefixIndex:
+    """Remember which sidecars have seen which prompt blocks."""
+
+    def __init__(self, capacity=PREFIX_INDEX_BLOCKS):
+        self._capacity = capacity
+        self._holders = collections.OrderedDict()
+
+    def add(self, blocks, sidecar):
+        """Remember that a sidecar has seen the blocks."""
+        for block in blocks:
+            holders = self._holders.pop(block, frozenset())
+            self._holders[block] = holders | {sidecar}
+        while len(self._holders) > self._capacity:
+            self._holders.popitem(last=False)
+
+    def cached_tokens(self, blocks, sidecars):
+        """Return the leading tokens that each sidecar has seen."""
+        cached = dict.fromkeys(sidecars, 0)
+        alive = set(sidecars)
+        for count, block in enumerate(blocks, start=1):
+            alive &= self._holders.get(block, frozenset())
+            if not alive:
+                break
+            for sidecar in alive:
+                cached[sidecar] = count * BLOCK_TOKENS
+        return cached
+
+
+def link_seconds(place, instance, size):
+    """Return the seconds that a request of some bytes spends on links."""
+    if instance.failure_domain == place.failure_domain:
+        return LINK_SAME_DOMAIN_S
+    if instance.region == place.region:
+        return LINK_SAME_REGION_S
+    rate = LINK_OTHER_REGION_BYTES_PER_S * LINK_SHARE
+    return 2 * LINK_OTHER_REGION_S + size / rate
+
+
+class PredictedFirstToken(RoutingPolicy):
+    """Choose the least predicted time to the first token."""
+
+    def __init__(self):
+        self._prefixes = PrefixIndex()
+
+    def choose(self, record, candidates, place):
+        """Return the decision with the least predicted time."""
+        names = [view.instance.name for view in candidates]
+        cached = self._prefixes.cached_tokens(record.call.prefix_blocks, names)
+        predictions = tuple(
+            self._predict(record, view, place, cached[view.instance.name])
+            for view in candidates
+        )
+        chosen = min(predictions, key=lambda p: p.total_s, default=None)
+        return Decision(chosen, predictions)
+
+    def note_offered(self, record, sidecar):
+        """Remember the prompt blocks that the sidecar now sees."""
+        self._prefixes.add(record.call.prefix_blocks, sidecar)
+
+    def _predict(self, record, view, place, cached):
+        call = record.call
+        waits = view.load.wait_s
+        tier = record.work_class.tier
+        wait = waits[tier - 1] if len(waits) >= tier else 0.0
+        wait += sum(view.outstanding_s.values())
+        size = len(call.body) + call.output_tokens * BYTES_PER_TOKEN
+        return Prediction(
+            view.instance.name,
+            wait,
+            prefill_seconds(call, view, cached),
+            link_seconds(place, view.instance, size),
+        )
+
+
+def prefill_seconds(call, view, cached=0):
+    """Return the seconds of prefill that a request needs at a sidecar."""
+    speed = view.load.prefill_tokens_per_s or DEFAULT_PREFILL_TOKENS_PER_S
+    return max(call.prompt_tokens - cached, 0) / speed
+
+
+class RoundRobin(RoutingPolicy):
+    """Take the candidates in turn; a baseline."""
+
+    def __init__(self):
+        self._turn = 0
+
+    def choose(self, record, candidates, place):
+        """Return the next candidate."""
+        if not candidates:
+            return Decision(None, ())
+        self._turn += 1
+        view = candidates[self._turn % len(candidates)]
+        chosen = Prediction(view.instance.name, 0.0, 0.0, 0.0)
+        return Decision(chosen, (chosen,))
+
+
+class LeastReportedLoad(RoutingPolicy):
+    """Take the least reported number of requests; a baseline."""
+
+    def choose(self, record, candidates, place):
+        """Return the candidate that reports the fewest requests."""
+        predictions = tuple(
+            Prediction(
+                view.instance.name,
+                float(view.load.running + view.load.queued),
+                0.0,
+                0.0,
+            )
+            for view in candidates
+        )
+        chosen = min(predictions, key=lambda p: p.wait_s, default=None)
+        return Decision(chosen, predictions)
--- /dev/null
+++ b/persimmonroute/events.py
@@ -0,0 +1,65 @@
+"""Number the events that the system logs."""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+
+class EventKind(typing.NamedTuple):
+    """Describe one kind of event."""
+
+    number: int
+    level: str
+    summary: str
+
+
+class Event(enum.Enum):
+    """List every event; docs/events.md is its catalogue."""
+
+    PROCESS_STARTED = EventKind(100, 'INFO', 'process started')
+    PROCESS_STOPPING = EventKind(101, 'INFO', 'graceful shutdown began')
+    PROCESS_STOPPED = EventKind(102, 'INFO', 'process stopped')
+    REQUEST_ROUTED = EventKind(200, 'INFO', 'request offered to a sidecar')
+    REQUEST_SHED = EventKind(201, 'INFO', 'request shed before it ran')
+    REQUEST_REROUTED = EventKind(
+        202, 'INFO', 'request withdrawn unstarted and offered elsewhere'
+    )
+    REQUEST_GRANTED = EventKind(203, 'DEBUG', 'request permitted to start')
+    REQUEST_ENDED = EventKind(204, 'INFO', 'final answer given')
+    REQUEST_RESUMING = EventKind(
+        205, 'WARNING', 'answer interrupted; resuming at its offset'
+    )
+    REQUEST_ATTACHED = EventKind(
+        206, 'INFO', 'request attached to an earlier attempt of its key'
+    )
+    CLAIM_CONFIRMED = EventKind(210, 'DEBUG', 'claim row confirmed')
+    CLAIM_CONFLICT = EventKind(211, 'INFO', 'claim row has another owner')
+    CLAIM_FAILED = EventKind(212, 'WARNING', 'table service gave no answer')
+    CLAIM_SETTLED = EventKind(213, 'INFO', 'abandoned claim released')
+    OFFER_QUEUED = EventKind(300, 'DEBUG', 'offer queued at the sidecar')
+    OFFER_REFUSED = EventKind(301, 'INFO', 'offer refused at the sidecar')
+    REQUEST_STARTED = EventKind(302, 'INFO', 'request sent to the endpoint')
+    REQUEST_EVICTED = EventKind(303, 'INFO', 'queued request evicted')
+    ENDPOINT_DOWN = EventKind(310, 'WARNING', 'endpoint does not answer')
+    ENDPOINT_UP = EventKind(311, 'INFO', 'endpoint answers')
+    REQUEST_SUSPECTED = EventKind(
+        312, 'WARNING', 'request was in progress at an endpoint crash'
+    )
+    REQUEST_QUARANTINED = EventKind(
+        313, 'ERROR', 'request refused for crashing endpoints'
+    )
+    ENGINE_LIMIT_CHANGED = EventKind(320, 'DEBUG', 'engine limit changed')
+    SIDECAR_LINKED = EventKind(400, 'INFO', 'sidecar connected')
+    SIDECAR_UNLINKED = EventKind(401, 'WARNING', 'sidecar disconnected')
+    SIDECAR_LEAVING = EventKind(402, 'INFO', 'sidecar is leaving')
+    CONFIGURATION_IN_FORCE = EventKind(
+        500, 'INFO', 'configuration revision in force'
+    )
+    CONFIGURATION_REJECTED = EventKind(
+        501, 'ERROR', 'configuration document is not valid'
+    )
+    PLATFORM_UNAVAILABLE = EventKind(
+        600, 'WARNING', 'platform gave no usable answer'
+    )
+    PLATFORM_AVAILABLE = EventKind(601, 'INFO', 'platform answers again')
--- /dev/null
+++ b/persimmonroute/outbox.py
@@ -0,0 +1,57 @@
+"""Gather the frames of one link into envelopes."""
+
+from __future__ import annotations
+
+import asyncio
+
+FLUSH_INTERVAL_S = 0.004
+MAX_FRAMES_PER_ENVELOPE = 512
+
+
+class FrameOutbox:
+    """Hold frames until the link takes the next envelope."""
+
+    def __init__(self):
+        self._frames = []
+        self._wake = asyncio.Event()
+        self._closed = False
+        self._flushed_at = 0.0
+
+    @property
+    def closed(self):
+        """Tell whether the link is closed."""
+        return self._closed
+
+    def put(self, frame):
+        """Add a frame to the next envelope."""
+        self._frames.append(frame)
+        self._wake.set()
+
+    def nudge(self):
+        """Ask for an envelope even without frames."""
+        self._wake.set()
+
+    def close(self):
+        """End the link."""
+        self._closed = True
+        self._wake.set()
+
+    async def take(self, patience_s):
+        """Return the frames of the next envelope.
+
+        The list is empty when patience, in seconds, ran out first.
+        """
+        try:
+            await asyncio.wait_for(self._wake.wait(), patience_s)
+        except TimeoutError:
+            return []
+        loop = asyncio.get_running_loop()
+        pause = self._flushed_at + FLUSH_INTERVAL_S - loop.time()
+        if pause > 0 and not self._closed:
+            await asyncio.sleep(pause)
+        self._flushed_at = loop.time()
+        frames = self._frames[:MAX_FRAMES_PER_ENVELOPE]
+        self._frames = self._frames[MAX_FRAMES_PER_ENVELOPE:]
+        if not self._frames and not self._closed:
+            self._wake.clear()
+        return frames
--- /dev/null
+++ b/persimmonroute/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Reach the platform's table service, object store and instance list."""
--- /dev/null
+++ b/persimmonroute/sidecar/admission.py
@@ -0,0 +1,89 @@
+"""Decide which offers a sidecar takes and which it sheds."""
+
+from __future__ import annotations
+
+import abc
+import typing
+
+from persimmonroute.generated import exchange_pb2 as pb
+from persimmonroute.sidecar import board as boards
+
+MIN_RETRY_AFTER_S = 1.0
+# Lower tiers are admitted again once the wait is this share of patience.
+READMIT_SHARE = 0.5
+
+
+class Verdict(typing.NamedTuple):
+    """Accept an offer, or refuse it with the reason."""
+
+    accepted: bool
+    wait_s: float
+    reason: int = pb.REFUSAL_REASON_UNSPECIFIED
+
+
+class AdmissionPolicy(abc.ABC):
+    """Decide whether an offer may wait."""
+
+    @abc.abstractmethod
+    def judge(self, item, now):
+        """Return the Verdict on an item that was offered."""
+
+    def on_shed(self, item, now):
+        """Learn that an item was shed."""
+
+    def refresh(self, now):
+        """Bring the admission level up to date."""
+
+
+class AcceptAll(AdmissionPolicy):
+    """Accept every offer; a baseline."""
+
+    def judge(self, item, now):
+        """Accept."""
+        return Verdict(True, 0.0)
+
+
+class TieredAdmission(AdmissionPolicy):
+    """Shed the lowest tiers first by predicted wait."""
+
+    def __init__(self, board, limit):
+        self._board = board
+        self._limit = limit
+        self._shed_patience_s = 0.0
+
+    def judge(self, item, now):
+        """Accept an item that is predicted to start in time."""
+        board = self._board
+        self.refresh(now)
+        ahead = board.line.ahead_of(item)
+        wait = self._limit.wait_s(ahead, board.running, now)
+        late = wait > item.offer.patience_s
+        if item.tier > board.admitted_tier or late:
+            return Verdict(False, wait, pb.OVERLOADED)
+        return Verdict(True, wait)
+
+    def on_shed(self, item, now):
+        """Stop admitting tiers below the one that was shed."""
+        if item.tier <= self._board.admitted_tier:
+            self._board.admitted_tier = item.tier
+            self._shed_patience_s = item.offer.patience_s
+
+    def refresh(self, now):
+        """Admit lower tiers again once the wait has fallen."""
+        board = self._board
+        if board.admitted_tier == boards.ALL_TIERS_ADMITTED:
+            return
+        wait = wait_of_tier(board, self._limit, board.admitted_tier, now)
+        if wait < READMIT_SHARE * self._shed_patience_s:
+            board.admitted_tier += 1
+
+
+def wait_of_tier(board, limit, tier, now):
+    """Return the seconds that a new request of a tier would wait."""
+    ahead = [item for item in board.line if item.tier <= tier]
+    return limit.wait_s(ahead, board.running, now)
+
+
+def retry_after_s(wait_s):
+    """Return when a refused caller should come back, in seconds."""
+    return max(wait_s, MIN_RETRY_AFTER_S)
--- /dev/null
+++ b/persimmonroute/sidecar/board.py
@@ -0,0 +1,107 @@
+"""Hold the state that a sidecar's controllers share."""
+
+from __future__ import annotations
+
+import collections
+import itertools
+
+from persimmonroute.generated import exchange_pb2 as pb
+from persimmonroute.sidecar import messages
+from persimmonroute.sidecar import waiting
+from persimmonroute import timers
+
+TOMBSTONES = 20_000
+ALL_TIERS_ADMITTED = 4
+
+
+class Item:
+    """Hold the progress of one attempt at this endpoint."""
+
+    _sequence = itertools.count()
+
+    def __init__(self, attempt, offer, owner, now):
+        self.attempt = attempt
+        self.offer = offer
+        # Link of the entry that may permit the start.
+        self.owner = owner
+        self.state = 'held' if offer.held else 'queued'
+        self.sequence = next(self._sequence)
+        self.arrived_at = now
+        self.deadline = now + offer.patience_s
+        self.prefill_tokens = offer.prompt_tokens
+        self.subscribers = {owner} if owner else set()
+        self.answer = bytearray()
+        self.started_at = None
+        self.first_token_at = None
+        self.last_token_at = None
+        self.taken_up = False
+        self.cancelled = False
+        self.finished: pb.Finished | None = None
+
+    @property
+    def waiting(self):
+        """Tell whether the attempt has not started."""
+        return self.state in ('held', 'queued', 'ready')
+
+    @property
+    def tier(self):
+        """Return the tier of the request; 1 is the highest."""
+        return self.offer.tier
+
+
+class SidecarBoard:
+    """Hold the state of a sidecar and the effects it asks for."""
+
+    def __init__(self, name, incarnation, service):
+        self.name = name
+        self.incarnation = incarnation
+        self.service = service
+        self.revision = 0
+        self.document = b''
+        self.items: dict[str, Item] = {}
+        self.line = waiting.WaitingLine()
+        # Attempts that are ready or started.
+        self.running: dict[str, Item] = {}
+        self.tombstones = collections.OrderedDict()
+        # Set once answers of non-idempotent attempts were dropped.
+        self.forgetful = False
+        self.engine_streams: frozenset[str] = frozenset()
+        self.links: set[str] = set()
+        self.admitted_tier = ALL_TIERS_ADMITTED
+        self.leaving = False
+        self.endpoint_up = True
+        self.suspects: dict[str, float] = {}
+        self.refused_fingerprints: dict[str, float] = {}
+        self.timers = timers.TimerQueue()
+        self._effects = []
+
+    def put(self, effect):
+        """Ask for an effect."""
+        self._effects.append(effect)
+
+    def log(self, event, **fields):
+        """Ask for a log line."""
+        self._effects.append(messages.LogEvent(event, fields))
+
+    def take_effects(self):
+        """Remove and return the effects asked for."""
+        effects, self._effects = self._effects, []
+        return effects
+
+    def send(self, link, attempt, **body):
+        """Send a frame about an attempt to an entry."""
+        if link in self.links:
+            frame = pb.Frame(request_id=attempt, **body)
+            self._effects.append(messages.SendFrame(link, frame))
+
+    def cancel(self, item):
+        """Cancel an attempt at the endpoint, once."""
+        if not item.cancelled:
+            item.cancelled = True
+            self._effects.append(messages.CancelCall(item.attempt))
+
+    def bury(self, attempt):
+        """Remember that an attempt never starts here."""
+        self.tombstones[attempt] = None
+        while len(self.tombstones) > TOMBSTONES:
+            self.tombstones.popitem(last=False)
--- /dev/null
+++ b/persimmonroute/sidecar/core.py
@@ -0,0 +1,111 @@
+"""Bring events to the controllers of a sidecar."""
+
+from __future__ import annotations
+
+from persimmonroute.config import declarations
+from persimmonroute.generated import exchange_pb2 as pb
+from persimmonroute.sidecar import admission
+from persimmonroute.sidecar import answers
+from persimmonroute.sidecar import configuration
+from persimmonroute.sidecar import execution
+from persimmonroute.sidecar import messages
+from persimmonroute.sidecar import quarantine
+
+QUARANTINE_PERIOD_S = 10.0
+
+
+class SidecarCore:
+    """Turn events and the time into effects, without I/O."""
+
+    def __init__(self, board, limit, policy):
+        self._board = board
+        self._limit = limit
+        self._policy = policy
+        self._answers = answers.AnswerKeeper(board)
+        self._quarantine = quarantine.Quarantine(board)
+        self._executor = execution.Executor(
+            board, limit, policy, self._answers, self._quarantine
+        )
+        self._configuration = configuration.ConfigurationRelay(board)
+        self._quarantine_due_at = 0.0
+        self._handlers = {
+            messages.LinkOpened: self._on_link_opened,
+            messages.LinkClosed: self._on_link_closed,
+            messages.EnvelopeArrived: self._on_envelope,
+            messages.EndpointData: self._executor.on_data,
+            messages.EndpointEnded: self._executor.on_ended,
+            messages.EndpointFailed: self._executor.on_failed,
+            messages.EndpointProbed: self._executor.on_probed,
+            messages.StreamsFound: self._on_streams_found,
+            messages.TimePassed: self._on_time,
+            messages.StopRequested: self._executor.on_stop,
+        }
+
+    @property
+    def board(self):
+        """Return the state of the sidecar."""
+        return self._board
+
+    @property
+    def next_timer_at(self):
+        """Return the time in seconds of the next timer, or None."""
+        return self._board.timers.next_at
+
+    @property
+    def idle(self):
+        """Tell whether nothing waits or runs."""
+        board = self._board
+        return not board.running and not any(
+            item.waiting for item in board.items.values()
+        )
+
+    def handle(self, event, now):
+        """Return the effects of an event at a time in seconds."""
+        for timer in self._board.timers.take_due(now):
+            self._executor.on_timer(timer, now)
+            self._answers.on_timer(timer, now)
+        self._handlers[type(event)](event, now)
+        return self._board.take_effects()
+
+    def load(self, now):
+        """Return the load to report to entries."""
+        board = self._board
+        self._policy.refresh(now)
+        return pb.Load(
+            wait_s=[
+                admission.wait_of_tier(board, self._limit, tier, now)
+                for tier in range(1, declarations.TIERS + 1)
+            ],
+            prefill_tokens_per_s=self._limit.prefill_tokens_per_s,
+            decode_step_s=self._limit.token_gap_s,
+            queued=len(board.line),
+            running=len(board.running),
+            limit=int(self._limit.max_running),
+            admitted_tier=board.admitted_tier,
+            leaving=board.leaving,
+            endpoint_down=not board.endpoint_up,
+            refused_fingerprints=sorted(board.refused_fingerprints),
+            suspect_fingerprints=sorted(board.suspects),
+        )
+
+    def _on_link_opened(self, event, now):
+        self._board.links.add(event.link)
+
+    def _on_link_closed(self, event, now):
+        self._board.links.discard(event.link)
+        self._executor.on_link_closed(event, now)
+
+    def _on_envelope(self, event, now):
+        self._configuration.on_envelope(event, now)
+        for frame in event.envelope.frames:
+            self._configuration.on_frame(event.link, frame)
+            self._executor.on_frame(event.link, frame, now)
+
+    def _on_streams_found(self, event, now):
+        self._board.engine_streams = event.attempts
+
+    def _on_time(self, event, now):
+        if now >= self._quarantine_due_at:
+            self._quarantine_due_at = now + QUARANTINE_PERIOD_S
+            self._quarantine.expire(now)
+        self._executor.start_ready(now)
--- /dev/null
+++ b/persimmonroute/sidecar/quarantine.py
@@ -0,0 +1,52 @@
+"""Find the requests that crash endpoints."""
+
+from __future__ import annotations
+
+from persimmonroute.events import Event
+
+SUSPICION_S = 600.0
+REFUSAL_S = 86400.0
+
+
+class Quarantine:
+    """Suspect what ran at a crash; refuse what crashed while alone."""
+
+    def __init__(self, board):
+        self._board = board
+
+    def is_refused(self, fingerprint):
+        """Tell whether requests of this content are refused."""
+        return fingerprint in self._board.refused_fingerprints
+
+    def must_run_alone(self, item):
+        """Tell whether an item may not share its endpoint."""
+        suspects = self._board.suspects
+        return item.offer.suspect or item.offer.fingerprint in suspects
+
+    def on_crash(self, items, now):
+        """Take note of the items in progress at a crash."""
+        board = self._board
+        fingerprints = {item.offer.fingerprint for item in items}
+        alone = len(items) == 1
+        for fingerprint in sorted(fingerprints):
+            if alone and self._is_suspect(items[0]):
+                board.refused_fingerprints[fingerprint] = now + REFUSAL_S
+                board.suspects.pop(fingerprint, None)
+                board.log(Event.REQUEST_QUARANTINED, fingerprint=fingerprint)
+            else:
+                board.suspects[fingerprint] = now + SUSPICION_S
+                board.log(Event.REQUEST_SUSPECTED, fingerprint=fingerprint)
+
+    def on_completed(self, item):
+        """Clear a suspect that completed."""
+        self._board.suspects.pop(item.offer.fingerprint, None)
+
+    def expire(self, now):
+        """Drop suspicions and refusals whose time is over."""
+        board = self._board
+        for table in (board.suspects, board.refused_fingerprints):
+            for fingerprint in [f for f, end in table.items() if end < now]:
+                del table[fingerprint]
+
+    def _is_suspect(self, item):
+        return self.must_run_alone(item)
--- /dev/null
+++ b/persimmonroute/sidecar/shell.py
@@ -0,0 +1,157 @@
+"""Connect a sidecar's core to gRPC, its endpoint and the clock."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+
+import grpc
+
+from persimmonroute.events import Event
+from persimmonroute.generated import exchange_pb2 as pb
+from persimmonroute.generated import exchange_pb2_grpc
+from persimmonroute import logs
+from persimmonroute import outbox
+from persimmonroute.sidecar import messages
+
+log = logs.EventLog(__name__)
+
+BUSY_REPORT_PERIOD_S = 0.25
+IDLE_REPORT_PERIOD_S = 1.0
+PROBE_PERIOD_S = 0.5
+TICK_S = 0.05
+
+
+class SidecarShell(exchange_pb2_grpc.ExchangeServicer):
+    """Run a sidecar's core inside an asyncio process."""
+
+    def __init__(self, core, settings, make_endpoint_client):
+        self._core = core
+        self._settings = settings
+        self._endpoint = make_endpoint_client(self.handle)
+        self._outboxes: dict[str, outbox.FrameOutbox] = {}
+        self._links = itertools.count(1)
+        self._tasks: set[asyncio.Task] = set()
+        self._idle = asyncio.Event()
+        self._effect_handlers = {
+            messages.SendFrame: self._send_frame,
+            messages.StartCall: self._start_call,
+            messages.TakeUpCall: self._take_up_call,
+            messages.CancelCall: self._cancel_call,
+            messages.LogEvent: self._log_event,
+        }
+
+    def handle(self, event):
+        """Bring an event to the core and carry out its effects."""
+        board = self._core.board
+        before = (board.endpoint_up, board.leaving, board.admitted_tier)
+        for effect in self._core.handle(event, time.monotonic()):
+            self._effect_handlers[type(effect)](effect)
+        after = (board.endpoint_up, board.leaving, board.admitted_tier)
+        if before != after:
+            for box in self._outboxes.values():
+                box.nudge()
+
+    async def run(self, stop):
+        """Serve until a stop is asked for and all work has ended."""
+        server = grpc.aio.server()
+        exchange_pb2_grpc.add_ExchangeServicer_to_server(self, server)
+        server.add_insecure_port(self._settings.address)
+        streams = await self._endpoint.find_streams()
+        self.handle(messages.StreamsFound(streams))
+        await server.start()
+        log.emit(Event.PROCESS_STARTED, address=self._settings.address)
+        self._spawn(self._tick())
+        self._spawn(self._probe())
+        await stop.wait()
+        await self._drain()
+        for box in self._outboxes.values():
+            box.close()
+        await server.stop(1.0)
+        for task in list(self._tasks):
+            task.cancel()
+        await self._endpoint.close()
+        log.emit(Event.PROCESS_STOPPED)
+
+    async def Connect(self, request_iterator, context):
+        """Exchange envelopes with one entry."""
+        sender = dict(context.invocation_metadata()).get('entry', 'entry')
+        link = f'{sender}#{next(self._links)}'
+        box = outbox.FrameOutbox()
+        self._outboxes[link] = box
+        self.handle(messages.LinkOpened(link))
+        reader = asyncio.create_task(self._read(link, request_iterator, box))
+        try:
+            yield self._envelope([])
+            while not box.closed:
+                frames = await box.take(self._report_period())
+                yield self._envelope(frames)
+        finally:
+            reader.cancel()
+            del self._outboxes[link]
+            self.handle(messages.LinkClosed(link))
+
+    async def _read(self, link, request_iterator, box):
+        try:
+            async for envelope in request_iterator:
+                self.handle(messages.EnvelopeArrived(link, envelope))
+        finally:
+            box.close()
+
+    async def _drain(self):
+        log.emit(Event.PROCESS_STOPPING)
+        self.handle(messages.StopRequested())
+        deadline = time.monotonic() + self._settings.stop_grace_s
+        while not self._core.idle and time.monotonic() < deadline:
+            await asyncio.sleep(TICK_S)
+        # Followers still read the ends of the last answers.
+        await asyncio.sleep(BUSY_REPORT_PERIOD_S)
+
+    async def _tick(self):
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.handle(messages.TimePassed())
+
+    async def _probe(self):
+        while True:
+            up = await self._endpoint.probe()
+            self.handle(messages.EndpointProbed(up))
+            await asyncio.sleep(PROBE_PERIOD_S)
+
+    def _report_period(self):
+        return (
+            IDLE_REPORT_PERIOD_S if self._core.idle else (BUSY_REPORT_PERIOD_S)
+        )
+
+    def _envelope(self, frames):
+        board = self._core.board
+        return pb.Envelope(
+            sender=board.name,
+            incarnation=board.incarnation,
+            revision=board.revision,
+            load=self._core.load(time.monotonic()),
+            frames=frames,
+        )
+
+    def _spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _send_frame(self, effect):
+        box = self._outboxes.get(effect.link)
+        if box is not None:
+            box.put(effect.frame)
+
+    def _start_call(self, effect):
+        self._spawn(self._endpoint.run(effect.attempt, effect.offer))
+
+    def _take_up_call(self, effect):
+        self._spawn(self._endpoint.take_up(effect.attempt, effect.offset))
+
+    def _cancel_call(self, effect):
+        self._spawn(self._endpoint.cancel(effect.attempt))
+
+    def _log_event(self, effect):
+        log.emit(effect.event, **effect.fields)
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Specify the protocols for the model checker."""
--- /dev/null
+++ b/standins/engine_model.py
@@ -0,0 +1,134 @@
+"""Model a batching engine without I/O or a clock of its own."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+import xxhash
+
+BLOCK_TOKENS = 64
+PREFILL_CHUNK_TOKENS = 512
+
+
+class EngineSpeed(typing.NamedTuple):
+    """Give an engine's speeds and the size of its prefix cache."""
+
+    prefill_tokens_per_s: float
+    # A step takes the base and a share for each request that decodes.
+    step_base_s: float
+    step_request_s: float
+    cache_blocks: int
+
+
+class Token(typing.NamedTuple):
+    """Hold one generated token."""
+
+    request_id: str
+    index: int
+    last: bool
+
+
+class _Sequence:
+    def __init__(self, request_id, blocks, prompt_tokens, output_tokens):
+        self.request_id = request_id
+        self.blocks = blocks
+        self.prompt_tokens = prompt_tokens
+        self.left_to_prefill = prompt_tokens
+        self.cached_tokens = 0
+        self.output_tokens = output_tokens
+        self.generated = 0
+
+
+class EngineModel:
+    """Advance all admitted requests step by step.
+
+    Requests are admitted as they come; prefill is first come, first
+    served, in chunks that share the steps with decoding.
+    """
+
+    def __init__(self, speed):
+        self.speed = speed
+        self.slowdown = 1.0
+        self._prefilling: collections.deque[_Sequence] = collections.deque()
+        self._decoding: dict[str, _Sequence] = {}
+        self._cache = collections.OrderedDict()
+        self.prefilled_tokens = 0
+        self.wasted_tokens = 0
+
+    @property
+    def in_progress(self):
+        """Return the number of requests in progress."""
+        return len(self._prefilling) + len(self._decoding)
+
+    def submit(self, request_id, blocks, prompt_tokens, output_tokens):
+        """Admit a request and return its cached prompt tokens."""
+        sequence = _Sequence(request_id, blocks, prompt_tokens, output_tokens)
+        sequence.cached_tokens = self._find_cached(blocks)
+        sequence.left_to_prefill = max(
+            prompt_tokens - sequence.cached_tokens, 1
+        )
+        self._prefilling.append(sequence)
+        return sequence.cached_tokens
+
+    def cancel(self, request_id):
+        """Drop a request in progress."""
+        sequence = self._decoding.pop(request_id, None)
+        if sequence is None:
+            for waiting in list(self._prefilling):
+                if waiting.request_id == request_id:
+                    self._prefilling.remove(waiting)
+                    sequence = waiting
+        if sequence is not None:
+            done = sequence.prompt_tokens - sequence.cached_tokens
+            self.wasted_tokens += max(done - sequence.left_to_prefill, 0)
+
+    def step(self):
+        """Advance one step; return its seconds and the new tokens."""
+        tokens = [self._decode(s) for s in list(self._decoding.values())]
+        seconds = self.speed.step_base_s
+        seconds += self.speed.step_request_s * len(tokens)
+        budget = PREFILL_CHUNK_TOKENS
+        while self._prefilling and budget > 0:
+            sequence = self._prefilling[0]
+            done = min(sequence.left_to_prefill, budget)
+            sequence.left_to_prefill -= done
+            budget -= done
+            self.prefilled_tokens += done
+            seconds += done / self.speed.prefill_tokens_per_s
+            if sequence.left_to_prefill == 0:
+                self._prefilling.popleft()
+                self._remember(sequence.blocks)
+                self._decoding[sequence.request_id] = sequence
+                tokens.append(self._decode(sequence))
+        return seconds * self.slowdown, tokens
+
+    def _decode(self, sequence):
+        index = sequence.generated
+        sequence.generated += 1
+        last = sequence.generated >= sequence.output_tokens
+        if last:
+            self._decoding.pop(sequence.request_id, None)
+        return Token(sequence.request_id, index, last)
+
+    def _find_cached(self, blocks):
+        cached = 0
+        for block in blocks:
+            if block not in self._cache:
+                break
+            self._cache.move_to_end(block)
+            cached += BLOCK_TOKENS
+        return cached
+
+    def _remember(self, blocks):
+        for block in blocks:
+            self._cache[block] = None
+            self._cache.move_to_end(block)
+        while len(self._cache) > self.speed.cache_blocks:
+            self._cache.popitem(last=False)
+
+
+def answer_words(prompt, count):
+    """Return the words of the answer that belongs to a prompt."""
+    digest = xxhash.xxh3_64_hexdigest(prompt.encode())[:8]
+    return [f'{digest}-{index} ' for index in range(count)]
--- /dev/null
+++ b/standins/service.py
@@ -0,0 +1,79 @@
+"""Stand in for a plain service that takes orders and bookings.
+
+Usage: service --address ADDRESS [options]
+
+Options:
+  --address ADDRESS   Address to serve, as IP:port.
+  --seconds SECONDS   Time of one call [default: 0.02].
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import json
+
+import docopt
+from starlette import applications
+from starlette import responses
+from starlette import routing
+import xxhash
+
+from standins import serving
+
+METHODS = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE']
+
+
+class ServiceStandIn:
+    """Run calls and count how often each ran."""
+
+    def __init__(self, seconds):
+        self._seconds = seconds
+        self._runs = collections.Counter()
+        self._finished = 0
+
+    def build_app(self):
+        """Return the ASGI application."""
+        return applications.Starlette(
+            routes=[
+                routing.Route('/health', self._health),
+                routing.Route('/control', self._control, methods=['POST']),
+                routing.Route('/control/counts', self._counts),
+                routing.Route('/{path:path}', self._run, methods=METHODS),
+            ]
+        )
+
+    async def _run(self, request):
+        body = await request.body()
+        call = json.loads(body or b'{}')
+        self._runs[call.get('id', request.url.path)] += 1
+        await asyncio.sleep(self._seconds)
+        self._finished += 1
+        receipt = xxhash.xxh3_64_hexdigest(body)
+        return responses.JSONResponse(
+            {'id': call.get('id'), 'receipt': receipt}, 201
+        )
+
+    async def _health(self, request):
+        return responses.PlainTextResponse('ok')
+
+    async def _control(self, request):
+        change = await request.json()
+        self._seconds = change.get('seconds', self._seconds)
+        return responses.JSONResponse({})
+
+    async def _counts(self, request):
+        return responses.JSONResponse(
+            {'runs': dict(self._runs), 'finished': self._finished}
+        )
+
+
+def main():
+    """Serve the service."""
+    arguments = docopt.docopt(__doc__)
+    service = ServiceStandIn(float(arguments['--seconds']))
+    serving.serve(service.build_app(), arguments['--address'])
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Provide development tools that stand beside the system."""
--- /dev/null
+++ b/tools/generate.py
@@ -0,0 +1,66 @@
+"""Generate the message code from its source, or check it against it.
+
+Usage: python -m tools.generate [--check]
+"""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+import tempfile
+
+from grpc_tools import protoc
+
+PACKAGE = pathlib.Path(__file__).parent.parent / 'persimmonroute'
+SOURCE = PACKAGE / 'proto'
+TARGET = PACKAGE / 'generated'
+
+
+def generate(target):
+    """Write the generated modules into the target folder."""
+    status = protoc.main(
+        [
+            'protoc',
+            f'--proto_path={SOURCE}',
+            f'--python_out={target}',
+            f'--pyi_out={target}',
+            f'--grpc_python_out={target}',
+            str(SOURCE / 'exchange.proto'),
+        ]
+    )
+    if status:
+        raise SystemExit(f'protoc failed with status {status}')
+    service = pathlib.Path(target) / 'exchange_pb2_grpc.py'
+    text = service.read_text()
+    text = text.replace(
+        'import exchange_pb2 as',
+        'from persimmonroute.generated import exchange_pb2 as',
+    )
+    service.write_text(text)
+
+
+def check():
+    """Return the names of committed modules that differ from the source."""
+    with tempfile.TemporaryDirectory() as folder:
+        generate(folder)
+        return [
+            path.name
+            for path in sorted(pathlib.Path(folder).iterdir())
+            if path.read_text() != (TARGET / path.name).read_text()
+        ]
+
+
+def main():
+    """Generate, or check with --check."""
+    if '--check' not in sys.argv:
+        generate(TARGET)
+        return
+    stale = check()
+    if stale:
+        raise SystemExit(
+            f'stale generated code: {stale}; run python -m tools.generate'
+        )
+
+
+if __name__ == '__main__':
+    main()
