Prove the promises with a fault matrix

Cause: the promises had no proof under failure.

Change: a world with a clock of its own drives the real cores against small stand-ins; 21 faults at 11 steps, pairs around claim and start, mutants that take one guard out each, scenarios for leaving, overload, abandoned claims and crashing requests.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 DEPLOYMENT ?= baltkomponents
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint generate
+.PHONY: demo test lint generate faults
 
 $(STAMP): pyproject.toml constraints.txt
 	python3 -m venv $(VENV)
@@ -18,3 +18,9 @@
 
 generate: $(STAMP)
 	$(PYTHON) -m tools.generate
+
+faults: $(STAMP)
+	$(PYTHON) -m tools.faults --pairs --write
+
+rolling: $(STAMP)
+	$(PYTHON) -m tools.rolling --deployment $(DEPLOYMENT)
--- a/persimmonroute/entry/board.py
+++ b/persimmonroute/entry/board.py
@@ -6,6 +6,7 @@
 
 from persimmonroute.config import declarations
 from persimmonroute.entry import messages
+from persimmonroute.entry import quarantine
 from persimmonroute.generated import exchange_pb2 as pb
 from persimmonroute import timers
 
@@ -26,6 +27,8 @@
         self.incarnation = ''
         self.load = pb.Load()
         self.revision = 0
+        # Revision last sent over the present connection.
+        self.pushed_revision = 0
         # Seconds of work offered that the load does not show yet.
         self.outstanding_s = {}
 
@@ -76,7 +79,7 @@
         self.calls: dict[str, CallRecord] = {}
         # Requests that await the answer of an attempt.
         self._followers: dict[str, list[CallRecord]] = {}
-        self.refused_fingerprints: set[str] = set()
+        self.quarantine = quarantine.QuarantineView()
         self.timers = timers.TimerQueue()
         self.stopping = False
         self._effects = []
--- a/persimmonroute/entry/configuration.py
+++ b/persimmonroute/entry/configuration.py
@@ -42,13 +42,22 @@
                 self._send_update(name)
 
     def on_envelope(self, event, now):
-        """Ask a peer that knows a higher revision for it."""
-        if event.envelope.revision > self._board.revision:
-            request = pb.ConfigurationRequest(
-                known_revision=self._board.revision
-            )
+        """Ask a peer with a higher revision for it; update a lower one."""
+        board = self._board
+        view = board.sidecars.get(event.sidecar)
+        if event.envelope.revision < board.revision:
+            if view is not None and view.pushed_revision < board.revision:
+                self._send_update(event.sidecar)
+        elif event.envelope.revision > board.revision:
+            request = pb.ConfigurationRequest(known_revision=board.revision)
             frame = pb.Frame(configuration_request=request)
-            self._board.put(messages.SendFrame(event.sidecar, frame))
+            board.put(messages.SendFrame(event.sidecar, frame))
+
+    def on_link_opened(self, event, now):
+        """Count nothing as sent over a new connection."""
+        view = self._board.sidecars.get(event.sidecar)
+        if view is not None:
+            view.pushed_revision = 0
 
     def on_frame(self, sidecar, frame, now):
         """Handle one frame about configuration."""
@@ -66,6 +75,7 @@
         self.on_heard(heard, now)
 
     def _send_update(self, sidecar):
+        self._board.sidecars[sidecar].pushed_revision = self._board.revision
         update = pb.ConfigurationUpdate(
             revision=self._board.revision, document=self._board.document
         )
--- a/persimmonroute/entry/core.py
+++ b/persimmonroute/entry/core.py
@@ -8,12 +8,15 @@
 from persimmonroute.entry import membership
 from persimmonroute.entry import messages
 
+EXPIRY_PERIOD_S = 10.0
+
 
 class EntryCore:
     """Turn events and the time into effects, without I/O."""
 
     def __init__(self, board, policy):
         self._board = board
+        self._expiry_due_at = 0.0
         self._claims = claims.ClaimKeeper(board)
         self._dispatcher = dispatch.Dispatcher(board, policy, self._claims)
         self._claims.dispatcher = self._dispatcher
@@ -24,6 +27,7 @@
             messages.CallerGone: [self._dispatcher.on_caller_gone],
             messages.LinkOpened: [
                 self._membership.on_link_opened,
+                self._configuration.on_link_opened,
                 self._dispatcher.on_link_opened,
             ],
             messages.LinkClosed: [
@@ -34,7 +38,7 @@
             messages.InstancesListed: [self._membership.on_instances],
             messages.StoreReplied: [self._claims.on_reply],
             messages.ConfigurationHeard: [self._configuration.on_heard],
-            messages.TimePassed: [],
+            messages.TimePassed: [self._on_time],
             messages.StopRequested: [self._on_stop],
         }
 
@@ -68,5 +72,10 @@
             self._configuration.on_frame(event.sidecar, frame, now)
             self._dispatcher.on_frame(event.sidecar, frame, now)
 
+    def _on_time(self, event, now):
+        if now >= self._expiry_due_at:
+            self._expiry_due_at = now + EXPIRY_PERIOD_S
+            self._board.quarantine.expire(now)
+
     def _on_stop(self, event, now):
         self._board.stopping = True
--- a/persimmonroute/entry/dispatch.py
+++ b/persimmonroute/entry/dispatch.py
@@ -93,7 +93,7 @@
         call = event.call
         record = boards.CallRecord(call, self.check_call(call), now)
         self._board.calls[call.request_id] = record
-        if call.fingerprint in self._board.refused_fingerprints:
+        if self._board.quarantine.is_refused(call.fingerprint):
             self._quarantine(record)
             return
         self._offer(record, now)
@@ -121,7 +121,13 @@
         handler = self._frame_handlers.get(kind)
         if handler is None:
             return
-        for record in self._board.followers(frame.request_id):
+        followers = self._board.followers(frame.request_id)
+        if kind == 'ready' and not followers:
+            stray = pb.Frame(
+                request_id=frame.request_id, withdraw=pb.Withdraw()
+            )
+            self._board.put(messages.SendFrame(sidecar, stray))
+        for record in followers:
             if record.sidecar == sidecar:
                 handler(record, getattr(frame, kind), now)
 
@@ -284,6 +290,8 @@
             stream=call.stream,
             fingerprint=call.fingerprint,
             prefix_blocks=call.prefix_blocks,
+            token_gap_s=work_class.target.token_gap_s,
+            suspect=self._board.quarantine.is_suspect(call.fingerprint, now),
         )
 
     def _on_accepted(self, record, accepted, now):
@@ -298,7 +306,7 @@
         if record.state not in ('offered', 'queued'):
             return
         if refused.reason == pb.QUARANTINED:
-            self._board.refused_fingerprints.add(record.call.fingerprint)
+            self._board.quarantine.refuse(record.call.fingerprint, now)
             self._quarantine(record)
             return
         record.refused_by.add(record.sidecar)
@@ -306,6 +314,8 @@
         self._reroute(record, reason.lower(), now, refused.retry_after_s)
 
     def _on_ready(self, record, ready, now):
+        if record.state == 'granted':
+            return
         if record.state == 'offered':
             advance(record, 'accept')
             self._settle_outstanding(record)
@@ -343,6 +353,7 @@
         if record.received < finished.length:
             self._ask_resume(record)
             return
+        self._board.quarantine.clear(record.call.fingerprint, now)
         self._claims.record_outcome(record, finished, now)
         self._end(
             record,
--- a/persimmonroute/entry/membership.py
+++ b/persimmonroute/entry/membership.py
@@ -58,9 +58,7 @@
         if envelope.load.leaving and not view.load.leaving:
             self._board.log(Event.SIDECAR_LEAVING, sidecar=event.sidecar)
         view.load = envelope.load
-        self._board.refused_fingerprints.update(
-            envelope.load.refused_fingerprints
-        )
+        self._board.quarantine.on_load(envelope.load, now)
 
     def _keep(self, name, instance):
         board = self._board
--- a/persimmonroute/sidecar/board.py
+++ b/persimmonroute/sidecar/board.py
@@ -36,6 +36,7 @@
         self.last_token_at = None
         self.taken_up = False
         self.cancelled = False
+        self.crash_noted = False
         self.finished: pb.Finished | None = None
 
     @property
--- a/persimmonroute/sidecar/core.py
+++ b/persimmonroute/sidecar/core.py
@@ -64,7 +64,10 @@
         for timer in self._board.timers.take_due(now):
             self._executor.on_timer(timer, now)
             self._answers.on_timer(timer, now)
+        before = self._urgent_state()
         self._handlers[type(event)](event, now)
+        if self._urgent_state() != before:
+            self._board.put(messages.ReportLoad())
         return self._board.take_effects()
 
     def load(self, now):
@@ -88,6 +91,16 @@
             suspect_fingerprints=sorted(board.suspects),
         )
 
+    def _urgent_state(self):
+        board = self._board
+        return (
+            board.endpoint_up,
+            board.leaving,
+            board.admitted_tier,
+            len(board.suspects),
+            len(board.refused_fingerprints),
+        )
+
     def _on_link_opened(self, event, now):
         self._board.links.add(event.link)
 
--- a/persimmonroute/sidecar/execution.py
+++ b/persimmonroute/sidecar/execution.py
@@ -109,6 +109,7 @@
             offset = len(item.answer)
             self._board.put(messages.TakeUpCall(item.attempt, offset))
         else:
+            self._note_crash(now)
             self._break(item, event.problem, now)
 
     def on_probed(self, event, now):
@@ -121,9 +122,6 @@
             board.log(Event.ENDPOINT_UP, endpoint=board.name)
             return
         board.log(Event.ENDPOINT_DOWN, endpoint=board.name)
-        started = [i for i in board.running.values() if i.state == 'started']
-        if started:
-            self._quarantine.on_crash(started, now)
         self._refuse_waiting(
             pb.ENDPOINT_DOWN, ENDPOINT_DOWN_RETRY_AFTER_S, now
         )
@@ -171,7 +169,9 @@
 
     def _on_offer(self, link, attempt, offer, now):
         board = self._board
-        if attempt in board.items or attempt in board.tombstones:
+        if attempt in board.items:
+            return
+        if attempt in board.tombstones:
             refused = pb.Refused(reason=pb.DUPLICATE)
             board.send(link, attempt, refused=refused)
             return
@@ -334,6 +334,19 @@
             board.send(link, item.attempt, never_starts=pb.NeverStarts())
         self.on_probed(messages.EndpointProbed(False), now)
 
+    def _note_crash(self, now):
+        # A graceful stop of the endpoint refuses probes but breaks no
+        # call, so only a broken call counts as a crash.
+        lost = [
+            item
+            for item in self._board.running.values()
+            if item.state == 'started' and not item.crash_noted
+        ]
+        for item in lost:
+            item.crash_noted = True
+        if lost:
+            self._quarantine.on_crash(lost, now)
+
     def _break(self, item, problem, now):
         finished = pb.Finished(
             status=STATUS_BROKEN,
--- a/persimmonroute/sidecar/messages.py
+++ b/persimmonroute/sidecar/messages.py
@@ -102,6 +102,10 @@
     attempt: str
 
 
+class ReportLoad(typing.NamedTuple):
+    """Report the load to all entries at once."""
+
+
 class LogEvent(typing.NamedTuple):
     """Log a numbered event."""
 
--- a/persimmonroute/sidecar/shell.py
+++ b/persimmonroute/sidecar/shell.py
@@ -39,19 +39,14 @@
             messages.StartCall: self._start_call,
             messages.TakeUpCall: self._take_up_call,
             messages.CancelCall: self._cancel_call,
+            messages.ReportLoad: self._report_load,
             messages.LogEvent: self._log_event,
         }
 
     def handle(self, event):
         """Bring an event to the core and carry out its effects."""
-        board = self._core.board
-        before = (board.endpoint_up, board.leaving, board.admitted_tier)
         for effect in self._core.handle(event, time.monotonic()):
             self._effect_handlers[type(effect)](effect)
-        after = (board.endpoint_up, board.leaving, board.admitted_tier)
-        if before != after:
-            for box in self._outboxes.values():
-                box.nudge()
 
     async def run(self, stop):
         """Serve until a stop is asked for and all work has ended."""
@@ -153,5 +148,9 @@
     def _cancel_call(self, effect):
         self._spawn(self._endpoint.cancel(effect.attempt))
 
+    def _report_load(self, effect):
+        for box in self._outboxes.values():
+            box.nudge()
+
     def _log_event(self, effect):
         log.emit(effect.event, **effect.fields)
--- /dev/null
+++ b/persimmonroute/tests/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Hold tests."""
--- /dev/null
+++ b/persimmonroute/tests/faults/scenarios_tests.py
@@ -0,0 +1,208 @@
+"""Test scenarios that need more than one request or fault."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from persimmonroute.entry import board as entry_boards
+from persimmonroute.entry import claims
+from persimmonroute.sidecar import execution
+from persimmonroute.sidecar import messages as sidecar_messages
+from standins import endpoint_nodes
+from standins import small_world
+from standins import world as worlds
+
+LEAVING_LIMIT_S = 3.0
+LIST_LAG_S = 2.0
+
+
+class AbandonedClaimTests(unittest.TestCase):
+    """Give a claim up whose insert takes effect later."""
+
+    def _send_twice(self):
+        world = small_world.build_world(endpoints=1, entries=2)
+        world.store.fault = 'late_effect'
+        first = world.submit(small_world.order('a', key='k'), 'entry-1')
+        world.run_until(world.now + 3.0)
+        world.store.fault = 'none'
+        node = world.sidecars['trade-desk-1']
+        node.kill()
+        world.schedule(1.0, node.start)
+        world.run_until(world.now + 7.0)
+        second = world.submit(small_world.order('b', key='k'), 'entry-2')
+        world.run_until(world.now + 10.0)
+        return first.outcome, second.outcome
+
+    def test_key_is_not_stuck(self):
+        """The released row lets the key run when it is sent again."""
+        self.assertEqual(self._send_twice(), ('not-run', 'completed'))
+
+    def test_mutant_without_release_leaves_the_key_stuck(self):
+        """Without the release the key can never run."""
+
+        def drop(self, record, outcome):
+            self._claims.pop(record.request_id, None)
+
+        with mock.patch.object(claims.ClaimKeeper, 'on_call_ended', drop):
+            self.assertEqual(self._send_twice(), ('not-run', 'unknown'))
+
+
+class LeavingTests(unittest.TestCase):
+    """Keep work coming while an endpoint leaves."""
+
+    def _run(self, leave):
+        world = small_world.build_world(endpoints=3, entries=3)
+        views = []
+
+        def send(number):
+            call = small_world.draft(f'd-{number}', tokens=40)
+            entry = f'entry-{1 + number % 3}'
+            views.append(world.submit(call, entry))
+
+        for number in range(200):
+            world.schedule(0.05 * number, send, number)
+        world.run_until(world.now + 2.0)
+        left_at = world.now
+        leave(world)
+        world.run_until(world.now + 20.0)
+        late = [
+            at
+            for at, effect in world.sidecars['llm-pool-1'].log
+            if effect.event.name == 'REQUEST_STARTED'
+            and at > left_at + LEAVING_LIMIT_S
+        ]
+        return views, late
+
+    def _stop_sidecar(self, world):
+        node = world.sidecars['llm-pool-1']
+        node.handle(sidecar_messages.StopRequested())
+
+    def _list_as_leaving(self, world):
+        world.leaving.add('llm-pool-1')
+        for node in world.entries.values():
+            world.schedule(LIST_LAG_S, node.list_instances)
+
+    def _assert_whole(self, views):
+        for view in views:
+            self.assertEqual(view.outcome, 'completed')
+            wanted = endpoint_nodes.expected_answer(view.call)
+            self.assertEqual(bytes(view.data), wanted)
+
+    def test_planned_stop(self):
+        """A stopping sidecar starts nothing new and cuts nothing off."""
+        views, late = self._run(self._stop_sidecar)
+        self.assertEqual(late, [])
+        self._assert_whole(views)
+
+    def test_listed_as_leaving(self):
+        """A listed endpoint gets no new work though the list lags."""
+        views, late = self._run(self._list_as_leaving)
+        self.assertEqual(late, [])
+        self._assert_whole(views)
+
+    def test_mutant_that_ignores_the_stop(self):
+        """A sidecar that ignores its stop is found out."""
+        with mock.patch.object(execution.Executor, 'on_stop', lambda *_: None):
+            _, late = self._run(self._stop_sidecar)
+        self.assertTrue(late)
+
+    def test_mutant_that_ignores_the_list(self):
+        """An entry that ignores the list is found out."""
+        usable = property(lambda view: view.linked)
+        with mock.patch.object(entry_boards.SidecarView, 'usable', usable):
+            _, late = self._run(self._list_as_leaving)
+        self.assertTrue(late)
+
+
+class OverloadTests(unittest.TestCase):
+    """Offer more than the endpoints carry."""
+
+    def _run(self):
+        world = small_world.build_world(endpoints=1, entries=2)
+        views = []
+
+        def send(number):
+            name = ('counter-offer', 'dossier-digest')[number % 2]
+            call = small_world.draft(
+                f'd-{number}',
+                tokens=60,
+                prompt_tokens=2000,
+                class_name=name,
+            )
+            entry = f'entry-{1 + number % 2}'
+            views.append(world.submit(call, entry))
+
+        for number in range(400):
+            world.schedule(0.025 * number, send, number)
+        world.run_until(world.now + 60.0)
+        return world, views
+
+    def test_lower_tier_is_shed_first(self):
+        """While tier 1 is shed, nothing of tier 4 waits or starts."""
+        world, views = self._run()
+        shed = {name: 0 for name in ('counter-offer', 'dossier-digest')}
+        for view in views:
+            self.assertIsNotNone(view.ended)
+            shed[view.call.class_name] += view.outcome == 'not-run'
+        self.assertGreater(shed['dossier-digest'], shed['counter-offer'])
+        self.assertEqual(find_violations(world, 'llm-pool-1'), [])
+
+    def test_final_answers_come_at_once(self):
+        """A shed request gets its answer and when to come back."""
+        _, views = self._run()
+        for view in views:
+            if view.outcome == 'not-run':
+                self.assertGreater(view.ended.retry_after_s, 0)
+
+
+def find_violations(world, sidecar):
+    """Return the sheds of a tier at a time when a lower one waited."""
+    waiting, violations = {}, []
+    for at, effect in world.sidecars[sidecar].log:
+        attempt = effect.fields.get('attempt')
+        name = effect.event.name
+        if name == 'OFFER_QUEUED':
+            waiting[attempt] = effect.fields['tier']
+        elif name in ('REQUEST_STARTED', 'REQUEST_EVICTED'):
+            waiting.pop(attempt, None)
+        elif name == 'OFFER_REFUSED':
+            waiting.pop(attempt, None)
+            tier = effect.fields['tier']
+            if any(lower > tier for lower in waiting.values()):
+                violations.append((at, attempt))
+    return violations
+
+
+class CrashingRequestTests(unittest.TestCase):
+    """Send a request that crashes each endpoint that runs it."""
+
+    def test_two_endpoints_fall_at_most(self):
+        """The request is refused after it crashed an endpoint alone."""
+        world = small_world.build_world(endpoints=3, entries=2)
+        poison = small_world.draft('poison')
+        for node in world.endpoints.values():
+            node.poison = frozenset({poison.body})
+        others, sends = [], []
+
+        def send_poison(number):
+            call = poison._replace(request_id=f'poison-{number}')
+            entry = f'entry-{1 + number % 2}'
+            sends.append(world.submit(call, entry))
+
+        def send_other(number):
+            call = small_world.draft(f'other-{number}', tokens=30)
+            entry = f'entry-{1 + number % 2}'
+            others.append(world.submit(call, entry))
+
+        for number in range(10):
+            world.schedule(1.0 + 1.5 * number, send_poison, number)
+        for number in range(300):
+            world.schedule(0.06 * number, send_other, number)
+        world.run_until(world.now + 60.0)
+        crashes = sum(node.crashes for node in world.endpoints.values())
+        self.assertLessEqual(crashes, 2)
+        self.assertEqual(sends[-1].ended.status, 422)
+        refused = [v for v in others if v.outcome == 'not-run']
+        self.assertEqual(refused, [])
+        self.assertEqual(max(worlds.runs_by_attempt(world).values()), 1)
--- /dev/null
+++ b/standins/fault_matrix.py
@@ -0,0 +1,495 @@
+"""Inject each fault at each step of a request and check the promises."""
+
+from __future__ import annotations
+
+import json
+import random
+import typing
+
+import transitions
+
+from persimmonroute.entry import messages as entry_messages
+from persimmonroute.sidecar import messages as sidecar_messages
+from standins import endpoint_nodes
+from standins import small_world
+from standins import world as worlds
+
+LIMIT_S = 90.0
+SETTLE_S = 12.0
+FREEZE_S = 5.0
+OUTAGE_S = 8.0
+STALL_S = 1.5
+MAX_SENDS = 6
+RESEND_S = 0.5
+LEAVING_LIMIT_S = 3.0
+KINDS = ('order', 'draft')
+SEEDS = (0, 1, 2)
+COMPLETED = frozenset({'completed'})
+COMPLETED_OR_UNKNOWN = frozenset({'completed', 'unknown'})
+
+
+class Step(typing.NamedTuple):
+    """Name a step and tell how its arrival is seen."""
+
+    name: str
+    # Frame kind on arrival at a sidecar or at an entry.
+    frame: str = ''
+    order_only: bool = False
+
+
+STEPS = (
+    Step('accepted by the entry'),
+    Step('offered', 'offer'),
+    Step('queued', 'accepted'),
+    Step('claimed', order_only=True),
+    Step('ready', 'ready'),
+    Step('started', 'grant'),
+    Step('first token out', 'chunk'),
+    Step('midway in the stream', 'chunk'),
+    Step('answered', 'finished'),
+    Step('outcome recorded', order_only=True),
+    Step('drained'),
+)
+
+
+class Fault(typing.NamedTuple):
+    """Name a fault, inject it, and say how the last send may end."""
+
+    name: str
+    inject: typing.Callable
+    allowed: frozenset
+    # Not applicable to these kinds of requests, with the reason.
+    excluded: dict = {}
+
+
+class CellResult(typing.NamedTuple):
+    """Hold what one cell of the matrix showed."""
+
+    step: str
+    fault: str
+    kind: str
+    seed: int
+    reached: bool
+    outcomes: tuple[str, ...]
+    problems: tuple[str, ...]
+
+
+class Trial:
+    """Run one request through one world with one fault."""
+
+    def __init__(self, step, faults, kind, seed):
+        self.step = step
+        self.faults = faults
+        self.kind = kind
+        self.random = random.Random(seed)
+        self.seed = seed
+        self.world = small_world.build_world(endpoints=3, entries=3)
+        self.world.on_arrival = self._on_arrival
+        self.world.on_store = self._on_store
+        self.entry = 'entry-1'
+        self.sidecar = None
+        self.reached = False
+        self.sends = []
+        self.problems = []
+        self.left = {}
+        self.next_revision = 2
+        self._revisions = {}
+        self._background = []
+
+    def run(self):
+        """Run the trial and return its CellResult."""
+        try:
+            self._play()
+        except transitions.MachineError as error:
+            self.problems.append(f'machine: {error}')
+        self._check()
+        return CellResult(
+            self.step.name,
+            ' + '.join(fault.name for fault in self.faults),
+            self.kind,
+            self.seed,
+            self.reached,
+            tuple(view.outcome for view in self.sends),
+            tuple(self.problems),
+        )
+
+    def _play(self):
+        self._send(self.entry)
+        self._send_background()
+        self.world.run_while(lambda: not self._settled(), LIMIT_S)
+        self.world.run_until(self.world.now + SETTLE_S)
+
+    def resend(self, entry):
+        """Send the request again through another entry."""
+        self._send(entry)
+
+    def other_entry(self):
+        """Return an entry other than the first that is alive."""
+        for name, node in sorted(self.world.entries.items()):
+            if name != self.entry and node.alive:
+                return name
+        return self.entry
+
+    def add_revision(self, number):
+        """Bring a configuration revision to one entry."""
+        document = json.dumps(small_world.DECLARATIONS).encode()
+        heard = entry_messages.ConfigurationHeard(number, document)
+        self.world.entries[self.other_entry()].handle(heard)
+
+    def _send(self, entry):
+        number = len(self.sends)
+        send = f'probe-{number}'
+        if self.kind == 'order':
+            call = small_world.order(send, key='probe')
+        else:
+            call = small_world.draft(send)
+        view = self.world.submit(call, entry)
+        self.sends.append(view)
+        self._watch(view)
+
+    def _send_background(self):
+        for number in range(4):
+            call = small_world.draft(f'other-{number}', tokens=40)
+            entry = f'entry-{2 + number % 2}'
+            self._background.append(self.world.submit(call, entry))
+
+    def _watch(self, view):
+        if view.ended_at is None:
+            self.world.schedule(RESEND_S, self._watch, view)
+            return
+        if view.outcome == 'completed' or len(self.sends) >= MAX_SENDS:
+            return
+        if view.outcome == 'unknown' or view is not self.sends[-1]:
+            return
+        wait = RESEND_S
+        if view.ended is not None and view.ended.retry_after_s:
+            wait = view.ended.retry_after_s
+        self.world.schedule(wait, self._resend_if_last, view)
+
+    def _resend_if_last(self, view):
+        if view is self.sends[-1]:
+            self._send(self.other_entry())
+
+    def _settled(self):
+        views = self.sends + self._background
+        if any(view.ended_at is None for view in views):
+            return False
+        last = self.sends[-1]
+        done = last.outcome in COMPLETED_OR_UNKNOWN
+        return done or len(self.sends) >= MAX_SENDS
+
+    def _on_arrival(self, node, event):
+        self._note_revision(node)
+        if isinstance(event, entry_messages.CallArrived):
+            if self.step.name == 'accepted by the entry':
+                self._reach_if_probe(event.call.request_id)
+            return
+        envelope = getattr(event, 'envelope', None)
+        for frame in envelope.frames if envelope else ():
+            if not frame.request_id.startswith('probe-0'):
+                continue
+            is_sidecar = isinstance(event, sidecar_messages.EnvelopeArrived)
+            self.sidecar = node.name if is_sidecar else event.sidecar
+            if self._is_step(frame):
+                self._reach()
+
+    def _is_step(self, frame):
+        kind = frame.WhichOneof('body')
+        if self.step.name == 'drained':
+            return self._drain_when_started(kind)
+        if kind != self.step.frame:
+            return False
+        if self.step.name == 'midway in the stream':
+            return frame.chunk.offset > 0
+        return True
+
+    def _drain_when_started(self, kind):
+        if kind != 'grant' or self.reached:
+            return False
+        node = self.world.sidecars[self.sidecar]
+        self.world.schedule(0.001, stop_sidecar, self, node.name)
+        self.world.schedule(0.002, self._reach)
+        return False
+
+    def _on_store(self, writes):
+        for write in writes:
+            state = write.value.get('state')
+            if not write.key.endswith('/probe'):
+                continue
+            claimed = self.step.name == 'claimed' and state == 'claimed'
+            recorded = (
+                self.step.name == 'outcome recorded' and state == 'finished'
+            )
+            if claimed or recorded:
+                self._reach()
+
+    def _reach_if_probe(self, request_id):
+        if request_id.startswith('probe-0'):
+            self._reach()
+
+    def _reach(self):
+        if self.reached:
+            return
+        self.reached = True
+        if self.sidecar is None:
+            service = (
+                small_world.PLAIN
+                if self.kind == 'order'
+                else small_world.MODEL
+            )
+            self.sidecar = f'{service}-1'
+        for fault in self.faults:
+            self._inject(fault)
+
+    def _inject(self, fault):
+        # Seed 0 injects before the message is handled, seed 1 right
+        # after, other seeds a little later.
+        if self.seed == 0:
+            fault.inject(self)
+            return
+        delay = 0.0 if self.seed == 1 else self.random.uniform(0, 0.03)
+        self.world.schedule(delay, fault.inject, self)
+
+    def _note_revision(self, node):
+        revision = node.core.board.revision
+        key = (node.name, id(node.core))
+        if revision < self._revisions.get(key, 0):
+            self.problems.append(f'8: {node.name} went back to {revision}')
+        self._revisions[key] = revision
+
+    def _check(self):
+        self._check_runs()
+        for view in self.sends + self._background:
+            self._check_view(view)
+        self._check_last()
+        self._check_left()
+        self._check_revisions()
+
+    def _check_runs(self):
+        runs = worlds.runs_by_attempt(self.world)
+        by_send = {}
+        for attempt, count in runs.items():
+            send = attempt.rsplit('.', 1)[0]
+            by_send[send] = by_send.get(send, 0) + count
+        for send, count in by_send.items():
+            if count > 1:
+                self.problems.append(f'1: {send} was dispatched {count} times')
+        self._runs_by_send = by_send
+        if self.kind == 'order':
+            count = sum(
+                node.contents[b'probe']
+                for node in self.world.endpoints.values()
+            )
+            if count > 1:
+                self.problems.append(f'5: the order ran {count} times')
+
+    def _check_view(self, view):
+        send = view.call.request_id
+        wanted = endpoint_nodes.expected_answer(view.call)
+        data = bytes(view.data)
+        if view.outcome == 'completed' and data != wanted:
+            self.problems.append(f'3: {send} got {data[:40]!r}')
+        if not wanted.startswith(data):
+            self.problems.append(f'3: {send} got a foreign answer')
+        if view.outcome == 'not-run' and self._runs_by_send.get(send):
+            self.problems.append(f'4: {send} told not-run but ran')
+        if view.ended_at is None:
+            self.problems.append(f'lost: {send} has no final answer')
+
+    def _check_last(self):
+        allowed = frozenset.intersection(*(f.allowed for f in self.faults))
+        widest = frozenset.union(*(f.allowed for f in self.faults))
+        allowed = widest if len(self.faults) > 1 else allowed
+        last = self.sends[-1].outcome
+        if self.reached and last not in allowed:
+            sends = [view.outcome for view in self.sends]
+            self.problems.append(f'lost: the last send ended {sends}')
+
+    def _check_left(self):
+        for name, left_at in self.left.items():
+            node = self.world.sidecars[name]
+            for at, effect in node.log:
+                started = effect.event.name == 'REQUEST_STARTED'
+                if started and at > left_at + LEAVING_LIMIT_S:
+                    self.problems.append(f'6: {name} got work at {at}')
+
+    def _check_revisions(self):
+        nodes = (
+            *self.world.entries.values(),
+            *self.world.sidecars.values(),
+        )
+        alive = [n for n in nodes if n.alive and not n.frozen]
+        revisions = {n.core.board.revision for n in alive}
+        if len(revisions) > 1:
+            self.problems.append(f'8: revisions differ: {revisions}')
+
+
+def kill_entry(trial):
+    """Kill the entry that holds the caller's connection."""
+    trial.world.entries[trial.entry].kill()
+    trial.world.schedule(1.0, trial.world.entries[trial.entry].start)
+
+
+def kill_sidecar(trial):
+    """Kill the sidecar; a new one starts a second later."""
+    node = trial.world.sidecars[trial.sidecar]
+    node.kill()
+    trial.world.schedule(1.0, node.start)
+
+
+def kill_endpoint(trial):
+    """Kill the endpoint; it restarts a second later."""
+    trial.world.endpoints[trial.sidecar].crash()
+
+
+def freeze_entry(trial):
+    """Freeze the entry while the caller sends again elsewhere."""
+    node = trial.world.entries[trial.entry]
+    node.freeze()
+    trial.world.schedule(FREEZE_S, node.thaw)
+    trial.world.schedule(0.5, trial.resend, trial.other_entry())
+
+
+def freeze_sidecar(trial):
+    """Freeze the sidecar until entries give it up, then thaw it."""
+    trial.world.freeze_sidecar(trial.sidecar)
+    node = trial.world.sidecars[trial.sidecar]
+    trial.world.schedule(FREEZE_S, node.thaw)
+
+
+def freeze_endpoint(trial):
+    """Make the engine stand still for a while."""
+    node = trial.world.endpoints[trial.sidecar]
+    if hasattr(node, 'slow_down'):
+        node.slow_down(100.0)
+        trial.world.schedule(FREEZE_S, node.slow_down, 1.0)
+
+
+def stop_entry(trial):
+    """Begin a planned stop of the entry."""
+    node = trial.world.entries[trial.entry]
+    node.handle(entry_messages.StopRequested())
+
+
+def stop_sidecar(trial, name=None):
+    """Begin a planned stop of the sidecar."""
+    name = name or trial.sidecar
+    trial.left[name] = trial.world.now
+    stop = sidecar_messages.StopRequested()
+    trial.world.sidecars[name].handle(stop)
+
+
+def leave_endpoint(trial):
+    """Put the endpoint on the platform's leaving list, with its lag."""
+    name = trial.sidecar
+    trial.left[name] = trial.world.now
+    trial.world.leaving.add(name)
+    for node in trial.world.entries.values():
+        trial.world.schedule(2.0, node.list_instances)
+
+
+def cut_link(trial):
+    """Cut the connection of entry and sidecar for a while."""
+    trial.world.cut(trial.entry, trial.sidecar)
+    trial.world.schedule(3.0, trial.world.heal)
+
+
+def stall_to_sidecar(trial):
+    """Hold back what goes to the sidecar."""
+    trial.world.stall(trial.entry, trial.sidecar, 'to_sidecar', STALL_S)
+
+
+def stall_to_entry(trial):
+    """Hold back what comes from the sidecar."""
+    trial.world.stall(trial.entry, trial.sidecar, 'to_entry', STALL_S)
+
+
+def stall_long(trial):
+    """Hold back what comes from the sidecar until the entry drops it."""
+    trial.world.stall(trial.entry, trial.sidecar, 'to_entry', FREEZE_S)
+
+
+def double_messages(trial):
+    """Bring each later message of the connection twice."""
+    world = trial.world
+    observe = world.on_arrival
+
+    def twice(node, event):
+        observe(node, event)
+        if hasattr(event, 'envelope'):
+            node.handle(event)
+
+    world.on_arrival = twice
+
+
+def break_store(fault):
+    """Return an injector of a fault of the table service."""
+
+    def inject(trial):
+        trial.world.store.fault = fault
+        trial.world.schedule(OUTAGE_S, heal_store, trial)
+
+    return inject
+
+
+def heal_store(trial):
+    """End the fault of the table service."""
+    trial.world.store.fault = 'none'
+
+
+def race_operators(trial):
+    """Accept two revisions, the later one first."""
+    trial.add_revision(3)
+    trial.world.schedule(0.001, trial.add_revision, 2)
+
+
+def send_again(trial):
+    """Send the request again through another entry at once."""
+    trial.resend(trial.other_entry())
+
+
+def poison_request(trial):
+    """Make the request crash each endpoint that runs it."""
+    body = trial.sends[0].call.body
+    for node in trial.world.endpoints.values():
+        node.poison = frozenset({body})
+
+
+NO_LEASE = 'a request holds no lease; its claim row takes this place'
+FAULTS = (
+    Fault('kill entry', kill_entry, COMPLETED_OR_UNKNOWN),
+    Fault('kill sidecar', kill_sidecar, COMPLETED_OR_UNKNOWN),
+    Fault('kill endpoint', kill_endpoint, COMPLETED_OR_UNKNOWN),
+    Fault('freeze entry, send again', freeze_entry, COMPLETED),
+    Fault('freeze sidecar', freeze_sidecar, COMPLETED),
+    Fault('freeze endpoint', freeze_endpoint, COMPLETED),
+    Fault('stop entry', stop_entry, COMPLETED),
+    Fault('stop sidecar', stop_sidecar, COMPLETED),
+    Fault('endpoint leaves', leave_endpoint, COMPLETED),
+    Fault('cut', cut_link, COMPLETED),
+    Fault('delay to sidecar', stall_to_sidecar, COMPLETED),
+    Fault('delay to entry', stall_to_entry, COMPLETED),
+    Fault('silent sidecar', stall_long, COMPLETED),
+    Fault('doubled', double_messages, COMPLETED),
+    Fault('store down', break_store('down'), COMPLETED),
+    Fault('store slow', break_store('slow'), COMPLETED),
+    Fault('store answer lost', break_store('lose_answers'), COMPLETED),
+    Fault('store write late', break_store('late_effect'), COMPLETED),
+    Fault('operators race', race_operators, COMPLETED),
+    Fault('sent again', send_again, COMPLETED),
+    Fault(
+        'crashing request',
+        poison_request,
+        frozenset({'completed', 'unknown', 'not-run'}),
+    ),
+)
+
+
+def run_cell(step, faults, kind, seed):
+    """Run one cell of the matrix."""
+    return Trial(step, faults, kind, seed).run()
+
+
+def applies(step, kind):
+    """Tell whether a step exists for a kind of request."""
+    return kind == 'order' or not step.order_only
--- /dev/null
+++ b/standins/small_world.py
@@ -0,0 +1,129 @@
+"""Build small worlds of both kinds of endpoints."""
+
+from __future__ import annotations
+
+import json
+
+from persimmonroute import composition
+from persimmonroute.entry import board as entry_boards
+from persimmonroute.entry import intake
+from persimmonroute.entry import messages
+from standins import endpoint_nodes
+from standins import engine_model
+from standins import world as worlds
+
+WORKSPACE = 'riga-desk'
+MODEL = 'llm-pool'
+PLAIN = 'trade-desk'
+SPEED = engine_model.EngineSpeed(16000.0, 0.01, 0.0005, 2000)
+DECLARATIONS = {
+    'services': {MODEL: {'kind': 'model'}, PLAIN: {'kind': 'plain'}},
+    'workspaces': [WORKSPACE],
+    'classes': [
+        {
+            'name': 'counter-offer',
+            'service': MODEL,
+            'tier': 1,
+            'target': {'success': 0.99, 'first_token_s': 0.96},
+        },
+        {
+            'name': 'dossier-digest',
+            'service': MODEL,
+            'tier': 4,
+            'target': {'success': 0.9, 'first_token_s': 20.0},
+        },
+        {
+            'name': 'purchase-order',
+            'service': PLAIN,
+            'tier': 1,
+            'idempotent': False,
+            'target': {'success': 0.99, 'answer_s': 2.0},
+        },
+        {
+            'name': 'stock-lookup',
+            'service': PLAIN,
+            'tier': 2,
+            'target': {'success': 0.99, 'answer_s': 1.0},
+        },
+    ],
+}
+PLACES = (
+    entry_boards.Place('riga', 'riga-a'),
+    entry_boards.Place('riga', 'riga-b'),
+    entry_boards.Place('frankfurt', 'frankfurt-a'),
+)
+
+
+def build_world(endpoints=2, entries=2, declared=None):
+    """Return a started world with some endpoints of each service."""
+    document = json.dumps(declared or DECLARATIONS).encode()
+    world = worlds.World(messages.ConfigurationHeard(1, document))
+    for service in (MODEL, PLAIN):
+        for number in range(endpoints):
+            instance = _instance(service, number)
+            world.add_sidecar(instance, _endpoint(world, service), _build_core)
+    for number in range(entries):
+        place = PLACES[number % len(PLACES)]
+        world.add_entry(f'entry-{number + 1}', place)
+    world.start()
+    return world
+
+
+def order(send, key=None, content=None):
+    """Return a purchase order; send is unique to each time it is sent."""
+    key = key or send
+    body = (content or key).encode()
+    return messages.Call(
+        request_id=send,
+        workspace=WORKSPACE,
+        class_name='purchase-order',
+        key=key,
+        method='POST',
+        path='/purchase-orders',
+        body=body,
+        stream=False,
+        prompt_tokens=0,
+        output_tokens=0,
+        prefix_blocks=(),
+        fingerprint=intake.fingerprint('POST', '/purchase-orders', body),
+    )
+
+
+def draft(send, tokens=20, prompt_tokens=200, class_name='counter-offer'):
+    """Return a completion request."""
+    body = f'draft {send}'.encode()
+    return messages.Call(
+        request_id=send,
+        workspace=WORKSPACE,
+        class_name=class_name,
+        key=None,
+        method='POST',
+        path='/v1/completions',
+        body=body,
+        stream=True,
+        prompt_tokens=prompt_tokens,
+        output_tokens=tokens,
+        prefix_blocks=(),
+        fingerprint=intake.fingerprint('POST', '/v1/completions', body),
+    )
+
+
+def _instance(service, number):
+    place = PLACES[number % len(PLACES)]
+    name = f'{service}-{number + 1}'
+    return messages.Instance(
+        name, service, place.region, place.failure_domain, name, False
+    )
+
+
+def _endpoint(world, service):
+    if service == MODEL:
+        return endpoint_nodes.ModelNode(world, SPEED)
+    return endpoint_nodes.PlainNode(world)
+
+
+def _build_core(instance, incarnation):
+    kind = DECLARATIONS['services'][instance.service]['kind']
+    return composition.build_sidecar_core(
+        instance.name, instance.service, kind, incarnation
+    )
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -19,6 +19,7 @@
 
 import docopt
 
+from standins import balancer as balancers
 from standins import callers
 from tools import deployment as deployments
 from tools import report
@@ -40,7 +41,8 @@
         planner = workload.WorkloadPlanner(declared, seed)
         arrivals = planner.plan(count, seconds)
         print(f'sending {count} requests over {seconds:g} s')
-        results = await send_all(deployment.entries, arrivals)
+        async with balancers.balancing(deployment.entries) as balancer:
+            results = await send_all(balancer, arrivals)
         runs, prefilled, wasted = await deployment.count_runs()
     print(report.format_table(declared, results, runs))
     print(f'prefilled tokens: {prefilled}, wasted: {wasted}')
@@ -71,25 +73,23 @@
     raise SystemExit(f'the declarations did not apply: {ended.stderr}')
 
 
-async def send_all(entries, arrivals, on_progress=print):
-    """Send requests at their times through the entries in turn."""
+async def send_all(balancer, arrivals, on_progress=print):
+    """Send requests at their times through the balancer."""
     caller = callers.Caller()
     loop = asyncio.get_running_loop()
     began = loop.time()
     done = collections.Counter()
 
-    async def send(index, arrival):
+    async def send(arrival):
         await asyncio.sleep(max(began + arrival.at_s - loop.time(), 0))
-        result = await caller.send(entries[index % len(entries)], arrival.call)
+        result = await caller.send(balancer.pick(), arrival.call)
         done['all'] += 1
         if done['all'] % 100 == 0:
             on_progress(f'{done["all"]} of {len(arrivals)} answered')
         return result
 
     try:
-        return await asyncio.gather(
-            *(send(index, a) for index, a in enumerate(arrivals))
-        )
+        return await asyncio.gather(*(send(a) for a in arrivals))
     finally:
         await caller.close()
 
--- /dev/null
+++ b/tools/rolling.py
@@ -0,0 +1,111 @@
+"""Replace every process of a deployment under load, one by one.
+
+Usage: rolling [options]
+
+Options:
+  --deployment NAME  Folder below deploy/ [default: baltkomponents].
+  --rate N           Requests a second [default: 15].
+  --seed N           Seed of the workload [default: 1].
+"""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+import signal
+import sys
+
+import docopt
+
+from standins import balancer as balancers
+from tools import demo
+from tools import deployment as deployments
+from tools import report
+from tools import workload
+
+# Time for which requests arrive, in seconds.
+LOAD_S = 75.0
+PAUSE_S = 0.5
+
+
+async def run_rolling(name, rate, seed):
+    """Replace each process and return whether nothing was cut off."""
+    shutil.rmtree(demo.LOG_FOLDER, ignore_errors=True)
+    folder = deployments.ROOT / 'deploy' / name
+    async with deployments.running(folder, demo.LOG_FOLDER) as deployment:
+        demo.apply_declarations(deployment)
+        await deployment.wait_serving()
+        declared = deployment.load_declarations()
+        planner = workload.WorkloadPlanner(declared, seed)
+        arrivals = planner.plan(int(rate * LOAD_S), LOAD_S)
+        async with balancers.balancing(deployment.entries) as balancer:
+            load = asyncio.create_task(demo.send_all(balancer, arrivals))
+            replaced = await _replace_all(deployment)
+            print(f'{replaced} processes replaced, load goes on')
+            results = await load
+        runs, _, _ = await deployment.count_runs()
+    print(report.format_table(declared, results, runs))
+    # Replaced stand-ins forget their counts, so completed answers are
+    # judged by content and not by count here.
+    problems = [
+        problem
+        for problem in report.find_problems(results, runs)
+        if 'never ran' not in problem
+    ]
+    problems += [
+        f'{result.call.request_id}: {result.outcome}: {result.problem}'
+        for result in results
+        if result.outcome == 'unknown'
+    ]
+    for problem in problems:
+        print(f'PROBLEM {problem}')
+    return not problems
+
+
+async def _replace_all(deployment):
+    names = [n for n in deployment.names if n != 'platform']
+    for name in names:
+        if name.startswith('sidecar-'):
+            await _replace_endpoint(deployment, name)
+        elif name.startswith('entry-'):
+            await _replace(deployment, name, deployment.start_daemon)
+    return len(names)
+
+
+async def _replace_endpoint(deployment, sidecar):
+    endpoint = sidecar.removeprefix('sidecar-')
+    await _end(deployment, sidecar)
+    await _replace(deployment, endpoint, deployment.start_endpoint)
+    deployment.start_daemon(sidecar)
+    await deployment.wait_serving()
+
+
+async def _replace(deployment, name, start):
+    await _end(deployment, name)
+    start(name)
+    if name.startswith('entry-'):
+        await deployment.wait_serving()
+    await asyncio.sleep(PAUSE_S)
+
+
+async def _end(deployment, name):
+    deployment.send_signal(name, signal.SIGTERM)
+    status = await deployment.wait_ended(name, deployments.STOP_TIMEOUT_S)
+    print(f'{name} ended with status {status}')
+
+
+def main():
+    """Run the rolling replacement from the command line."""
+    arguments = docopt.docopt(__doc__)
+    held = asyncio.run(
+        run_rolling(
+            arguments['--deployment'],
+            float(arguments['--rate']),
+            int(arguments['--seed']),
+        )
+    )
+    sys.exit(0 if held else 1)
+
+
+if __name__ == '__main__':
+    main()
