--- a/persimmonroute/http_server.py
+++ b/persimmonroute/http_server.py
@@ -7,6 +7,11 @@
 import uvicorn
 
 
+# Longer than balancers and clients keep an idle connection, so that no
+# request meets a connection that is just being closed.
+KEEP_ALIVE_S = 90
+
+
 class QuietServer(uvicorn.Server):
     """Leave signals to the process."""
 
@@ -26,6 +31,7 @@
         log_config=None,
         access_log=False,
         lifespan='off',
+        timeout_keep_alive=KEEP_ALIVE_S,
         timeout_graceful_shutdown=int(grace_s),
     )
     return QuietServer(config)
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -116,7 +116,10 @@
 
 
 def _headers(call):
+    # A fresh connection for each request, since the client library does
+    # not notice that a server has closed an idle one.
     return {
+        'Connection': 'close',
         'Content-Type': 'application/json',
         'Persimmon-Workspace': call.workspace,
         'Persimmon-Class': call.class_name,
