Work out the capacity at the size to design for

Entries keep a subset of sidecars by rendezvous hashing. Routing reads plain copies of the load instead of messages, and processes sleep until their next timer instead of ticking.

Ruled out: keeping the ticks and making them rarer: a sidecar looks for room again 20 ms after it was missing, by a timer of its own.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 DEPLOYMENT ?= baltkomponents
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test generate faults rolling model
+.PHONY: demo test generate faults rolling model slopes
 
 $(STAMP): pyproject.toml constraints.txt
 	python3 -m venv $(VENV)
@@ -28,3 +28,6 @@
 model: $(STAMP)
 	$(PYTHON) -m spec.request_protocol
 	$(PYTHON) -m spec.configuration_protocol
+
+slopes: $(STAMP)
+	$(PYTHON) -m tools.slopes --deployment $(DEPLOYMENT)
--- a/persimmonroute/entry/board.py
+++ b/persimmonroute/entry/board.py
@@ -26,11 +26,15 @@
         self.linked = False
         self.incarnation = ''
         self.load = pb.Load()
+        # Plain copies of what each routing decision reads.
+        self.wait_s: tuple[float, ...] = ()
+        self.prefill_tokens_per_s = 0.0
         self.revision = 0
         # Revision last sent over the present connection.
         self.pushed_revision = 0
+        self.outstanding_total_s = 0.0
         # Seconds of work offered that the load does not show yet.
-        self.outstanding_s = {}
+        self._outstanding_s = {}
 
     @property
     def usable(self):
@@ -42,6 +46,26 @@
             and not self.load.endpoint_down
         )
 
+    def take_load(self, load):
+        """Replace the load by a newer report."""
+        self.load = load
+        self.wait_s = tuple(load.wait_s)
+        self.prefill_tokens_per_s = load.prefill_tokens_per_s
+
+    def add_outstanding(self, request_id, seconds):
+        """Count work that was offered and is not answered yet."""
+        self._outstanding_s[request_id] = seconds
+        self.outstanding_total_s += seconds
+
+    def settle_outstanding(self, request_id):
+        """Stop counting work whose offer was answered."""
+        self.outstanding_total_s -= self._outstanding_s.pop(request_id, 0.0)
+
+    def clear_outstanding(self):
+        """Stop counting all offered work."""
+        self._outstanding_s.clear()
+        self.outstanding_total_s = 0.0
+
 
 class CallRecord:
     """Hold the progress of one request."""
--- a/persimmonroute/entry/dispatch.py
+++ b/persimmonroute/entry/dispatch.py
@@ -249,8 +249,8 @@
         record.incarnation = view.incarnation
         record.offers += 1
         board.follow(record, f'{record.request_id}.{record.offers}')
-        view.outstanding_s[record.request_id] = routing.prefill_seconds(
-            record.call, view
+        view.add_outstanding(
+            record.request_id, routing.prefill_seconds(record.call, view)
         )
         self._policy.note_offered(record, chosen.sidecar)
         self._send(record, offer=self._build_offer(record, chosen, now))
@@ -404,10 +404,11 @@
         self._offer(record, now)
 
     def _retry_after(self, record):
+        tier = record.work_class.tier
         waits = [
-            view.load.wait_s[record.work_class.tier - 1]
+            view.wait_s[tier - 1]
             for view in self._board.candidates(record.work_class.service)
-            if len(view.load.wait_s) >= record.work_class.tier
+            if view.wait_s
         ]
         return max(min(waits, default=0.0), MIN_RETRY_AFTER_S)
 
@@ -423,7 +424,7 @@
     def _settle_outstanding(self, record):
         view = self._board.sidecars.get(record.sidecar)
         if view is not None:
-            view.outstanding_s.pop(record.request_id, None)
+            view.settle_outstanding(record.request_id)
 
     def _quarantine(self, record):
         self._board.log(
--- a/persimmonroute/entry/membership.py
+++ b/persimmonroute/entry/membership.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import collections
+
 from persimmonroute.entry import board as boards
 from persimmonroute.entry import messages
+from persimmonroute.entry import subsets
 from persimmonroute.events import Event
 
 
@@ -16,7 +19,7 @@
     def on_instances(self, event, now):
         """Open and close links to match the platform's list."""
         board = self._board
-        listed = {instance.name: instance for instance in event.instances}
+        listed = {i.name: i for i in self._choose(event.instances)}
         for name in list(board.sidecars):
             if name not in listed and not board.sidecars[name].linked:
                 del board.sidecars[name]
@@ -43,7 +46,7 @@
         if view is None or not view.linked:
             return
         view.linked = False
-        view.outstanding_s.clear()
+        view.clear_outstanding()
         self._board.log(Event.SIDECAR_UNLINKED, sidecar=event.sidecar)
 
     def on_envelope(self, event, now):
@@ -57,9 +60,22 @@
             return
         if envelope.load.leaving and not view.load.leaving:
             self._board.log(Event.SIDECAR_LEAVING, sidecar=event.sidecar)
-        view.load = envelope.load
+        view.take_load(envelope.load)
         self._board.quarantine.on_load(envelope.load, now)
 
+    def _choose(self, instances):
+        board = self._board
+        by_service = collections.defaultdict(list)
+        for instance in instances:
+            by_service[instance.service].append(instance)
+        return [
+            chosen
+            for service in by_service.values()
+            for chosen in subsets.choose_subset(
+                board.name, board.place, service
+            )
+        ]
+
     def _keep(self, name, instance):
         board = self._board
         view = board.sidecars.get(name)
--- a/persimmonroute/entry/routing.py
+++ b/persimmonroute/entry/routing.py
@@ -45,6 +45,10 @@
     predictions: tuple[Prediction, ...]
 
 
+def _total_s(prediction):
+    return prediction.wait_s + prediction.prefill_s + prediction.link_s
+
+
 class RoutingPolicy(abc.ABC):
     """Decide where a request goes."""
 
@@ -74,9 +78,9 @@
     def cached_tokens(self, blocks, sidecars):
         """Return the leading tokens that each sidecar has seen."""
         cached = dict.fromkeys(sidecars, 0)
-        alive = set(sidecars)
+        alive = cached.keys()
         for count, block in enumerate(blocks, start=1):
-            alive &= self._holders.get(block, frozenset())
+            alive = alive & self._holders.get(block, frozenset())
             if not alive:
                 break
             for sidecar in alive:
@@ -108,7 +112,7 @@
             self._predict(record, view, place, cached[view.instance.name])
             for view in candidates
         )
-        chosen = min(predictions, key=lambda p: p.total_s, default=None)
+        chosen = min(predictions, key=_total_s, default=None)
         return Decision(chosen, predictions)
 
     def note_offered(self, record, sidecar):
@@ -117,14 +121,12 @@
 
     def _predict(self, record, view, place, cached):
         call = record.call
-        waits = view.load.wait_s
-        tier = record.work_class.tier
-        wait = waits[tier - 1] if len(waits) >= tier else 0.0
-        wait += sum(view.outstanding_s.values())
+        waits = view.wait_s
+        wait = waits[record.work_class.tier - 1] if waits else 0.0
         size = len(call.body) + call.output_tokens * BYTES_PER_TOKEN
         return Prediction(
             view.instance.name,
-            wait,
+            wait + view.outstanding_total_s,
             prefill_seconds(call, view, cached),
             link_seconds(place, view.instance, size),
         )
@@ -132,7 +134,7 @@
 
 def prefill_seconds(call, view, cached=0):
     """Return the seconds of prefill that a request needs at a sidecar."""
-    speed = view.load.prefill_tokens_per_s or DEFAULT_PREFILL_TOKENS_PER_S
+    speed = view.prefill_tokens_per_s or DEFAULT_PREFILL_TOKENS_PER_S
     return max(call.prompt_tokens - cached, 0) / speed
 
 
--- a/persimmonroute/entry/shell.py
+++ b/persimmonroute/entry/shell.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 
+from persimmonroute import alarms
 from persimmonroute.entry import links
 from persimmonroute.entry import messages
 from persimmonroute.events import Event
@@ -14,7 +15,6 @@
 
 log = logs.EventLog(__name__)
 
-TICK_S = 0.02
 LIST_PERIOD_S = 1.0
 CONFIGURATION_PERIOD_S = 2.0
 CONFIGURATION_TABLE = 'configuration'
@@ -32,6 +32,7 @@
         self._answers: dict[str, asyncio.Queue] = {}
         self._tasks: set[asyncio.Task] = set()
         self._platform_up = True
+        self._alarm = alarms.Alarm(self._ring)
         self._effect_handlers = {
             messages.SendFrame: self._send_frame,
             messages.OpenLink: self._open_link,
@@ -56,6 +57,7 @@
         """Bring an event to the core and carry out its effects."""
         for effect in self._core.handle(event, time.monotonic()):
             self._effect_handlers[type(effect)](effect)
+        self._alarm.arm(self._core.next_timer_at)
 
     def submit(self, call):
         """Return the queue of answers to a call."""
@@ -75,22 +77,20 @@
 
     def start(self):
         """Start the periodic work."""
-        self._spawn(self._tick())
         self._spawn(self._follow_instances())
         self._spawn(self._follow_configuration())
 
     async def close(self):
         """End the periodic work and all connections."""
+        self._alarm.cancel()
         for task in list(self._tasks):
             task.cancel()
         for link in self._links.values():
             link.close()
         await self._platform.close()
 
-    async def _tick(self):
-        while True:
-            await asyncio.sleep(TICK_S)
-            self.handle(messages.TimePassed())
+    def _ring(self):
+        self.handle(messages.TimePassed())
 
     async def _follow_instances(self):
         while True:
--- a/persimmonroute/sidecar/execution.py
+++ b/persimmonroute/sidecar/execution.py
@@ -11,6 +11,8 @@
 from persimmonroute.sidecar import messages
 
 READY_TIMEOUT_S = 1.0
+# Room is looked for again this long after it was missing.
+ROOM_RETRY_S = 0.02
 LEAVING_RETRY_AFTER_S = 1.0
 ENDPOINT_DOWN_RETRY_AFTER_S = 2.0
 STATUS_BROKEN = 502
@@ -45,6 +47,7 @@
         self._policy = policy
         self._answers = answers
         self._quarantine = quarantine
+        self._room_timer_set = False
         self._frame_handlers = {
             'offer': self._on_offer,
             'clear': self._on_clear,
@@ -133,6 +136,10 @@
 
     def on_timer(self, timer, now):
         """Act on deadlines of attempts."""
+        if timer.kind == 'room':
+            self._room_timer_set = False
+            self.start_ready(now)
+            return
         item = self._board.items.get(timer.subject)
         if item is None:
             return
@@ -150,6 +157,7 @@
         while len(board.line) and board.endpoint_up:
             item = next(iter(board.line))
             if not self._has_room(item, now):
+                self._set_room_timer(now)
                 return
             advance(item, 'reserve')
             board.line.discard(item)
@@ -157,6 +165,12 @@
             board.send(item.owner, item.attempt, ready=pb.Ready())
             board.timers.schedule(now + READY_TIMEOUT_S, 'ready', item.attempt)
 
+    def _set_room_timer(self, now):
+        # Prefill in progress shrinks with time, without any event.
+        if not self._room_timer_set:
+            self._room_timer_set = True
+            self._board.timers.schedule(now + ROOM_RETRY_S, 'room')
+
     def _has_room(self, item, now):
         running = self._board.running
         alone = self._quarantine.must_run_alone(item) or any(
--- a/persimmonroute/sidecar/shell.py
+++ b/persimmonroute/sidecar/shell.py
@@ -8,6 +8,7 @@
 
 import grpc
 
+from persimmonroute import alarms
 from persimmonroute.events import Event
 from persimmonroute.generated import exchange_pb2 as pb
 from persimmonroute.generated import exchange_pb2_grpc
@@ -20,7 +21,7 @@
 BUSY_REPORT_PERIOD_S = 0.25
 IDLE_REPORT_PERIOD_S = 1.0
 PROBE_PERIOD_S = 0.5
-TICK_S = 0.05
+DRAIN_POLL_S = 0.05
 
 
 class SidecarShell(exchange_pb2_grpc.ExchangeServicer):
@@ -33,7 +34,7 @@
         self._outboxes: dict[str, outbox.FrameOutbox] = {}
         self._links = itertools.count(1)
         self._tasks: set[asyncio.Task] = set()
-        self._idle = asyncio.Event()
+        self._alarm = alarms.Alarm(self._ring)
         self._effect_handlers = {
             messages.SendFrame: self._send_frame,
             messages.StartCall: self._start_call,
@@ -47,6 +48,7 @@
         """Bring an event to the core and carry out its effects."""
         for effect in self._core.handle(event, time.monotonic()):
             self._effect_handlers[type(effect)](effect)
+        self._alarm.arm(self._core.next_timer_at)
 
     async def run(self, stop):
         """Serve until a stop is asked for and all work has ended."""
@@ -57,13 +59,13 @@
         self.handle(messages.StreamsFound(streams))
         await server.start()
         log.emit(Event.PROCESS_STARTED, address=self._settings.address)
-        self._spawn(self._tick())
         self._spawn(self._probe())
         await stop.wait()
         await self._drain()
         for box in self._outboxes.values():
             box.close()
         await server.stop(1.0)
+        self._alarm.cancel()
         for task in list(self._tasks):
             task.cancel()
         await self._endpoint.close()
@@ -99,14 +101,12 @@
         self.handle(messages.StopRequested())
         deadline = time.monotonic() + self._settings.stop_grace_s
         while not self._core.idle and time.monotonic() < deadline:
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(DRAIN_POLL_S)
         # Followers still read the ends of the last answers.
         await asyncio.sleep(BUSY_REPORT_PERIOD_S)
 
-    async def _tick(self):
-        while True:
-            await asyncio.sleep(TICK_S)
-            self.handle(messages.TimePassed())
+    def _ring(self):
+        self.handle(messages.TimePassed())
 
     async def _probe(self):
         while True:
--- /dev/null
+++ b/persimmonroute/tests/entry/subsets_tests.py
@@ -0,0 +1,59 @@
+"""Test the subsets of sidecars."""
+
+from __future__ import annotations
+
+import collections
+import unittest
+
+from persimmonroute.entry import board as boards
+from persimmonroute.entry import messages
+from persimmonroute.entry import subsets
+
+ENTRIES = 70
+RUNNERS = 360
+
+
+def _instances(count, regions=10):
+    return [
+        messages.Instance(
+            f'runner-{n}', 'llm', f'region-{n % regions}', 'd', 'a', False
+        )
+        for n in range(count)
+    ]
+
+
+class SubsetTests(unittest.TestCase):
+    """Choose subsets for many entries."""
+
+    def _choose(self, entry, instances):
+        place = boards.Place(f'region-{entry % 10}', 'd')
+        return subsets.choose_subset(f'entry-{entry}', place, instances)
+
+    def test_few_instances_are_all_kept(self):
+        """A service with few endpoints is kept whole."""
+        instances = _instances(8, regions=2)
+        self.assertEqual(len(self._choose(0, instances)), 8)
+
+    def test_subset_has_its_size_and_spans_regions(self):
+        """A subset has near and far members."""
+        chosen = self._choose(3, _instances(RUNNERS))
+        self.assertEqual(len(chosen), subsets.SUBSET_SIZE)
+        near = [i for i in chosen if i.region == 'region-3']
+        self.assertEqual(len(near), 12)
+
+    def test_every_runner_is_kept_by_some_entry(self):
+        """Entries together reach every runner of a service."""
+        reached = collections.Counter()
+        for entry in range(ENTRIES):
+            for instance in self._choose(entry, _instances(RUNNERS)):
+                reached[instance.name] += 1
+        self.assertGreater(len(reached), 0.9 * RUNNERS)
+
+    def test_one_change_moves_at_most_one_member(self):
+        """Losing a runner changes a subset in one place at most."""
+        instances = _instances(RUNNERS)
+        before = {i.name for i in self._choose(1, instances)}
+        for gone in instances[:40]:
+            rest = [i for i in instances if i is not gone]
+            after = {i.name for i in self._choose(1, rest)}
+            self.assertLessEqual(len(before ^ after), 2)
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -5,10 +5,12 @@
 import asyncio
 import contextlib
 import json
+import os
 import pathlib
 import signal
 import subprocess
 import sys
+import typing
 
 import aiosonic
 
@@ -21,6 +23,13 @@
 STOP_TIMEOUT_S = 30.0
 
 
+class ProcessUsage(typing.NamedTuple):
+    """Hold the processor time and resident memory of a process."""
+
+    cpu_s: float
+    resident_mb: float
+
+
 class Deployment:
     """Hold the running processes of one deployment."""
 
@@ -165,6 +174,14 @@
             wasted += counts.get('wasted_tokens', 0)
         return runs, prefilled, wasted
 
+    def read_usage(self):
+        """Return the ProcessUsage of each process by name."""
+        return {
+            name: _read_usage(process.pid)
+            for name, process in self._processes.items()
+            if process.poll() is None
+        }
+
     async def stop(self):
         """End every process that still runs."""
         for process in self._processes.values():
@@ -192,6 +209,17 @@
             )
 
 
+def _read_usage(pid):
+    stat = pathlib.Path(f'/proc/{pid}/stat').read_text()
+    fields = stat.rpartition(') ')[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    pages = int(pathlib.Path(f'/proc/{pid}/statm').read_text().split()[1])
+    return ProcessUsage(
+        ticks / os.sysconf('SC_CLK_TCK'),
+        pages * os.sysconf('SC_PAGE_SIZE') / 1e6,
+    )
+
+
 @contextlib.asynccontextmanager
 async def running(folder, log_folder):
     """Run a deployment for as long as the context lasts."""
--- /dev/null
+++ b/tools/slopes.py
@@ -0,0 +1,283 @@
+"""Measure what each unit of state and traffic costs.
+
+Usage: slopes [options]
+
+Options:
+  --deployment NAME  Measure its idle processes too.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+import tracemalloc
+
+import docopt
+
+from persimmonroute.config import declarations
+from persimmonroute.entry import board as boards
+from persimmonroute.entry import messages
+from persimmonroute.entry import routing
+from persimmonroute.generated import exchange_pb2 as pb
+from persimmonroute.platform import grouping
+from persimmonroute.sidecar import board as sidecar_boards
+from persimmonroute.sidecar import limits
+from persimmonroute import store
+from persimmonroute.store import StoreStatus
+from standins import small_world
+from tools import demo
+from tools import deployment as deployments
+
+IDLE_S = 10.0
+STORE_DELAY_S = 0.004
+CLAIMS = 2000
+REPEATS = 2000
+
+
+def timed_us(function, repeats=REPEATS):
+    """Return the processor time of one call in microseconds."""
+    function()
+    began = time.process_time()
+    for _ in range(repeats):
+        function()
+    return (time.process_time() - began) / repeats * 1e6
+
+
+def allocated_bytes(build, count):
+    """Return the bytes that each of some built objects keeps."""
+    tracemalloc.start()
+    kept = build(count)
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return size / count
+
+
+def measure_decisions():
+    """Print the cost of a routing decision against candidates."""
+    policy = routing.PredictedFirstToken()
+    place = boards.Place('riga', 'riga-a')
+    work_class = declarations.WorkClass(
+        'c', 'llm', 1, True, declarations.Target(0.99, 0.96, 0.051, None)
+    )
+    call = small_world.draft('d')._replace(prefix_blocks=tuple(range(32)))
+    record = boards.CallRecord(call, work_class, 0.0)
+    for count in (4, 16, 64):
+        views = _views(count)
+        policy.note_offered(record, views[0].instance.name)
+        spent = timed_us(lambda v=views: policy.choose(record, v, place))
+        print(f'decision, {count} candidates: {spent:.0f} us')
+
+
+def _views(count):
+    views = []
+    for number in range(count):
+        instance = messages.Instance(
+            f's-{number}', 'llm', 'riga', 'riga-b', 'a', False
+        )
+        view = boards.SidecarView(instance)
+        view.linked = True
+        view.take_load(_load())
+        views.append(view)
+    return views
+
+
+def _load():
+    return pb.Load(
+        wait_s=[0.1, 0.2, 0.4, 0.8],
+        prefill_tokens_per_s=16000.0,
+        decode_step_s=0.012,
+        queued=3,
+        running=8,
+        limit=16,
+        admitted_tier=4,
+    )
+
+
+def measure_cores():
+    """Print the cost of a request in the cores and the world."""
+    for tokens in (10, 110):
+        world = small_world.build_world(endpoints=4, entries=1)
+        count = 300
+        for number in range(count):
+            call = small_world.draft(f'd-{number}', tokens=tokens)
+            world.schedule(number * 0.05, world.submit, call, 'entry-1')
+        spent = {'entry': 0.0, 'sidecar': 0.0}
+        for kind, nodes in (
+            ('entry', world.entries.values()),
+            ('sidecar', world.sidecars.values()),
+        ):
+            for node in nodes:
+                _time_core(node, spent, kind)
+        world.run_until(world.now + count * 0.05 + 10)
+        for kind, seconds in spent.items():
+            print(
+                f'{kind} core, request of {tokens} tokens:'
+                f' {seconds / count * 1e6:.0f} us'
+            )
+
+
+def _time_core(node, spent, kind):
+    handle = node.core.handle
+
+    def timed_handle(event, now):
+        began = time.perf_counter()
+        effects = handle(event, now)
+        spent[kind] += time.perf_counter() - began
+        return effects
+
+    node.core.handle = timed_handle
+
+
+def measure_queue():
+    """Print the cost of a load report against the queue."""
+    for queued in (0, 100, 400):
+        board = sidecar_boards.SidecarBoard('s', 'i', 'llm')
+        limit = limits.ModelLimit()
+        for number in range(queued):
+            offer = pb.Offer(tier=1 + number % 4, prompt_tokens=500)
+            item = sidecar_boards.Item(f'a{number}', offer, 'e', 0.0)
+            board.line.add(item)
+        waiting = list(board.line)
+        spent = timed_us(lambda w=waiting: limit.wait_s(w, {}, 0.0), 200)
+        print(f'wait of one tier, {queued} queued: {spent:.0f} us')
+
+
+def measure_messages():
+    """Print the sizes of messages."""
+    load = pb.Envelope(
+        sender='llm-pool-1', incarnation='0' * 32, revision=9, load=_load()
+    )
+    print(f'load report: {load.ByteSize()} bytes')
+    data = b'data: {"choices": [{"index": 0, "text": "word "}]}\n\n'
+    chunk = pb.Frame(
+        request_id='0' * 34, chunk=pb.Chunk(offset=1000, data=data, tokens=1)
+    )
+    print(f'frame of one token: {chunk.ByteSize()} bytes')
+    offer = pb.Frame(
+        request_id='0' * 34,
+        offer=pb.Offer(
+            workspace='riga-desk',
+            class_name='counter-offer',
+            path='/v1/completions',
+            fingerprint='0' * 32,
+            prefix_blocks=range(2**60, 2**60 + 8),
+        ),
+    )
+    print(f'offer without its body, 8 blocks: {offer.ByteSize()} bytes')
+
+
+def measure_declarations():
+    """Print the cost of declarations against their size."""
+    base = small_world.DECLARATIONS
+    for workspaces in (1000, 23000):
+        names = [f'workspace-{n:05}' for n in range(workspaces)]
+        _measure_document(
+            {**base, 'workspaces': names}, f'{workspaces} workspaces'
+        )
+    for classes in (100, 1000):
+        listed = [
+            {**base['classes'][0], 'name': f'class-{n}'}
+            for n in range(classes)
+        ]
+        _measure_document({**base, 'classes': listed}, f'{classes} classes')
+
+
+def _measure_document(document, label):
+    text = json.dumps(document).encode()
+    spent = timed_us(lambda: declarations.parse_declarations(text), 10)
+    size = allocated_bytes(lambda _: declarations.parse_declarations(text), 1)
+    print(
+        f'declarations, {label}: {len(text)} bytes,'
+        f' parse {spent / 1000:.1f} ms, keep {size / 1e6:.2f} MB'
+    )
+
+
+def measure_state():
+    """Print the memory of the units of state."""
+    print(f'sidecar view: {allocated_bytes(_views, 500):.0f} bytes')
+
+    def build_records(count):
+        work_class = declarations.WorkClass('c', 'l', 1, True, None)
+        return [
+            boards.CallRecord(small_world.draft(f'd{n}'), work_class, 0.0)
+            for n in range(count)
+        ]
+
+    size = allocated_bytes(build_records, 500)
+    print(f'request in progress without its body: {size:.0f} bytes')
+
+    def build_index(count):
+        index = routing.PrefixIndex(count)
+        for number in range(count):
+            index.add((number * 2**40,), f's-{number % 16}')
+        return index
+
+    size = allocated_bytes(build_index, 50000)
+    print(f'prefix block: {size:.0f} bytes')
+
+
+class DelayedTables:
+    """Answer each transaction after a delay."""
+
+    async def transact(self, writes):
+        """Commit every write."""
+        await asyncio.sleep(STORE_DELAY_S)
+        rows = tuple(store.Row(w.key, w.value, 1) for w in writes)
+        return store.StoreReply(StoreStatus.COMMITTED, rows)
+
+
+async def measure_claims():
+    """Print transactions for each claim against those that wait."""
+    for concurrent in (1, 10, 100):
+        grouper = grouping.WriteGrouper(DelayedTables())
+        began = time.monotonic()
+
+        async def claim(worker, grouper=grouper, concurrent=concurrent):
+            for number in range(CLAIMS // concurrent):
+                key = f'{worker}/{number}'
+                await grouper.write(store.Write('claims', key, {}, 0))
+
+        await asyncio.gather(*(claim(n) for n in range(concurrent)))
+        spent = time.monotonic() - began
+        print(
+            f'claims, {concurrent} wait: {CLAIMS / spent:.0f} a second,'
+            f' {grouper.transactions / CLAIMS:.3f} transactions each'
+        )
+
+
+async def measure_idle(name):
+    """Print memory and processor share of idle processes."""
+    folder = deployments.ROOT / 'deploy' / name
+    async with deployments.running(folder, demo.LOG_FOLDER) as deployment:
+        demo.apply_declarations(deployment)
+        await deployment.wait_serving()
+        await asyncio.sleep(2.0)
+        before = deployment.read_usage()
+        await asyncio.sleep(IDLE_S)
+        after = deployment.read_usage()
+    for process in ('entry-1', 'sidecar-llm-pool-1'):
+        share = (after[process].cpu_s - before[process].cpu_s) / IDLE_S
+        print(
+            f'{process} idle: {after[process].resident_mb:.0f} MB,'
+            f' {share * 100:.2f}% of a core'
+        )
+
+
+def main():
+    """Print all slopes."""
+    arguments = docopt.docopt(__doc__)
+    measure_decisions()
+    measure_cores()
+    measure_queue()
+    measure_messages()
+    measure_declarations()
+    measure_state()
+    asyncio.run(measure_claims())
+    if arguments['--deployment']:
+        asyncio.run(measure_idle(arguments['--deployment']))
+
+
+if __name__ == '__main__':
+    main()
