--- a/persimmonroute/sidecar/execution.py
+++ b/persimmonroute/sidecar/execution.py
@@ -105,7 +105,9 @@
         item = self._board.items.get(event.attempt)
         if item is None or item.state != 'started':
             return
-        if not event.sent:
+        # A stream that is taken up was sent before, whatever became of the
+        # connection that should read on.
+        if not event.sent and not item.taken_up:
             self._refuse_started(item, now)
         elif not (item.taken_up or item.cancelled):
             item.taken_up = True
--- a/persimmonroute/tests/faults/scenarios_tests.py
+++ b/persimmonroute/tests/faults/scenarios_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 from unittest import mock
 
@@ -206,3 +207,44 @@
         refused = [v for v in others if v.outcome == 'not-run']
         self.assertEqual(refused, [])
         self.assertEqual(max(worlds.runs_by_attempt(world).values()), 1)
+
+    def _run_several(self, seed, count=3):
+        chance = random.Random(seed)
+        world = small_world.build_world(endpoints=4, entries=3)
+        poisons = [small_world.draft(f'poison-{n}') for n in range(count)]
+        bodies = frozenset(call.body for call in poisons)
+        for node in world.endpoints.values():
+            node.poison = bodies
+        others = []
+
+        def send(call, number):
+            call = call._replace(request_id=f'{call.request_id}/{number}')
+            entry = f'entry-{chance.randint(1, 3)}'
+            return world.submit(call, entry)
+
+        def send_other(number):
+            call = small_world.draft(f'other-{number}', tokens=30)
+            others.append(send(call, 0))
+
+        for number in range(8):
+            for call in poisons:
+                at = 1.0 + 2.0 * number + chance.uniform(0, 1.5)
+                world.schedule(at, send, call, number)
+        for number in range(400):
+            world.schedule(chance.uniform(0, 20), send_other, number)
+        world.run_until(world.now + 60.0)
+        crashes = sum(node.crashes for node in world.endpoints.values())
+        refused = [
+            view
+            for view in others
+            if view.ended is not None and view.ended.status == 422
+        ]
+        return crashes, refused
+
+    def test_several_crashing_requests_at_once(self):
+        """Each of several requests fells two endpoints at most."""
+        for seed in range(10):
+            with self.subTest(seed=seed):
+                crashes, refused = self._run_several(seed)
+                self.assertLessEqual(crashes, 2 * 3)
+                self.assertEqual(refused, [])
--- /dev/null
+++ b/persimmonroute/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Hold tests on real processes."""
--- /dev/null
+++ b/persimmonroute/tests/processes/faults_tests.py
@@ -0,0 +1,216 @@
+"""Test the promises on real processes with real signals."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import signal
+import tempfile
+import unittest
+
+from standins import callers
+from standins import small_world
+from tools import demo
+from tools import deployment as deployments
+from tools import small_deployment
+
+TIMEOUT_S = 30.0
+
+
+def order(number, key):
+    """Return a purchase order; key names it each time it is sent."""
+    body = json.dumps({'id': key, 'quantity': number}).encode()
+    return callers.PlannedCall(
+        key,
+        small_world.WORKSPACE,
+        'purchase-order',
+        small_world.PLAIN,
+        True,
+        'POST',
+        '/purchase-orders',
+        body,
+        False,
+        '',
+        0,
+    )
+
+
+def draft(name, tokens=60):
+    """Return a streamed completion."""
+    prompt = f'draft {name}'
+    body = {
+        'prompt': prompt,
+        'max_tokens': tokens,
+        'stream': True,
+        'user': name,
+    }
+    return callers.PlannedCall(
+        name,
+        small_world.WORKSPACE,
+        'counter-offer',
+        small_world.MODEL,
+        False,
+        'POST',
+        '/v1/completions',
+        json.dumps(body).encode(),
+        True,
+        prompt,
+        tokens,
+    )
+
+
+class ProcessFaultTests(unittest.IsolatedAsyncioTestCase):
+    """Inject one fault into a running deployment."""
+
+    async def asyncSetUp(self):
+        """Start a small deployment."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        small_deployment.write_deployment(folder.name)
+        logs = pathlib.Path(folder.name) / 'logs'
+        self.deployment = deployments.Deployment(folder.name, logs)
+        self.addAsyncCleanup(self.deployment.stop)
+        self.deployment.start_all()
+        await asyncio.to_thread(demo.apply_declarations, self.deployment)
+        await self.deployment.wait_serving()
+        self.caller = callers.Caller()
+        self.addAsyncCleanup(self.caller.close)
+
+    async def _runs(self, request_id):
+        runs, _, _ = await self.deployment.count_runs()
+        return runs.get(request_id, 0)
+
+    async def _wait_runs(self, request_id):
+        async def ran():
+            return await self._runs(request_id) > 0
+
+        await callers.wait_until(ran, TIMEOUT_S)
+
+    async def _busy_endpoint(self):
+        """Return the name of the engine with a request in progress."""
+        for name, item in self.deployment.endpoints.items():
+            if item['service'] == small_world.MODEL:
+                url = f'http://{item["address"]}/load'
+                load = await self.deployment.get_json(url)
+                if load['in_progress']:
+                    return name
+        return None
+
+    async def _send_draft(self, name, fault):
+        """Send a stream and call a coroutine once it has begun."""
+        begun = asyncio.Event()
+        entry = self.deployment.entries[0]
+        sending = asyncio.create_task(
+            self.caller.send(entry, draft(name), begun.set)
+        )
+        await begun.wait()
+        await fault(await self._busy_endpoint())
+        return await sending
+
+    async def _set_fault(self, fault):
+        url = f'http://{self.deployment.platform}/control/fault'
+        await self.deployment.post_json(url, {'fault': fault})
+
+    async def test_killed_sidecar_takes_up_its_stream(self):
+        """A restarted sidecar resumes the stream that its engine kept."""
+
+        async def kill(endpoint):
+            name = f'sidecar-{endpoint}'
+            self.deployment.send_signal(name, signal.SIGKILL)
+            await self.deployment.wait_ended(name)
+            self.deployment.start_daemon(name)
+
+        result = await self._send_draft('a', kill)
+        self.assertEqual((result.outcome, result.problem), ('completed', ''))
+        self.assertEqual(await self._runs('a'), 1)
+
+    async def test_frozen_sidecar(self):
+        """A stream goes on after its sidecar stood still."""
+
+        async def freeze(endpoint):
+            name = f'sidecar-{endpoint}'
+            self.deployment.send_signal(name, signal.SIGSTOP)
+            await asyncio.sleep(4.0)
+            self.deployment.send_signal(name, signal.SIGCONT)
+
+        result = await self._send_draft('a', freeze)
+        self.assertEqual((result.outcome, result.problem), ('completed', ''))
+        self.assertEqual(await self._runs('a'), 1)
+
+    async def test_killed_engine_gives_an_unknown_outcome(self):
+        """A request whose engine died is not run again."""
+
+        async def kill(endpoint):
+            self.deployment.send_signal(endpoint, signal.SIGKILL)
+
+        result = await self._send_draft('a', kill)
+        self.assertEqual(result.outcome, 'unknown')
+        entry = self.deployment.entries[0]
+        after = await self.caller.send(entry, draft('b'))
+        self.assertEqual(after.outcome, 'completed')
+
+    async def test_killed_entry_and_order_sent_again(self):
+        """An order that is sent again after its entry died runs once."""
+        first, second = self.deployment.entries
+        sending = asyncio.create_task(self.caller.send(first, order(1, 'k')))
+        await self._wait_runs('k')
+        self.deployment.send_signal('entry-1', signal.SIGKILL)
+        self.assertEqual((await sending).outcome, callers.LOST)
+        again = await self.caller.send(second, order(1, 'k'))
+        self.assertEqual((again.outcome, again.problem), ('completed', ''))
+        self.assertEqual(await self._runs('k'), 1)
+
+    async def test_frozen_entry_and_order_sent_again(self):
+        """Both sends get the one answer when a frozen entry goes on."""
+        first, second = self.deployment.entries
+        sending = asyncio.create_task(self.caller.send(first, order(1, 'k')))
+        await self._wait_runs('k')
+        self.deployment.send_signal('entry-1', signal.SIGSTOP)
+        again = await self.caller.send(second, order(1, 'k'))
+        self.deployment.send_signal('entry-1', signal.SIGCONT)
+        self.assertEqual((again.outcome, again.problem), ('completed', ''))
+        self.assertEqual((await sending).outcome, 'completed')
+        self.assertEqual(await self._runs('k'), 1)
+
+    async def test_store_outage(self):
+        """An order is not run while the store is down, and then it is."""
+        entry = self.deployment.entries[0]
+        await self._set_fault('down')
+        refused = await self.caller.send(entry, order(1, 'k'))
+        self.assertEqual(refused.outcome, 'not-run')
+        self.assertGreater(refused.retry_after_s, 0)
+        lookup = await self.caller.send(entry, draft('b'))
+        self.assertEqual(lookup.outcome, 'completed')
+        self.assertEqual(await self._runs('k'), 0)
+        await self._set_fault('none')
+        again = await self.caller.send(entry, order(1, 'k'))
+        self.assertEqual((again.outcome, again.problem), ('completed', ''))
+        self.assertEqual(await self._runs('k'), 1)
+
+    async def test_store_answer_lost(self):
+        """A claim whose answer is lost is confirmed and runs once."""
+        entry = self.deployment.entries[0]
+        await self._set_fault('lose_answers')
+        sending = asyncio.create_task(self.caller.send(entry, order(1, 'k')))
+        url = f'http://{self.deployment.platform}/control/counts'
+
+        async def written():
+            return (await self.deployment.get_json(url))['writes'] > 3
+
+        await callers.wait_until(written, TIMEOUT_S)
+        await self._set_fault('none')
+        result = await sending
+        self.assertEqual((result.outcome, result.problem), ('completed', ''))
+        self.assertEqual(await self._runs('k'), 1)
+
+    async def test_planned_stop_of_each_process(self):
+        """A stop of entry and sidecar lets a stream come to its end."""
+
+        async def stop(endpoint):
+            for name in (f'sidecar-{endpoint}', 'entry-1'):
+                self.deployment.send_signal(name, signal.SIGTERM)
+
+        result = await self._send_draft('a', stop)
+        self.assertEqual((result.outcome, result.problem), ('completed', ''))
+        self.assertEqual(await self.deployment.wait_ended('entry-1'), 0)
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -63,18 +63,21 @@
         """Close all connections."""
         await self._client.aclose()
 
-    async def send(self, entry, call):
-        """Send one request and return its CallResult."""
+    async def send(self, entry, call, on_first=None):
+        """Send one request and return its CallResult.
+
+        on_first is called when the first part of the answer came.
+        """
         began = time.monotonic()
         try:
-            return await self._send(entry, call, began)
+            return await self._send(entry, call, began, on_first)
         except client.HTTP_ERRORS as error:
             spent = time.monotonic() - began
             return CallResult(
                 call, LOST, 0, spent, spent, 0.0, None, repr(error)
             )
 
-    async def _send(self, entry, call, began):
+    async def _send(self, entry, call, began, on_first):
         path = f'/services/{call.service}{call.path}'
         response = await self._client.request(
             f'http://{entry}{path if call.plain else call.path}',
@@ -87,7 +90,10 @@
         first = None
         parts = []
         async for part in response.read_chunks():
-            first = first or time.monotonic()
+            if first is None:
+                first = time.monotonic()
+                if on_first is not None:
+                    on_first()
             parts.append(part)
         ended = time.monotonic()
         first = first or ended
--- a/standins/endpoint_nodes.py
+++ b/standins/endpoint_nodes.py
@@ -146,6 +146,10 @@
 
     def take_up(self, attempt, offset):
         """Read on a kept stream from a byte offset."""
+        if not self.alive:
+            # The new connection was refused, whatever came before it.
+            self._fail(attempt, False)
+            return
         if attempt not in self._streams:
             self._fail(attempt, True)
             return
