Measure the policy against baselines and mend the engine limit

Trace of llm-pool-1: the limit rose to 189 requests and first tokens waited 13 s inside the engine. (1) Prefill in progress was thought done once its time had passed, so requests kept starting while the engine decoded; (2) the limit compared gaps with the target of whichever request had sent a token last, often the laxest.

Ruled out: the order of the waiting line (it was empty).

Conclusion: the queue must stand at the sidecar, not in the engine.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 DEPLOYMENT ?= baltkomponents
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test generate faults rolling model slopes
+.PHONY: demo test generate faults rolling model slopes bench
 
 $(STAMP): pyproject.toml constraints.txt
 	python3 -m venv $(VENV)
@@ -31,3 +31,6 @@
 
 slopes: $(STAMP)
 	$(PYTHON) -m tools.slopes --deployment $(DEPLOYMENT)
+
+bench: $(STAMP)
+	$(PYTHON) -m tools.bench --deployment $(DEPLOYMENT)
--- a/persimmonroute/composition.py
+++ b/persimmonroute/composition.py
@@ -26,13 +26,15 @@
 LIMITS = {'model': limits.ModelLimit, 'plain': limits.PlainLimit}
 
 
-def build_entry_core(name, region, failure_domain, policy=None):
-    """Return the core of an entry."""
+def build_entry_core(name, region, failure_domain, make_routing=None):
+    """Return the core of an entry; make_routing takes its board."""
     place = entry_boards.Place(region, failure_domain)
     board = entry_boards.EntryBoard(name, place)
-    return entry_cores.EntryCore(
-        board, policy or routing.PredictedFirstToken()
-    )
+    if make_routing is None:
+        policy = routing.PredictedFirstToken()
+    else:
+        policy = make_routing(board)
+    return entry_cores.EntryCore(board, policy)
 
 
 def build_sidecar_core(name, service, kind, incarnation=None):
--- a/persimmonroute/sidecar/limits.py
+++ b/persimmonroute/sidecar/limits.py
@@ -74,7 +74,6 @@
     def __init__(self):
         super().__init__()
         self._gaps = []
-        self._gap_target_s = DEFAULT_TOKEN_GAP_S
         self._adjusted_at = 0.0
         self._was_full = False
 
@@ -83,7 +82,13 @@
         if len(running) >= int(self.max_running):
             self._was_full = True
             return False
-        backlog = self._prefill_backlog_s(running, now)
+        # Time that has passed does not count: an engine that decodes much
+        # may not have begun with what it was given.
+        backlog = sum(
+            self.prefill_s(other)
+            for other in running.values()
+            if other.first_token_at is None
+        )
         if backlog <= 0:
             return True
         return backlog + self.prefill_s(item) <= PREFILL_WINDOW_S
@@ -104,10 +109,9 @@
             self._learn_prefill(item, running, now)
             return
         gap = (now - item.last_token_at) / max(tokens, 1)
-        self._gap_target_s = item.offer.token_gap_s or DEFAULT_TOKEN_GAP_S
         self._gaps.append(gap)
         self.token_gap_s += SMOOTHING * (gap - self.token_gap_s)
-        self._adjust(now)
+        self._adjust(running, now)
 
     def _prefill_backlog_s(self, running, now):
         backlog = 0.0
@@ -133,13 +137,13 @@
             sample - self.prefill_tokens_per_s
         )
 
-    def _adjust(self, now):
+    def _adjust(self, running, now):
         due = now - self._adjusted_at >= ADJUST_PERIOD_S
         if not due or len(self._gaps) < MIN_SAMPLES:
             return
         self._gaps.sort()
         high = self._gaps[int(GAP_QUANTILE * (len(self._gaps) - 1))]
-        if high > GAP_HEADROOM * self._gap_target_s:
+        if high > GAP_HEADROOM * _least_gap_target_s(running):
             lowered = self.max_running * DECREASE_FACTOR
             self.max_running = max(lowered, MIN_RUNNING)
         elif self._was_full:
@@ -148,3 +152,11 @@
         self._gaps.clear()
         self._was_full = False
         self._adjusted_at = now
+
+
+def _least_gap_target_s(running):
+    targets = [
+        item.offer.token_gap_s or DEFAULT_TOKEN_GAP_S
+        for item in running.values()
+    ]
+    return min(targets, default=DEFAULT_TOKEN_GAP_S)
--- a/standins/endpoint_nodes.py
+++ b/standins/endpoint_nodes.py
@@ -138,6 +138,9 @@
         self._streams: dict[str, bytearray] = {}
         self._words: dict[str, list[bytes]] = {}
         self._done: set[str] = set()
+        # Prefill of blocks that some engine had computed before.
+        self.repeated_tokens = 0
+        self.lost_tokens = 0
         self._stepping = False
 
     def find_streams(self):
@@ -166,6 +169,11 @@
             self._done.add(attempt)
             self._emit(messages.EndpointEnded(attempt, 200, 'text'))
 
+    @property
+    def prefilled_tokens(self):
+        """Return all prefill of this engine, also before its crashes."""
+        return self.lost_tokens + self.model.prefilled_tokens
+
     def slow_down(self, factor):
         """Make every step take longer by a factor."""
         self.model.slowdown = factor
@@ -175,6 +183,7 @@
         text = offer.body.decode()
         words = engine_model.answer_words(text, offer.output_tokens)
         self._words[attempt] = [word.encode() for word in words]
+        self._count_repeated(offer)
         self.model.submit(
             attempt,
             tuple(offer.prefix_blocks),
@@ -185,6 +194,14 @@
             self._stepping = True
             self._step()
 
+    def _count_repeated(self, offer):
+        blocks = tuple(offer.prefix_blocks)
+        cached = self.model.count_cached(blocks)
+        known = self._world.computed_blocks
+        repeated = [b for b in blocks[cached:] if b in known]
+        self.repeated_tokens += len(repeated) * engine_model.BLOCK_TOKENS
+        known.update(blocks)
+
     def _step(self):
         if not self.alive or not self.model.in_progress:
             self._stepping = False
@@ -212,6 +229,7 @@
 
     def _drop_all(self):
         dropped = sorted(set(self._streams) - self._done)
+        self.lost_tokens += self.model.prefilled_tokens
         self.model = engine_model.EngineModel(self._speed)
         self._streams.clear()
         self._done.clear()
--- a/standins/engine_model.py
+++ b/standins/engine_model.py
@@ -111,14 +111,18 @@
             self._decoding.pop(sequence.request_id, None)
         return Token(sequence.request_id, index, last)
 
-    def _find_cached(self, blocks):
-        cached = 0
-        for block in blocks:
+    def count_cached(self, blocks):
+        """Return the number of leading blocks in the prefix cache."""
+        for count, block in enumerate(blocks):
             if block not in self._cache:
-                break
+                return count
+        return len(blocks)
+
+    def _find_cached(self, blocks):
+        count = self.count_cached(blocks)
+        for block in blocks[:count]:
             self._cache.move_to_end(block)
-            cached += BLOCK_TOKENS
-        return cached
+        return count * BLOCK_TOKENS
 
     def _remember(self, blocks):
         for block in blocks:
--- a/standins/world.py
+++ b/standins/world.py
@@ -94,6 +94,7 @@
         self.frozen = False
         self._backlog = []
         self._timer_at = None
+        self._frames: dict[str, list] = {}
         self.log = []
 
     def handle(self, event):
@@ -126,6 +127,23 @@
         """Return the event that reports the passing of time."""
         raise NotImplementedError
 
+    def send_frames(self, target, frames):
+        """Send the frames of one moment."""
+        raise NotImplementedError
+
+    def put_frame(self, target, frame):
+        """Send a frame together with the others of the same moment."""
+        if target not in self._frames:
+            self._frames[target] = []
+            self.world.schedule(0.0, self._flush, self.core, target)
+        self._frames[target].append(frame)
+
+    def _flush(self, core, target):
+        if core is self.core:
+            frames = self._frames.pop(target, [])
+            if self.alive:
+                self.send_frames(target, frames)
+
     def _arm_timer(self):
         wanted = self.core.next_timer_at
         if wanted is None:
@@ -144,10 +162,11 @@
 class EntryNode(ProcessNode):
     """Run an entry's core."""
 
-    def __init__(self, world, name, place, policy_factory=None):
+    def __init__(self, world, name, place):
         super().__init__(world, name)
         self.place = place
-        self._policy_factory = policy_factory
+        # Builds a routing policy from the board, in place of the default.
+        self.make_routing: typing.Callable | None = None
         self._handlers = {
             entry_messages.SendFrame: self._send_frame,
             entry_messages.OpenLink: self._open_link,
@@ -160,12 +179,14 @@
 
     def start(self):
         """Start a new incarnation."""
-        policy = self._policy_factory() if self._policy_factory else None
         self.core = composition.build_entry_core(
-            self.name, self.place.region, self.place.failure_domain, policy
+            self.name,
+            self.place.region,
+            self.place.failure_domain,
+            self.make_routing,
         )
         self.alive, self.frozen = True, False
-        self._timer_at, self._backlog = None, []
+        self._timer_at, self._backlog, self._frames = None, [], {}
         self.list_instances()
         self.handle(self.world.configuration)
 
@@ -189,12 +210,16 @@
         return entry_messages.TimePassed()
 
     def _send_frame(self, effect):
+        self.put_frame(effect.sidecar, effect.frame)
+
+    def send_frames(self, target, frames):
+        """Send the frames of one moment to a sidecar."""
         envelope = pb.Envelope(
             sender=self.name,
             revision=self.core.board.revision,
-            frames=[effect.frame],
+            frames=frames,
         )
-        self.world.send_to_sidecar(self.name, effect.sidecar, envelope)
+        self.world.send_to_sidecar(self.name, target, envelope)
 
     def _open_link(self, effect):
         self.world.connect(self.name, effect.sidecar)
@@ -244,7 +269,7 @@
         incarnation = f'{self.name}-{next(self._incarnations)}'
         self.core = self._build_core(self.instance, incarnation)
         self.alive, self.frozen = True, False
-        self._timer_at, self._backlog = None, []
+        self._timer_at, self._backlog, self._frames = None, [], {}
         self.endpoint.listener = self.handle
         streams = self.endpoint.find_streams()
         self.handle(sidecar_messages.StreamsFound(streams))
@@ -296,8 +321,11 @@
         self.world.schedule(PROBE_PERIOD_S, self._probe, core)
 
     def _send_frame(self, effect):
-        envelope = self.envelope([effect.frame])
-        self.world.send_to_entry(effect.link, envelope)
+        self.put_frame(effect.link, effect.frame)
+
+    def send_frames(self, target, frames):
+        """Send the frames of one moment over a link."""
+        self.world.send_to_entry(target, self.envelope(frames))
 
     def _start_call(self, effect):
         self.endpoint.start(effect.attempt, effect.offer)
@@ -346,6 +374,8 @@
         self.on_arrival: typing.Callable | None = None
         self.on_store: typing.Callable | None = None
         self.bytes_between_regions = 0
+        # Prompt blocks that some engine has computed.
+        self.computed_blocks: set[int] = set()
 
     def schedule(self, delay, function, *arguments):
         """Call a function after a delay in seconds."""
@@ -381,9 +411,9 @@
             self, instance, endpoint, build_core
         )
 
-    def add_entry(self, name, place, policy_factory=None):
+    def add_entry(self, name, place):
         """Add an entry."""
-        self.entries[name] = EntryNode(self, name, place, policy_factory)
+        self.entries[name] = EntryNode(self, name, place)
 
     def start(self, settle_s=1.0):
         """Start all processes and let them connect."""
--- /dev/null
+++ b/tools/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the policy under load and faults."""
--- /dev/null
+++ b/tools/bench/runner.py
@@ -0,0 +1,274 @@
+"""Run a scenario under a policy and measure it."""
+
+from __future__ import annotations
+
+import collections
+import json
+import statistics
+import typing
+
+from persimmonroute.config import declarations
+from persimmonroute.entry import board as entry_boards
+from persimmonroute.entry import messages
+from standins import endpoint_nodes
+from standins import engine_model
+from standins import world as worlds
+from tools.bench import bound
+from tools.bench import policies
+from tools.bench import traffic
+from tools import deployment as deployments
+
+SETTLE_S = 40.0
+RESEND_EARLY_S = 0.2
+STEP_REQUEST_S = 0.0005
+CACHE_BLOCKS = 2000
+
+
+class Result(typing.NamedTuple):
+    """Hold the measures of one run."""
+
+    scenario: str
+    policy: str
+    seed: int
+    # Goodput by tier, and of all model tiers together.
+    goodput: dict[int, float]
+    overall: float
+    bound: float
+    wasted: float
+    order_violations: int
+    unfairness: float
+    bytes_between_regions: int
+    recovery_s: float
+    answers_per_second: list[float]
+
+
+class BenchWorld:
+    """Build a deployment's world and play a scenario in it."""
+
+    def __init__(self, deployment, scenario, policy, seed):
+        self._scenario = scenario
+        self._policy = policy
+        self._seed = seed
+        folder = deployments.ROOT / 'deploy' / deployment
+        document = (folder / 'declarations.json').read_bytes()
+        self._declared = declarations.parse_declarations(document)
+        self._inventory = json.loads((folder / 'inventory.json').read_text())
+        standins = json.loads((folder / 'standins.json').read_text())
+        self._speeds = {
+            item['instance']: _speed(item['arguments'])
+            for item in standins['endpoints']
+            if item['program'].endswith('engine')
+        }
+        heard = messages.ConfigurationHeard(1, document)
+        self.world = worlds.World(heard)
+        self._build()
+        self._views = {}
+        self._turn = 0
+
+    def run(self):
+        """Play the scenario and return its Result."""
+        world = self.world
+        world.start()
+        began = world.now
+        source = traffic.Traffic(self._declared, self._scenario, self._seed)
+        speeds = list(self._speeds.values())
+        capacity = bound.capacity_rate(source, speeds)
+        arrivals = source.draw(capacity)
+        self._poison(arrivals)
+        for arrival in arrivals:
+            world.schedule(arrival.at_s, self._send, arrival.call, 0)
+        for action in self._scenario.actions:
+            world.schedule(action.at_s, self._act, action)
+        world.run_until(began + self._scenario.seconds + SETTLE_S)
+        return self._measure(began, arrivals, speeds)
+
+    def _build(self):
+        for item in self._inventory['instances']:
+            place = entry_boards.Place(item['region'], item['failure_domain'])
+            if item['kind'] == 'entry':
+                self.world.add_entry(item['name'], place)
+                continue
+            instance = messages.Instance(
+                item['name'],
+                item['service'],
+                *place,
+                item['name'],
+                False,
+            )
+            speed = self._speeds.get(item['name'])
+            endpoint = (
+                endpoint_nodes.ModelNode(self.world, speed)
+                if speed
+                else endpoint_nodes.PlainNode(self.world)
+            )
+            self.world.add_sidecar(instance, endpoint, self._build_core)
+        for node in self.world.entries.values():
+            node.make_routing = self._policy.make_routing
+
+    def _build_core(self, instance, incarnation):
+        kind = self._declared.services[instance.service]
+        return policies.build_sidecar_core(
+            self._policy, kind, instance, incarnation
+        )
+
+    def _poison(self, arrivals):
+        poison = frozenset(
+            a.call.body for a in arrivals if a.call.body.startswith(b'poison')
+        )
+        for node in self.world.endpoints.values():
+            node.poison = poison
+
+    def _send(self, call, tries):
+        entries = [n for n, e in self.world.entries.items() if e.alive]
+        self._turn += 1
+        entry = entries[self._turn % len(entries)]
+        sent = call._replace(request_id=f'{call.request_id}/{tries}')
+        view = self.world.submit(sent, entry)
+        self._views.setdefault(call.request_id, []).append(view)
+        if self._scenario.resends:
+            self._watch(call, tries, view)
+
+    def _watch(self, call, tries, view):
+        if view.ended_at is None:
+            self.world.schedule(0.05, self._watch, call, tries, view)
+            return
+        refused = view.outcome == 'not-run'
+        if not refused or tries >= self._scenario.resends:
+            return
+        wait = RESEND_EARLY_S
+        if self._scenario.patient:
+            wait = view.ended.retry_after_s or RESEND_EARLY_S
+        self.world.schedule(wait, self._send, call, tries + 1)
+
+    def _act(self, action):
+        world = self.world
+        models = sorted(self._speeds)
+        if action.name == 'slow':
+            world.endpoints[models[0]].slow_down(action.value)
+        elif action.name == 'kill':
+            world.endpoints[models[0]].crash()
+        elif action.name == 'leave':
+            world.leaving.add(models[0])
+            for node in world.entries.values():
+                world.schedule(2.0, node.list_instances)
+        elif action.name == 'kill-entry':
+            world.entries['entry-1'].kill()
+        elif action.name == 'store-down':
+            world.store.fault = 'down'
+        elif action.name == 'heal':
+            world.heal()
+        elif action.name == 'cut':
+            self._cut_regions()
+
+    def _cut_regions(self):
+        for entry in self.world.entries.values():
+            for sidecar in self.world.sidecars.values():
+                if entry.place.region != sidecar.instance.region:
+                    self.world.cut(entry.name, sidecar.name)
+
+    def _measure(self, began, arrivals, speeds):
+        good_by_tier = collections.defaultdict(list)
+        by_workspace = collections.defaultdict(list)
+        good_models, timeline = [], collections.defaultdict(list)
+        for arrival in arrivals:
+            views = self._views[arrival.call.request_id]
+            work_class = self._declared.classes[arrival.call.class_name]
+            good = any(is_good(view, work_class) for view in views)
+            good_by_tier[work_class.tier].append(good)
+            key = (work_class.name, arrival.call.workspace)
+            by_workspace[key].append(good)
+            if arrival.call.output_tokens:
+                good_models.append(good)
+                timeline[int(arrival.at_s)].append(good)
+        nodes = [
+            node
+            for node in self.world.endpoints.values()
+            if isinstance(node, endpoint_nodes.ModelNode)
+        ]
+        prefilled = sum(node.prefilled_tokens for node in nodes) or 1
+        wasted = sum(
+            node.repeated_tokens + node.model.wasted_tokens for node in nodes
+        )
+        shares = [
+            statistics.mean(timeline[second]) if timeline[second] else 1.0
+            for second in range(int(self._scenario.seconds))
+        ]
+        return Result(
+            self._scenario.name,
+            self._policy.name,
+            self._seed,
+            {
+                tier: statistics.mean(good)
+                for tier, good in sorted(good_by_tier.items())
+            },
+            statistics.mean(good_models),
+            bound.goodput_bound(
+                [a.call for a in arrivals if a.call.output_tokens],
+                self._declared.classes,
+                speeds,
+                self._scenario,
+            ),
+            wasted / prefilled,
+            sum(count_violations(n) for n in self.world.sidecars.values()),
+            _unfairness(by_workspace),
+            self.world.bytes_between_regions,
+            _recovery_s(self._scenario, shares),
+            shares,
+        )
+
+
+def is_good(view, work_class):
+    """Tell whether a request was completed within its target."""
+    if view.outcome != 'completed':
+        return False
+    target = work_class.target
+    if target.answer_s is not None:
+        return view.ended_at - view.sent_at <= target.answer_s
+    steps = max(view.call.output_tokens - 1, 1)
+    gap = (view.ended_at - view.first_at) / steps
+    in_time = view.first_at - view.sent_at <= target.first_token_s
+    return in_time and gap <= target.token_gap_s
+
+
+def count_violations(node):
+    """Count sheds of a tier while a lower one waited at a sidecar."""
+    waiting, count = {}, 0
+    for _, effect in node.log:
+        attempt, name = effect.fields.get('attempt'), effect.event.name
+        if name == 'OFFER_QUEUED':
+            waiting[attempt] = effect.fields['tier']
+        elif name in ('REQUEST_STARTED', 'REQUEST_EVICTED'):
+            waiting.pop(attempt, None)
+        elif name == 'OFFER_REFUSED':
+            waiting.pop(attempt, None)
+            if effect.fields['reason'] == 'overloaded':
+                tier = effect.fields['tier']
+                count += any(other > tier for other in waiting.values())
+    return count
+
+
+def _unfairness(by_workspace):
+    shares = collections.defaultdict(list)
+    for (name, _), good in by_workspace.items():
+        shares[name].append(statistics.mean(good))
+    return max(max(found) - min(found) for found in shares.values())
+
+
+def _recovery_s(scenario, shares):
+    """Return the seconds from a fault until goodput is back at 0.95."""
+    if not scenario.actions:
+        return 0.0
+    at = int(scenario.actions[0].at_s)
+    before = statistics.mean(shares[2:at]) if at > 3 else 1.0
+    bad = [s for s in range(at, len(shares)) if shares[s] < 0.95 * before]
+    return float(max(bad) + 1 - at) if bad else 0.0
+
+
+def _speed(arguments):
+    options = dict(zip(arguments[::2], arguments[1::2]))
+    return engine_model.EngineSpeed(
+        float(options['--prefill']),
+        float(options['--step']),
+        STEP_REQUEST_S,
+        CACHE_BLOCKS,
+    )
