Keep the order of shedding across sidecars

Traces: an entry tried three sidecars only; one that refused earlier and had admitted lower tiers again since was not asked again; and the load that says whom to ask may be older than the last admission of a lower tier.

Ruled out: an artifact of the first check, which counted withdrawn offers as waiting: they now log an event of their own (E304).

Change: an entry asks all its sidecars, again those that admit lower tiers; it sheds by the admission level without offers; a late request is not offered again to sidecars of its own tier; a shed is told to all sidecars of the service, which evict what is lower.

--- a/persimmonroute/entry/board.py
+++ b/persimmonroute/entry/board.py
@@ -29,6 +29,7 @@
         # Plain copies of what each routing decision reads.
         self.wait_s: tuple[float, ...] = ()
         self.prefill_tokens_per_s = 0.0
+        self.admitted_tier = declarations.TIERS
         self.revision = 0
         # Revision last sent over the present connection.
         self.pushed_revision = 0
@@ -51,6 +52,7 @@
         self.load = load
         self.wait_s = tuple(load.wait_s)
         self.prefill_tokens_per_s = load.prefill_tokens_per_s
+        self.admitted_tier = load.admitted_tier or declarations.TIERS
 
     def add_outstanding(self, request_id, seconds):
         """Count work that was offered and is not answered yet."""
@@ -81,7 +83,10 @@
         self.attempt = ''
         self.attached = False
         self.offers = 0
+        # Sidecars that refused for overload.
         self.refused_by = set()
+        # Sidecars that were out of reach during this request.
+        self.avoided = set()
         self.received = 0
 
     @property
--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -41,6 +41,9 @@
     OFFER_REFUSED = EventKind(301, 'INFO', 'offer refused at the sidecar')
     REQUEST_STARTED = EventKind(302, 'INFO', 'request sent to the endpoint')
     REQUEST_EVICTED = EventKind(303, 'INFO', 'queued request evicted')
+    OFFER_DROPPED = EventKind(
+        304, 'INFO', 'queued request withdrawn or left without permission'
+    )
     ENDPOINT_DOWN = EventKind(310, 'WARNING', 'endpoint does not answer')
     ENDPOINT_UP = EventKind(311, 'INFO', 'endpoint answers')
     REQUEST_SUSPECTED = EventKind(
