Pass the operation from one operator to another

Cause: the product is for bodies that hand the whole operation to a new operator; nothing said who may change what.

Change: operators have Ed25519 keys. A revision is signed; a handover is one transaction that the leaving operator signs, and each change names the version of the operator's row, so that a write on its way during the handover fails. Entries check the chain of handovers from the first key in their settings and refuse a chain that forks. Commands: keygen, handover, diff, history, export; apply pushes; status shows target and reached by class; /metrics.

Ruled out: trusting the table service alone: an old operator who writes rows directly would be believed by entries.

--- a/persimmonroute/cli.py
+++ b/persimmonroute/cli.py
@@ -1,14 +1,22 @@
 """Declare classes of work and look at the system.
 
 Usage:
-  persimmonroute apply FILE [--platform ADDRESS] [--change ID] [--base N]
+  persimmonroute apply FILE [--platform ADDRESS] [--key FILE] [--change ID]
+                            [--base N]
+  persimmonroute diff FILE [--platform ADDRESS]
   persimmonroute show [--platform ADDRESS]
+  persimmonroute history [--platform ADDRESS]
+  persimmonroute export FILE [--platform ADDRESS]
   persimmonroute status [--platform ADDRESS] [--wait SECONDS]
+  persimmonroute keygen FILE
+  persimmonroute handover PUBLIC_KEY --key FILE [--platform ADDRESS]
+                            [--change ID]
   persimmonroute --version
 
 Options:
   --platform ADDRESS  Address of the platform as IP:port; also taken from
                       the variable PERSIMMONROUTE_PLATFORM.
+  --key FILE          Private key of the operator.
   --change ID         Own number of this change, for repeating it.
   --base N            Revision that the change was made against.
   --wait SECONDS      Wait until the current revision is in force.
@@ -24,9 +32,15 @@
 
 import persimmonroute
 from persimmonroute.commands import apply
+from persimmonroute.commands import diff
+from persimmonroute.commands import export
+from persimmonroute.commands import handover
+from persimmonroute.commands import history
+from persimmonroute.commands import keygen
 from persimmonroute.commands import show
 from persimmonroute.commands import status
 from persimmonroute import exceptions
+from persimmonroute import operators
 from persimmonroute.platform import client
 
 PLATFORM_VARIABLE = 'PERSIMMONROUTE_PLATFORM'
@@ -46,26 +60,74 @@
 
 
 async def _run(arguments):
+    if arguments['keygen']:
+        await keygen.keygen(arguments['FILE'])
+        return
     platform = client.HttpPlatform(_platform_address(arguments))
     try:
-        await _command(arguments, platform)
+        await _run_with_platform(arguments, platform)
     finally:
         await platform.close()
 
 
-async def _command(arguments, platform):
-    if arguments['apply']:
-        await apply.apply(
-            platform,
-            arguments['FILE'],
-            arguments['--change'],
-            _number(arguments, '--base', int),
-        )
-    elif arguments['show']:
-        await show.show(platform)
-    else:
-        wait_s = _number(arguments, '--wait', float)
-        await status.status(platform, wait_s)
+async def _run_with_platform(arguments, platform):
+    name = next(name for name in COMMANDS if arguments[name])
+    await COMMANDS[name](arguments, platform)
+
+
+async def _apply(arguments, platform):
+    await apply.apply(
+        platform,
+        arguments['FILE'],
+        arguments['--change'],
+        _number(arguments, '--base', int),
+        _load_key(arguments),
+    )
+
+
+async def _diff(arguments, platform):
+    await diff.diff(platform, arguments['FILE'])
+
+
+async def _show(arguments, platform):
+    await show.show(platform)
+
+
+async def _history(arguments, platform):
+    await history.history(platform)
+
+
+async def _export(arguments, platform):
+    await export.export(platform, arguments['FILE'])
+
+
+async def _status(arguments, platform):
+    await status.status(platform, _number(arguments, '--wait', float))
+
+
+async def _handover(arguments, platform):
+    await handover.handover(
+        platform,
+        arguments['PUBLIC_KEY'],
+        _load_key(arguments),
+        arguments['--change'],
+    )
+
+
+COMMANDS = {
+    'apply': _apply,
+    'diff': _diff,
+    'show': _show,
+    'history': _history,
+    'export': _export,
+    'status': _status,
+    'handover': _handover,
+}
+
+
+def _load_key(arguments):
+    path = arguments['--key']
+    return operators.OperatorKey.load(path) if path else None
 
 
 def _platform_address(arguments):
--- a/persimmonroute/commands/apply.py
+++ b/persimmonroute/commands/apply.py
@@ -6,27 +6,36 @@
 
 from returns import result
 
+from persimmonroute.commands import entries
 from persimmonroute.config import declarations
 from persimmonroute import configuration_store
 from persimmonroute import exceptions
 
 
-async def apply(platform, path, change=None, base=None):
-    """Publish a declarations file and print its revision."""
-    document = _read(path)
+async def apply(platform, path, change=None, base=None, key=None):
+    """Publish a declarations file, push it and print its revision."""
+    document = read_document(path)
     declarations.parse_declarations(document)
-    revisions = configuration_store.ConfigurationStore(platform)
+    revisions = configuration_store.ConfigurationStore(platform, key)
     accepted = await revisions.publish(
         document, change or uuid.uuid4().hex, base
     )
-    if isinstance(accepted, result.Failure):
-        raise accepted.failure()
-    print(f'revision {accepted.unwrap()} accepted')
+    print(f'revision {unwrap(accepted)} accepted')
+    async with entries.entry_client(platform) as client:
+        await client.push_all()
 
 
-def _read(path):
+def read_document(path):
+    """Return the text of a declarations file or raise DeclarationError."""
     try:
         with open(path, encoding='utf-8') as file:
             return file.read()
     except OSError as error:
         raise exceptions.DeclarationError(f'cannot read {path}: {error}')
+
+
+def unwrap(found):
+    """Return the value of a Result or raise its error."""
+    if isinstance(found, result.Failure):
+        raise found.failure()
+    return found.unwrap()
--- a/persimmonroute/composition.py
+++ b/persimmonroute/composition.py
@@ -10,6 +10,7 @@
 from persimmonroute.entry import routing
 from persimmonroute.entry import server
 from persimmonroute.entry import shell as entry_shells
+from persimmonroute import operators
 from persimmonroute.platform import client
 from persimmonroute.platform import grouping
 from persimmonroute.sidecar import admission
@@ -26,7 +27,9 @@
 LIMITS = {'model': limits.ModelLimit, 'plain': limits.PlainLimit}
 
 
-def build_entry_core(name, region, failure_domain, make_routing=None):
+def build_entry_core(
+    name, region, failure_domain, make_routing=None, operator_key=None
+):
     """Return the core of an entry; make_routing takes its board."""
     place = entry_boards.Place(region, failure_domain)
     board = entry_boards.EntryBoard(name, place)
@@ -34,7 +37,11 @@
         policy = routing.PredictedFirstToken()
     else:
         policy = make_routing(board)
-    return entry_cores.EntryCore(board, policy)
+    if operator_key is None:
+        verifier = operators.TrustAnyRevision()
+    else:
+        verifier = operators.TrustOperators(operator_key)
+    return entry_cores.EntryCore(board, policy, verifier)
 
 
 def build_sidecar_core(name, service, kind, incarnation=None):
@@ -50,7 +57,10 @@
 def build_entry(settings):
     """Return the process of an entry."""
     core = build_entry_core(
-        settings.instance, settings.region, settings.failure_domain
+        settings.instance,
+        settings.region,
+        settings.failure_domain,
+        operator_key=settings.operator_key,
     )
     platform = client.HttpPlatform(settings.platform)
     grouper = grouping.WriteGrouper(platform)
--- a/persimmonroute/config/settings.py
+++ b/persimmonroute/config/settings.py
@@ -28,6 +28,10 @@
         ('model', 'plain'), 'Kind of the endpoint beside a sidecar.'
     ),
     'service': options.Text('Service that the endpoint belongs to.'),
+    'operator_key': options.Text(
+        'Public key of the first operator, in hexadecimal; entries then'
+        ' take only signed revisions.'
+    ),
     'log_level': options.Choice(
         ('DEBUG', 'INFO', 'WARNING', 'ERROR'),
         'Least level that is logged.',
@@ -61,6 +65,7 @@
     endpoint: str | None
     endpoint_kind: str | None
     service: str | None
+    operator_key: str | None
     log_level: str
     log_format: str
     stop_grace_s: float
--- a/persimmonroute/entry/configuration.py
+++ b/persimmonroute/entry/configuration.py
@@ -12,8 +12,9 @@
 class ConfigurationKeeper:
     """Adopt higher revisions and pass them to peers that lag."""
 
-    def __init__(self, board):
+    def __init__(self, board, verifier):
         self._board = board
+        self._verifier = verifier
         self._frame_handlers = {
             'configuration_request': self._on_request,
             'configuration_update': self._on_update,
@@ -25,8 +26,12 @@
         if event.revision <= board.revision:
             return
         try:
-            adopted = declarations.parse_declarations(event.document)
-        except exceptions.DeclarationError as error:
+            document = self._verifier.open(event.revision, event.document)
+            adopted = declarations.parse_declarations(document)
+        except (
+            exceptions.DeclarationError,
+            exceptions.UntrustedRevisionError,
+        ) as error:
             board.log(
                 Event.CONFIGURATION_REJECTED,
                 revision=event.revision,
--- a/persimmonroute/entry/core.py
+++ b/persimmonroute/entry/core.py
@@ -14,14 +14,16 @@
 class EntryCore:
     """Turn events and the time into effects, without I/O."""
 
-    def __init__(self, board, policy):
+    def __init__(self, board, policy, verifier):
         self._board = board
         self._expiry_due_at = 0.0
         self._claims = claims.ClaimKeeper(board)
         self._dispatcher = dispatch.Dispatcher(board, policy, self._claims)
         self._claims.dispatcher = self._dispatcher
         self._membership = membership.MembershipKeeper(board)
-        self._configuration = configuration.ConfigurationKeeper(board)
+        self._configuration = configuration.ConfigurationKeeper(
+            board, verifier
+        )
         self._handlers = {
             messages.CallArrived: [self._dispatcher.on_call],
             messages.CallerGone: [self._dispatcher.on_caller_gone],
--- a/persimmonroute/entry/http_api.py
+++ b/persimmonroute/entry/http_api.py
@@ -14,6 +14,7 @@
 from persimmonroute.entry import intake
 from persimmonroute.entry import messages
 from persimmonroute.entry.messages import Outcome
+from persimmonroute.entry import metrics
 from persimmonroute import exceptions
 
 OUTCOME_HEADER = 'Persimmon-Outcome'
@@ -48,7 +49,13 @@
                     methods=METHODS,
                 ),
                 routing.Route('/ready', self._ready),
+                routing.Route('/metrics', self._metrics),
                 routing.Route('/admin/v1/status', self._status),
+                routing.Route(
+                    '/admin/v1/configuration/refresh',
+                    self._refresh,
+                    methods=['POST'],
+                ),
             ],
             exception_handlers={
                 exceptions.BadRequestError: self._refuse_bad_request
@@ -165,6 +172,14 @@
             'stopping' if stopping else 'ready', 503 if stopping else 200
         )
 
+    async def _refresh(self, request):
+        self._shell.refresh_configuration()
+        return responses.JSONResponse({})
+
+    async def _metrics(self, request):
+        text = metrics.format_metrics(self._shell.metrics)
+        return responses.PlainTextResponse(text)
+
     async def _status(self, request):
         board = self._shell.core.board
         return responses.JSONResponse(
@@ -172,6 +187,7 @@
                 'instance': board.name,
                 'revision': board.revision,
                 'in_progress': len(board.calls),
+                'classes': self._report_classes(board),
                 'sidecars': {
                     name: {
                         'linked': view.linked,
@@ -186,6 +202,17 @@
             }
         )
 
+    def _report_classes(self, board):
+        measured = self._shell.metrics.classes
+        return {
+            name: {
+                'target': work_class.target.success,
+                'reached': measured[name].reached,
+                'ended': measured[name].ended,
+            }
+            for name, work_class in sorted(board.declarations.classes.items())
+        }
+
 
 async def _wait_disconnect(request):
     while True:
--- /dev/null
+++ b/persimmonroute/entry/metrics.py
@@ -0,0 +1,130 @@
+"""Count what callers were told and measure it against the targets."""
+
+from __future__ import annotations
+
+import collections
+
+from hdrh import histogram
+from prometheus_client import core as prometheus
+from prometheus_client import exposition
+
+from persimmonroute.entry.messages import Outcome
+
+LONGEST_MS = 600_000
+DIGITS = 2
+QUANTILES = (0.5, 0.95, 0.99)
+
+
+class ClassMetrics:
+    """Count the requests of one class."""
+
+    def __init__(self):
+        self.outcomes = collections.Counter()
+        self.within_target = 0
+        self.first_ms = histogram.HdrHistogram(1, LONGEST_MS, DIGITS)
+
+    @property
+    def ended(self):
+        """Return the number of requests with a final answer."""
+        return sum(self.outcomes.values())
+
+    @property
+    def reached(self):
+        """Return the share of requests completed within target."""
+        return self.within_target / self.ended if self.ended else 1.0
+
+
+class RequestTimes:
+    """Follow the times of one request, in seconds."""
+
+    def __init__(self, arrived_at):
+        self.arrived_at = arrived_at
+        self.first_at = None
+        self.parts = 0
+
+
+class EntryMetrics:
+    """Measure the requests of one entry by class."""
+
+    def __init__(self):
+        self._classes = collections.defaultdict(ClassMetrics)
+        self._times: dict[str, RequestTimes] = {}
+        self._class_names: dict[str, str] = {}
+
+    @property
+    def classes(self):
+        """Return the metrics by class."""
+        return self._classes
+
+    def on_arrived(self, call, now):
+        """Take note of a request."""
+        self._times[call.request_id] = RequestTimes(now)
+        self._class_names[call.request_id] = call.class_name
+
+    def on_data(self, request_id, now):
+        """Take note of a part of an answer."""
+        times = self._times.get(request_id)
+        if times is None:
+            return
+        times.parts += 1
+        if times.first_at is None:
+            times.first_at = now
+
+    def on_ended(self, effect, work_class, now):
+        """Take note of a final answer."""
+        times = self._times.pop(effect.request_id, None)
+        name = self._class_names.pop(effect.request_id, None)
+        if times is None:
+            return
+        found = self._classes[name]
+        found.outcomes[effect.outcome.value] += 1
+        if effect.outcome is not Outcome.COMPLETED:
+            return
+        first_at = times.first_at or now
+        spent_ms = int((first_at - times.arrived_at) * 1000)
+        found.first_ms.record_value(min(max(spent_ms, 1), LONGEST_MS))
+        if work_class is not None:
+            found.within_target += _is_within(work_class, times, now)
+
+    def collect(self):
+        """Yield the metric families for a scraper."""
+        ended = prometheus.CounterMetricFamily(
+            'persimmonroute_requests',
+            'Requests with a final answer.',
+            labels=['work_class', 'outcome'],
+        )
+        good = prometheus.CounterMetricFamily(
+            'persimmonroute_requests_within_target',
+            'Requests completed within the target of their class.',
+            labels=['work_class'],
+        )
+        first = prometheus.GaugeMetricFamily(
+            'persimmonroute_first_token_seconds',
+            'Time to the first part of the answer, by quantile.',
+            labels=['work_class', 'quantile'],
+        )
+        for name, found in sorted(self._classes.items()):
+            for outcome, count in sorted(found.outcomes.items()):
+                ended.add_metric([name, outcome], count)
+            good.add_metric([name], found.within_target)
+            for quantile in QUANTILES:
+                value = found.first_ms.get_value_at_percentile(quantile * 100)
+                first.add_metric([name, str(quantile)], value / 1000)
+        yield from (ended, good, first)
+
+
+def format_metrics(collector):
+    """Return the metrics of a collector in the text format."""
+    registry = prometheus.CollectorRegistry()
+    registry.register(collector)
+    return exposition.generate_latest(registry)
+
+
+def _is_within(work_class, times, now):
+    target = work_class.target
+    if target.answer_s is not None:
+        return now - times.arrived_at <= target.answer_s
+    first_at = times.first_at or now
+    gap = (now - first_at) / max(times.parts - 1, 1)
+    in_time = first_at - times.arrived_at <= target.first_token_s
+    return in_time and gap <= target.token_gap_s
--- a/persimmonroute/entry/shell.py
+++ b/persimmonroute/entry/shell.py
@@ -3,22 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 
+from returns import result
+
 from persimmonroute import alarms
+from persimmonroute.config import declarations
+from persimmonroute import configuration_store
 from persimmonroute.entry import links
 from persimmonroute.entry import messages
+from persimmonroute.entry import metrics
 from persimmonroute.events import Event
 from persimmonroute import exceptions
 from persimmonroute import logs
-from persimmonroute.store import StoreStatus
 
 log = logs.EventLog(__name__)
 
 LIST_PERIOD_S = 1.0
 CONFIGURATION_PERIOD_S = 2.0
-CONFIGURATION_TABLE = 'configuration'
-CONFIGURATION_KEY = 'current'
 
 
 class EntryShell:
@@ -26,19 +29,22 @@
 
     def __init__(self, core, platform, grouper):
         self._core = core
+        self._metrics = metrics.EntryMetrics()
+        self._class_of: dict[str, declarations.WorkClass] = {}
         self._platform = platform
         self._grouper = grouper
         self._links: dict[str, links.SidecarLink] = {}
         self._answers: dict[str, asyncio.Queue] = {}
         self._tasks: set[asyncio.Task] = set()
         self._platform_up = True
+        self._configuration_nudge = asyncio.Event()
         self._alarm = alarms.Alarm(self._ring)
         self._effect_handlers = {
             messages.SendFrame: self._send_frame,
             messages.OpenLink: self._open_link,
             messages.CloseLink: self._close_link,
-            messages.AnswerData: self._put_answer,
-            messages.AnswerEnded: self._put_answer,
+            messages.AnswerData: self._answer_data,
+            messages.AnswerEnded: self._answer_ended,
             messages.Transact: self._transact,
             messages.LogEvent: self._log_event,
         }
@@ -49,9 +55,9 @@
         return self._core
 
     @property
-    def in_progress(self):
-        """Return the number of requests in progress."""
-        return len(self._core.board.calls)
+    def metrics(self):
+        """Return the metrics of the entry."""
+        return self._metrics
 
     def handle(self, event):
         """Bring an event to the core and carry out its effects."""
@@ -61,13 +67,12 @@
 
     def submit(self, call):
         """Return the queue of answers to a call."""
+        work_class = self._core.check_call(call)
         queue = asyncio.Queue()
         self._answers[call.request_id] = queue
-        try:
-            self.handle(messages.CallArrived(call))
-        except exceptions.BadRequestError:
-            del self._answers[call.request_id]
-            raise
+        self._class_of[call.request_id] = work_class
+        self._metrics.on_arrived(call, time.monotonic())
+        self.handle(messages.CallArrived(call))
         return queue
 
     def abandon(self, request_id):
@@ -103,18 +108,27 @@
             await asyncio.sleep(LIST_PERIOD_S)
 
     async def _follow_configuration(self):
+        revisions = configuration_store.ConfigurationStore(self._platform)
         while True:
-            reply = await self._platform.read(
-                CONFIGURATION_TABLE, CONFIGURATION_KEY
-            )
-            if reply.status is StoreStatus.FOUND and reply.rows:
-                value = reply.rows[0].value
-                document = value['document'].encode()
-                heard = messages.ConfigurationHeard(
-                    value['revision'], document
+            current = await revisions.read_current()
+            if isinstance(current, result.Success):
+                self._hear(current.unwrap())
+            self._configuration_nudge.clear()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(
+                    self._configuration_nudge.wait(), CONFIGURATION_PERIOD_S
                 )
-                self.handle(heard)
-            await asyncio.sleep(CONFIGURATION_PERIOD_S)
+
+    def refresh_configuration(self):
+        """Read the configuration now instead of after its period."""
+        self._configuration_nudge.set()
+
+    def _hear(self, revision):
+        if revision.number > self._core.board.revision:
+            heard = messages.ConfigurationHeard(
+                revision.number, revision.to_bytes()
+            )
+            self.handle(heard)
 
     def _note_platform(self, up, **fields):
         if up != self._platform_up:
@@ -145,13 +159,18 @@
         if link is not None:
             link.close()
 
-    def _put_answer(self, effect):
+    def _answer_data(self, effect):
+        self._metrics.on_data(effect.request_id, time.monotonic())
         queue = self._answers.get(effect.request_id)
-        if queue is None:
-            return
-        queue.put_nowait(effect)
-        if isinstance(effect, messages.AnswerEnded):
-            del self._answers[effect.request_id]
+        if queue is not None:
+            queue.put_nowait(effect)
+
+    def _answer_ended(self, effect):
+        work_class = self._class_of.pop(effect.request_id, None)
+        self._metrics.on_ended(effect, work_class, time.monotonic())
+        queue = self._answers.pop(effect.request_id, None)
+        if queue is not None:
+            queue.put_nowait(effect)
 
     def _transact(self, effect):
         self._spawn(self._write(effect))
--- a/persimmonroute/exceptions.py
+++ b/persimmonroute/exceptions.py
@@ -35,6 +35,24 @@
     remedy = 'rebase on the revision in force and apply again'
 
 
+class RevisionLagError(PersimmonRouteError):
+    """Report processes that do not have the current revision in force."""
+
+    remedy = 'check whether these instances are alive and reach an entry'
+
+
+class UntrustedRevisionError(PersimmonRouteError):
+    """Report a revision that its operator did not sign."""
+
+    remedy = 'have the present operator apply it with their own key'
+
+
+class NotOperatorError(PersimmonRouteError):
+    """Report a command of somebody who does not hold the operation."""
+
+    remedy = 'use the key of the present operator, or ask for a handover'
+
+
 class PlatformUnavailableError(PersimmonRouteError):
     """Report that the platform's service gave no usable answer."""
 
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -151,9 +151,14 @@
 
     async def get_json(self, url):
         """Return the JSON answer of a URL, or None."""
+        text = await self.get_text(url)
+        return None if text is None else json.loads(text)
+
+    async def get_text(self, url):
+        """Return the text of a URL, or None."""
         try:
             answer = await self._http.get(url)
-            return json.loads(await answer.content())
+            return (await answer.content()).decode()
         except client.HTTP_ERRORS:
             return None
 
--- a/tools/small_deployment.py
+++ b/tools/small_deployment.py
@@ -37,14 +37,18 @@
 )
 
 
-def write_deployment(folder, entries=2):
-    """Write settings, inventory and declarations into a folder."""
+def write_deployment(folder, entries=2, **entry_settings):
+    """Write settings, inventory and declarations into a folder.
+
+    Further settings go into the files of the entries.
+    """
     folder = pathlib.Path(folder)
     ports = _free_ports(1 + entries + 2 * len(ENDPOINTS))
     platform = ports.pop()
     instances, endpoints = [], []
     for number in range(entries):
-        instances.append(_write_entry(folder, number, ports.pop(), platform))
+        settings = {'platform': platform, **entry_settings}
+        instances.append(_write_entry(folder, number, ports.pop(), settings))
     for number, plan in enumerate(ENDPOINTS):
         place = PLACES[number % len(PLACES)]
         instances.append(
@@ -65,14 +69,12 @@
     _write(folder / 'declarations.json', small_world.DECLARATIONS)
 
 
-def _write_entry(folder, number, address, platform):
+def _write_entry(folder, number, address, more):
     name = f'entry-{number + 1}'
     region, domain = PLACES[number % len(PLACES)]
     place = {'region': region, 'failure_domain': domain}
     settings = {'role': 'entry', 'instance': name, 'address': address}
-    _write(
-        folder / f'{name}.json', {**settings, **place, 'platform': platform}
-    )
+    _write(folder / f'{name}.json', {**settings, **place, **more})
     return {
         'name': name,
         'kind': 'entry',
