Use TLS both ways between entries and sidecars

Cause: a sidecar took offers from whoever reached its port.

Change: settings name certificate, key, authority and deployment; certificates name role and deployment; files are read anew for each connection, so keys are rotated by replacing them.

Ruled out: a check of the authority alone: it would let an entry of another deployment in that has the same authority.

--- a/persimmonroute/composition.py
+++ b/persimmonroute/composition.py
@@ -19,6 +19,7 @@
 from persimmonroute.sidecar import endpoints
 from persimmonroute.sidecar import limits
 from persimmonroute.sidecar import shell as sidecar_shells
+from persimmonroute import tls
 
 ENDPOINT_CLIENTS = {
     'model': endpoints.ModelEngineClient,
@@ -64,7 +65,8 @@
     )
     platform = client.HttpPlatform(settings.platform)
     grouper = grouping.WriteGrouper(platform)
-    shell = entry_shells.EntryShell(core, platform, grouper)
+    tls_settings = tls.find_tls_settings(settings)
+    shell = entry_shells.EntryShell(core, platform, grouper, tls_settings)
     app = http_api.HttpApi(shell).build_app()
     return server.EntryServer(shell, app, settings)
 
--- a/persimmonroute/config/settings.py
+++ b/persimmonroute/config/settings.py
@@ -32,6 +32,17 @@
         'Public key of the first operator, in hexadecimal; entries then'
         ' take only signed revisions.'
     ),
+    'deployment': options.Text(
+        'Name of the deployment, as certificates have it.'
+    ),
+    'tls_certificate': options.Text(
+        'PEM file of the certificate; with it, all connections between'
+        ' entries and sidecars use TLS both ways.'
+    ),
+    'tls_key': options.Text('PEM file of the private key.'),
+    'tls_authority': options.Text(
+        'PEM file of the authority that signs all certificates.'
+    ),
     'log_level': options.Choice(
         ('DEBUG', 'INFO', 'WARNING', 'ERROR'),
         'Least level that is logged.',
@@ -47,6 +58,7 @@
         default=120,
     ),
 }
+TLS_OPTIONS = ('tls_certificate', 'tls_key', 'tls_authority', 'deployment')
 ROLE_OPTIONS = {
     'entry': ('platform',),
     'sidecar': ('endpoint', 'endpoint_kind', 'service'),
@@ -66,6 +78,10 @@
     endpoint_kind: str | None
     service: str | None
     operator_key: str | None
+    deployment: str | None
+    tls_certificate: str | None
+    tls_key: str | None
+    tls_authority: str | None
     log_level: str
     log_format: str
     stop_grace_s: float
@@ -82,11 +98,25 @@
                     f'settings.{name}', f'is missing for an {fields["role"]}'
                 )
             )
+    _check_tls(fields, problems)
     if problems:
         return None, problems
     return Settings(**fields), problems
 
 
+def _check_tls(fields, problems):
+    given = [name for name in TLS_OPTIONS if fields[name] is not None]
+    if not given:
+        return
+    for name in TLS_OPTIONS:
+        if name not in given:
+            problems.append(
+                options.Problem(
+                    f'settings.{name}', f'is missing beside {given[0]}'
+                )
+            )
+
+
 def load_settings(path):
     """Return the settings of a file or raise SettingsError."""
     try:
--- a/persimmonroute/entry/links.py
+++ b/persimmonroute/entry/links.py
@@ -11,6 +11,7 @@
 from persimmonroute.generated import exchange_pb2 as pb
 from persimmonroute.generated import exchange_pb2_grpc
 from persimmonroute import outbox
+from persimmonroute import tls
 
 RECONNECT_S = 0.2
 HEARTBEAT_S = 1.0
@@ -28,11 +29,12 @@
 class SidecarLink:
     """Connect to one sidecar again and again until closed."""
 
-    def __init__(self, board, name, address, sink):
+    def __init__(self, board, name, address, sink, tls_settings=None):
         self._board = board
         self._name = name
         self._address = address
         self._sink = sink
+        self._tls = tls_settings
         self._outbox = None
         self._task = asyncio.create_task(self._run())
 
@@ -61,9 +63,7 @@
             self._sink(messages.LinkClosed(self._name))
 
     async def _connect(self):
-        async with grpc.aio.insecure_channel(
-            self._address, options=CHANNEL_OPTIONS
-        ) as channel:
+        async with self._open_channel() as channel:
             stub = exchange_pb2_grpc.ExchangeStub(channel)
             call = stub.Connect(metadata=(('entry', self._board.name),))
             box = outbox.FrameOutbox()
@@ -75,6 +75,17 @@
                 writer.cancel()
                 call.cancel()
 
+    def _open_channel(self):
+        if self._tls is None:
+            return grpc.aio.insecure_channel(
+                self._address, options=CHANNEL_OPTIONS
+            )
+        return grpc.aio.secure_channel(
+            self._address,
+            tls.channel_credentials(self._tls),
+            options=(*CHANNEL_OPTIONS, tls.sidecar_name_option(self._tls)),
+        )
+
     async def _read(self, call, box):
         while True:
             envelope = await asyncio.wait_for(call.read(), SILENCE_S)
--- a/persimmonroute/entry/shell.py
+++ b/persimmonroute/entry/shell.py
@@ -27,12 +27,13 @@
 class EntryShell:
     """Run an entry's core inside an asyncio process."""
 
-    def __init__(self, core, platform, grouper):
+    def __init__(self, core, platform, grouper, tls_settings=None):
         self._core = core
         self._metrics = metrics.EntryMetrics()
         self._class_of: dict[str, declarations.WorkClass] = {}
         self._platform = platform
         self._grouper = grouper
+        self._tls = tls_settings
         self._links: dict[str, links.SidecarLink] = {}
         self._answers: dict[str, asyncio.Queue] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -151,7 +152,11 @@
     def _open_link(self, effect):
         self._close_link(effect)
         self._links[effect.sidecar] = links.SidecarLink(
-            self._core.board, effect.sidecar, effect.address, self.handle
+            self._core.board,
+            effect.sidecar,
+            effect.address,
+            self.handle,
+            self._tls,
         )
 
     def _close_link(self, effect):
--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -56,6 +56,9 @@
     SIDECAR_LINKED = EventKind(400, 'INFO', 'sidecar connected')
     SIDECAR_UNLINKED = EventKind(401, 'WARNING', 'sidecar disconnected')
     SIDECAR_LEAVING = EventKind(402, 'INFO', 'sidecar is leaving')
+    PEER_REFUSED = EventKind(
+        403, 'WARNING', 'connection of a stranger refused'
+    )
     CONFIGURATION_IN_FORCE = EventKind(
         500, 'INFO', 'configuration revision in force'
     )
--- a/persimmonroute/sidecar/shell.py
+++ b/persimmonroute/sidecar/shell.py
@@ -15,6 +15,7 @@
 from persimmonroute import logs
 from persimmonroute import outbox
 from persimmonroute.sidecar import messages
+from persimmonroute import tls
 
 log = logs.EventLog(__name__)
 
@@ -30,6 +31,7 @@
     def __init__(self, core, settings, make_endpoint_client):
         self._core = core
         self._settings = settings
+        self._tls = tls.find_tls_settings(settings)
         self._endpoint = make_endpoint_client(self.handle)
         self._outboxes: dict[str, outbox.FrameOutbox] = {}
         self._links = itertools.count(1)
@@ -54,7 +56,7 @@
         """Serve until a stop is asked for and all work has ended."""
         server = grpc.aio.server()
         exchange_pb2_grpc.add_ExchangeServicer_to_server(self, server)
-        server.add_insecure_port(self._settings.address)
+        self._listen(server)
         streams = await self._endpoint.find_streams()
         self.handle(messages.StreamsFound(streams))
         await server.start()
@@ -73,6 +75,12 @@
 
     async def Connect(self, request_iterator, context):
         """Exchange envelopes with one entry."""
+        if self._tls and not tls.is_entry_of(self._tls, context):
+            log.emit(Event.PEER_REFUSED, peer=context.peer())
+            await context.abort(
+                grpc.StatusCode.PERMISSION_DENIED,
+                'only entries of this deployment may connect',
+            )
         sender = dict(context.invocation_metadata()).get('entry', 'entry')
         link = f'{sender}#{next(self._links)}'
         box = outbox.FrameOutbox()
@@ -89,6 +97,13 @@
             del self._outboxes[link]
             self.handle(messages.LinkClosed(link))
 
+    def _listen(self, server):
+        address = self._settings.address
+        if self._tls is None:
+            server.add_insecure_port(address)
+            return
+        server.add_secure_port(address, tls.server_credentials(self._tls))
+
     async def _read(self, link, request_iterator, box):
         try:
             async for envelope in request_iterator:
--- /dev/null
+++ b/persimmonroute/tests/tls_tests.py
@@ -0,0 +1,153 @@
+"""Test TLS between entries and sidecars."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import socket
+import tempfile
+import unittest
+
+from persimmonroute import composition
+from persimmonroute.config import settings as settings_module
+from persimmonroute.entry import board as boards
+from persimmonroute.entry import links
+from persimmonroute.entry import messages
+from standins import certificates
+
+DEPLOYMENT = 'baltkomponents'
+CONNECT_S = 10.0
+# Two tries to connect fit into this time.
+REFUSE_S = 1.5
+
+
+class SilentEndpoint:
+    """Stand in for the client of an endpoint that is not needed."""
+
+    def __init__(self, sink):
+        self._sink = sink
+
+    async def find_streams(self):
+        """Return nothing."""
+        return frozenset()
+
+    async def probe(self):
+        """Answer."""
+        return True
+
+    async def close(self):
+        """Close nothing."""
+
+
+class TlsTests(unittest.IsolatedAsyncioTestCase):
+    """Connect entries of all kinds to a sidecar with TLS."""
+
+    async def asyncSetUp(self):
+        """Start a sidecar."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.authority = certificates.Authority()
+        self.sidecar_tls = self.authority.write(
+            self.folder / 'sidecar', 'sidecar', DEPLOYMENT
+        )
+        with socket.socket() as held:
+            held.bind(('127.0.0.1', 0))
+            self.address = f'127.0.0.1:{held.getsockname()[1]}'
+        checked, problems = settings_module.check_settings(
+            {
+                'role': 'sidecar',
+                'instance': 's',
+                'address': self.address,
+                'region': 'riga',
+                'failure_domain': 'riga-a',
+                'endpoint': '127.0.0.1:9',
+                'endpoint_kind': 'model',
+                'service': 'llm-pool',
+                'deployment': DEPLOYMENT,
+                'tls_certificate': self.sidecar_tls.certificate,
+                'tls_key': self.sidecar_tls.key,
+                'tls_authority': self.sidecar_tls.authority,
+            }
+        )
+        self.assertEqual(problems, [])
+        core = composition.build_sidecar_core('s', 'llm-pool', 'model')
+        shell = composition.sidecar_shells.SidecarShell(
+            core, checked, SilentEndpoint
+        )
+        stop = asyncio.Event()
+        running = asyncio.create_task(shell.run(stop))
+
+        async def end():
+            stop.set()
+            await running
+
+        self.addAsyncCleanup(end)
+
+    async def _connects(self, tls_settings, timeout_s):
+        opened = asyncio.Event()
+
+        def sink(event):
+            if isinstance(event, messages.LinkOpened):
+                opened.set()
+
+        board = boards.EntryBoard('e', boards.Place('riga', 'riga-a'))
+        link = links.SidecarLink(board, 's', self.address, sink, tls_settings)
+        try:
+            await asyncio.wait_for(opened.wait(), timeout_s)
+            return True
+        except TimeoutError:
+            return False
+        finally:
+            link.close()
+
+    async def test_entry_of_the_deployment(self):
+        """An entry with a certificate of the deployment connects."""
+        files = self.authority.write(
+            self.folder / 'entry', 'entry', DEPLOYMENT
+        )
+        self.assertTrue(await self._connects(files, CONNECT_S))
+
+    async def test_stranger(self):
+        """A certificate of another authority is refused."""
+        stranger = certificates.Authority('stranger')
+        files = stranger.write(self.folder / 'entry', 'entry', DEPLOYMENT)
+        files = files._replace(authority=self.sidecar_tls.authority)
+        self.assertFalse(await self._connects(files, REFUSE_S))
+
+    async def test_expired_certificate(self):
+        """An expired certificate is refused."""
+        files = self.authority.write(
+            self.folder / 'entry', 'entry', DEPLOYMENT, expired=True
+        )
+        self.assertFalse(await self._connects(files, REFUSE_S))
+
+    async def test_entry_of_another_deployment(self):
+        """A certificate of another deployment is refused."""
+        files = self.authority.write(
+            self.folder / 'entry', 'entry', 'citas-escolares-tlaloc'
+        )
+        files = files._replace(deployment=DEPLOYMENT)
+        self.assertFalse(await self._connects(files, REFUSE_S))
+
+    async def test_sidecar_that_poses_as_an_entry(self):
+        """A certificate of another role is refused."""
+        files = self.authority.write(
+            self.folder / 'other', 'sidecar', DEPLOYMENT
+        )
+        self.assertFalse(await self._connects(files, REFUSE_S))
+
+    async def test_without_tls(self):
+        """A connection without TLS is refused."""
+        self.assertFalse(await self._connects(None, REFUSE_S))
+
+    async def test_rotation_without_restart(self):
+        """A sidecar uses new files for new connections."""
+        entry = self.folder / 'entry'
+        files = self.authority.write(entry, 'entry', DEPLOYMENT)
+        self.assertTrue(await self._connects(files, CONNECT_S))
+        successor = certificates.Authority('successor')
+        successor.write(self.folder / 'sidecar', 'sidecar', DEPLOYMENT)
+        self.assertFalse(await self._connects(files, REFUSE_S))
+        files = successor.write(entry, 'entry', DEPLOYMENT)
+        self.assertTrue(await self._connects(files, CONNECT_S))
