Restart entries from their sidecars while the table service is down

Cause: a restarted entry had to be shown to take its configuration from peers; the stand-in's outage also took the platform's list, which is another service.

Change: the stand-in tells the two apart; events 600 and 601 follow the table service, 602 the list.

Ruled out: seeds of sidecars in the settings of entries, since the list stays up when the table service does not.

--- a/persimmonroute/entry/shell.py
+++ b/persimmonroute/entry/shell.py
@@ -20,7 +20,7 @@
 
 log = logs.EventLog(__name__)
 
-LIST_PERIOD_S = 1.0
+LIST_PERIOD_S = 2.0
 CONFIGURATION_PERIOD_S = 2.0
 
 
@@ -102,17 +102,18 @@
         while True:
             try:
                 listed = await self._platform.list_instances()
-                self._note_platform(True)
                 self.handle(messages.InstancesListed(_endpoints(listed)))
             except exceptions.PlatformUnavailableError as error:
-                self._note_platform(False, problem=error.problem)
+                log.emit(Event.LIST_UNAVAILABLE, problem=error.problem)
             await asyncio.sleep(LIST_PERIOD_S)
 
     async def _follow_configuration(self):
         revisions = configuration_store.ConfigurationStore(self._platform)
         while True:
             current = await revisions.read_current()
-            if isinstance(current, result.Success):
+            found = isinstance(current, result.Success)
+            self._note_platform(found)
+            if found:
                 self._hear(current.unwrap())
             self._configuration_nudge.clear()
             with contextlib.suppress(TimeoutError):
@@ -131,13 +132,13 @@
             )
             self.handle(heard)
 
-    def _note_platform(self, up, **fields):
+    def _note_platform(self, up):
         if up != self._platform_up:
             self._platform_up = up
             event = (
                 Event.PLATFORM_AVAILABLE if up else Event.PLATFORM_UNAVAILABLE
             )
-            log.emit(event, **fields)
+            log.emit(event)
 
     def _spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -66,6 +66,9 @@
         501, 'ERROR', 'configuration document is not valid'
     )
     PLATFORM_UNAVAILABLE = EventKind(
-        600, 'WARNING', 'platform gave no usable answer'
+        600, 'WARNING', 'table service gave no usable answer'
+    )
+    PLATFORM_AVAILABLE = EventKind(601, 'INFO', 'table service answers again')
+    LIST_UNAVAILABLE = EventKind(
+        602, 'WARNING', 'list of instances gave no usable answer'
     )
-    PLATFORM_AVAILABLE = EventKind(601, 'INFO', 'platform answers again')
--- a/persimmonroute/tests/processes/faults_tests.py
+++ b/persimmonroute/tests/processes/faults_tests.py
@@ -188,6 +188,17 @@
         self.assertEqual((again.outcome, again.problem), ('completed', ''))
         self.assertEqual(await self._runs('k'), 1)
 
+    async def test_entry_restarts_while_the_store_is_down(self):
+        """A new entry takes the configuration from the sidecars."""
+        await self._set_fault('down')
+        self.deployment.send_signal('entry-1', signal.SIGKILL)
+        await self.deployment.wait_ended('entry-1')
+        self.deployment.start_daemon('entry-1')
+        await self.deployment.wait_serving()
+        entry = self.deployment.entries[0]
+        result = await self.caller.send(entry, draft('a'))
+        self.assertEqual((result.outcome, result.problem), ('completed', ''))
+
     async def test_store_answer_lost(self):
         """A claim whose answer is lost is confirmed and runs once."""
         entry = self.deployment.entries[0]
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -23,7 +23,8 @@
 from standins import serving
 from standins import tables
 
-FAULTS = ('none', 'down', 'slow', 'lose_answers')
+# All but the last concern the table service and the object store.
+FAULTS = ('none', 'down', 'slow', 'lose_answers', 'list_down')
 SLOW_S = 1.0
 STATUS_DOWN = 503
 
@@ -84,7 +85,7 @@
         return responses.JSONResponse({'rows': rows})
 
     async def _list(self, request):
-        if await self._is_down():
+        if self.fault == 'list_down':
             return _down()
         now = time.monotonic()
         shown = [state for since, state in self._lists if since <= now]
--- a/tools/small_deployment.py
+++ b/tools/small_deployment.py
@@ -37,24 +37,24 @@
 )
 
 
-def write_deployment(folder, entries=2, **entry_settings):
+def write_deployment(folder, entries=2, endpoints=ENDPOINTS, **entry_settings):
     """Write settings, inventory and declarations into a folder.
 
     Further settings go into the files of the entries.
     """
     folder = pathlib.Path(folder)
-    ports = _free_ports(1 + entries + 2 * len(ENDPOINTS))
+    ports = _free_ports(1 + entries + 2 * len(endpoints))
     platform = ports.pop()
-    instances, endpoints = [], []
+    instances, programs = [], []
     for number in range(entries):
         settings = {'platform': platform, **entry_settings}
         instances.append(_write_entry(folder, number, ports.pop(), settings))
-    for number, plan in enumerate(ENDPOINTS):
+    for number, plan in enumerate(endpoints):
         place = PLACES[number % len(PLACES)]
         instances.append(
             _write_endpoint(folder, plan, place, ports.pop(), ports.pop())
         )
-        endpoints.append(
+        programs.append(
             {
                 'instance': plan.name,
                 'program': f'standins.{plan.program}',
@@ -64,7 +64,7 @@
     _write(folder / 'inventory.json', {'instances': instances})
     _write(
         folder / 'standins.json',
-        {'platform': platform, 'endpoints': endpoints},
+        {'platform': platform, 'endpoints': programs},
     )
     _write(folder / 'declarations.json', small_world.DECLARATIONS)
 
