Push accepted revisions and measure when they are in force

Cause: accepted means pushed as well; entries were only told to read, which fails when the table service is cut right after the acceptance.

Change: apply and handover bring the signed revision to all entries, which verify it; an unsigned one is taken as a hint to read. make propagation.

Ruled out: adopting unsigned pushes: anybody who reaches an entry could raise the revision for good.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 DEPLOYMENT ?= baltkomponents
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test generate faults rolling model slopes bench
+.PHONY: demo test generate faults rolling model slopes bench throughput propagation
 
 $(STAMP): pyproject.toml constraints.txt
 	python3 -m venv $(VENV)
@@ -34,3 +34,9 @@
 
 bench: $(STAMP)
 	$(PYTHON) -m tools.bench --deployment $(DEPLOYMENT)
+
+throughput: $(STAMP)
+	$(PYTHON) -m tools.throughput
+
+propagation: $(STAMP)
+	$(PYTHON) -m tools.propagation --deployment $(DEPLOYMENT)
--- a/persimmonroute/commands/apply.py
+++ b/persimmonroute/commands/apply.py
@@ -22,7 +22,7 @@
     )
     print(f'revision {unwrap(accepted)} accepted')
     async with entries.entry_client(platform) as client:
-        await client.push_all()
+        await client.push_all(revisions.last_written)
 
 
 def read_document(path):
--- a/persimmonroute/commands/entries.py
+++ b/persimmonroute/commands/entries.py
@@ -37,11 +37,13 @@
         entries = await self._list()
         return await asyncio.gather(*(self._ask(item) for item in entries))
 
-    async def push_all(self):
-        """Tell all entries to read the configuration now."""
+    async def push_all(self, revision):
+        """Bring an accepted revision to all entries."""
         with contextlib.suppress(exceptions.PlatformUnavailableError):
             entries = await self._list()
-            await asyncio.gather(*(self._push(item) for item in entries))
+            await asyncio.gather(
+                *(self._push(item, revision) for item in entries)
+            )
 
     async def close(self):
         """Close all connections."""
@@ -60,11 +62,14 @@
             report = None
         return EntryStatus(item['name'], report)
 
-    async def _push(self, item):
-        url = f'http://{item["address"]}/admin/v1/configuration/refresh'
+    async def _push(self, item, revision):
+        base = f'http://{item["address"]}/admin/v1/configuration'
+        url = f'{base}/{revision.number}'
         # An entry that is not reached reads the configuration by itself.
         with contextlib.suppress(*client.HTTP_ERRORS):
-            answer = await self._http.post(url, timeouts=TIMEOUTS)
+            answer = await self._http.post(
+                url, data=revision.to_bytes(), timeouts=TIMEOUTS
+            )
             await answer.content()
 
 
--- a/persimmonroute/commands/handover.py
+++ b/persimmonroute/commands/handover.py
@@ -17,4 +17,4 @@
     )
     print(f'revision {apply.unwrap(accepted)} hands over to {public_key}')
     async with entries.entry_client(platform) as client:
-        await client.push_all()
+        await client.push_all(revisions.last_written)
--- a/persimmonroute/configuration_store.py
+++ b/persimmonroute/configuration_store.py
@@ -72,6 +72,12 @@
     def __init__(self, tables, key=None):
         self._tables = tables
         self._key = key
+        self._last_written = NO_REVISION
+
+    @property
+    def last_written(self):
+        """Return the Revision that was last sent to be written."""
+        return self._last_written
 
     async def read_current(self):
         """Return the current Revision as a Result."""
@@ -172,6 +178,7 @@
         if self._key is not None:
             value['signature'] = self._key.sign_revision(number, document)
             value['chain'] = operator.to_value()['chain']
+        self._last_written = _revision(store.Row(CURRENT_KEY, value, 0))
         history_key = f'{REVISION_PREFIX}{number:012}'
         change_key = CHANGE_PREFIX + change
         writes = [
--- a/persimmonroute/entry/core.py
+++ b/persimmonroute/entry/core.py
@@ -16,6 +16,7 @@
 
     def __init__(self, board, policy, verifier):
         self._board = board
+        self._verifies_signatures = verifier.checks_signatures
         self._expiry_due_at = 0.0
         self._claims = claims.ClaimKeeper(board)
         self._dispatcher = dispatch.Dispatcher(board, policy, self._claims)
@@ -54,6 +55,11 @@
         """Return the time in seconds of the next timer, or None."""
         return self._board.timers.next_at
 
+    @property
+    def verifies_signatures(self):
+        """Tell whether only signed revisions are taken."""
+        return self._verifies_signatures
+
     def check_call(self, call):
         """Return the class of a call or raise BadRequestError."""
         return self._dispatcher.check_call(call)
--- a/persimmonroute/entry/http_api.py
+++ b/persimmonroute/entry/http_api.py
@@ -52,8 +52,8 @@
                 routing.Route('/metrics', self._metrics),
                 routing.Route('/admin/v1/status', self._status),
                 routing.Route(
-                    '/admin/v1/configuration/refresh',
-                    self._refresh,
+                    '/admin/v1/configuration/{number:int}',
+                    self._take_revision,
                     methods=['POST'],
                 ),
             ],
@@ -172,8 +172,9 @@
             'stopping' if stopping else 'ready', 503 if stopping else 200
         )
 
-    async def _refresh(self, request):
-        self._shell.refresh_configuration()
+    async def _take_revision(self, request):
+        body = await self._read_body(request)
+        self._shell.take_revision(request.path_params['number'], body)
         return responses.JSONResponse({})
 
     async def _metrics(self, request):
--- a/persimmonroute/entry/shell.py
+++ b/persimmonroute/entry/shell.py
@@ -121,8 +121,13 @@
                     self._configuration_nudge.wait(), CONFIGURATION_PERIOD_S
                 )
 
-    def refresh_configuration(self):
-        """Read the configuration now instead of after its period."""
+    def take_revision(self, number, data):
+        """Adopt a pushed revision, and read the configuration now.
+
+        What is not signed is only taken as a hint to read.
+        """
+        if self._core.verifies_signatures and number > 0:
+            self.handle(messages.ConfigurationHeard(number, data))
         self._configuration_nudge.set()
 
     def _hear(self, revision):
--- a/persimmonroute/operators.py
+++ b/persimmonroute/operators.py
@@ -136,6 +136,9 @@
 class RevisionVerifier(abc.ABC):
     """Decide whether to trust a revision."""
 
+    # Whether only signed revisions are trusted.
+    checks_signatures = False
+
     @abc.abstractmethod
     def open(self, number, data):
         """Return the document inside or raise UntrustedRevisionError."""
@@ -162,6 +165,8 @@
     operator who has handed over cannot do so a second time.
     """
 
+    checks_signatures = True
+
     def __init__(self, root_key):
         self._root_key = root_key
         self._chain: tuple[Handover, ...] = ()
