Split the dispatcher and keep each deadline to its own state

Change: states, offering and endings are modules of their own; a request has one deadline, of its present state; Retry-After is spread over once to twice the predicted time by a hash of the request.

Ruled out: cancelling timers in the heap, which costs more than it saves.

--- a/persimmonroute/entry/board.py
+++ b/persimmonroute/entry/board.py
@@ -88,6 +88,8 @@
         # Sidecars that were out of reach during this request.
         self.avoided = set()
         self.received = 0
+        # End of patience in the present state, in seconds.
+        self.deadline = 0.0
 
     @property
     def request_id(self):
@@ -145,6 +147,28 @@
         """Return the requests that await the answer of an attempt."""
         return list(self._followers.get(attempt, ()))
 
+    def send(self, record, **body):
+        """Send a frame about a request's own attempt to its sidecar."""
+        # An attempt of another request is not this one's to direct.
+        if record.attempt and not record.attached:
+            self.send_attempt(record, **body)
+
+    def send_attempt(self, record, **body):
+        """Send a frame about the attempt that a request awaits."""
+        frame = pb.Frame(request_id=record.attempt, **body)
+        self._effects.append(messages.SendFrame(record.sidecar, frame))
+
+    def set_deadline(self, record, kind, at):
+        """Set the end of patience of a request's present state."""
+        record.deadline = at
+        self.timers.schedule(at, kind, record.request_id)
+
+    def settle_outstanding(self, record):
+        """Stop counting a request's offer as unanswered work."""
+        view = self.sidecars.get(record.sidecar)
+        if view is not None:
+            view.settle_outstanding(record.request_id)
+
     def candidates(self, service):
         """Return the sidecars of a service that take new work."""
         return [
--- a/persimmonroute/entry/core.py
+++ b/persimmonroute/entry/core.py
@@ -5,8 +5,10 @@
 from persimmonroute.entry import claims
 from persimmonroute.entry import configuration
 from persimmonroute.entry import dispatch
+from persimmonroute.entry import endings
 from persimmonroute.entry import membership
 from persimmonroute.entry import messages
+from persimmonroute.entry import offering
 
 EXPIRY_PERIOD_S = 10.0
 
@@ -19,7 +21,11 @@
         self._verifies_signatures = verifier.checks_signatures
         self._expiry_due_at = 0.0
         self._claims = claims.ClaimKeeper(board)
-        self._dispatcher = dispatch.Dispatcher(board, policy, self._claims)
+        ender = endings.CallEnder(board, self._claims)
+        offerer = offering.Offerer(board, policy, self._claims, ender)
+        self._dispatcher = dispatch.Dispatcher(
+            board, self._claims, offerer, ender
+        )
         self._claims.dispatcher = self._dispatcher
         self._membership = membership.MembershipKeeper(board)
         self._configuration = configuration.ConfigurationKeeper(
--- /dev/null
+++ b/persimmonroute/entry/offering.py
@@ -0,0 +1,144 @@
+"""Offer requests to sidecars."""
+
+from __future__ import annotations
+
+from persimmonroute.config import declarations
+from persimmonroute.entry import call_states
+from persimmonroute.entry import endings
+from persimmonroute.entry import messages
+from persimmonroute.entry import routing
+from persimmonroute.events import Event
+from persimmonroute.generated import exchange_pb2 as pb
+
+# More than the sidecars of one service that an entry keeps.
+MAX_OFFERS = 20
+OFFER_TIMEOUT_S = 0.5
+NOTICE_PERIOD_S = 0.05
+# Share of the target that a request may wait whatever its own length.
+MIN_PATIENCE_SHARE = 0.2
+
+
+class Offerer:
+    """Choose a sidecar for each request and ask it."""
+
+    def __init__(self, board, policy, claims, ender):
+        self._board = board
+        self._policy = policy
+        self._claims = claims
+        self._ender = ender
+        # When each service may be sent the next notice.
+        self._notice_due_at: dict[str, float] = {}
+
+    def offer(self, record, now):
+        """Offer a request, or shed it when nobody would take it."""
+        board = self._board
+        candidates = self._find_candidates(record, now)
+        decision = self._policy.choose(record, candidates, board.place)
+        if decision.chosen is None or record.offers >= MAX_OFFERS:
+            self._notify_shed(record, now)
+            self._ender.not_run(record, endings.NO_ENDPOINT)
+            return
+        self._send_offer(record, decision, now)
+
+    def reroute(self, record, reason, now):
+        """Offer a request elsewhere that has not started."""
+        self._board.settle_outstanding(record)
+        self._board.log(
+            Event.REQUEST_REROUTED,
+            request=record.request_id,
+            sidecar=record.sidecar,
+            reason=reason,
+        )
+        self.offer(record, now)
+
+    def _find_candidates(self, record, now):
+        # A sidecar that refused is asked again once it admits lower tiers
+        # than this one, since none of those may run in its place.
+        tier = record.work_class.tier
+        late = record.offers and _seconds_left(record, now) <= 0
+        return [
+            view
+            for view in self._board.candidates(record.work_class.service)
+            if view.instance.name not in record.avoided
+            and (
+                view.admitted_tier > tier
+                or view.admitted_tier == tier
+                and view.instance.name not in record.refused_by
+                and not late
+            )
+        ]
+
+    def _notify_shed(self, record, now):
+        # The load that said so may be older than the last admission of a
+        # lower tier somewhere.
+        work_class = record.work_class
+        due_at = self._notice_due_at.get(work_class.service, 0.0)
+        if now < due_at or work_class.tier == declarations.TIERS:
+            return
+        self._notice_due_at[work_class.service] = now + NOTICE_PERIOD_S
+        notice = pb.ShedNotice(
+            tier=work_class.tier, patience_s=work_class.target.start_s
+        )
+        frame = pb.Frame(shed_notice=notice)
+        for view in self._board.candidates(work_class.service):
+            self._board.put(messages.SendFrame(view.instance.name, frame))
+
+    def _send_offer(self, record, decision, now):
+        board = self._board
+        chosen = decision.chosen
+        view = board.sidecars[chosen.sidecar]
+        call_states.advance(record, 'offer')
+        record.sidecar = chosen.sidecar
+        record.incarnation = view.incarnation
+        record.offers += 1
+        board.follow(record, f'{record.request_id}.{record.offers}')
+        view.add_outstanding(
+            record.request_id, routing.prefill_seconds(record.call, view)
+        )
+        self._policy.note_offered(record, chosen.sidecar)
+        board.send(record, offer=self._build_offer(record, chosen, now))
+        board.set_deadline(record, 'offer', now + OFFER_TIMEOUT_S)
+        self._log_decision(record, decision)
+        if not record.work_class.idempotent:
+            self._claims.begin(record, now)
+
+    def _log_decision(self, record, decision):
+        chosen = decision.chosen
+        self._board.log(
+            Event.REQUEST_ROUTED,
+            request=record.request_id,
+            work_class=record.call.class_name,
+            tier=record.work_class.tier,
+            chosen=str(chosen),
+            others=[str(p) for p in decision.predictions if p != chosen],
+            refused_by=sorted(record.refused_by | record.avoided),
+        )
+
+    def _build_offer(self, record, chosen, now):
+        call = record.call
+        work_class = record.work_class
+        least_s = work_class.target.start_s * MIN_PATIENCE_SHARE
+        own_s = chosen.prefill_s + chosen.link_s
+        return pb.Offer(
+            workspace=call.workspace,
+            class_name=call.class_name,
+            tier=work_class.tier,
+            patience_s=max(_seconds_left(record, now) - own_s, least_s),
+            prompt_tokens=call.prompt_tokens,
+            output_tokens=call.output_tokens,
+            idempotent=work_class.idempotent,
+            held=not work_class.idempotent,
+            method=call.method,
+            path=call.path,
+            body=call.body,
+            stream=call.stream,
+            fingerprint=call.fingerprint,
+            prefix_blocks=call.prefix_blocks,
+            token_gap_s=work_class.target.token_gap_s,
+            suspect=self._board.quarantine.is_suspect(call.fingerprint, now),
+        )
+
+
+def _seconds_left(record, now):
+    target_s = record.work_class.target.start_s
+    return target_s - (now - record.arrived_at)
--- /dev/null
+++ b/persimmonroute/tests/entry/dispatch_tests.py
@@ -0,0 +1,123 @@
+"""Test the dispatcher through an entry's core."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from persimmonroute import composition
+from persimmonroute.entry import messages
+from persimmonroute import exceptions
+from persimmonroute.generated import exchange_pb2 as pb
+from standins import small_world
+
+SIDECARS = ('llm-pool-1', 'llm-pool-2', 'llm-pool-3')
+
+
+class DispatchTests(unittest.TestCase):
+    """Bring frames and time to an entry."""
+
+    def setUp(self):
+        """Connect an entry to three sidecars."""
+        self.core = composition.build_entry_core('e', 'riga', 'riga-a')
+        document = json.dumps(small_world.DECLARATIONS).encode()
+        self._handle(messages.ConfigurationHeard(1, document), 0.0)
+        listed = tuple(
+            messages.Instance(
+                name, small_world.MODEL, 'riga', 'riga-a', 'a', False
+            )
+            for name in SIDECARS
+        )
+        self._handle(messages.InstancesListed(listed), 0.0)
+        for name in SIDECARS:
+            self._handle(messages.LinkOpened(name, f'{name}-1'), 0.0)
+
+    def _handle(self, event, now):
+        return self.core.handle(event, now)
+
+    def _frames(self, effects):
+        return [
+            (effect.sidecar, effect.frame)
+            for effect in effects
+            if isinstance(effect, messages.SendFrame)
+        ]
+
+    def _submit(self, now=0.0):
+        effects = self._handle(
+            messages.CallArrived(small_world.draft('d')), now
+        )
+        return self._frames(effects)[0]
+
+    def _answer(self, sidecar, attempt, now, **body):
+        frame = pb.Frame(request_id=attempt, **body)
+        # A sidecar that refuses for overload reports its level with it.
+        load = pb.Load(admitted_tier=1) if 'refused' in body else None
+        envelope = pb.Envelope(revision=1, frames=[frame], load=load)
+        event = messages.EnvelopeArrived(sidecar, envelope)
+        return self._handle(event, now)
+
+    def _refuse(self, sidecar, attempt, now):
+        refused = pb.Refused(reason=pb.OVERLOADED)
+        return self._answer(sidecar, attempt, now, refused=refused)
+
+    def test_offer_keeps_its_own_timeout(self):
+        """The timeout of an earlier offer does not end the next one."""
+        sidecar, frame = self._submit()
+        effects = self._refuse(sidecar, frame.request_id, 0.4)
+        second, offer = self._frames(effects)[-1]
+        self.assertNotEqual(second, sidecar)
+        effects = self._handle(messages.TimePassed(), 0.6)
+        self.assertEqual(self._frames(effects), [])
+        effects = self._handle(messages.TimePassed(), 0.95)
+        kinds = [f.WhichOneof('body') for _, f in self._frames(effects)]
+        self.assertEqual(kinds, ['withdraw', 'offer'])
+
+    def test_refused_everywhere_is_not_run_at_once(self):
+        """A request that nobody takes ends with when to come back."""
+        sidecar, frame = self._submit()
+        for _ in SIDECARS[1:]:
+            effects = self._refuse(sidecar, frame.request_id, 0.01)
+            sidecar, frame = self._frames(effects)[-1]
+        effects = self._refuse(sidecar, frame.request_id, 0.02)
+        ended = [e for e in effects if isinstance(e, messages.AnswerEnded)]
+        self.assertEqual(ended[0].outcome, messages.Outcome.NOT_RUN)
+        self.assertGreaterEqual(ended[0].retry_after_s, 1.0)
+
+    def test_callers_come_back_spread_out(self):
+        """Requests refused together get different times to come back."""
+        spread = set()
+        for number in range(20):
+            call = small_world.draft(f'd-{number}')
+            effects = self._handle(messages.CallArrived(call), 0.0)
+            sidecar, frame = self._frames(effects)[0]
+            for _ in SIDECARS:
+                effects = self._refuse(sidecar, frame.request_id, 0.01)
+                frames = [
+                    f
+                    for f in self._frames(effects)
+                    if f[1].WhichOneof('body') == 'offer'
+                ]
+                if frames:
+                    sidecar, frame = frames[-1]
+            ended = [e for e in effects if isinstance(e, messages.AnswerEnded)]
+            spread.add(round(ended[0].retry_after_s, 3))
+        self.assertGreater(len(spread), 15)
+        self.assertLessEqual(max(spread), 2 * min(spread))
+
+    def test_stray_ready_is_withdrawn(self):
+        """A sidecar that asks about a forgotten attempt gets an answer."""
+        effects = self._answer(SIDECARS[0], 'x.1', 0.0, ready=pb.Ready())
+        kinds = [f.WhichOneof('body') for _, f in self._frames(effects)]
+        self.assertEqual(kinds, ['withdraw'])
+
+    def test_bad_calls_have_typed_errors(self):
+        """Each kind of bad call names its remedy."""
+        call = small_world.order('o')
+        cases = (
+            (call._replace(key=None), exceptions.MissingKeyError),
+            (call._replace(workspace='x'), exceptions.UnknownWorkspaceError),
+            (call._replace(class_name='x'), exceptions.UnknownClassError),
+        )
+        for bad, error in cases:
+            with self.subTest(error=error), self.assertRaises(error):
+                self.core.check_call(bad)
--- a/persimmonroute/tests/faults/mutants_tests.py
+++ b/persimmonroute/tests/faults/mutants_tests.py
@@ -5,9 +5,12 @@
 import unittest
 from unittest import mock
 
+from persimmonroute.entry import call_states
 from persimmonroute.entry import claims
 from persimmonroute.entry import configuration
 from persimmonroute.entry import dispatch
+from persimmonroute.entry import endings
+from persimmonroute.entry import offering
 from persimmonroute.generated import exchange_pb2 as pb
 from persimmonroute.sidecar import board as sidecar_boards
 from persimmonroute.sidecar import execution
@@ -36,7 +39,7 @@
 
     def test_start_without_confirmed_claim(self):
         """Without the claim an order that is sent again runs twice."""
-        build = dispatch.Dispatcher._build_offer
+        build = offering.Offerer._build_offer
 
         def build_unheld(self, record, chosen, now):
             offer = build(self, record, chosen, now)
@@ -44,9 +47,7 @@
             return offer
 
         with (
-            mock.patch.object(
-                dispatch.Dispatcher, '_build_offer', build_unheld
-            ),
+            mock.patch.object(offering.Offerer, '_build_offer', build_unheld),
             mock.patch.object(
                 claims.ClaimKeeper, 'holds', lambda self, record: True
             ),
@@ -106,10 +107,10 @@
         """An entry that retries what it granted runs it twice."""
 
         def reroute(self, record, now):
-            dispatch.advance(record, 'interrupt')
-            dispatch.advance(record, 'requeue')
+            call_states.advance(record, 'interrupt')
+            call_states.advance(record, 'requeue')
             record.avoided.add(record.sidecar)
-            self._reroute(record, 'mutant', now)
+            self._offerer.reroute(record, 'mutant', now)
 
         with mock.patch.object(dispatch.Dispatcher, '_interrupt', reroute):
             self._assert_breaks('1', 'first token out', 'cut', 'draft')
@@ -129,9 +130,9 @@
         """An entry that guesses not-run is found out."""
 
         def guess(self, record, problem):
-            self._end_not_run(record, problem, 1.0)
+            self.not_run(record, problem, 1.0)
 
-        with mock.patch.object(dispatch.Dispatcher, '_end_unknown', guess):
+        with mock.patch.object(endings.CallEnder, 'unknown', guess):
             self._assert_breaks('4', 'started', 'kill sidecar', 'order')
 
     def test_revision_not_compared(self):
--- a/tools/bench/runner.py
+++ b/tools/bench/runner.py
@@ -9,7 +9,7 @@
 
 from persimmonroute.config import declarations
 from persimmonroute.entry import board as entry_boards
-from persimmonroute.entry import dispatch
+from persimmonroute.entry import endings
 from persimmonroute.entry import messages
 from standins import endpoint_nodes
 from standins import engine_model
@@ -291,7 +291,7 @@
         for node in world.entries.values()
         for at, effect in node.log
         if effect.event.name == 'REQUEST_SHED'
-        and effect.fields['problem'] == dispatch.NO_ENDPOINT
+        and effect.fields['problem'] == endings.NO_ENDPOINT
     ]
 
 
