Split the stand-in world and the faults into modules

Change: store, processes and faults are modules of their own.

Ruled out: moving the faults into the tests, since make faults uses them too.

--- a/persimmonroute/tests/faults/mutants_tests.py
+++ b/persimmonroute/tests/faults/mutants_tests.py
@@ -15,9 +15,10 @@
 from persimmonroute.sidecar import board as sidecar_boards
 from persimmonroute.sidecar import execution
 from standins import fault_matrix
+from standins import faults as matrix_faults
 from standins import tables
 
-FAULTS = {fault.name: fault for fault in fault_matrix.FAULTS}
+FAULTS = {fault.name: fault for fault in matrix_faults.FAULTS}
 STEPS = {step.name: step for step in fault_matrix.STEPS}
 
 
--- a/standins/fault_matrix.py
+++ b/standins/fault_matrix.py
@@ -11,21 +11,17 @@
 from persimmonroute.entry import messages as entry_messages
 from persimmonroute.sidecar import messages as sidecar_messages
 from standins import endpoint_nodes
+from standins import faults
 from standins import small_world
 from standins import world as worlds
 
 LIMIT_S = 90.0
 SETTLE_S = 12.0
-FREEZE_S = 5.0
-OUTAGE_S = 8.0
-STALL_S = 1.5
 MAX_SENDS = 6
 RESEND_S = 0.5
 LEAVING_LIMIT_S = 3.0
 KINDS = ('order', 'draft')
 SEEDS = (0, 1, 2)
-COMPLETED = frozenset({'completed'})
-COMPLETED_OR_UNKNOWN = frozenset({'completed', 'unknown'})
 
 
 class Step(typing.NamedTuple):
@@ -52,16 +48,6 @@
 )
 
 
-class Fault(typing.NamedTuple):
-    """Name a fault, inject it, and say how the last send may end."""
-
-    name: str
-    inject: typing.Callable
-    allowed: frozenset
-    # Not applicable to these kinds of requests, with the reason.
-    excluded: dict = {}
-
-
 class CellResult(typing.NamedTuple):
     """Hold what one cell of the matrix showed."""
 
@@ -77,9 +63,9 @@
 class Trial:
     """Run one request through one world with one fault."""
 
-    def __init__(self, step, faults, kind, seed):
+    def __init__(self, step, injected, kind, seed):
         self.step = step
-        self.faults = faults
+        self.faults = injected
         self.kind = kind
         self.random = random.Random(seed)
         self.seed = seed
@@ -175,7 +161,7 @@
         if any(view.ended_at is None for view in views):
             return False
         last = self.sends[-1]
-        done = last.outcome in COMPLETED_OR_UNKNOWN
+        done = last.outcome in faults.COMPLETED_OR_UNKNOWN
         return done or len(self.sends) >= MAX_SENDS
 
     def _on_arrival(self, node, event):
@@ -207,7 +193,7 @@
         if kind != 'grant' or self.reached:
             return False
         node = self.world.sidecars[self.sidecar]
-        self.world.schedule(0.001, stop_sidecar, self, node.name)
+        self.world.schedule(0.001, faults.stop_sidecar, self, node.name)
         self.world.schedule(0.002, self._reach)
         return False
 
@@ -324,170 +310,9 @@
             self.problems.append(f'8: revisions differ: {revisions}')
 
 
-def kill_entry(trial):
-    """Kill the entry that holds the caller's connection."""
-    trial.world.entries[trial.entry].kill()
-    trial.world.schedule(1.0, trial.world.entries[trial.entry].start)
-
-
-def kill_sidecar(trial):
-    """Kill the sidecar; a new one starts a second later."""
-    node = trial.world.sidecars[trial.sidecar]
-    node.kill()
-    trial.world.schedule(1.0, node.start)
-
-
-def kill_endpoint(trial):
-    """Kill the endpoint; it restarts a second later."""
-    trial.world.endpoints[trial.sidecar].crash()
-
-
-def freeze_entry(trial):
-    """Freeze the entry while the caller sends again elsewhere."""
-    node = trial.world.entries[trial.entry]
-    node.freeze()
-    trial.world.schedule(FREEZE_S, node.thaw)
-    trial.world.schedule(0.5, trial.resend, trial.other_entry())
-
-
-def freeze_sidecar(trial):
-    """Freeze the sidecar until entries give it up, then thaw it."""
-    trial.world.freeze_sidecar(trial.sidecar)
-    node = trial.world.sidecars[trial.sidecar]
-    trial.world.schedule(FREEZE_S, node.thaw)
-
-
-def freeze_endpoint(trial):
-    """Make the engine stand still for a while."""
-    node = trial.world.endpoints[trial.sidecar]
-    if hasattr(node, 'slow_down'):
-        node.slow_down(100.0)
-        trial.world.schedule(FREEZE_S, node.slow_down, 1.0)
-
-
-def stop_entry(trial):
-    """Begin a planned stop of the entry."""
-    node = trial.world.entries[trial.entry]
-    node.handle(entry_messages.StopRequested())
-
-
-def stop_sidecar(trial, name=None):
-    """Begin a planned stop of the sidecar."""
-    name = name or trial.sidecar
-    trial.left[name] = trial.world.now
-    stop = sidecar_messages.StopRequested()
-    trial.world.sidecars[name].handle(stop)
-
-
-def leave_endpoint(trial):
-    """Put the endpoint on the platform's leaving list, with its lag."""
-    name = trial.sidecar
-    trial.left[name] = trial.world.now
-    trial.world.leaving.add(name)
-    for node in trial.world.entries.values():
-        trial.world.schedule(2.0, node.list_instances)
-
-
-def cut_link(trial):
-    """Cut the connection of entry and sidecar for a while."""
-    trial.world.cut(trial.entry, trial.sidecar)
-    trial.world.schedule(3.0, trial.world.heal)
-
-
-def stall_to_sidecar(trial):
-    """Hold back what goes to the sidecar."""
-    trial.world.stall(trial.entry, trial.sidecar, 'to_sidecar', STALL_S)
-
-
-def stall_to_entry(trial):
-    """Hold back what comes from the sidecar."""
-    trial.world.stall(trial.entry, trial.sidecar, 'to_entry', STALL_S)
-
-
-def stall_long(trial):
-    """Hold back what comes from the sidecar until the entry drops it."""
-    trial.world.stall(trial.entry, trial.sidecar, 'to_entry', FREEZE_S)
-
-
-def double_messages(trial):
-    """Bring each later message of the connection twice."""
-    world = trial.world
-    observe = world.on_arrival
-
-    def twice(node, event):
-        observe(node, event)
-        if hasattr(event, 'envelope'):
-            node.handle(event)
-
-    world.on_arrival = twice
-
-
-def break_store(fault):
-    """Return an injector of a fault of the table service."""
-
-    def inject(trial):
-        trial.world.store.fault = fault
-        trial.world.schedule(OUTAGE_S, heal_store, trial)
-
-    return inject
-
-
-def heal_store(trial):
-    """End the fault of the table service."""
-    trial.world.store.fault = 'none'
-
-
-def race_operators(trial):
-    """Accept two revisions, the later one first."""
-    trial.add_revision(3)
-    trial.world.schedule(0.001, trial.add_revision, 2)
-
-
-def send_again(trial):
-    """Send the request again through another entry at once."""
-    trial.resend(trial.other_entry())
-
-
-def poison_request(trial):
-    """Make the request crash each endpoint that runs it."""
-    body = trial.sends[0].call.body
-    for node in trial.world.endpoints.values():
-        node.poison = frozenset({body})
-
-
-NO_LEASE = 'a request holds no lease; its claim row takes this place'
-FAULTS = (
-    Fault('kill entry', kill_entry, COMPLETED_OR_UNKNOWN),
-    Fault('kill sidecar', kill_sidecar, COMPLETED_OR_UNKNOWN),
-    Fault('kill endpoint', kill_endpoint, COMPLETED_OR_UNKNOWN),
-    Fault('freeze entry, send again', freeze_entry, COMPLETED),
-    Fault('freeze sidecar', freeze_sidecar, COMPLETED),
-    Fault('freeze endpoint', freeze_endpoint, COMPLETED),
-    Fault('stop entry', stop_entry, COMPLETED),
-    Fault('stop sidecar', stop_sidecar, COMPLETED),
-    Fault('endpoint leaves', leave_endpoint, COMPLETED),
-    Fault('cut', cut_link, COMPLETED),
-    Fault('delay to sidecar', stall_to_sidecar, COMPLETED),
-    Fault('delay to entry', stall_to_entry, COMPLETED),
-    Fault('silent sidecar', stall_long, COMPLETED),
-    Fault('doubled', double_messages, COMPLETED),
-    Fault('store down', break_store('down'), COMPLETED),
-    Fault('store slow', break_store('slow'), COMPLETED),
-    Fault('store answer lost', break_store('lose_answers'), COMPLETED),
-    Fault('store write late', break_store('late_effect'), COMPLETED),
-    Fault('operators race', race_operators, COMPLETED),
-    Fault('sent again', send_again, COMPLETED),
-    Fault(
-        'crashing request',
-        poison_request,
-        frozenset({'completed', 'unknown', 'not-run'}),
-    ),
-)
-
-
-def run_cell(step, faults, kind, seed):
+def run_cell(step, injected, kind, seed):
     """Run one cell of the matrix."""
-    return Trial(step, faults, kind, seed).run()
+    return Trial(step, injected, kind, seed).run()
 
 
 def applies(step, kind):
--- /dev/null
+++ b/standins/process_nodes.py
@@ -0,0 +1,272 @@
+"""Run cores inside a world with its own clock."""
+
+from __future__ import annotations
+
+import itertools
+import typing
+
+from persimmonroute import composition
+from persimmonroute.entry import messages as entry_messages
+from persimmonroute.generated import exchange_pb2 as pb
+from persimmonroute.sidecar import messages as sidecar_messages
+
+BUSY_REPORT_PERIOD_S = 0.25
+IDLE_REPORT_PERIOD_S = 1.0
+PROBE_PERIOD_S = 0.5
+
+
+class ProcessNode:
+    """Bring events to a core and carry out its effects."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+        self.core = None
+        self.alive = False
+        self.frozen = False
+        self._backlog = []
+        self._timer_at = None
+        self._frames: dict[str, list] = {}
+        self.log = []
+
+    def handle(self, event):
+        """Bring an event to the core, later if the process is frozen."""
+        if not self.alive:
+            return
+        if self.frozen:
+            self._backlog.append(event)
+            return
+        for effect in self.core.handle(event, self.world.now):
+            self.carry_out(effect)
+        self._arm_timer()
+
+    def freeze(self):
+        """Stop the process without ending it."""
+        self.frozen = True
+
+    def thaw(self):
+        """Let a frozen process go on."""
+        self.frozen = False
+        backlog, self._backlog = self._backlog, []
+        for event in backlog:
+            self.handle(event)
+
+    def carry_out(self, effect):
+        """Carry out one effect."""
+        raise NotImplementedError
+
+    def time_event(self):
+        """Return the event that reports the passing of time."""
+        raise NotImplementedError
+
+    def send_frames(self, target, frames):
+        """Send the frames of one moment."""
+        raise NotImplementedError
+
+    def put_frame(self, target, frame):
+        """Send a frame together with the others of the same moment."""
+        if target not in self._frames:
+            self._frames[target] = []
+            self.world.schedule(0.0, self._flush, self.core, target)
+        self._frames[target].append(frame)
+
+    def _flush(self, core, target):
+        if core is self.core:
+            frames = self._frames.pop(target, [])
+            if self.alive:
+                self.send_frames(target, frames)
+
+    def _arm_timer(self):
+        wanted = self.core.next_timer_at
+        if wanted is None:
+            return
+        if self._timer_at is None or wanted < self._timer_at:
+            self._timer_at = wanted
+            delay = max(wanted - self.world.now, 0.0)
+            self.world.schedule(delay, self._fire, self.core)
+
+    def _fire(self, core):
+        if core is self.core:
+            self._timer_at = None
+            self.handle(self.time_event())
+
+
+class EntryNode(ProcessNode):
+    """Run an entry's core."""
+
+    def __init__(self, world, name, place):
+        super().__init__(world, name)
+        self.place = place
+        # Builds a routing policy from the board, in place of the default.
+        self.make_routing: typing.Callable | None = None
+        self._handlers = {
+            entry_messages.SendFrame: self._send_frame,
+            entry_messages.OpenLink: self._open_link,
+            entry_messages.CloseLink: self._close_link,
+            entry_messages.AnswerData: self._answer_data,
+            entry_messages.AnswerEnded: self._answer_ended,
+            entry_messages.Transact: self._transact,
+            entry_messages.LogEvent: self._log_event,
+        }
+
+    def start(self):
+        """Start a new incarnation."""
+        self.core = composition.build_entry_core(
+            self.name,
+            self.place.region,
+            self.place.failure_domain,
+            self.make_routing,
+        )
+        self.alive, self.frozen = True, False
+        self._timer_at, self._backlog, self._frames = None, [], {}
+        self.list_instances()
+        self.handle(self.world.configuration)
+
+    def kill(self):
+        """End the process at once."""
+        self.alive = False
+        self.world.drop_links(self.name)
+        self.world.lose_callers(self.name)
+
+    def list_instances(self):
+        """Give the core the platform's list."""
+        listed = entry_messages.InstancesListed(self.world.instances())
+        self.handle(listed)
+
+    def carry_out(self, effect):
+        """Carry out one effect."""
+        self._handlers[type(effect)](effect)
+
+    def time_event(self):
+        """Return the event that reports the passing of time."""
+        return entry_messages.TimePassed()
+
+    def _send_frame(self, effect):
+        self.put_frame(effect.sidecar, effect.frame)
+
+    def send_frames(self, target, frames):
+        """Send the frames of one moment to a sidecar."""
+        envelope = pb.Envelope(
+            sender=self.name,
+            revision=self.core.board.revision,
+            frames=frames,
+        )
+        self.world.send_to_sidecar(self.name, target, envelope)
+
+    def _open_link(self, effect):
+        self.world.connect(self.name, effect.sidecar)
+
+    def _close_link(self, effect):
+        self.world.close_link(self.name, effect.sidecar)
+
+    def _answer_data(self, effect):
+        self.world.answer_data(effect)
+
+    def _answer_ended(self, effect):
+        self.world.answer_ended(effect)
+
+    def _transact(self, effect):
+        core = self.core
+
+        def reply(answer):
+            if core is self.core:
+                self.handle(entry_messages.StoreReplied(effect.token, answer))
+
+        self.world.store.transact(effect.writes, reply)
+
+    def _log_event(self, effect):
+        self.log.append((self.world.now, effect))
+
+
+class SidecarNode(ProcessNode):
+    """Run a sidecar's core beside its endpoint."""
+
+    def __init__(self, world, instance, endpoint, build_core):
+        super().__init__(world, instance.name)
+        self.instance = instance
+        self.endpoint = endpoint
+        self._build_core = build_core
+        self._incarnations = itertools.count(1)
+        self._handlers = {
+            sidecar_messages.SendFrame: self._send_frame,
+            sidecar_messages.StartCall: self._start_call,
+            sidecar_messages.TakeUpCall: self._take_up_call,
+            sidecar_messages.CancelCall: self._cancel_call,
+            sidecar_messages.ReportLoad: self._report_load,
+            sidecar_messages.LogEvent: self._log_event,
+        }
+
+    def start(self):
+        """Start a new incarnation."""
+        incarnation = f'{self.name}-{next(self._incarnations)}'
+        self.core = self._build_core(self.instance, incarnation)
+        self.alive, self.frozen = True, False
+        self._timer_at, self._backlog, self._frames = None, [], {}
+        self.endpoint.listener = self.handle
+        streams = self.endpoint.find_streams()
+        self.handle(sidecar_messages.StreamsFound(streams))
+        core = self.core
+        self.world.schedule(BUSY_REPORT_PERIOD_S, self._report, core)
+        self.world.schedule(PROBE_PERIOD_S, self._probe, core)
+
+    def kill(self):
+        """End the process at once."""
+        self.alive = False
+        self.endpoint.listener = None
+        self.world.drop_links(self.name)
+
+    def envelope(self, frames=()):
+        """Return an envelope with the present load."""
+        board = self.core.board
+        return pb.Envelope(
+            sender=self.name,
+            incarnation=board.incarnation,
+            revision=board.revision,
+            load=self.core.load(self.world.now),
+            frames=frames,
+        )
+
+    def carry_out(self, effect):
+        """Carry out one effect."""
+        self._handlers[type(effect)](effect)
+
+    def time_event(self):
+        """Return the event that reports the passing of time."""
+        return sidecar_messages.TimePassed()
+
+    def _report(self, core):
+        if core is not self.core or not self.alive:
+            return
+        if not self.frozen:
+            self._report_load(None)
+        period = IDLE_REPORT_PERIOD_S if core.idle else BUSY_REPORT_PERIOD_S
+        self.world.schedule(period, self._report, core)
+
+    def _report_load(self, effect):
+        for link in sorted(self.core.board.links):
+            self.world.send_to_entry(link, self.envelope())
+
+    def _probe(self, core):
+        if core is not self.core or not self.alive:
+            return
+        self.handle(sidecar_messages.EndpointProbed(self.endpoint.alive))
+        self.world.schedule(PROBE_PERIOD_S, self._probe, core)
+
+    def _send_frame(self, effect):
+        self.put_frame(effect.link, effect.frame)
+
+    def send_frames(self, target, frames):
+        """Send the frames of one moment over a link."""
+        self.world.send_to_entry(target, self.envelope(frames))
+
+    def _start_call(self, effect):
+        self.endpoint.start(effect.attempt, effect.offer)
+
+    def _take_up_call(self, effect):
+        self.endpoint.take_up(effect.attempt, effect.offset)
+
+    def _cancel_call(self, effect):
+        self.endpoint.cancel(effect.attempt)
+
+    def _log_event(self, effect):
+        self.log.append((self.world.now, effect))
--- /dev/null
+++ b/standins/store_node.py
@@ -0,0 +1,54 @@
+"""Stand in for the table service inside a world with its own clock."""
+
+from __future__ import annotations
+
+from persimmonroute import store
+from persimmonroute.store import StoreStatus
+from standins import tables
+
+LOCAL_DELAY_S = 0.0005
+STORE_DELAY_S = 0.004
+STORE_TIMEOUT_S = 2.0
+SLOW_STORE_DELAY_S = 1.0
+
+
+class StoreNode:
+    """Stand in for the table service with its failures."""
+
+    def __init__(self, world):
+        self._world = world
+        self.tables = tables.Tables()
+        # One of none, down, slow, lose_answers and late_effect.
+        self.fault = 'none'
+
+    def transact(self, writes, reply):
+        """Apply writes and pass a StoreReply to a function."""
+        schedule = self._world.schedule
+        if self.fault == 'down':
+            schedule(LOCAL_DELAY_S, reply, _failed())
+        elif self.fault == 'late_effect':
+            schedule(STORE_TIMEOUT_S, reply, _failed())
+            schedule(2 * STORE_TIMEOUT_S, self.tables.transact, writes)
+        else:
+            slow = self.fault == 'slow'
+            delay = SLOW_STORE_DELAY_S if slow else STORE_DELAY_S
+            schedule(delay / 2, self._apply, writes, delay / 2, reply)
+
+    def _apply(self, writes, delay, reply):
+        committed, rows = self.tables.transact(writes)
+        if committed and self._world.on_store is not None:
+            self._world.on_store(writes)
+        if self.fault == 'lose_answers':
+            self._world.schedule(STORE_TIMEOUT_S, reply, _failed())
+            return
+        status = StoreStatus.COMMITTED if committed else StoreStatus.CONFLICT
+        answer = store.StoreReply(status, tuple(_row(row) for row in rows))
+        self._world.schedule(delay, reply, answer)
+
+
+def _row(row):
+    return store.Row(row['key'], row['value'], row['version'])
+
+
+def _failed():
+    return store.StoreReply(StoreStatus.FAILED)
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -20,6 +20,7 @@
 import docopt
 
 from standins import fault_matrix
+from standins import faults as matrix_faults
 from tools import deployment
 
 PAGE = deployment.ROOT / 'docs' / 'fault-matrix.md'
@@ -43,7 +44,7 @@
         Cell(step, (fault,), kind, seed)
         for step, fault, kind in itertools.product(
             range(len(fault_matrix.STEPS)),
-            range(len(fault_matrix.FAULTS)),
+            range(len(matrix_faults.FAULTS)),
             fault_matrix.KINDS,
         )
         if fault_matrix.applies(fault_matrix.STEPS[step], kind)
@@ -58,7 +59,7 @@
         for index, step in enumerate(fault_matrix.STEPS)
         if step.name in PAIR_STEPS
     ]
-    pairs = itertools.combinations(range(len(fault_matrix.FAULTS)), 2)
+    pairs = itertools.combinations(range(len(matrix_faults.FAULTS)), 2)
     return [
         Cell(step, pair, kind, seed)
         for step, pair, kind in itertools.product(
@@ -79,7 +80,7 @@
 def _run_cell(cell):
     return fault_matrix.run_cell(
         fault_matrix.STEPS[cell.step],
-        tuple(fault_matrix.FAULTS[index] for index in cell.faults),
+        tuple(matrix_faults.FAULTS[index] for index in cell.faults),
         cell.kind,
         cell.seed,
     )
@@ -124,7 +125,7 @@
         f'| fault | {" | ".join(steps)} |',
         '|---' * (len(steps) + 1) + '|',
     ]
-    for fault in fault_matrix.FAULTS:
+    for fault in matrix_faults.FAULTS:
         shown = [_format_cell(cells[(fault.name, name)]) for name in steps]
         lines.append(f'| {fault.name} | {" | ".join(shown)} |')
     return [*lines, '']
