Record outcomes also from entries that only followed the answer

Cause: when the entry that claimed a key died, nobody wrote its outcome, so a third sending after the sidecar's end was told unknown though the answer had been given. An answer over 64 KiB was recorded without its body, and a later sending would have got that as its whole answer.

Change: an attached request writes the row of the attempt it followed; large answers are not recorded.

Ruled out: recording by sidecars: it would make 12,000 clients of the table service.

Conclusion: an outcome that anybody was told outlives those who ran it.

--- a/persimmonroute/entry/claims.py
+++ b/persimmonroute/entry/claims.py
@@ -110,18 +110,22 @@
     def keep_answer(self, record, data):
         """Keep a part of the answer for the record of the key."""
         claim = self._claims.get(record.request_id)
-        if claim is not None and not record.attached:
+        if claim is not None:
             claim.answer.append(data)
 
     def record_outcome(self, record, finished, now):
-        """Write the answer into the row of its key."""
+        """Write the answer into the row of its key.
+
+        An attached request does so too, as the entry that claimed the key
+        may be gone. Answers over the limit stay at their sidecar only.
+        """
         claim = self._claims.get(record.request_id)
-        if claim is None or record.attached:
+        if claim is None:
             return
         body = b''.join(claim.answer)
         if len(body) > RECORD_LIMIT_BYTES:
-            body = b''
-        row = claim.row()
+            return
+        row = dict(claim.owner or claim.row())
         row['state'] = FINISHED
         row['status'] = finished.status
         row['content_type'] = finished.content_type
--- a/persimmonroute/tests/faults/scenarios_tests.py
+++ b/persimmonroute/tests/faults/scenarios_tests.py
@@ -50,6 +50,46 @@
             self.assertEqual(self._send_twice(), ('not-run', 'unknown'))
 
 
+class RecordedOutcomeTests(unittest.TestCase):
+    """Send an order again after everybody who ran it has gone."""
+
+    def _run(self, size):
+        world = small_world.build_world(endpoints=1, entries=3)
+        content = 'x' * size
+        first = world.submit(
+            small_world.order('a', key='k', content=content), 'entry-1'
+        )
+        world.run_until(world.now + 0.015)
+        world.entries['entry-1'].kill()
+        second = world.submit(
+            small_world.order('b', key='k', content=content), 'entry-2'
+        )
+        world.run_until(world.now + 2.0)
+        world.sidecars['trade-desk-1'].kill()
+        world.schedule(1.0, world.sidecars['trade-desk-1'].start)
+        world.run_until(world.now + 5.0)
+        third = world.submit(
+            small_world.order('c', key='k', content=content), 'entry-3'
+        )
+        world.run_until(world.now + 10.0)
+        runs = sum(worlds.runs_by_attempt(world).values())
+        return [view.outcome for view in (first, second, third)], runs, third
+
+    def test_attached_entry_records_the_outcome(self):
+        """The answer outlives the entry and the sidecar that ran it."""
+        outcomes, runs, third = self._run(size=10)
+        self.assertEqual(outcomes, ['lost', 'completed', 'completed'])
+        self.assertEqual(runs, 1)
+        wanted = endpoint_nodes.expected_answer(third.call)
+        self.assertEqual(bytes(third.data), wanted)
+
+    def test_large_answer_is_unknown_rather_than_cut(self):
+        """An answer that no row holds is never given in part."""
+        outcomes, runs, third = self._run(size=100_000)
+        self.assertEqual(outcomes, ['lost', 'completed', 'unknown'])
+        self.assertEqual((runs, bytes(third.data)), (1, b''))
+
+
 class LeavingTests(unittest.TestCase):
     """Keep work coming while an endpoint leaves."""
 
