Draw the workloads of demo and bench from one planner

Change: one planner, with HTTP bodies and bench calls built from its plans; one check of the order, used by the bench and by the overload test, which now has a mutant that must break it.

Ruled out: one class that builds both kinds of requests.

--- a/persimmonroute/tests/faults/scenarios_tests.py
+++ b/persimmonroute/tests/faults/scenarios_tests.py
@@ -8,15 +8,16 @@
 
 from persimmonroute.entry import board as entry_boards
 from persimmonroute.entry import claims
+from persimmonroute.sidecar import admission
 from persimmonroute.sidecar import execution
 from persimmonroute.sidecar import messages as sidecar_messages
 from standins import endpoint_nodes
+from standins import shed_order
 from standins import small_world
 from standins import world as worlds
 
 LEAVING_LIMIT_S = 3.0
 LIST_LAG_S = 2.0
-ENDS_OF_WAITING = ('REQUEST_STARTED', 'REQUEST_EVICTED', 'OFFER_DROPPED')
 
 
 class AbandonedClaimTests(unittest.TestCase):
@@ -188,7 +189,20 @@
             self.assertIsNotNone(view.ended)
             shed[view.call.class_name] += view.outcome == 'not-run'
         self.assertGreater(shed['dossier-digest'], shed['counter-offer'])
-        self.assertEqual(find_violations(world, 'llm-pool-1'), [])
+        self.assertEqual(shed_order.count_violations(world), 0)
+
+    def test_mutant_that_keeps_lower_tiers(self):
+        """A sidecar that sheds without evicting is found out."""
+        with (
+            mock.patch.object(
+                execution.Executor, '_evict_below', lambda *_: None
+            ),
+            mock.patch.object(
+                admission.TieredAdmission, 'on_shed', lambda *_: None
+            ),
+        ):
+            world, _ = self._run()
+        self.assertGreater(shed_order.count_violations(world), 0)
 
     def test_final_answers_come_at_once(self):
         """A shed request gets its answer and when to come back."""
@@ -198,24 +212,6 @@
                 self.assertGreater(view.ended.retry_after_s, 0)
 
 
-def find_violations(world, sidecar):
-    """Return the sheds of a tier at a time when a lower one waited."""
-    waiting, violations = {}, []
-    for at, effect in world.sidecars[sidecar].log:
-        attempt = effect.fields.get('attempt')
-        name = effect.event.name
-        if name == 'OFFER_QUEUED':
-            waiting[attempt] = effect.fields['tier']
-        elif name in ENDS_OF_WAITING:
-            waiting.pop(attempt, None)
-        elif name == 'OFFER_REFUSED':
-            waiting.pop(attempt, None)
-            tier = effect.fields['tier']
-            if any(lower > tier for lower in waiting.values()):
-                violations.append((at, attempt))
-    return violations
-
-
 class CrashingRequestTests(unittest.TestCase):
     """Send a request that crashes each endpoint that runs it."""
 
--- a/tools/bench/runner.py
+++ b/tools/bench/runner.py
@@ -9,10 +9,10 @@
 
 from persimmonroute.config import declarations
 from persimmonroute.entry import board as entry_boards
-from persimmonroute.entry import endings
 from persimmonroute.entry import messages
 from standins import endpoint_nodes
 from standins import engine_model
+from standins import shed_order
 from standins import world as worlds
 from tools.bench import bound
 from tools.bench import policies
@@ -24,15 +24,6 @@
 STEP_REQUEST_S = 0.0005
 CACHE_BLOCKS = 2000
 
-ENDS_OF_WAITING = (
-    'REQUEST_STARTED',
-    'REQUEST_EVICTED',
-    'OFFER_REFUSED',
-    'OFFER_DROPPED',
-)
-# Longest way of a notice between regions, and its batching.
-NOTICE_S = 0.06
-
 
 class Result(typing.NamedTuple):
     """Hold the measures of one run."""
@@ -85,8 +76,8 @@
         capacity = bound.capacity_rate(source, speeds)
         arrivals = source.draw(capacity)
         self._poison(arrivals)
-        for arrival in arrivals:
-            world.schedule(arrival.at_s, self._send, arrival.call, 0)
+        for at, call in arrivals:
+            world.schedule(at, self._send, call, 0)
         for action in self._scenario.actions:
             world.schedule(action.at_s, self._act, action)
         world.run_until(began + self._scenario.seconds + SETTLE_S)
@@ -123,7 +114,9 @@
 
     def _poison(self, arrivals):
         poison = frozenset(
-            a.call.body for a in arrivals if a.call.body.startswith(b'poison')
+            call.body
+            for _, call in arrivals
+            if call.body.startswith(b'poison')
         )
         for node in self.world.endpoints.values():
             node.poison = poison
@@ -180,16 +173,16 @@
         good_by_tier = collections.defaultdict(list)
         by_workspace = collections.defaultdict(list)
         good_models, timeline = [], collections.defaultdict(list)
-        for arrival in arrivals:
-            views = self._views[arrival.call.request_id]
-            work_class = self._declared.classes[arrival.call.class_name]
+        for at, call in arrivals:
+            views = self._views[call.request_id]
+            work_class = self._declared.classes[call.class_name]
             good = any(is_good(view, work_class) for view in views)
             good_by_tier[work_class.tier].append(good)
-            key = (work_class.name, arrival.call.workspace)
+            key = (work_class.name, call.workspace)
             by_workspace[key].append(good)
-            if arrival.call.output_tokens:
+            if call.output_tokens:
                 good_models.append(good)
-                timeline[int(arrival.at_s)].append(good)
+                timeline[int(at)].append(good)
         nodes = [
             node
             for node in self.world.endpoints.values()
@@ -213,13 +206,13 @@
             },
             statistics.mean(good_models),
             bound.goodput_bound(
-                [a.call for a in arrivals if a.call.output_tokens],
+                [call for _, call in arrivals if call.output_tokens],
                 self._declared.classes,
                 speeds,
                 self._scenario,
             ),
             wasted / prefilled,
-            count_violations(self.world),
+            shed_order.count_violations(self.world),
             _unfairness(by_workspace),
             self.world.bytes_between_regions,
             _recovery_s(self._scenario, shares),
@@ -240,61 +233,6 @@
     return in_time and gap <= target.token_gap_s
 
 
-def count_violations(world):
-    """Count sheds while a lower tier of the service went on waiting.
-
-    A shed is known elsewhere after a message, so what is evicted within
-    that time does not count.
-    """
-    waits = _find_waits(world)
-    return sum(
-        any(
-            wait.service == shed.service
-            and wait.tier > shed.tier
-            and wait.begin < shed.at < wait.end - NOTICE_S
-            for wait in waits
-        )
-        for shed in _find_sheds(world)
-    )
-
-
-class _Wait(typing.NamedTuple):
-    service: str
-    tier: int
-    begin: float
-    end: float
-
-
-class _Shed(typing.NamedTuple):
-    service: str
-    tier: int
-    at: float
-
-
-def _find_waits(world):
-    waits = []
-    for node in world.sidecars.values():
-        begun = {}
-        for at, effect in node.log:
-            attempt, name = effect.fields.get('attempt'), effect.event.name
-            if name == 'OFFER_QUEUED':
-                begun[attempt] = (effect.fields['tier'], at)
-            elif name in ENDS_OF_WAITING and attempt in begun:
-                tier, begin = begun.pop(attempt)
-                waits.append(_Wait(node.instance.service, tier, begin, at))
-    return waits
-
-
-def _find_sheds(world):
-    return [
-        _Shed(effect.fields['service'], effect.fields['tier'], at)
-        for node in world.entries.values()
-        for at, effect in node.log
-        if effect.event.name == 'REQUEST_SHED'
-        and effect.fields['problem'] == endings.NO_ENDPOINT
-    ]
-
-
 def _unfairness(by_workspace):
     shares = collections.defaultdict(list)
     for (name, _), good in by_workspace.items():
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -22,6 +22,7 @@
 from standins import balancer as balancers
 from standins import callers
 from tools import deployment as deployments
+from tools import http_workload
 from tools import report
 from tools import workload
 
@@ -39,10 +40,10 @@
         await deployment.wait_serving()
         declared = deployment.load_declarations()
         planner = workload.WorkloadPlanner(declared, seed)
-        arrivals = planner.plan(count, seconds)
+        arrivals = planner.plan_uniform(count, seconds)
         print(f'sending {count} requests over {seconds:g} s')
         async with balancers.balancing(deployment.entries) as balancer:
-            results = await send_all(balancer, arrivals)
+            results = await send_all(balancer, arrivals, seed)
         runs, prefilled, wasted = await deployment.count_runs()
     print(report.format_table(declared, results, runs))
     print(f'prefilled tokens: {prefilled}, wasted: {wasted}')
@@ -73,23 +74,25 @@
     raise SystemExit(f'the declarations did not apply: {ended.stderr}')
 
 
-async def send_all(balancer, arrivals, on_progress=print):
+async def send_all(balancer, arrivals, seed, on_progress=print):
     """Send requests at their times through the balancer."""
     caller = callers.Caller()
+    written = http_workload.HttpWorkload(seed)
     loop = asyncio.get_running_loop()
+    calls = [(a.at_s, written.build(a.plan)) for a in arrivals]
     began = loop.time()
     done = collections.Counter()
 
-    async def send(arrival):
-        await asyncio.sleep(max(began + arrival.at_s - loop.time(), 0))
-        result = await caller.send(balancer.pick(), arrival.call)
+    async def send(at, call):
+        await asyncio.sleep(max(began + at - loop.time(), 0))
+        result = await caller.send(balancer.pick(), call)
         done['all'] += 1
         if done['all'] % 100 == 0:
             on_progress(f'{done["all"]} of {len(arrivals)} answered')
         return result
 
     try:
-        return await asyncio.gather(*(send(a) for a in arrivals))
+        return await asyncio.gather(*(send(at, call) for at, call in calls))
     finally:
         await caller.close()
 
--- a/tools/rolling.py
+++ b/tools/rolling.py
@@ -37,9 +37,9 @@
         await deployment.wait_serving()
         declared = deployment.load_declarations()
         planner = workload.WorkloadPlanner(declared, seed)
-        arrivals = planner.plan(int(rate * LOAD_S), LOAD_S)
+        arrivals = planner.plan_uniform(int(rate * LOAD_S), LOAD_S)
         async with balancers.balancing(deployment.entries) as balancer:
-            load = asyncio.create_task(demo.send_all(balancer, arrivals))
+            load = asyncio.create_task(demo.send_all(balancer, arrivals, seed))
             replaced = await _replace_all(deployment)
             print(f'{replaced} processes replaced, load goes on')
             results = await load
--- a/tools/workload.py
+++ b/tools/workload.py
@@ -2,15 +2,12 @@
 
 from __future__ import annotations
 
-import json
 import random
 import typing
 
-from standins import callers
+from persimmonroute.config import declarations
 
-SHARED_PREFIX_TOKENS = 512
-CHARACTERS_PER_TOKEN = 4
-STREAMED_SHARE = 0.7
+PLAIN_SHARE = 0.25
 
 
 class LengthRange(typing.NamedTuple):
@@ -31,90 +28,89 @@
 }
 
 
+class RequestPlan(typing.NamedTuple):
+    """Describe one request, whoever will send it how."""
+
+    number: int
+    work_class: declarations.WorkClass
+    plain: bool
+    workspace: str
+    # Which of the workspace's shared prefixes the prompt begins with.
+    prefix: int
+    # Tokens of the prompt after the shared prefix.
+    prompt_tokens: int
+    output_tokens: int
+
+    @property
+    def name(self):
+        """Return a name that no other request of the workload has."""
+        return f'{self.work_class.name}-{self.number}'
+
+
 class PlannedArrival(typing.NamedTuple):
     """Pair a request with its time of arrival in seconds."""
 
     at_s: float
-    call: callers.PlannedCall
+    plan: RequestPlan
 
 
 class WorkloadPlanner:
     """Draw requests of all classes from one seed."""
 
-    def __init__(self, declared, seed):
-        self._declared = declared
+    def __init__(self, declared, seed, prefixes=1, plain_share=PLAIN_SHARE):
         self._random = random.Random(seed)
+        self._prefixes = prefixes
+        self._plain_share = plain_share
         self._workspaces = sorted(declared.workspaces)
-        self._prefixes = {
-            workspace: self._text(SHARED_PREFIX_TOKENS)
-            for workspace in self._workspaces
-        }
-        self._classes = sorted(declared.classes.values())
-        self._weights = [LENGTHS_BY_TIER[c.tier].weight for c in self._classes]
-
-    def plan(self, count, seconds):
-        """Return requests that arrive at random over some seconds."""
+        self._number = 0
+        classes = sorted(declared.classes.values())
+        kinds = declared.services
+        self._models = [c for c in classes if kinds[c.service] == 'model']
+        self._plains = [c for c in classes if kinds[c.service] == 'plain']
+
+    def plan_uniform(self, count, seconds):
+        """Return a number of arrivals at random over some seconds."""
         times = sorted(self._random.uniform(0, seconds) for _ in range(count))
-        return [
-            PlannedArrival(at, self._draw(index))
-            for index, at in enumerate(times)
-        ]
-
-    def _draw(self, index):
-        work_class = self._random.choices(self._classes, self._weights)[0]
-        workspace = self._random.choice(self._workspaces)
-        token = self._random.getrandbits(32)
-        request_id = f'{work_class.name}-{index}-{token:08x}'
-        if self._declared.services[work_class.service] == 'plain':
-            return self._draw_plain(work_class, workspace, request_id)
-        return self._draw_completion(work_class, workspace, request_id)
-
-    def _draw_plain(self, work_class, workspace, request_id):
-        body = {'id': request_id, 'quantity': self._random.randint(1, 99)}
-        return callers.PlannedCall(
-            request_id,
-            workspace,
-            work_class.name,
-            work_class.service,
-            True,
-            'POST',
-            f'/{work_class.name}s',
-            json.dumps(body).encode(),
-            False,
-            '',
-            0,
-        )
-
-    def _draw_completion(self, work_class, workspace, request_id):
+        return [PlannedArrival(at, self.draw()) for at in times]
+
+    def plan_poisson(self, begin_s, seconds, rate, tier=None):
+        """Return arrivals at a rate in 1/s, of one tier if it is given."""
+        arrivals = []
+        at = begin_s + self._random.expovariate(rate)
+        while at < begin_s + seconds:
+            drawn = self.draw() if tier is None else self.draw_model(tier)
+            arrivals.append(PlannedArrival(at, drawn))
+            at += self._random.expovariate(rate)
+        return arrivals
+
+    def draw(self):
+        """Return a request of any class."""
+        if self._random.random() >= self._plain_share:
+            return self.draw_model()
+        work_class = self._random.choice(self._plains)
+        return self._build(work_class, True, 0, 0)
+
+    def draw_model(self, tier=None):
+        """Return a completion, of one tier if it is given."""
+        classes = [c for c in self._models if tier in (None, c.tier)]
+        weights = [LENGTHS_BY_TIER[c.tier].weight for c in classes]
+        work_class = self._random.choices(classes, weights)[0]
         lengths = LENGTHS_BY_TIER[work_class.tier]
-        size = self._random.randint(lengths.prompt_low, lengths.prompt_high)
-        prompt = f'{request_id} {self._text(size)}'
-        if size > SHARED_PREFIX_TOKENS:
-            prompt = self._prefixes[workspace] + prompt
-        output = self._random.randint(lengths.output_low, lengths.output_high)
-        stream = self._random.random() < STREAMED_SHARE
-        body = {
-            'model': work_class.service,
-            'prompt': prompt,
-            'max_tokens': output,
-            'stream': stream,
-            'user': request_id,
-        }
-        return callers.PlannedCall(
-            request_id,
-            workspace,
-            work_class.name,
-            work_class.service,
+        return self._build(
+            work_class,
             False,
-            'POST',
-            '/v1/completions',
-            json.dumps(body).encode(),
-            stream,
-            prompt,
-            output,
+            self._random.randint(lengths.prompt_low, lengths.prompt_high),
+            self._random.randint(lengths.output_low, lengths.output_high),
         )
 
-    def _text(self, tokens):
-        letters = 'abcdefghijklmnopqrstuvwxyz     '
-        size = tokens * CHARACTERS_PER_TOKEN
-        return ''.join(self._random.choices(letters, k=size))
+    def _build(self, work_class, plain, prompt_tokens, output_tokens):
+        self._number += 1
+        return RequestPlan(
+            self._number,
+            work_class,
+            plain,
+            self._random.choice(self._workspaces),
+            self._random.randrange(self._prefixes),
+            prompt_tokens,
+            output_tokens,
+        )
