Never deny an attempt whose answer was dropped

Cause: read as a newcomer, the sidecar said 'never starts' about any attempt that it no longer had, also when it had run and its answer was dropped after a minute or for space. The entry would have offered it elsewhere: a second dispatch.

Change: ids of started attempts are kept apart from their answers; only what is not among them is denied, and nothing once ids were dropped.

Ruled out: longer retention, which moves the fault and does not end it.

--- a/persimmonroute/sidecar/answers.py
+++ b/persimmonroute/sidecar/answers.py
@@ -79,8 +79,6 @@
     def _forget(self, item):
         del self._board.items[item.attempt]
         self._retained_bytes -= len(item.answer)
-        if not item.offer.idempotent:
-            self._board.forgetful = True
 
     def _forget_oldest(self):
         for item in list(self._board.items.values()):
--- a/persimmonroute/sidecar/board.py
+++ b/persimmonroute/sidecar/board.py
@@ -11,6 +11,7 @@
 from persimmonroute import timers
 
 TOMBSTONES = 20_000
+STARTED_IDS = 100_000
 ALL_TIERS_ADMITTED = 4
 
 
@@ -64,7 +65,9 @@
         # Attempts that are ready or started.
         self.running: dict[str, Item] = {}
         self.tombstones = collections.OrderedDict()
-        # Set once answers of non-idempotent attempts were dropped.
+        # Attempts that were started, also after their answers are gone.
+        self.started = collections.OrderedDict()
+        # Set once ids of started attempts were dropped.
         self.forgetful = False
         self.engine_streams: frozenset[str] = frozenset()
         self.links: set[str] = set()
@@ -101,6 +104,13 @@
             item.cancelled = True
             self._effects.append(messages.CancelCall(item.attempt))
 
+    def note_started(self, attempt):
+        """Remember that an attempt was started."""
+        self.started[attempt] = None
+        while len(self.started) > STARTED_IDS:
+            self.started.popitem(last=False)
+            self.forgetful = True
+
     def bury(self, attempt):
         """Remember that an attempt never starts here."""
         self.tombstones[attempt] = None
--- a/persimmonroute/sidecar/execution.py
+++ b/persimmonroute/sidecar/execution.py
@@ -13,7 +13,7 @@
 READY_TIMEOUT_S = 1.0
 # Room is looked for again this long after it was missing.
 ROOM_RETRY_S = 0.02
-LEAVING_RETRY_AFTER_S = 1.0
+REFUSAL_RETRY_AFTER_S = 1.0
 ENDPOINT_DOWN_RETRY_AFTER_S = 2.0
 STATUS_BROKEN = 502
 
@@ -135,7 +135,7 @@
     def on_stop(self, event, now):
         """Hand back what waits and finish what runs."""
         self._board.leaving = True
-        self._refuse_waiting(pb.LEAVING, LEAVING_RETRY_AFTER_S, now)
+        self._refuse_waiting(pb.LEAVING, REFUSAL_RETRY_AFTER_S, now)
 
     def on_timer(self, timer, now):
         """Act on deadlines of attempts."""
@@ -195,7 +195,7 @@
         item = boards.Item(attempt, offer, link, now)
         reason = self._standing_refusal(offer)
         if reason is not None:
-            self._send_refusal(item, reason, LEAVING_RETRY_AFTER_S)
+            self._send_refusal(item, reason, REFUSAL_RETRY_AFTER_S)
             return
         verdict = self._policy.judge(item, now)
         if not verdict.accepted:
@@ -241,12 +241,13 @@
         board = self._board
         item = board.items.get(attempt)
         if item is None:
-            board.send(link, attempt, never_starts=pb.NeverStarts())
+            self._send_fate(link, attempt)
             return
         if item.state != 'ready' or item.owner != link:
             return
         advance(item, 'start')
         item.started_at = now
+        board.note_started(attempt)
         board.put(messages.StartCall(attempt, item.offer))
         board.log(
             Event.REQUEST_STARTED,
@@ -279,11 +280,19 @@
             self._answers.follow(item, link, resume.offset)
         elif attempt in board.engine_streams:
             self._take_up(link, attempt, now)
-        elif resume.incarnation != board.incarnation or board.forgetful:
+        elif resume.incarnation != board.incarnation:
             board.send(link, attempt, lost=pb.Lost())
         else:
-            board.bury(attempt)
-            board.send(link, attempt, never_starts=pb.NeverStarts())
+            self._send_fate(link, attempt)
+
+    def _send_fate(self, link, attempt):
+        # Only what surely never started here may be buried and denied.
+        board = self._board
+        if attempt in board.started or board.forgetful:
+            board.send(link, attempt, lost=pb.Lost())
+            return
+        board.bury(attempt)
+        board.send(link, attempt, never_starts=pb.NeverStarts())
 
     def _on_shed_notice(self, link, attempt, notice, now):
         self._evict_below(
@@ -357,6 +366,8 @@
     def _refuse_started(self, item, now):
         board = self._board
         advance(item, 'refuse')
+        # The endpoint never saw it, so it counts as not started.
+        board.started.pop(item.attempt, None)
         del board.items[item.attempt]
         board.running.pop(item.attempt, None)
         board.bury(item.attempt)
--- /dev/null
+++ b/persimmonroute/tests/sidecar/execution_tests.py
@@ -0,0 +1,89 @@
+"""Test what a sidecar says about attempts that it has dropped."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from persimmonroute import composition
+from persimmonroute.generated import exchange_pb2 as pb
+from persimmonroute.sidecar import answers
+from persimmonroute.sidecar import board as boards
+from persimmonroute.sidecar import messages
+
+LINK = 'entry-1#1'
+
+
+class ForgottenAttemptTests(unittest.TestCase):
+    """Ask about attempts whose answers are gone."""
+
+    def setUp(self):
+        """Connect one entry."""
+        self.core = composition.build_sidecar_core('s', 'llm', 'model', 'i1')
+        self._handle(messages.LinkOpened(LINK), 0.0)
+
+    def _handle(self, event, now):
+        return self.core.handle(event, now)
+
+    def _send(self, attempt, now, **body):
+        """Send a frame; return the kinds of the answers to it."""
+        frame = pb.Frame(request_id=attempt, **body)
+        envelope = pb.Envelope(frames=[frame])
+        effects = self._handle(messages.EnvelopeArrived(LINK, envelope), now)
+        return [
+            effect.frame.WhichOneof('body')
+            for effect in effects
+            if isinstance(effect, messages.SendFrame)
+        ]
+
+    def _run(self, attempt, now, size=10):
+        offer = pb.Offer(tier=1, patience_s=5.0, idempotent=True)
+        self._send(attempt, now, offer=offer)
+        self._send(attempt, now, grant=pb.Grant())
+        self._handle(messages.EndpointData(attempt, b'x' * size, 1), now)
+        self._handle(messages.EndpointEnded(attempt, 200, 't'), now)
+
+    def _resume(self, attempt, now):
+        return self._send(attempt, now, resume=pb.Resume(incarnation='i1'))
+
+    def test_answer_is_read_again(self):
+        """A kept answer is given from the wanted offset."""
+        self._run('a', 0.0)
+        self.assertEqual(self._resume('a', 1.0), ['chunk', 'finished'])
+
+    def test_unknown_attempt_never_starts(self):
+        """An attempt that was never offered is buried for good."""
+        self.assertEqual(self._resume('a', 0.0), ['never_starts'])
+        offer = pb.Offer(tier=1, patience_s=5.0)
+        self.assertEqual(self._send('a', 0.0, offer=offer), ['refused'])
+
+    def test_forgotten_attempt_is_lost(self):
+        """An attempt that ran is not denied when its answer is gone."""
+        self._run('a', 0.0)
+        later = answers.IDEMPOTENT_RETENTION_S + 1.0
+        self.assertEqual(self._resume('a', later), ['lost'])
+        self.assertEqual(self._send('a', later, grant=pb.Grant()), ['lost'])
+
+    def test_attempt_forgotten_for_space_is_lost(self):
+        """The same holds when answers are dropped for their size."""
+        with mock.patch.object(answers, 'MAX_RETAINED_BYTES', 100):
+            self._run('a', 0.0, size=90)
+            self._run('b', 0.1, size=90)
+        self.assertEqual(self._resume('a', 0.2), ['lost'])
+
+    def test_overflow_of_ids_is_admitted(self):
+        """A sidecar that dropped ids denies nothing any more."""
+        with mock.patch.object(boards, 'STARTED_IDS', 1):
+            self._run('a', 0.0)
+            self._run('b', 0.1)
+        later = answers.IDEMPOTENT_RETENTION_S + 1.0
+        self.assertEqual(self._resume('a', later), ['lost'])
+        self.assertEqual(self._resume('unknown', later), ['lost'])
+
+    def test_late_grant_of_a_dropped_attempt(self):
+        """A grant that comes after the drop starts nothing."""
+        offer = pb.Offer(tier=1, patience_s=5.0)
+        self._send('a', 0.0, offer=offer)
+        self._handle(messages.TimePassed(), 2.0)
+        kinds = self._send('a', 2.1, grant=pb.Grant())
+        self.assertEqual(kinds, ['never_starts'])
