Tell every shed, at the latest with the next notice

Change: a shed within the period is owed a notice, which goes out when the period ends, for the highest tier shed since.

Ruled out: no limit on notices: at 3 times the capacity each shed would be a frame to every sidecar.

Conclusion: the order holds within one period and one way.

--- a/persimmonroute/entry/core.py
+++ b/persimmonroute/entry/core.py
@@ -22,9 +22,9 @@
         self._expiry_due_at = 0.0
         self._claims = claims.ClaimKeeper(board)
         ender = endings.CallEnder(board, self._claims)
-        offerer = offering.Offerer(board, policy, self._claims, ender)
+        self._offerer = offering.Offerer(board, policy, self._claims, ender)
         self._dispatcher = dispatch.Dispatcher(
-            board, self._claims, offerer, ender
+            board, self._claims, self._offerer, ender
         )
         self._claims.dispatcher = self._dispatcher
         self._membership = membership.MembershipKeeper(board)
@@ -75,6 +75,7 @@
         for timer in self._board.timers.take_due(now):
             self._claims.on_timer(timer, now)
             self._dispatcher.on_timer(timer, now)
+            self._offerer.on_timer(timer, now)
         for handler in self._handlers[type(event)]:
             handler(event, now)
         return self._board.take_effects()
--- a/persimmonroute/entry/offering.py
+++ b/persimmonroute/entry/offering.py
@@ -28,6 +28,8 @@
         self._ender = ender
         # When each service may be sent the next notice.
         self._notice_due_at: dict[str, float] = {}
+        # Highest class that was shed since the last notice, by service.
+        self._owed_notices: dict[str, declarations.WorkClass] = {}
 
     def offer(self, record, now):
         """Offer a request, or shed it when nobody would take it."""
@@ -68,19 +70,38 @@
             )
         ]
 
+    def on_timer(self, timer, now):
+        """Send the notice that a service was owed."""
+        if timer.kind == 'notice':
+            work_class = self._owed_notices.pop(timer.subject, None)
+            if work_class is not None:
+                self._send_notice(work_class, now)
+
     def _notify_shed(self, record, now):
         # The load that said so may be older than the last admission of a
         # lower tier somewhere.
         work_class = record.work_class
-        due_at = self._notice_due_at.get(work_class.service, 0.0)
-        if now < due_at or work_class.tier == declarations.TIERS:
+        service = work_class.service
+        if work_class.tier == declarations.TIERS:
+            return
+        due_at = self._notice_due_at.get(service, 0.0)
+        if now >= due_at:
+            self._send_notice(work_class, now)
             return
-        self._notice_due_at[work_class.service] = now + NOTICE_PERIOD_S
+        owed = self._owed_notices.get(service)
+        if owed is None:
+            self._board.timers.schedule(due_at, 'notice', service)
+        if owed is None or work_class.tier < owed.tier:
+            self._owed_notices[service] = work_class
+
+    def _send_notice(self, work_class, now):
+        service = work_class.service
+        self._notice_due_at[service] = now + NOTICE_PERIOD_S
         notice = pb.ShedNotice(
             tier=work_class.tier, patience_s=work_class.target.start_s
         )
         frame = pb.Frame(shed_notice=notice)
-        for view in self._board.candidates(work_class.service):
+        for view in self._board.candidates(service):
             self._board.put(messages.SendFrame(view.instance.name, frame))
 
     def _send_offer(self, record, decision, now):
--- a/persimmonroute/tests/entry/dispatch_tests.py
+++ b/persimmonroute/tests/entry/dispatch_tests.py
@@ -104,6 +104,31 @@
         self.assertGreater(len(spread), 15)
         self.assertLessEqual(max(spread), 2 * min(spread))
 
+    def _shed(self, name, now):
+        """Let everybody refuse a request; return the kinds of frames."""
+        effects = self._handle(
+            messages.CallArrived(small_world.draft(name)), now
+        )
+        sidecar, frame = self._frames(effects)[0]
+        for _ in SIDECARS:
+            effects = self._refuse(sidecar, frame.request_id, now)
+            sidecar, frame = self._frames(effects)[-1]
+        return [f.WhichOneof('body') for _, f in self._frames(effects)]
+
+    def test_each_shed_is_told_in_the_end(self):
+        """A shed soon after a notice is told when the next one is due."""
+        self.assertEqual(self._shed('a', 0.0), ['shed_notice'] * 3)
+        call = messages.CallArrived(small_world.draft('b'))
+        sidecar, frame = self._frames(self._handle(call, 0.01))[0]
+        for _ in SIDECARS[1:]:
+            effects = self._refuse(sidecar, frame.request_id, 0.01)
+            sidecar, frame = self._frames(effects)[-1]
+        effects = self._refuse(sidecar, frame.request_id, 0.01)
+        self.assertEqual(self._frames(effects), [])
+        effects = self._handle(messages.TimePassed(), 0.06)
+        kinds = [f.WhichOneof('body') for _, f in self._frames(effects)]
+        self.assertEqual(kinds, ['shed_notice'] * 3)
+
     def test_stray_ready_is_withdrawn(self):
         """A sidecar that asks about a forgotten attempt gets an answer."""
         effects = self._answer(SIDECARS[0], 'x.1', 0.0, ready=pb.Ready())
