Give both blackboards one base

Cause: effects, log and timers stood twice, in the boards of entry and sidecar, and two places wrote the same completion request.

Change: blackboard.py holds what both have in common; callers plan completions.

Ruled out: one board for both roles, which share nothing else.

--- a/persimmonroute/entry/board.py
+++ b/persimmonroute/entry/board.py
@@ -4,11 +4,11 @@
 
 import typing
 
+from persimmonroute import blackboard
 from persimmonroute.config import declarations
 from persimmonroute.entry import messages
 from persimmonroute.entry import quarantine
 from persimmonroute.generated import exchange_pb2 as pb
-from persimmonroute import timers
 
 
 class Place(typing.NamedTuple):
@@ -97,10 +97,11 @@
         return self.call.request_id
 
 
-class EntryBoard:
+class EntryBoard(blackboard.Blackboard):
     """Hold the state of an entry and the effects it asks for."""
 
     def __init__(self, name, place):
+        super().__init__()
         self.name = name
         self.place = place
         self.declarations = declarations.EMPTY
@@ -111,22 +112,7 @@
         # Requests that await the answer of an attempt.
         self._followers: dict[str, list[CallRecord]] = {}
         self.quarantine = quarantine.QuarantineView()
-        self.timers = timers.TimerQueue()
         self.stopping = False
-        self._effects = []
-
-    def put(self, effect):
-        """Ask for an effect."""
-        self._effects.append(effect)
-
-    def log(self, event, **fields):
-        """Ask for a log line."""
-        self._effects.append(messages.LogEvent(event, fields))
-
-    def take_effects(self):
-        """Remove and return the effects asked for."""
-        effects, self._effects = self._effects, []
-        return effects
 
     def follow(self, record, attempt):
         """Let a request await the answer of an attempt."""
--- a/persimmonroute/entry/messages.py
+++ b/persimmonroute/entry/messages.py
@@ -5,7 +5,6 @@
 import enum
 import typing
 
-from persimmonroute.events import Event
 from persimmonroute.generated import exchange_pb2 as pb
 from persimmonroute import store
 
@@ -149,10 +148,3 @@
 
     token: str
     writes: tuple[store.Write, ...]
-
-
-class LogEvent(typing.NamedTuple):
-    """Log a numbered event."""
-
-    event: Event
-    fields: dict
--- a/persimmonroute/entry/shell.py
+++ b/persimmonroute/entry/shell.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from persimmonroute import alarms
+from persimmonroute import blackboard
 from persimmonroute.config import declarations
 from persimmonroute import configuration_store
 from persimmonroute.entry import links
@@ -47,7 +48,7 @@
             messages.AnswerData: self._answer_data,
             messages.AnswerEnded: self._answer_ended,
             messages.Transact: self._transact,
-            messages.LogEvent: self._log_event,
+            blackboard.LogEvent: self._log_event,
         }
 
     @property
--- a/persimmonroute/sidecar/board.py
+++ b/persimmonroute/sidecar/board.py
@@ -5,10 +5,10 @@
 import collections
 import itertools
 
+from persimmonroute import blackboard
 from persimmonroute.generated import exchange_pb2 as pb
 from persimmonroute.sidecar import messages
 from persimmonroute.sidecar import waiting
-from persimmonroute import timers
 
 TOMBSTONES = 20_000
 STARTED_IDS = 100_000
@@ -51,10 +51,11 @@
         return self.offer.tier
 
 
-class SidecarBoard:
+class SidecarBoard(blackboard.Blackboard):
     """Hold the state of a sidecar and the effects it asks for."""
 
     def __init__(self, name, incarnation, service):
+        super().__init__()
         self.name = name
         self.incarnation = incarnation
         self.service = service
@@ -76,21 +77,6 @@
         self.endpoint_up = True
         self.suspects: dict[str, float] = {}
         self.refused_fingerprints: dict[str, float] = {}
-        self.timers = timers.TimerQueue()
-        self._effects = []
-
-    def put(self, effect):
-        """Ask for an effect."""
-        self._effects.append(effect)
-
-    def log(self, event, **fields):
-        """Ask for a log line."""
-        self._effects.append(messages.LogEvent(event, fields))
-
-    def take_effects(self):
-        """Remove and return the effects asked for."""
-        effects, self._effects = self._effects, []
-        return effects
 
     def send(self, link, attempt, **body):
         """Send a frame about an attempt to an entry."""
--- a/persimmonroute/sidecar/messages.py
+++ b/persimmonroute/sidecar/messages.py
@@ -4,7 +4,6 @@
 
 import typing
 
-from persimmonroute.events import Event
 from persimmonroute.generated import exchange_pb2 as pb
 
 
@@ -104,10 +103,3 @@
 
 class ReportLoad(typing.NamedTuple):
     """Report the load to all entries at once."""
-
-
-class LogEvent(typing.NamedTuple):
-    """Log a numbered event."""
-
-    event: Event
-    fields: dict
--- a/persimmonroute/sidecar/shell.py
+++ b/persimmonroute/sidecar/shell.py
@@ -9,6 +9,7 @@
 import grpc
 
 from persimmonroute import alarms
+from persimmonroute import blackboard
 from persimmonroute.events import Event
 from persimmonroute.generated import exchange_pb2 as pb
 from persimmonroute.generated import exchange_pb2_grpc
@@ -43,7 +44,7 @@
             messages.TakeUpCall: self._take_up_call,
             messages.CancelCall: self._cancel_call,
             messages.ReportLoad: self._report_load,
-            messages.LogEvent: self._log_event,
+            blackboard.LogEvent: self._log_event,
         }
 
     def handle(self, event):
--- a/persimmonroute/tests/processes/faults_tests.py
+++ b/persimmonroute/tests/processes/faults_tests.py
@@ -38,24 +38,11 @@
 
 def draft(name, tokens=60):
     """Return a streamed completion."""
-    prompt = f'draft {name}'
-    body = {
-        'prompt': prompt,
-        'max_tokens': tokens,
-        'stream': True,
-        'user': name,
-    }
-    return callers.PlannedCall(
+    return callers.plan_completion(
         name,
         small_world.WORKSPACE,
         'counter-offer',
         small_world.MODEL,
-        False,
-        'POST',
-        '/v1/completions',
-        json.dumps(body).encode(),
-        True,
-        prompt,
         tokens,
     )
 
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -40,6 +40,30 @@
     output_tokens: int
 
 
+def plan_completion(name, workspace, class_name, service, tokens):
+    """Return a streamed completion with a prompt of its own."""
+    prompt = f'draft {name}'
+    body = {
+        'prompt': prompt,
+        'max_tokens': tokens,
+        'stream': True,
+        'user': name,
+    }
+    return PlannedCall(
+        name,
+        workspace,
+        class_name,
+        service,
+        False,
+        'POST',
+        '/v1/completions',
+        json.dumps(body).encode(),
+        True,
+        prompt,
+        tokens,
+    )
+
+
 class CallResult(typing.NamedTuple):
     """Hold what a caller saw of one request; times in seconds."""
 
--- a/standins/process_nodes.py
+++ b/standins/process_nodes.py
@@ -5,6 +5,7 @@
 import itertools
 import typing
 
+from persimmonroute import blackboard
 from persimmonroute import composition
 from persimmonroute.entry import messages as entry_messages
 from persimmonroute.generated import exchange_pb2 as pb
@@ -106,7 +107,7 @@
             entry_messages.AnswerData: self._answer_data,
             entry_messages.AnswerEnded: self._answer_ended,
             entry_messages.Transact: self._transact,
-            entry_messages.LogEvent: self._log_event,
+            blackboard.LogEvent: self._log_event,
         }
 
     def start(self):
@@ -193,7 +194,7 @@
             sidecar_messages.TakeUpCall: self._take_up_call,
             sidecar_messages.CancelCall: self._cancel_call,
             sidecar_messages.ReportLoad: self._report_load,
-            sidecar_messages.LogEvent: self._log_event,
+            blackboard.LogEvent: self._log_event,
         }
 
     def start(self):
--- a/tools/throughput.py
+++ b/tools/throughput.py
@@ -14,7 +14,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import pathlib
 import random
 import tempfile
@@ -57,24 +56,11 @@
 
 def build_call(name):
     """Return one streamed request."""
-    prompt = f'draft {name}'
-    body = {
-        'prompt': prompt,
-        'max_tokens': TOKENS,
-        'stream': True,
-        'user': name,
-    }
-    return callers.PlannedCall(
+    return callers.plan_completion(
         name,
         small_world.WORKSPACE,
         'counter-offer',
         small_world.MODEL,
-        False,
-        'POST',
-        '/v1/completions',
-        json.dumps(body).encode(),
-        True,
-        prompt,
         TOKENS,
     )
 
