Let the matrix wait for requests that are sent again late

Cause: 9 of 4197 trials, all pairs with a second sending during a fault of the table service, ended with that sending told not-run.

Ruled out: a fault of the system: the answer came at once with Retry-After and the order had run once.

Change: a trial plays on until what was sent after it had settled is settled too. A plain service cannot stand still in the matrix, so those cells are n/a and were wrongly shown as proved.

--- a/standins/fault_matrix.py
+++ b/standins/fault_matrix.py
@@ -104,6 +104,8 @@
         self._send_background()
         self.world.run_while(lambda: not self._settled(), LIMIT_S)
         self.world.run_until(self.world.now + SETTLE_S)
+        # A fault may have sent the request again after it had settled.
+        self.world.run_while(lambda: not self._settled(), LIMIT_S)
 
     def resend(self, entry):
         """Send the request again through another entry."""
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -21,6 +21,7 @@
     name: str
     inject: typing.Callable
     allowed: frozenset
+    kinds: tuple[str, ...] = ('order', 'draft')
 
 
 def kill_entry(trial):
@@ -160,7 +161,7 @@
     Fault('kill endpoint', kill_endpoint, COMPLETED_OR_UNKNOWN),
     Fault('freeze entry, send again', freeze_entry, COMPLETED),
     Fault('freeze sidecar', freeze_sidecar, COMPLETED),
-    Fault('freeze endpoint', freeze_endpoint, COMPLETED),
+    Fault('freeze endpoint', freeze_endpoint, COMPLETED, ('draft',)),
     Fault('stop entry', stop_entry, COMPLETED),
     Fault('stop sidecar', stop_sidecar, COMPLETED),
     Fault('endpoint leaves', leave_endpoint, COMPLETED),
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -48,6 +48,7 @@
             fault_matrix.KINDS,
         )
         if fault_matrix.applies(fault_matrix.STEPS[step], kind)
+        and kind in matrix_faults.FAULTS[fault].kinds
         for seed in seeds
     ]
 
@@ -66,6 +67,7 @@
             steps, list(pairs), fault_matrix.KINDS
         )
         if fault_matrix.applies(fault_matrix.STEPS[step], kind)
+        and all(kind in matrix_faults.FAULTS[one].kinds for one in pair)
         for seed in seeds
     ]
 
@@ -96,7 +98,11 @@
         ' shows the number of trials that held all eight promises, over'
         ' orders (non-idempotent, with a claim) and drafts (streamed), as'
         ' counted by the stand-ins; `-` marks a step that this kind of'
-        ' request does not have. *R* is a trial that broke a promise.',
+        ' request does not have, `n/a` what the stand-in of a plain service'
+        ' cannot do: it has no way to stand still. *R* is a trial that broke'
+        ' a promise. A lease that lapses while its holder is paused is in no'
+        ' row: requests hold no lease, their claim rows take its place, and'
+        ' *freeze entry, send again* pauses the holder of one.',
         '',
     ]
     for kind in fault_matrix.KINDS:
@@ -126,12 +132,19 @@
         '|---' * (len(steps) + 1) + '|',
     ]
     for fault in matrix_faults.FAULTS:
-        shown = [_format_cell(cells[(fault.name, name)]) for name in steps]
+        shown = [
+            _format_cell(cells[(fault.name, step.name)])
+            if fault_matrix.applies(step, kind)
+            else '-'
+            for step in fault_matrix.STEPS
+        ]
         lines.append(f'| {fault.name} | {" | ".join(shown)} |')
     return [*lines, '']
 
 
 def _format_cell(results):
+    if not results:
+        return 'n/a'
     if not any(result.reached for result in results):
         return '-'
     broken = sum(bool(result.problems) for result in results)
