Take out what nothing uses any more

Cause: reading the whole change again found a method of the dispatcher and a field of the claim that no code reads, and a check in the quarantine that only renamed its neighbour.

Change: removed; the quarantine calls the one check.

Conclusion: no change of behaviour.

--- a/persimmonroute/entry/claims.py
+++ b/persimmonroute/entry/claims.py
@@ -48,7 +48,6 @@
         self.sidecar = record.sidecar
         self.incarnation = record.incarnation
         self.version = 0
-        self.state = CLAIMED
         self.confirmed = False
         self.in_flight = False
         # Set once the request may never start again.
--- a/persimmonroute/entry/dispatch.py
+++ b/persimmonroute/entry/dispatch.py
@@ -177,11 +177,6 @@
         self._board.send(record, withdraw=pb.Withdraw())
         self._ender.reject(record, error)
 
-    def end_unknown(self, record, problem):
-        """End a request whose earlier attempt may have run."""
-        self._board.send(record, withdraw=pb.Withdraw())
-        self._ender.unknown(record, problem)
-
     def _on_accepted(self, record, accepted, now):
         if record.state == 'offered':
             advance(record, 'accept')
--- a/persimmonroute/sidecar/quarantine.py
+++ b/persimmonroute/sidecar/quarantine.py
@@ -29,7 +29,7 @@
         fingerprints = {item.offer.fingerprint for item in items}
         alone = len(items) == 1
         for fingerprint in sorted(fingerprints):
-            if alone and self._is_suspect(items[0]):
+            if alone and self.must_run_alone(items[0]):
                 board.refused_fingerprints[fingerprint] = now + REFUSAL_S
                 board.suspects.pop(fingerprint, None)
                 board.log(Event.REQUEST_QUARANTINED, fingerprint=fingerprint)
@@ -47,6 +47,3 @@
         for table in (board.suspects, board.refused_fingerprints):
             for fingerprint in [f for f, end in table.items() if end < now]:
                 del table[fingerprint]
-
-    def _is_suspect(self, item):
-        return self.must_run_alone(item)
