--- a/persimmonroute/config/settings.py
+++ b/persimmonroute/config/settings.py
@@ -96,6 +96,15 @@
     'retry_window_s': options.Number(
         0.1, 3600, 'Window of the retry limits, in seconds.', default=10
     ),
+    'quota_window_s': options.Number(
+        0.1, 3600, 'Window in which quotas are judged.', default=8
+    ),
+    'quota_overrun': options.Number(
+        0, 1, 'Share by which a quota may be exceeded.', default=0
+    ),
+    'quota_slack': options.Number(
+        0, 1e9, 'Units by which a quota may be exceeded.', default=0
+    ),
 }
 TLS_OPTIONS = ('tls_certificate', 'tls_key', 'tls_authority', 'deployment')
 ROLE_OPTIONS = {
@@ -140,6 +149,9 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    quota_window_s: float
+    quota_overrun: float
+    quota_slack: float
 
 
 def check_settings(document):
--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -25,6 +25,7 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    quotas: quotas.Tolerance
 
 
 class GatewayBoard:
@@ -38,7 +39,7 @@
         self.configuration_belief = beliefs.DatedBelief()
         self.book = runners.RunnerBook()
         self.peers = peers.PeerBook(name)
-        self.quotas = quotas.QuotaKeeper()
+        self.quotas = quotas.QuotaKeeper(bounds.quotas)
         self.retries = retry_budget.RetryBudget(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
         )
--- a/persimmonroute/gateway/quotas.py
+++ b/persimmonroute/gateway/quotas.py
@@ -2,17 +2,43 @@
 
 from __future__ import annotations
 
+import typing
+
+# Share of the allowed excess that is used; the rest covers what peers
+# admit before their reports arrive, and restarts.
+EXCESS_SHARE = 0.7
+# Share of a full bucket that a gateway starts with, as it may follow one
+# that has just used its share.
+START_SHARE = 0.4
+
+
+class Tolerance(typing.NamedTuple):
+    """Hold by how much the use in a window may exceed the quota."""
+
+    window_s: float = 8.0
+    overrun: float = 0.0
+    slack: float = 0.0
+
 
 class Bucket:
     """Hold the units that a workspace may still use."""
 
-    def __init__(self, quota, now):
+    def __init__(self, quota, tolerance, now):
+        self._tolerance = tolerance
         self.quota = quota
-        self.level = quota.burst
+        self.level = START_SHARE * self.capacity
         self.updated_at = now
         # Units used through this gateway since it started.
         self.used = 0.0
 
+    @property
+    def capacity(self):
+        """Return the units that a full bucket holds."""
+        quota, allowed = self.quota, self._tolerance
+        regular = quota.per_s * allowed.window_s + quota.burst
+        excess = allowed.overrun * regular + allowed.slack
+        return quota.burst + EXCESS_SHARE * excess
+
 
 class QuotaKeeper:
     """Keep a bucket for each workspace, fed by all gateways' use.
@@ -23,7 +49,8 @@
     partition.
     """
 
-    def __init__(self):
+    def __init__(self, tolerance=Tolerance()):
+        self._tolerance = tolerance
         self._buckets = {}
         self._peer_used = {}
         self._heard_share = 1.0
@@ -41,11 +68,11 @@
                 continue
             bucket = self._buckets.get(workspace.name)
             if bucket is None:
-                bucket = Bucket(quota, now)
+                bucket = Bucket(quota, self._tolerance, now)
             elif bucket.quota != quota:
                 self._refill(bucket, now)
-                bucket.level = min(bucket.level, quota.burst)
                 bucket.quota = quota
+                bucket.level = min(bucket.level, bucket.capacity)
             buckets[workspace.name] = bucket
         self._buckets = buckets
 
@@ -62,8 +89,8 @@
             return 0.0
         self._refill(bucket, now)
         units = self.units(workspace, request)
-        # A request over the burst passes once the bucket is full.
-        wanted = min(units, bucket.quota.burst * self._heard_share)
+        # A request over the capacity passes once the bucket is full.
+        wanted = min(units, bucket.capacity * self._heard_share)
         if bucket.level < wanted:
             rate = max(bucket.quota.per_s * self._heard_share, 1.0)
             return (wanted - bucket.level) / rate
@@ -88,8 +115,15 @@
         }
 
     def hear_used(self, peer, used, now):
-        """Deduct what a peer has used since its last report."""
-        known = self._peer_used.setdefault(peer, {})
+        """Deduct what a peer has used since its last report.
+
+        What it had used before its first report is not known to be
+        recent, and does not count.
+        """
+        known = self._peer_used.get(peer)
+        if known is None:
+            self._peer_used[peer] = dict(used)
+            return
         for name, units in used.items():
             bucket = self._buckets.get(name)
             if bucket is not None:
@@ -105,5 +139,5 @@
         quota = bucket.quota
         share = self._heard_share
         gained = (now - bucket.updated_at) * quota.per_s * share
-        bucket.level = min(bucket.level + gained, quota.burst * share)
+        bucket.level = min(bucket.level + gained, bucket.capacity * share)
         bucket.updated_at = now
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -9,6 +9,7 @@
 from persimmonroute.gateway import forwarding
 from persimmonroute.gateway import peer_link
 from persimmonroute.gateway import placement
+from persimmonroute.gateway import quotas
 from persimmonroute.gateway import scheduler as schedulers
 from persimmonroute.gateway import server
 from persimmonroute.gateway import shell as shells
@@ -32,6 +33,11 @@
         retry_ratio=settings.retry_ratio,
         retry_slack=settings.retry_slack,
         retry_window_s=settings.retry_window_s,
+        quotas=quotas.Tolerance(
+            settings.quota_window_s,
+            settings.quota_overrun,
+            settings.quota_slack,
+        ),
     )
     return boards.GatewayBoard(settings.instance, bounds)
 
