Speak the published store protocol and shed lower tiers first

Cause: claims and configuration used a table protocol of our own making beside the platform's, so there were two clients. A random-load test showed a higher tier shed while a lower one waited on. A watch's answer was dated by its question, so a configuration looked up to two waits old, gateways called themselves unready (duties missed), and a full line held low tiers until near their deadline.

Ruled out: a shorter wait of the watch (more store calls for the same age).

Answers of the store are dated by its steady clock, bounded by when it was asked. A tier is shed only with all lower ones that wait; a wait counts what higher tiers are forecast to take; patience counts the time left.

Tests: the mutant that drops compare-and-set now patches Tables._match, the same check under its new name; two tests that polled the old list of instances poll the published one.

--- a/persimmonroute/composition.py
+++ b/persimmonroute/composition.py
@@ -12,7 +12,6 @@
 from persimmonroute.entry import shell as entry_shells
 from persimmonroute import operators
 from persimmonroute.platform import client
-from persimmonroute.platform import grouping
 from persimmonroute.sidecar import admission
 from persimmonroute.sidecar import board as sidecar_boards
 from persimmonroute.sidecar import core as sidecar_cores
@@ -20,6 +19,7 @@
 from persimmonroute.sidecar import limits
 from persimmonroute.sidecar import shell as sidecar_shells
 from persimmonroute import tls
+from persimmonroute import write_grouping
 
 ENDPOINT_CLIENTS = {
     'model': endpoints.ModelEngineClient,
@@ -64,7 +64,7 @@
         operator_key=settings.operator_key,
     )
     platform = client.HttpPlatform(settings.platform)
-    grouper = grouping.WriteGrouper(platform)
+    grouper = write_grouping.WriteGrouper(platform)
     tls_settings = tls.find_tls_settings(settings)
     shell = entry_shells.EntryShell(core, platform, grouper, tls_settings)
     app = http_api.HttpApi(shell).build_app()
--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -72,6 +72,9 @@
     LIST_UNAVAILABLE = EventKind(
         602, 'WARNING', 'list of instances gave no usable answer'
     )
+    STORE_CALL_FAILED = EventKind(
+        603, 'WARNING', 'call to the table service failed'
+    )
     GATEWAY_SENT = EventKind(700, 'INFO', 'request sent to an endpoint')
     GATEWAY_ANSWERED = EventKind(701, 'INFO', 'answer passed on whole')
     GATEWAY_ATTEMPT_FAILED = EventKind(
--- a/persimmonroute/gateway/beliefs.py
+++ b/persimmonroute/gateway/beliefs.py
@@ -8,8 +8,9 @@
 class DatedBelief:
     """Remember when a belief was last known to hold.
 
-    Each confirmation is dated by the time at which the question was sent,
-    so that a slow answer never makes a belief look younger than it is.
+    Each confirmation is dated by the earliest time at which the answer can
+    have been given, so that a slow one never makes a belief look younger
+    than it is.
     """
 
     def __init__(self):
--- a/persimmonroute/gateway/following.py
+++ b/persimmonroute/gateway/following.py
@@ -30,6 +30,8 @@
     removed: tuple[str, ...]
     # Set when all rows of the table were read.
     complete: bool
+    # Earliest time at which the store can have given the answer.
+    answered_at: float
 
 
 class Source(abc.ABC):
@@ -64,7 +66,6 @@
         """Follow the table until cancelled."""
         fresh = False
         while True:
-            sent_at = clock.now_s()
             try:
                 if fresh:
                     changes = await self._source.watch()
@@ -81,7 +82,7 @@
                 self._pause_s = min(self._pause_s * 2, LONGEST_PAUSE_S)
                 continue
             self._note_up()
-            self._apply(changes, sent_at)
+            self._apply(changes)
 
     def _note_down(self, error):
         if self._up:
@@ -99,20 +100,20 @@
             self._recovering_until = clock.now_s() + RECOVERY_S
             log.emit(Event.PLATFORM_AVAILABLE, table=self._source.name)
 
-    def _apply(self, changes, sent_at):
+    def _apply(self, changes):
         now = clock.now_s()
-        self._apply_changes(changes, sent_at, now)
+        self._apply_changes(changes, now)
         if changes.configuration or changes.runners or changes.removed:
             self._on_change(now)
 
-    def _apply_changes(self, changes, sent_at, now):
+    def _apply_changes(self, changes, now):
         raise NotImplementedError
 
 
 class ConfigurationFollower(Follower):
     """Keep the configuration in force."""
 
-    def _apply_changes(self, changes, sent_at, now):
+    def _apply_changes(self, changes, now):
         configuration = changes.configuration
         if configuration is not None:
             if self._board.adopt_configuration(configuration, now):
@@ -120,7 +121,7 @@
                     Event.CONFIGURATION_IN_FORCE, version=configuration.version
                 )
         if self._board.version:
-            self._board.configuration_belief.confirm(sent_at)
+            self._board.configuration_belief.confirm(changes.answered_at)
 
 
 class RunnerFollower(Follower):
@@ -130,7 +131,7 @@
         super().__init__(board, source, on_change)
         self._on_gone = on_gone
 
-    def _apply_changes(self, changes, sent_at, now):
+    def _apply_changes(self, changes, now):
         removed = set(changes.removed)
         if changes.complete:
             listed = {record.id for record in changes.runners}
--- a/persimmonroute/gateway/quotas.py
+++ b/persimmonroute/gateway/quotas.py
@@ -6,7 +6,7 @@
 
 # Share of the allowed excess that is used; the rest covers what peers
 # admit before their reports arrive, and restarts.
-EXCESS_SHARE = 0.7
+EXCESS_SHARE = 0.85
 # Share of a full bucket that a gateway starts with, as it may follow one
 # that has just used its share.
 START_SHARE = 0.4
--- a/persimmonroute/gateway/scheduler.py
+++ b/persimmonroute/gateway/scheduler.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import itertools
+import math
 
 from persimmonroute import blackboard
+from persimmonroute.gateway import forecast
 from persimmonroute.gateway import messages
 from persimmonroute.gateway import model
 from persimmonroute.gateway.model import Ending
@@ -28,6 +30,7 @@
 # Clients come back within this share of the time they have left.
 RETURN_SHARE = 1 / 3
 LEAST_RETRY_AFTER_S = 0.05
+OVERLOADED = 'overloaded'
 
 
 class Scheduler(blackboard.Blackboard):
@@ -39,6 +42,7 @@
         self._placement = placement
         self._peers = peers
         self._lines = {}
+        self._forecast = forecast.ArrivalForecast()
         self._sequence = itertools.count()
         self._slots = {}
 
@@ -60,6 +64,10 @@
         """Return the number of requests that wait for a service."""
         return len(self._lines.get(service, ()))
 
+    def waiting_tickets(self, service):
+        """Return the requests that wait for a service."""
+        return list(self._lines.get(service, ()))
+
     def waiting_work(self, now):
         """Return seconds of waiting work by service and rank."""
         work = {}
@@ -87,6 +95,9 @@
         ticket.sequence = next(self._sequence)
         ticket.queued_at = now
         self._line(ticket.service)[ticket] = None
+        # Peers see about as many arrivals as this gateway does.
+        work = self._hold_s(ticket) * self._peers.count(now)
+        self._forecast.note(ticket.service, ticket.tier, work, now)
         self.pump(ticket.service, now)
 
     def withdraw(self, ticket):
@@ -152,21 +163,36 @@
         self.put(messages.Granted(ticket, view))
 
     def _shed(self, service, ranked, now):
+        """Reject what cannot be served, and then all lower tiers.
+
+        A lower tier only gets what a higher one leaves, so it has no
+        hope either once a higher one is given up for overload.
+        """
         line = self._line(service)
         if not line:
             return
         slots = self._total_slots(service, now)
         ahead = 0.0
+        shed_tier = math.inf
         for rank, _, _, ticket in ranked:
             if ticket not in line:
                 continue
             hold = self._hold_s(ticket)
             peer = self._peers.work_ahead(service, rank, now)
-            wait = (ahead + peer + hold) / slots if slots else None
+            wait = None
+            if slots:
+                share = self._forecast.free_share(
+                    service, ticket.tier, slots, now
+                )
+                wait = (ahead + peer + hold) / (slots * share)
             reason = self._find_reason(ticket, wait, now)
+            if ticket.tier > shed_tier:
+                reason = reason or OVERLOADED
             if reason is None:
                 ahead += hold
                 continue
+            if reason == OVERLOADED:
+                shed_tier = min(shed_tier, ticket.tier)
             del line[ticket]
             rejection = reject(ticket, wait, reason, now)
             self.put(messages.Rejected(ticket, rejection))
@@ -179,10 +205,8 @@
             if now - ticket.queued_at > self._no_runner_patience_s(ticket):
                 return 'no usable endpoint'
             return None
-        waited = now - ticket.queued_at
-        total = ticket.deadline_at - ticket.queued_at
-        if waited + wait > PATIENCE_SHARE * total:
-            return 'overloaded'
+        if wait > PATIENCE_SHARE * left:
+            return OVERLOADED
         return None
 
     def _no_runner_patience_s(self, ticket):
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -18,9 +18,9 @@
 from persimmonroute.platform import sources
 from persimmonroute.platform import tables
 
-# Share of the revocation bound that a watch for changes may wait; its
-# answer confirms the configuration as of its sending.
-CONFIGURATION_WAIT_SHARE = 0.3
+# Share of the revocation bound that a watch for changes may wait; the
+# configuration grows so old between two confirmations.
+CONFIGURATION_WAIT_SHARE = 0.4
 RUNNER_WAIT_S = 4.0
 
 
--- a/persimmonroute/platform/client.py
+++ b/persimmonroute/platform/client.py
@@ -1,23 +1,22 @@
-"""Call the platform's table service and instance list over HTTP."""
+"""Keep the product's rows in the platform's table service."""
 
 from __future__ import annotations
 
 import abc
 import json
 
-import aiosonic
 from aiosonic import exceptions as http_exceptions
-from aiosonic import timeout as http_timeout
 
+from persimmonroute.events import Event
 from persimmonroute import exceptions
+from persimmonroute import logs
+from persimmonroute.platform import tables
 from persimmonroute import store
 from persimmonroute.store import StoreStatus
 
-CONNECT_TIMEOUT_S = 1.0
-REQUEST_TIMEOUT_S = 2.0
-STATUS_OK = 200
-STATUS_NOT_FOUND = 404
-STATUS_CONFLICT = 409
+log = logs.EventLog(__name__)
+
+# What aiosonic raises when a call to one of our own processes fails.
 HTTP_ERRORS = (
     OSError,
     ValueError,
@@ -26,6 +25,10 @@
     http_exceptions.HttpParsingError,
     http_exceptions.ConnectionDisconnected,
 )
+# Table of the instances that run sidecars and entries.
+INSTANCE_TABLE = 'instances'
+# First character behind every key that starts with a prefix.
+AFTER_PREFIX = '\U0010ffff'
 
 
 class TableService(abc.ABC):
@@ -48,74 +51,74 @@
     """Reach the platform at one address."""
 
     def __init__(self, address):
-        self._base = f'http://{address}/v1'
-        self._client = aiosonic.HTTPClient()
-        self._timeouts = http_timeout.Timeouts(
-            sock_connect=CONNECT_TIMEOUT_S,
-            sock_read=REQUEST_TIMEOUT_S,
-            request_timeout=REQUEST_TIMEOUT_S,
-        )
+        self._tables = tables.TableClient(address)
 
     async def transact(self, writes):
         """Write rows in one transaction."""
-        body = {'writes': [write._asdict() for write in writes]}
+        rows = [
+            tables.RowWrite(
+                write.table,
+                '',
+                write.key,
+                json.dumps(write.value).encode(),
+                write.expected_version,
+            )
+            for write in writes
+        ]
         try:
-            status, answer = await self._call('POST', '/transact', body)
-        except exceptions.PlatformUnavailableError:
-            return store.StoreReply(StoreStatus.FAILED)
-        if status == STATUS_CONFLICT:
-            return store.StoreReply(StoreStatus.CONFLICT, _rows(answer))
-        return store.StoreReply(StoreStatus.COMMITTED, _rows(answer))
+            committed, answer = await self._tables.transact(rows)
+        except exceptions.PlatformUnavailableError as error:
+            return _failed(error)
+        if committed:
+            present = tuple(store.Row(w.key, w.value, answer) for w in writes)
+            return store.StoreReply(StoreStatus.COMMITTED, present)
+        return store.StoreReply(
+            StoreStatus.CONFLICT, _find_conflicts(writes, answer)
+        )
 
     async def read(self, table, key):
-        """Read one row; version 0 stands for no row."""
-        return await self._find(f'/tables/{table}/rows?key={key}')
+        """Read one row; none is found for a key that does not exist."""
+        return await self._find(table, key, key + '\x00')
 
     async def scan(self, table, prefix):
         """Read the rows whose keys have a prefix, in order of keys."""
-        return await self._find(f'/tables/{table}/rows?prefix={prefix}')
+        return await self._find(table, prefix, prefix + AFTER_PREFIX)
 
     async def list_instances(self):
         """Return the platform's list of instances as JSON objects."""
-        _, answer = await self._call('GET', '/instances')
-        return answer['instances']
+        page = await self._tables.read(INSTANCE_TABLE)
+        return [json.loads(row.value) for row in page.rows]
 
     async def close(self):
         """Close all connections."""
-        await self._client.aclose()
+        self._tables.close()
 
-    async def _find(self, path):
-        try:
-            _, answer = await self._call('GET', path)
-        except exceptions.PlatformUnavailableError:
-            return store.StoreReply(StoreStatus.FAILED)
-        return store.StoreReply(StoreStatus.FOUND, _rows(answer))
-
-    async def _call(self, method, path, body=None):
-        data = None if body is None else json.dumps(body).encode()
-        headers = {'Content-Type': 'application/json'}
+    async def _find(self, table, start, end):
         try:
-            response = await self._client.request(
-                self._base + path,
-                method=method,
-                headers=headers,
-                data=data,
-                timeouts=self._timeouts,
-            )
-            answer = json.loads(await response.content())
-        except HTTP_ERRORS as error:
-            raise exceptions.PlatformUnavailableError(
-                f'{method} {path} failed: {error!r}'
-            ) from error
-        if response.status_code not in (STATUS_OK, STATUS_CONFLICT):
-            raise exceptions.PlatformUnavailableError(
-                f'{method} {path} gave status {response.status_code}'
-            )
-        return response.status_code, answer
+            page = await self._tables.read(table, start=start, end=end)
+        except exceptions.PlatformUnavailableError as error:
+            return _failed(error)
+        return store.StoreReply(
+            StoreStatus.FOUND, tuple(_row(row) for row in page.rows)
+        )
+
+
+def _failed(error):
+    log.emit(Event.STORE_CALL_FAILED, problem=error.problem)
+    return store.StoreReply(StoreStatus.FAILED)
+
+
+def _find_conflicts(writes, rows):
+    """Return the present rows of the writes that did not match."""
+    present = {(row.table, row.key): _row(row) for row in rows}
+    found = []
+    for write in writes:
+        row = present.get((write.table, write.key))
+        row = row or store.Row(write.key, None, 0)
+        if row.version != write.expected_version:
+            found.append(row)
+    return tuple(found)
 
 
-def _rows(answer):
-    return tuple(
-        store.Row(row['key'], row['value'], row['version'])
-        for row in answer['rows']
-    )
+def _row(row):
+    return store.Row(row.key, json.loads(row.value), row.version)
--- a/persimmonroute/platform/sources.py
+++ b/persimmonroute/platform/sources.py
@@ -29,15 +29,15 @@
         """Read the whole table."""
         page = await self._tables.read(self.name)
         self._version = page.version
-        return self._decode(page.rows, True)
+        return self._decode(page, True)
 
     async def watch(self):
         """Wait for changes."""
         page = await self._tables.watch(self.name, self._version, self._wait_s)
         self._version = max(self._version, page.version)
-        return self._decode(page.rows, False)
+        return self._decode(page, False)
 
-    def _decode(self, rows, complete):
+    def _decode(self, page, complete):
         raise NotImplementedError
 
 
@@ -47,16 +47,16 @@
     def __init__(self, tables, wait_s):
         super().__init__(tables, documents.CONFIGURATION_TABLE, wait_s)
 
-    def _decode(self, rows, complete):
+    def _decode(self, page, complete):
         found = None
-        for row in rows:
+        for row in page.rows:
             if row.key != documents.CONFIGURATION_KEY or row.value is None:
                 continue
             try:
                 found = documents.read_configuration(row.value)
             except exceptions.DocumentError as error:
                 log.emit(Event.DOCUMENT_UNREADABLE, problem=error.problem)
-        return following.Changes(found, (), (), complete)
+        return following.Changes(found, (), (), complete, page.answered_at)
 
 
 class RunnerSource(TableSource):
@@ -65,9 +65,9 @@
     def __init__(self, tables, wait_s):
         super().__init__(tables, documents.RUNNER_TABLE, wait_s)
 
-    def _decode(self, rows, complete):
+    def _decode(self, page, complete):
         runners, removed = {}, set()
-        for row in rows:
+        for row in page.rows:
             runners.pop(row.key, None)
             removed.discard(row.key)
             if row.value is None:
@@ -80,7 +80,11 @@
                 removed.add(row.key)
                 log.emit(Event.DOCUMENT_UNREADABLE, problem=error.problem)
         return following.Changes(
-            None, tuple(runners.values()), tuple(removed), complete
+            None,
+            tuple(runners.values()),
+            tuple(removed),
+            complete,
+            page.answered_at,
         )
 
 
--- a/persimmonroute/platform/tables.py
+++ b/persimmonroute/platform/tables.py
@@ -8,6 +8,7 @@
 import urllib.parse
 
 
+from persimmonroute import clock
 from persimmonroute import exceptions
 from persimmonroute.platform import connection
 
@@ -36,6 +37,31 @@
 
     rows: tuple[TableRow, ...]
     version: int
+    # Earliest time by the own clock at which the store can have given
+    # the answer, in seconds.
+    answered_at: float
+
+
+class StoreClock:
+    """Tell when the store gave an answer, by the own steady clock.
+
+    Each answer bears the time of the store's steady clock. The store can
+    not have answered before it was asked, so the latest moment of asking
+    against the store's clock bounds the difference of the clocks.
+    """
+
+    def __init__(self):
+        self._least_offset_s = None
+
+    def date(self, store_s, asked_at, received_at):
+        """Return the earliest own time at which an answer was given."""
+        offset = asked_at - store_s
+        known = self._least_offset_s
+        if known is None or store_s + known > received_at:
+            # Before the first answer, or the store's clock began anew.
+            known = offset
+        self._least_offset_s = max(known, offset)
+        return store_s + self._least_offset_s
 
 
 class RowWrite(typing.NamedTuple):
@@ -56,6 +82,7 @@
 
     def __init__(self, address):
         self._address = address
+        self._clock = StoreClock()
         self._idle = []
 
     async def read(self, table, part='', start=None, end=None):
@@ -64,22 +91,22 @@
         The version is that of the first answer, so that a watch from
         there misses no change.
         """
-        rows, version, more = [], None, True
+        rows, first, more = [], None, True
         while more:
             query = {'Table': table, 'part': part}
             if start is not None:
                 query['From'] = start
             if end is not None:
                 query['To'] = end
+            asked_at = clock.now_s()
             _, answer = await self._call('GET', '/rows-get', query)
-            page = _rows(answer)
-            rows += page
-            if version is None:
-                version = answer['ObjectVersion']
-            more = bool(answer.get('HasMore')) and bool(page)
+            page = self._read_page(answer, asked_at)
+            rows += page.rows
+            first = first or page
+            more = bool(answer.get('HasMore')) and bool(page.rows)
             if more:
-                start = page[-1].key + '\x00'
-        return Page(tuple(rows), version)
+                start = page.rows[-1].key + '\x00'
+        return first._replace(rows=tuple(rows))
 
     async def watch(self, table, after, wait_s):
         """Return a Page with the changes of a table behind a version.
@@ -91,6 +118,7 @@
             'After': after,
             'WaitMs': int(wait_s * 1000),
         }
+        asked_at = clock.now_s()
         status, answer = await self._call(
             'GET',
             '/rows-feed',
@@ -102,7 +130,7 @@
             raise exceptions.HistoryLostError(
                 f'changes of {table!r} behind {after} are gone'
             )
-        return Page(_rows(answer), answer['ObjectVersion'])
+        return self._read_page(answer, asked_at)
 
     async def transact(self, writes):
         """Write rows all or none; return (committed, conflicting rows)."""
@@ -138,6 +166,17 @@
             conn.close()
         self._idle.clear()
 
+    def _read_page(self, answer, asked_at):
+        try:
+            answered_at = self._clock.date(
+                answer['NowMs'] / 1000, asked_at, clock.now_s()
+            )
+            return Page(_rows(answer), answer['ObjectVersion'], answered_at)
+        except (KeyError, TypeError) as error:
+            raise exceptions.PlatformUnavailableError(
+                f'an answer of the store lacks a field: {error!r}'
+            ) from error
+
     async def _call(
         self,
         method,
--- a/persimmonroute/tests/faults/mutants_tests.py
+++ b/persimmonroute/tests/faults/mutants_tests.py
@@ -57,7 +57,7 @@
 
     def test_version_not_compared(self):
         """Without compare-and-set an order that is sent again runs twice."""
-        with mock.patch.object(tables.Tables, '_matches', lambda *_: True):
+        with mock.patch.object(tables.Tables, '_match', lambda *_: True):
             self._assert_breaks('5', 'claimed', 'sent again', 'order')
 
     def test_incarnation_not_compared(self):
--- /dev/null
+++ b/persimmonroute/tests/gateway/scheduler_tests.py
@@ -0,0 +1,186 @@
+"""Test which request goes next, and which is rejected."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from persimmonroute.gateway import messages
+from persimmonroute.gateway.model import Ending
+from persimmonroute.gateway import peers
+from standins import gateway_world as world
+
+
+class SchedulerTests(unittest.TestCase):
+    """Bring requests and time to a scheduler."""
+
+    def setUp(self):
+        """Know one endpoint with two slots."""
+        self.board = world.board()
+        self.scheduler = world.scheduler(self.board)
+
+    def _submit(self, now=0.0, **fields):
+        made = world.ticket(now, **fields)
+        self.scheduler.submit(made, now)
+        return made
+
+    def _granted(self):
+        effects = self.scheduler.take_effects()
+        return [e.ticket for e in effects if isinstance(e, messages.Granted)]
+
+    def _rejected(self):
+        effects = self.scheduler.take_effects()
+        return [e for e in effects if isinstance(e, messages.Rejected)]
+
+    def test_fills_slots_and_keeps_the_rest(self):
+        """No endpoint gets more requests than it has slots."""
+        tickets = [self._submit() for _ in range(4)]
+        self.assertEqual(self._granted(), tickets[:2])
+        self.assertEqual(self.scheduler.waiting(world.SERVICE), 2)
+
+    def test_higher_tier_goes_first(self):
+        """Room that comes free goes to the highest tier."""
+        busy = [self._submit() for _ in range(2)]
+        low = self._submit(route_made=world.route('low', tier=2))
+        high = self._submit(route_made=world.route('high', tier=0))
+        self._granted()
+        self.scheduler.release(busy[0], Ending.ANSWERED, 0.1)
+        self.assertEqual(self._granted(), [high])
+        self.scheduler.release(busy[1], Ending.ANSWERED, 0.2)
+        self.assertEqual(self._granted(), [low])
+
+    def test_workspace_tier_goes_before_route_tier(self):
+        """A workspace's tier decides before that of the route."""
+        busy = [self._submit() for _ in range(2)]
+        plain = self._submit(
+            route_made=world.route('high', tier=0),
+            workspace_made=world.workspace(tier=2),
+        )
+        favoured = self._submit(
+            route_made=world.route('low', tier=3),
+            workspace_made=world.workspace(tier=1),
+        )
+        self._granted()
+        self.scheduler.release(busy[0], Ending.ANSWERED, 0.1)
+        self.assertEqual(self._granted(), [favoured])
+        self.assertLess(favoured.tier, plain.tier)
+
+    def test_on_time_goes_before_late_within_a_tier(self):
+        """A request that is late anyway waits for one that is not."""
+        busy = [self._submit() for _ in range(2)]
+        late = self._submit(0.0)
+        fresh = self._submit(0.6)
+        self._granted()
+        self.scheduler.release(busy[0], Ending.ABANDONED, 0.7)
+        self.assertEqual(self._granted(), [fresh])
+        self.scheduler.release(busy[1], Ending.ABANDONED, 0.7)
+        self.assertEqual(self._granted(), [late])
+
+    def test_late_high_tier_stays_before_low_tier(self):
+        """Being late does not put a request behind a lower tier."""
+        busy = [self._submit() for _ in range(2)]
+        late = self._submit(0.0, route_made=world.route('high', tier=0))
+        self._submit(0.9, route_made=world.route('low', tier=2))
+        self._granted()
+        self.scheduler.release(busy[0], Ending.ANSWERED, 1.0)
+        self.assertEqual(self._granted(), [late])
+
+    def test_overload_rejects_at_once_with_return_time(self):
+        """Who cannot be served in time hears so at arrival."""
+        self.board.book.hold_s['draft'] = 1.0
+        for _ in range(2 + 4):
+            self._submit()
+        self.scheduler.take_effects()
+        refused = self._submit()
+        found = self._rejected()
+        self.assertEqual([e.ticket for e in found], [refused])
+        self.assertEqual(found[0].rejection.status, 503)
+        self.assertGreater(found[0].rejection.retry_after_s, 0)
+        self.assertLessEqual(found[0].rejection.retry_after_s, 4.0 / 3)
+
+    def test_lower_tier_is_rejected_for_a_higher_one(self):
+        """Under overload the lowest tier that waits is given up first."""
+        self.board.book.hold_s['draft'] = 1.0
+        self.board.book.hold_s['low'] = 1.0
+        low = world.route('low', tier=2)
+        waiting = [self._submit(route_made=low) for _ in range(6)][2:]
+        self.scheduler.take_effects()
+        for _ in range(4):
+            self._submit()
+        rejected = [e.ticket for e in self._rejected()]
+        self.assertTrue(rejected)
+        self.assertLessEqual(set(rejected), set(waiting))
+
+    def test_higher_tier_is_never_shed_before_a_lower(self):
+        """Random loads never reject a tier while a lower one waits on."""
+        for seed in range(30):
+            with self.subTest(seed=seed):
+                self._play_overload(random.Random(seed))
+
+    def _play_overload(self, rng):
+        self.setUp()
+        routes = [world.route(f't{n}', tier=n) for n in range(3)]
+        now, running = 0.0, []
+        for _ in range(200):
+            now += rng.expovariate(20)
+            if running and rng.random() < 0.4:
+                ended = running.pop(rng.randrange(len(running)))
+                self.scheduler.release(ended, Ending.ANSWERED, now)
+            else:
+                self._submit(now, route_made=rng.choice(routes))
+            for effect in self.scheduler.take_effects():
+                if isinstance(effect, messages.Granted):
+                    running.append(effect.ticket)
+                    continue
+                waiting = self.scheduler.waiting_tickets(world.SERVICE)
+                lower = [t for t in waiting if t.tier > effect.ticket.tier]
+                self.assertEqual(lower, [])
+
+    def test_excluded_endpoint_is_not_used_again(self):
+        """A request does not return to the endpoint that failed it."""
+        made = world.ticket()
+        made.excluded.add('r1')
+        self.scheduler.submit(made, 0.0)
+        self.assertEqual(self._granted(), [])
+
+    def test_leaving_endpoint_gets_nothing(self):
+        """An endpoint that leaves gets no new work."""
+        self.board.book.apply(
+            [world.runner('r1', leaving=True)], (), False, 0.0
+        )
+        self._submit()
+        self.assertEqual(self._granted(), [])
+
+    def test_no_endpoint_rejects_after_patience(self):
+        """Without an endpoint a request is rejected, not held back."""
+        self.board.book.apply((), ('r1',), False, 0.0)
+        self._submit()
+        self.scheduler.pump(world.SERVICE, 0.3)
+        self.assertEqual(len(self._rejected()), 1)
+
+    def test_room_is_left_to_a_peer_of_higher_rank(self):
+        """Freed room goes to a peer's more urgent request first."""
+        busy = [self._submit() for _ in range(2)]
+        self._submit(route_made=world.route('low', tier=2))
+        self._granted()
+        self.board.peers.learn('gateway-2', '127.0.0.1:1', 0.0)
+        report = peers.PeerReport(
+            'gateway-2', 1, 1, {}, {(world.SERVICE, 0.0): 0.5}, {}, {}
+        )
+        self.board.hear_peer(report, 0.0)
+        self.scheduler.release(busy[0], Ending.ANSWERED, 0.1)
+        self.assertEqual(self._granted(), [])
+        self.scheduler.pump(world.SERVICE, 0.2)
+        self.assertEqual(len(self._granted()), 1)
+
+    def test_peers_work_counts_as_load(self):
+        """Slots that peers use are not given away again."""
+        self.board.peers.learn('gateway-2', '127.0.0.1:1', 0.0)
+        report = peers.PeerReport('gateway-2', 1, 1, {'r1': 2}, {}, {}, {})
+        self.board.hear_peer(report, 0.0)
+        self._submit()
+        self.assertEqual(self._granted(), [])
+        # From then on its report is too old to count.
+        self.board.refresh_peers(1.5)
+        self.scheduler.pump(world.SERVICE, 1.5)
+        self.assertEqual(len(self._granted()), 1)
--- a/persimmonroute/tests/processes/operators_tests.py
+++ b/persimmonroute/tests/processes/operators_tests.py
@@ -39,7 +39,7 @@
         )
         self.addAsyncCleanup(self.deployment.stop)
         self.deployment.start_all()
-        url = f'http://{self.deployment.platform}/v1/instances'
+        url = f'http://{self.deployment.platform}/rows-get?Table=instances'
 
         async def listed():
             return await self.deployment.get_json(url) is not None
--- /dev/null
+++ b/standins/gateway_world.py
@@ -0,0 +1,126 @@
+"""Build requests, routes and endpoints for tests of the gateway."""
+
+from __future__ import annotations
+
+import itertools
+
+from persimmonroute.gateway import board as boards
+from persimmonroute.gateway import messages
+from persimmonroute.gateway import model
+from persimmonroute.gateway import placement
+from persimmonroute.gateway import quotas
+from persimmonroute.gateway import scheduler as schedulers
+
+SERVICE = 'llm'
+HOST = 'api.example'
+KEY = 'key-1'
+REGIONS = {'riga-a': 'riga', 'riga-b': 'riga', 'frankfurt-a': 'frankfurt'}
+BOUNDS = boards.Bounds(
+    revocation_s=5.0,
+    configuration_s=2.5,
+    grace_s=8.0,
+    retry_ratio=0.2,
+    retry_slack=10.0,
+    retry_window_s=10.0,
+    quotas=quotas.Tolerance(),
+)
+_numbers = itertools.count()
+
+
+def route(name='draft', **changes):
+    """Return a route for streams of tier 1, with some fields changed."""
+    made = model.Route(
+        name=name,
+        host=HOST,
+        prefix=f'/{name}/',
+        destinations=(model.Destination(SERVICE, 1.0),),
+        streaming=True,
+        idempotent=False,
+        resumable=False,
+        timeout_s=4.0,
+        objective_s=0.5,
+        tier=1,
+        max_attempts=2,
+        public=False,
+    )
+    return made._replace(**changes)
+
+
+def workspace(name='desk', key=KEY, quota=None, tier=None):
+    """Return a workspace with one key."""
+    return model.Workspace(name, (key,), tier, quota)
+
+
+def configuration(routes=None, workspaces=None, version=1):
+    """Return a configuration of one service."""
+    return model.Configuration(
+        version=version,
+        routes=tuple(routes or (route(),)),
+        services=(model.Service(SERVICE, 100, 2, 1000, True),),
+        workspaces=tuple(workspaces or (workspace(),)),
+        limits=model.Limits(),
+    )
+
+
+def request(route_name='draft', **changes):
+    """Return a request with an attempt id of its own."""
+    made = model.Request(
+        attempt=f'attempt-{next(_numbers)}',
+        method='POST',
+        host=HOST,
+        path=f'/{route_name}/x',
+        target=f'/{route_name}/x',
+        headers=(),
+        body=b'body',
+        key=KEY,
+        remaining_s=4.0,
+        prompt_tokens=90,
+        output_tokens=10,
+        states_tokens=True,
+        prompt=(),
+        last_event_id=None,
+    )
+    return made._replace(**changes)
+
+
+def runner(name, **changes):
+    """Return an endpoint of two slots."""
+    made = model.Runner(
+        id=name,
+        born=1,
+        service=SERVICE,
+        address='127.0.0.1:9',
+        failure_domain='riga-a',
+        slots=2,
+        leaving=False,
+    )
+    return made._replace(**changes)
+
+
+def board(now=0.0, runners=('r1',), **configured):
+    """Return a board that knows a configuration and endpoints."""
+    made = boards.GatewayBoard('gateway-1', BOUNDS)
+    made.adopt_configuration(configuration(**configured), now)
+    made.configuration_belief.confirm(now)
+    records = [
+        r if isinstance(r, model.Runner) else runner(r) for r in runners
+    ]
+    made.book.apply(records, (), False, now)
+    return made
+
+
+def scheduler(made):
+    """Return a scheduler for a board."""
+    policy = placement.Placement('riga-a', 'riga', REGIONS)
+    return schedulers.Scheduler(made.book, policy, made.peers)
+
+
+def ticket(now=0.0, route_made=None, workspace_made=None, **changes):
+    """Return a ticket for a request."""
+    return messages.Ticket(
+        request(**changes),
+        route_made or route(),
+        SERVICE,
+        workspace_made,
+        now,
+    )
--- a/standins/tables.py
+++ b/standins/tables.py
@@ -8,52 +8,138 @@
 class StoredRow(typing.NamedTuple):
     """Hold the value and version of one row."""
 
-    value: dict
+    value: object
+    version: int
+
+
+class Change(typing.NamedTuple):
+    """Record that a row was written, or removed when its value is None."""
+
+    table: str
+    part: str
+    key: str
+    value: object
     version: int
 
 
 class Tables:
-    """Apply transactions of conditional writes."""
+    """Apply transactions of conditional writes.
+
+    All rows take their versions from one counter, which rises with each
+    transaction.
+    """
 
     def __init__(self):
-        self._rows: dict[tuple[str, str], StoredRow] = {}
+        self._rows: dict[tuple[str, str, str], StoredRow] = {}
+        self._history: list[Change] = []
+        self._history_start = 0
+        self.version = 0
         self.transactions = 0
         self.writes = 0
         self.reads = 0
 
-    def transact(self, writes):
-        """Return (committed, rows); conflicting rows when not committed."""
-        conflicts = [w for w in writes if not self._matches(w)]
-        if conflicts:
-            return False, [self._present(w.table, w.key) for w in conflicts]
+    def commit(self, expected, puts, removes=()):
+        """Return (committed, changes or present rows).
+
+        Expected rows are ((table, part, key), version), puts (name,
+        value); version 0 stands for a row that does not exist.
+        """
+        if not self._match(expected):
+            return False, [
+                self.find(name) for name, _ in expected if name in self._rows
+            ]
+        self.version += 1
         self.transactions += 1
-        self.writes += len(writes)
-        return True, [self._apply(w) for w in writes]
+        self.writes += len(puts) + len(removes)
+        changes = [Change(*name, value, self.version) for name, value in puts]
+        changes += [Change(*name, None, self.version) for name in removes]
+        for change in changes:
+            self._apply(change)
+        return True, changes
+
+    def find(self, name):
+        """Return a row as a Change; its value is None when there is none."""
+        row = self._rows.get(name, StoredRow(None, 0))
+        return Change(*name, row.value, row.version)
+
+    def list_rows(self, table, part, start='', end=None):
+        """Return the rows of a part in a range of keys, in order."""
+        self.reads += 1
+        return [
+            self.find(name)
+            for name in sorted(self._rows)
+            if name[:2] == (table, part)
+            and name[2] >= start
+            and (end is None or name[2] < end)
+        ]
+
+    def list_parts(self, table):
+        """Return the parts of a table, in order."""
+        return sorted({name[1] for name in self._rows if name[0] == table})
+
+    def changes_after(self, table, version):
+        """Return the changes behind a version, or None if they are lost."""
+        if version < self._history_start:
+            return None
+        return [
+            change
+            for change in self._history
+            if change.table == table and change.version > version
+        ]
+
+    def forget_history(self):
+        """Drop all changes, as the platform may at any time."""
+        self._history.clear()
+        self._history_start = self.version
+
+    def transact(self, writes):
+        """Return (committed, rows) for writes of JSON values.
+
+        The rows that did not match are returned when not committed.
+        """
+        names = [(w.table, '', w.key) for w in writes]
+        expected = [
+            (name, w.expected_version)
+            for name, w in zip(names, writes, strict=True)
+        ]
+        puts = [(name, w.value) for name, w in zip(names, writes, strict=True)]
+        committed, _ = self.commit(expected, puts)
+        if committed:
+            return True, [self._present(name) for name in names]
+        return False, [
+            self._present(name)
+            for name, version in expected
+            if self._version_of(name) != version
+        ]
 
     def read(self, table, key):
         """Return the row of a key, with version 0 when there is none."""
         self.reads += 1
-        return self._present(table, key)
+        return self._present((table, '', key))
 
     def scan(self, table, prefix):
         """Return the rows whose keys start with a prefix, in order."""
-        self.reads += 1
         return [
-            self._present(table, key)
-            for name, key in sorted(self._rows)
-            if name == table and key.startswith(prefix)
+            self._present((row.table, row.part, row.key))
+            for row in self.list_rows(table, '')
+            if row.key.startswith(prefix)
         ]
 
-    def _matches(self, write):
-        row = self._rows.get((write.table, write.key))
-        return write.expected_version == (row.version if row else 0)
+    def _match(self, expected):
+        return all(self._version_of(name) == v for name, v in expected)
+
+    def _version_of(self, name):
+        row = self._rows.get(name)
+        return row.version if row else 0
 
-    def _apply(self, write):
-        row = StoredRow(write.value, write.expected_version + 1)
-        self._rows[(write.table, write.key)] = row
-        return self._present(write.table, write.key)
+    def _apply(self, change):
+        name = (change.table, change.part, change.key)
+        if change.value is None:
+            self._rows.pop(name, None)
+        else:
+            self._rows[name] = StoredRow(change.value, change.version)
+        self._history.append(change)
 
-    def _present(self, table, key):
-        row = self._rows.get((table, key))
-        value, version = (row.value, row.version) if row else (None, 0)
-        return {'key': key, 'value': value, 'version': version}
+    def _present(self, name):
+        row = self.find(name)
+        return {'key': row.key, 'value': row.value, 'version': row.version}
--- a/tools/propagation.py
+++ b/tools/propagation.py
@@ -105,7 +105,7 @@
         copy_deployment(name, folder, key.public_key)
         logs = pathlib.Path(folder) / 'logs'
         async with deployments.running(folder, logs) as deployment:
-            url = f'http://{deployment.platform}/v1/instances'
+            url = f'http://{deployment.platform}/rows-get?Table=instances'
             while await deployment.get_json(url) is None:
                 await asyncio.sleep(POLL_S)
             found = Propagation(deployment, folder, key)
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -21,11 +21,11 @@
 from persimmonroute.entry import messages
 from persimmonroute.entry import routing
 from persimmonroute.generated import exchange_pb2 as pb
-from persimmonroute.platform import grouping
 from persimmonroute.sidecar import board as sidecar_boards
 from persimmonroute.sidecar import limits
 from persimmonroute import store
 from persimmonroute.store import StoreStatus
+from persimmonroute import write_grouping
 from standins import small_world
 from tools import demo
 from tools import deployment as deployments
@@ -247,7 +247,7 @@
 async def measure_claims():
     """Print transactions for each claim against those that wait."""
     for concurrent in (1, 10, 100):
-        grouper = grouping.WriteGrouper(DelayedTables())
+        grouper = write_grouping.WriteGrouper(DelayedTables())
         began = time.monotonic()
 
         async def claim(worker, grouper=grouper, concurrent=concurrent):
