--- a/persimmonroute/cli.py
+++ b/persimmonroute/cli.py
@@ -11,6 +11,7 @@
   persimmonroute keygen FILE
   persimmonroute handover PUBLIC_KEY --key FILE [--platform ADDRESS]
                             [--change ID]
+  persimmonroute explain REQUEST FILE... [--since TIME] [--json]
   persimmonroute --version
 
 Options:
@@ -19,6 +20,8 @@
   --key FILE          Private key of the operator.
   --change ID         Own number of this change, for repeating it.
   --base N            Revision that the change was made against.
+  --since TIME        Pass over log lines before this time, in ISO 8601.
+  --json              Print the account as JSON.
   --wait SECONDS      Wait until the current revision is in force.
 """
 
@@ -33,6 +36,7 @@
 import persimmonroute
 from persimmonroute.commands import apply
 from persimmonroute.commands import diff
+from persimmonroute.commands import explain
 from persimmonroute.commands import export
 from persimmonroute.commands import handover
 from persimmonroute.commands import history
@@ -61,7 +65,15 @@
 
 async def _run(arguments):
     if arguments['keygen']:
-        await keygen.keygen(arguments['FILE'])
+        await keygen.keygen(_one_file(arguments))
+        return
+    if arguments['explain']:
+        await explain.explain(
+            arguments['REQUEST'],
+            arguments['FILE'],
+            arguments['--since'],
+            arguments['--json'],
+        )
         return
     platform = client.HttpPlatform(_platform_address(arguments))
     try:
@@ -78,7 +90,7 @@
 async def _apply(arguments, platform):
     await apply.apply(
         platform,
-        arguments['FILE'],
+        _one_file(arguments),
         arguments['--change'],
         _number(arguments, '--base', int),
         _load_key(arguments),
@@ -86,7 +98,7 @@
 
 
 async def _diff(arguments, platform):
-    await diff.diff(platform, arguments['FILE'])
+    await diff.diff(platform, _one_file(arguments))
 
 
 async def _show(arguments, platform):
@@ -98,7 +110,7 @@
 
 
 async def _export(arguments, platform):
-    await export.export(platform, arguments['FILE'])
+    await export.export(platform, _one_file(arguments))
 
 
 async def _status(arguments, platform):
@@ -125,6 +137,11 @@
 }
 
 
+def _one_file(arguments):
+    """Return the file of a command that takes one."""
+    return arguments['FILE'][0]
+
+
 def _load_key(arguments):
     path = arguments['--key']
     return operators.OperatorKey.load(path) if path else None
--- a/persimmonroute/daemon.py
+++ b/persimmonroute/daemon.py
@@ -52,7 +52,10 @@
         print('settings are valid')
         return 0
     logs.setup_logs(settings.instance, settings.log_level, settings.log_format)
-    asyncio.run(_run(settings))
+    try:
+        asyncio.run(_run(settings))
+    finally:
+        logs.close_logs()
     return 0
 
 
--- a/persimmonroute/entry/http_api.py
+++ b/persimmonroute/entry/http_api.py
@@ -14,8 +14,8 @@
 from persimmonroute.entry import intake
 from persimmonroute.entry import messages
 from persimmonroute.entry.messages import Outcome
-from persimmonroute.entry import metrics
 from persimmonroute import exceptions
+from persimmonroute import metrics_text
 
 OUTCOME_HEADER = 'Persimmon-Outcome'
 REQUEST_ID_HEADER = 'Persimmon-Request-Id'
@@ -183,7 +183,7 @@
         return responses.JSONResponse({})
 
     async def _metrics(self, request):
-        text = metrics.format_metrics(self._shell.metrics)
+        text = metrics_text.format_metrics(self._shell.metrics)
         return responses.PlainTextResponse(text)
 
     async def _status(self, request):
--- a/persimmonroute/entry/metrics.py
+++ b/persimmonroute/entry/metrics.py
@@ -6,7 +6,6 @@
 
 from hdrh import histogram
 from prometheus_client import core as prometheus
-from prometheus_client import exposition
 
 from persimmonroute.entry.messages import Outcome
 
@@ -113,13 +112,6 @@
         yield from (ended, good, first)
 
 
-def format_metrics(collector):
-    """Return the metrics of a collector in the text format."""
-    registry = prometheus.CollectorRegistry()
-    registry.register(collector)
-    return exposition.generate_latest(registry)
-
-
 def _is_within(work_class, times, now):
     target = work_class.target
     if target.answer_s is not None:
--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -20,6 +20,9 @@
     PROCESS_STARTED = EventKind(100, 'INFO', 'process started')
     PROCESS_STOPPING = EventKind(101, 'INFO', 'graceful shutdown began')
     PROCESS_STOPPED = EventKind(102, 'INFO', 'process stopped')
+    LINES_DROPPED = EventKind(
+        110, 'WARNING', 'log lines left out for lack of room'
+    )
     REQUEST_ROUTED = EventKind(200, 'INFO', 'request offered to a sidecar')
     REQUEST_SHED = EventKind(201, 'INFO', 'request shed before it ran')
     REQUEST_REROUTED = EventKind(
--- a/persimmonroute/exceptions.py
+++ b/persimmonroute/exceptions.py
@@ -140,3 +140,9 @@
     """Report that the store no longer has the changes asked for."""
 
     remedy = 'read the table whole and follow it from there'
+
+
+class LogFileError(PersimmonRouteError):
+    """Report a log file that cannot be read."""
+
+    remedy = 'give the files with the standard output of the processes'
--- a/persimmonroute/gateway/following.py
+++ b/persimmonroute/gateway/following.py
@@ -44,9 +44,10 @@
         """Return all rows as Changes and remember their version."""
 
     @abc.abstractmethod
-    async def watch(self):
+    async def watch(self, patient):
         """Return the next Changes; empty when there are none.
 
+        Without patience the answer comes at once, as after an outage.
         Raises HistoryLostError when the table has to be read again.
         """
 
@@ -68,7 +69,7 @@
         while True:
             try:
                 if fresh:
-                    changes = await self._source.watch()
+                    changes = await self._source.watch(self._up)
                 else:
                     changes = await self._source.read()
                 fresh = True
@@ -148,4 +149,5 @@
             )
         for view in gone:
             log.emit(Event.RUNNER_GONE, runner=view.id)
+            self._board.quarantine.note_crash(view.id, now)
             self._on_gone(view.record)
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -26,6 +26,8 @@
 SILENCE_OBJECTIVES = 2.0
 # A resumable stream that pauses for longer goes on at another endpoint.
 STREAM_PAUSE_S = 1.5
+# Stands for the route of a request that none was found for.
+NO_ROUTE = '-'
 
 
 class EndpointCall(abc.ABC):
@@ -97,18 +99,19 @@
 class Forwarder:
     """Serve requests by the scheduler's grants."""
 
-    def __init__(self, board, admission, dispatcher, client):
+    def __init__(self, board, admission, dispatcher, client, metrics):
         self._board = board
         self._admission = admission
         self._dispatcher = dispatcher
         self._client = client
+        self._metrics = metrics
 
     async def serve(self, request, caller):
         """Answer a request; cancel it when its caller has gone."""
         now = clock.now_s()
         judged = self._admission.judge(request, now)
         if isinstance(judged, model.Rejection):
-            self._log_rejected(request.attempt, judged, now)
+            self._note_rejected(request.attempt, NO_ROUTE, judged)
             await caller.reject(judged)
             return
         ticket = judged
@@ -156,6 +159,7 @@
             self._dispatcher.release(ticket, ending)
         if isinstance(outcome, Failed) and not outcome.may_have_run:
             progress.may_have_run = ran_before
+        self._metrics.on_attempt(ending)
         self._note_outcome(ticket, view, outcome)
         return outcome
 
@@ -173,6 +177,7 @@
         )
         ticket.sends += 1
         progress.may_have_run = True
+        self._metrics.on_sent(ticket, now)
         log.emit(
             Event.GATEWAY_SENT,
             request=ticket.attempt,
@@ -208,7 +213,7 @@
             )
         if progress.begun:
             return Failed(Ending.FAILED, True, f'status {head.status}')
-        return await self._relay_whole(head, call, caller, progress)
+        return await self._relay_whole(ticket, head, call, caller, progress)
 
     def _silence_s(self, ticket):
         """Return how long the endpoint may be silent, or None."""
@@ -219,7 +224,7 @@
     def _another_send(self, ticket):
         return ticket.sends < ticket.route.max_attempts
 
-    async def _relay_whole(self, head, call, caller, progress):
+    async def _relay_whole(self, ticket, head, call, caller, progress):
         parts, size = [], 0
         while (data := await call.next_data()) is not None:
             parts.append(data)
@@ -229,9 +234,8 @@
             if progress.begun:
                 await caller.send(b''.join(parts))
                 parts.clear()
-        if not progress.begun:
-            progress.begun = True
-            await caller.begin(head.status, head.headers)
+        self._note_first_byte(ticket)
+        await self._begin(head, caller, progress)
         if parts:
             await caller.send(b''.join(parts))
         await caller.finish()
@@ -262,14 +266,18 @@
                 await caller.send(event.data)
                 if event.id is not None:
                     progress.last_event_id = event.id
-                if ticket.first_byte_at is None:
-                    ticket.first_byte_at = clock.now_s()
+                self._note_first_byte(ticket)
         await self._begin(head, caller, progress)
         if splitter.rest:
             await caller.send(splitter.rest)
         await caller.finish()
         return Passed(head.status)
 
+    def _note_first_byte(self, ticket):
+        if ticket.first_byte_at is None:
+            ticket.first_byte_at = clock.now_s()
+            self._metrics.on_first_byte(ticket, ticket.first_byte_at)
+
     def _pause_s(self, ticket, progress):
         if not ticket.route.resumable or not self._another_send(ticket):
             return None
@@ -294,6 +302,9 @@
                 self._board.quarantine.note_answered(
                     quarantine.fingerprint(ticket.request)
                 )
+            self._metrics.on_ended(
+                ticket.route.name, str(outcome.status), 'endpoint'
+            )
             log.emit(
                 Event.GATEWAY_ANSWERED,
                 request=ticket.attempt,
@@ -303,10 +314,13 @@
             )
             return
         ticket.excluded.add(view.id)
+        now = clock.now_s()
         if outcome.ending is Ending.BROKEN:
             self._board.quarantine.note_broken(
-                quarantine.fingerprint(ticket.request)
+                quarantine.fingerprint(ticket.request), view.id, now
             )
+        elif outcome.ending is Ending.UNREACHABLE:
+            self._board.quarantine.note_crash(view.id, now)
         log.emit(
             Event.GATEWAY_ATTEMPT_FAILED,
             request=ticket.attempt,
@@ -320,7 +334,7 @@
             failed = Failed(Ending.FAILED, True, rejection.reason)
             await self._fail(ticket, caller, progress, failed)
             return
-        self._log_rejected(ticket.attempt, rejection, clock.now_s())
+        self._note_rejected(ticket.attempt, ticket.route.name, rejection)
         await caller.reject(rejection)
 
     async def _fail(self, ticket, caller, progress, failed):
@@ -333,7 +347,7 @@
             rejection = schedulers.reject(
                 ticket, None, failed.problem, clock.now_s()
             )
-        self._log_rejected(ticket.attempt, rejection, clock.now_s())
+        self._note_rejected(ticket.attempt, ticket.route.name, rejection)
         await caller.reject(rejection)
 
     async def _time_out(self, ticket, caller, progress):
@@ -344,10 +358,13 @@
             rejection = model.Rejection(504, 'timeout at the endpoint')
         else:
             rejection = model.Rejection(503, 'timeout while queued', 0.1)
-        self._log_rejected(ticket.attempt, rejection, clock.now_s())
+        self._note_rejected(ticket.attempt, ticket.route.name, rejection)
         await caller.reject(rejection)
 
     def _break_off(self, ticket, caller, progress, problem):
+        self._metrics.on_ended(
+            ticket.route.name, 'broken off', _kind_of(problem)
+        )
         log.emit(
             Event.GATEWAY_BROKEN_OFF,
             request=ticket.attempt,
@@ -359,18 +376,29 @@
         )
         caller.break_off()
 
-    def _log_rejected(self, attempt, rejection, now):
+    def _note_rejected(self, attempt, route, rejection):
+        age_s = self._board.configuration_belief.age_s(clock.now_s())
+        self._metrics.on_ended(
+            route, str(rejection.status), _kind_of(rejection.reason)
+        )
         log.emit(
             Event.GATEWAY_REJECTED,
             request=attempt,
+            route=route,
             status=rejection.status,
             reason=rejection.reason,
+            detail=rejection.detail,
             retry_after_s=rejection.retry_after_s,
             version=self._board.version,
-            age_s=round(self._board.configuration_belief.age_s(now), 3),
+            age_s=round(age_s, 3),
         )
 
 
+def _kind_of(reason):
+    """Return the part of a reason that few values share."""
+    return reason.partition(':')[0]
+
+
 def _ending_of(outcome):
     if isinstance(outcome, Passed):
         failed = outcome.status >= 500
--- /dev/null
+++ b/persimmonroute/gateway/metrics.py
@@ -0,0 +1,174 @@
+"""Count what a gateway did and measure how long it took."""
+
+from __future__ import annotations
+
+import collections
+
+from hdrh import histogram
+from prometheus_client import core as prometheus
+
+from persimmonroute import clock
+from persimmonroute import logs
+
+LONGEST_MS = 600_000
+DIGITS = 2
+QUANTILES = (0.5, 0.95, 0.99)
+# Kinds of requests that are measured apart, so that a configuration of
+# many routes does not take the memory of the process.
+MAX_KINDS = 64
+OTHER = 'other'
+
+
+class Timing:
+    """Hold the distribution of one kind of time, in milliseconds."""
+
+    def __init__(self):
+        self._histogram = histogram.HdrHistogram(1, LONGEST_MS, DIGITS)
+
+    def record(self, seconds):
+        """Count one time in seconds."""
+        value = min(max(int(seconds * 1000), 1), LONGEST_MS)
+        self._histogram.record_value(value)
+
+    def quantile(self, share):
+        """Return the time in seconds that a share of all stays within."""
+        return self._histogram.get_value_at_percentile(share * 100) / 1000
+
+
+class GatewayMetrics:
+    """Measure the requests of one gateway."""
+
+    def __init__(self, board, scheduler):
+        self._board = board
+        self._scheduler = scheduler
+        self.outcomes = collections.Counter()
+        self.attempts = collections.Counter()
+        self._queue_wait = {}
+        self._first_byte = {}
+
+    def on_sent(self, ticket, now):
+        """Count a send and the time it waited."""
+        kind = self._kind(self._queue_wait, ticket)
+        kind.record(now - ticket.queued_at)
+
+    def on_first_byte(self, ticket, now):
+        """Measure the time to the first byte of an answer."""
+        self._kind(self._first_byte, ticket).record(now - ticket.arrived_at)
+
+    def on_attempt(self, ending):
+        """Count how an attempt at an endpoint ended."""
+        self.attempts[ending.value] += 1
+
+    def on_ended(self, route, outcome, reason):
+        """Count a final answer by route, outcome and reason."""
+        self.outcomes[(route, outcome, reason)] += 1
+
+    def collect(self):
+        """Yield the metric families for a scraper."""
+        yield self._collect_outcomes()
+        attempts = prometheus.CounterMetricFamily(
+            'persimmonroute_attempts',
+            'Attempts at endpoints by ending.',
+            labels=['ending'],
+        )
+        for ending, count in sorted(self.attempts.items()):
+            attempts.add_metric([ending], count)
+        yield attempts
+        yield _collect_times(
+            'persimmonroute_queue_wait_seconds',
+            'Time between arrival in the queue and sending.',
+            self._queue_wait,
+        )
+        yield _collect_times(
+            'persimmonroute_first_byte_seconds',
+            'Time between arrival and the first byte of the answer.',
+            self._first_byte,
+        )
+        yield from self._collect_state()
+
+    def _collect_outcomes(self):
+        family = prometheus.CounterMetricFamily(
+            'persimmonroute_gateway_requests',
+            'Requests with a final answer.',
+            labels=['route', 'outcome', 'reason'],
+        )
+        for labels, count in sorted(self.outcomes.items()):
+            family.add_metric(list(labels), count)
+        return family
+
+    def _collect_state(self):
+        board, now = self._board, clock.now_s()
+        runners = prometheus.GaugeMetricFamily(
+            'persimmonroute_endpoint_in_flight',
+            'Requests in progress at an endpoint, by who sent them.',
+            labels=['endpoint', 'sender'],
+        )
+        for view in board.book:
+            runners.add_metric([view.id, 'own'], len(view.in_flight))
+            peers = sum(view.peer_in_flight.values())
+            runners.add_metric([view.id, 'peers'], peers)
+        yield runners
+        yield _gauge(
+            'persimmonroute_configuration_age_seconds',
+            'Time since the configuration was known to be the newest.',
+            min(board.configuration_belief.age_s(now), 1e9),
+        )
+        yield _gauge(
+            'persimmonroute_configuration_version',
+            'Version of the configuration in force.',
+            board.version,
+        )
+        yield _gauge(
+            'persimmonroute_gateways_heard_share',
+            'Share of all gateways that is heard.',
+            board.peers.heard_share(now),
+        )
+        dropped = prometheus.CounterMetricFamily(
+            'persimmonroute_log_lines_dropped', 'Log lines left out.'
+        )
+        dropped.add_metric([], logs.count_dropped())
+        yield dropped
+        yield from self._collect_limits(now)
+
+    def _collect_limits(self, now):
+        quota = prometheus.GaugeMetricFamily(
+            'persimmonroute_quota_left_units',
+            'Units that a workspace may use now.',
+            labels=['workspace'],
+        )
+        for name, left in sorted(self._board.quotas.report_left().items()):
+            quota.add_metric([name], left)
+        yield quota
+        repeats = prometheus.GaugeMetricFamily(
+            'persimmonroute_repeats_in_window',
+            'Repeated sends of a service in the window of the budget.',
+            labels=['service'],
+        )
+        for service, used in self._board.retries.report_used(now).items():
+            repeats.add_metric([service], used)
+        yield repeats
+
+    def _kind(self, timings, ticket):
+        name = ticket.route.name
+        if name not in timings and len(timings) >= MAX_KINDS:
+            name = OTHER
+        if name not in timings:
+            timings[name] = Timing()
+        return timings[name]
+
+
+def _gauge(name, summary, value):
+    family = prometheus.GaugeMetricFamily(name, summary)
+    family.add_metric([], value)
+    return family
+
+
+def _collect_times(name, summary, timings):
+    family = prometheus.GaugeMetricFamily(
+        name, summary, labels=['route', 'quantile']
+    )
+    for route, timing in sorted(timings.items()):
+        for share in QUANTILES:
+            value = timing.quantile(share)
+            family.add_metric([route, str(share)], value)
+    return family
--- a/persimmonroute/gateway/model.py
+++ b/persimmonroute/gateway/model.py
@@ -154,6 +154,8 @@
     status: int
     reason: str
     retry_after_s: float | None = None
+    # Inputs of the decision, for the log.
+    detail: str = ''
 
 
 class Ending(enum.Enum):
--- a/persimmonroute/gateway/quotas.py
+++ b/persimmonroute/gateway/quotas.py
@@ -51,6 +51,8 @@
 
     def __init__(self, tolerance=Tolerance()):
         self._tolerance = tolerance
+        # Time of the first configuration, from which peers are heard.
+        self._since = None
         self._buckets = {}
         self._peer_used = {}
         self._heard_share = 1.0
@@ -61,6 +63,8 @@
 
     def apply(self, workspaces, now):
         """Take over the quotas of a configuration."""
+        if self._since is None:
+            self._since = now
         buckets = {}
         for workspace in workspaces:
             quota = workspace.quota
@@ -114,16 +118,23 @@
             if bucket.used
         }
 
+    def report_left(self):
+        """Return the units that are left by workspace."""
+        return {name: b.level for name, b in self._buckets.items()}
+
     def hear_used(self, peer, used, now):
         """Deduct what a peer has used since its last report.
 
-        What it had used before its first report is not known to be
-        recent, and does not count.
+        The first report of a peer counts whole when this gateway would
+        have heard an older one: then the peer has just started. Else its
+        use is not known to be recent, and does not count.
         """
         known = self._peer_used.get(peer)
         if known is None:
-            self._peer_used[peer] = dict(used)
-            return
+            known = self._peer_used[peer] = {}
+            if self._is_new(now):
+                known.update(used)
+                return
         for name, units in used.items():
             bucket = self._buckets.get(name)
             if bucket is not None:
@@ -131,6 +142,10 @@
                 bucket.level -= units - known.get(name, 0.0)
             known[name] = units
 
+    def _is_new(self, now):
+        since = self._since
+        return since is None or now - since < self._tolerance.window_s
+
     def forget_peer(self, peer):
         """Drop the reports of a peer's former incarnation."""
         self._peer_used.pop(peer, None)
--- a/persimmonroute/gateway/retry_budget.py
+++ b/persimmonroute/gateway/retry_budget.py
@@ -38,6 +38,13 @@
         repeats.append(now)
         return True
 
+    def report_used(self, now):
+        """Return the repeats in the window by service."""
+        return {
+            service: len(self._trim(times, now))
+            for service, times in self._repeats.items()
+        }
+
     def _trim(self, times, now):
         while times and times[0] <= now - self._window_s:
             times.popleft()
--- a/persimmonroute/gateway/scheduler.py
+++ b/persimmonroute/gateway/scheduler.py
@@ -51,6 +51,11 @@
         """Return the endpoints that are known."""
         return self._book
 
+    @property
+    def placement(self):
+        """Return the policy that chooses among endpoints."""
+        return self._placement
+
     def set_services(self, services):
         """Take over the slots that the configuration names."""
         self._slots = {s.name: s.slots for s in services}
@@ -240,4 +245,8 @@
     """Return the rejection of a request that has not run."""
     left = max(ticket.deadline_at - now, 0.0)
     wait = max(wait_s or 0.0, LEAST_RETRY_AFTER_S)
-    return model.Rejection(503, reason, min(wait, left * RETURN_SHARE))
+    waited = now - ticket.queued_at
+    detail = f'waited {waited:.3f} s with {left:.3f} s left'
+    if wait_s is not None:
+        detail += f', {wait_s:.3f} s more expected'
+    return model.Rejection(503, reason, min(wait, left * RETURN_SHARE), detail)
--- a/persimmonroute/gateway/server.py
+++ b/persimmonroute/gateway/server.py
@@ -12,6 +12,7 @@
 from persimmonroute.events import Event
 from persimmonroute import http_server
 from persimmonroute import logs
+from persimmonroute import metrics_text
 
 log = logs.EventLog(__name__)
 
@@ -27,9 +28,10 @@
 class GatewayServer:
     """Serve callers until a stop is asked for and all work has ended."""
 
-    def __init__(self, board, shell, ingress, settings):
+    def __init__(self, board, shell, ingress, metrics, settings):
         self._board = board
         self._shell = shell
+        self._collector = metrics
         self._settings = settings
         grace_s = settings.stop_grace_s - BALANCER_NOTICE_S - STOP_MARGIN_S
         self._front = http_server.build_server(
@@ -90,4 +92,6 @@
         return None
 
     async def _tell_metrics(self, request):
-        return responses.PlainTextResponse('')
+        return responses.PlainTextResponse(
+            metrics_text.format_metrics(self._collector)
+        )
--- a/persimmonroute/gateway/shell.py
+++ b/persimmonroute/gateway/shell.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 
 from persimmonroute import clock
 from persimmonroute.events import Event
@@ -16,6 +17,7 @@
 CLEAN_TICKS = 20
 ANNOUNCE_RETRY_S = 0.5
 LIST_GATEWAYS_S = 20.0
+FAULT_PAUSE_S = 0.5
 
 
 class GatewayShell:
@@ -37,9 +39,12 @@
         await loop.create_datagram_endpoint(
             lambda: self._link, (host, int(port))
         )
-        work = [follower.run() for follower in self._followers]
-        work += [self._tick(), self._list_gateways(name, peer_address)]
-        self._tasks = [asyncio.create_task(part) for part in work]
+        work = [follower.run for follower in self._followers]
+        work += [
+            self._tick,
+            functools.partial(self._list_gateways, name, peer_address),
+        ]
+        self._tasks = [asyncio.create_task(_guard(part)) for part in work]
 
     async def close(self):
         """End the periodic work."""
@@ -64,6 +69,7 @@
             log.emit(Event.RUNNER_GONE, runner=view.id, lapsed=True)
             self._client.forget(view.record)
         self._client.close_expired()
+        self._board.quarantine.expire(now)
 
     async def _list_gateways(self, name, address):
         announced = False
@@ -83,3 +89,13 @@
             log.emit(Event.PEERS_LISTED, gateways=len(found))
             self._link.note_change()
             await asyncio.sleep(LIST_GATEWAYS_S)
+
+
+async def _guard(function):
+    """Run periodic work again after an error that nobody expected."""
+    while True:
+        try:
+            await function()
+        except Exception as error:
+            log.emit(Event.GATEWAY_FAULT, problem=repr(error))
+        await asyncio.sleep(FAULT_PAUSE_S)
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -7,6 +7,7 @@
 from persimmonroute.gateway import dispatcher as dispatchers
 from persimmonroute.gateway import following
 from persimmonroute.gateway import forwarding
+from persimmonroute.gateway import metrics
 from persimmonroute.gateway import peer_link
 from persimmonroute.gateway import placement
 from persimmonroute.gateway import quotas
@@ -61,8 +62,9 @@
     )
     dispatcher.on_change = link.note_change
     store = tables.TableClient(settings.platform)
+    measured = metrics.GatewayMetrics(board, scheduler)
     forwarder = forwarding.Forwarder(
-        board, admission.Admission(board), dispatcher, client
+        board, admission.Admission(board), dispatcher, client, measured
     )
 
     def note_change(now):
@@ -89,4 +91,4 @@
         board, dispatcher, client, followers, sources.GatewayList(store), link
     )
     app = ingress.IngressApp(board, forwarder)
-    return server.GatewayServer(board, shell, app, settings)
+    return server.GatewayServer(board, shell, app, measured, settings)
--- a/persimmonroute/platform/ingress.py
+++ b/persimmonroute/platform/ingress.py
@@ -58,12 +58,19 @@
                 log.emit(Event.CALLER_GONE, request=request.attempt)
                 serving.cancel()
             await asyncio.wait((serving,))
-            if not serving.cancelled():
-                serving.result()
+            if not serving.cancelled() and serving.exception() is not None:
+                await self._note_fault(request, caller, serving.exception())
         finally:
             watching.cancel()
             serving.cancel()
 
+    async def _note_fault(self, request, caller, error):
+        log.emit(
+            Event.GATEWAY_FAULT, request=request.attempt, problem=repr(error)
+        )
+        if not caller.begun:
+            await caller.reject(model.Rejection(502, 'unexpected error'))
+
 
 class AsgiCaller(forwarding.Caller):
     """Answer a caller by ASGI messages."""
@@ -73,10 +80,12 @@
         self._board = board
         self._method = scope['method']
         self.attempt = None
+        self.begun = False
         self.complete = False
 
     async def begin(self, status, headers):
         """Send the status and the headers."""
+        self.begun = True
         headers = list(headers)
         if self._board.draining:
             headers.append((b'connection', b'close'))
--- a/persimmonroute/platform/sources.py
+++ b/persimmonroute/platform/sources.py
@@ -31,9 +31,10 @@
         self._version = page.version
         return self._decode(page, True)
 
-    async def watch(self):
-        """Wait for changes."""
-        page = await self._tables.watch(self.name, self._version, self._wait_s)
+    async def watch(self, patient):
+        """Wait for changes, or only ask for them."""
+        wait_s = self._wait_s if patient else 0.0
+        page = await self._tables.watch(self.name, self._version, wait_s)
         self._version = max(self._version, page.version)
         return self._decode(page, False)
 
--- /dev/null
+++ b/standins/gateway_deployment.py
@@ -0,0 +1,217 @@
+"""Run a gateway with stand-ins for its store and endpoints in one loop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+
+import h11
+
+from persimmonroute.config import settings as settings_module
+from persimmonroute import gateway_composition
+from persimmonroute import http_server
+from persimmonroute.platform import connection
+from standins import platform
+from standins import platform_runner
+
+HOST = 'api.example'
+KEY = 'key-1'
+SERVICE = 'llm'
+ANSWER_TIMEOUT_S = 10.0
+READY_TIMEOUT_S = 10.0
+
+
+def configuration(version=1, **changes):
+    """Return a configuration as operators write it."""
+
+    def route(name, **fields):
+        return {
+            'Name': name,
+            'Host': HOST,
+            'Prefix': f'/{name}/',
+            'Kind': 'non_idempotent',
+            'TimeoutMs': 2000,
+            'TargetLatencyMs': 300,
+            'Priority': 1,
+            'Service': SERVICE,
+            'MaxAttempts': 2,
+            'Public': False,
+            **fields,
+        }
+
+    document = {
+        'Version': version,
+        'Routes': [
+            route('book'),
+            route('find', Kind='idempotent'),
+            route('draft', Kind='streaming'),
+            route('resume', Kind='streaming', StreamResume=True),
+            route('open', Public=True),
+        ],
+        'Services': [{'Name': SERVICE, 'MaxConnections': 50}],
+        'Limits': {
+            'MaxHeaderBytes': 4096,
+            'MaxBodyBytes': 10_000,
+            'HeaderTimeoutMs': 500,
+            'IdleTimeoutMs': 5000,
+        },
+        'Tenants': [{'Name': 'desk', 'ApiKeys': [KEY], 'Priority': 1}],
+    }
+    return {**document, **changes}
+
+
+class Answer:
+    """Hold what a caller received."""
+
+    def __init__(self):
+        self.status = None
+        self.headers = {}
+        self.body = b''
+        # Set when the answer ended as the protocol says.
+        self.complete = False
+
+
+class GatewayDeployment:
+    """Own a store, endpoints and gateways on loopback."""
+
+    def __init__(self, endpoints=2, gateways=1):
+        self.platform = platform.PlatformStandIn([], 0.0)
+        self.runners = [
+            platform_runner.RunnerStandIn(f'r{n}') for n in range(endpoints)
+        ]
+        self.stops = []
+        self.settings = []
+        self._gateways = gateways
+        self._tasks = []
+        self._store_server = None
+
+    async def start(self):
+        """Start everything and wait until gateways are ready."""
+        store = f'127.0.0.1:{free_port()}'
+        self._store_server = http_server.build_server(
+            self.platform.build_app(), store, 1
+        )
+        self._tasks.append(asyncio.create_task(self._store_server.serve()))
+        for runner in self.runners:
+            await runner.start()
+            self.register(runner)
+        self.platform.put_row('op', 'config', configuration())
+        for number in range(self._gateways):
+            self._start_gateway(f'gateway-{number}', store)
+        for made in self.settings:
+            await _wait_ready(made.ready_address)
+
+    async def stop(self):
+        """Stop everything."""
+        for stop in self.stops:
+            stop.set()
+        for task in self._tasks[1:]:
+            task.cancel()
+        self._store_server.should_exit = True
+        for runner in self.runners:
+            await runner.stop()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def register(self, runner, state='ready', **changes):
+        """Write the entry of an endpoint."""
+        entry = {
+            'Service': SERVICE,
+            'Address': runner.address,
+            'Zone': 'riga-a',
+            'Version': 'v1',
+            'Slots': 4,
+            'State': state,
+            'ColdRemainingMs': 0,
+            'Sequence': 1,
+            'born': 1,
+        }
+        self.platform.put_row('servers', runner.id, {**entry, **changes})
+
+    async def call(self, path, gateway=0, body=b'body', headers=(), **options):
+        """Return the Answer to one request on a connection of its own."""
+        conn = await connection.open_connection(
+            self.settings[gateway].address, 1.0
+        )
+        try:
+            return await self.call_on(conn, path, body, headers, **options)
+        finally:
+            conn.abort()
+
+    async def call_on(
+        self, conn, path, body=b'body', headers=(), attempt='a1', key=KEY
+    ):
+        """Return the Answer to one request on a connection."""
+        sent = [
+            ('host', HOST),
+            ('attempt-id', attempt),
+            ('deadline-remaining-ms', '3000'),
+            ('content-length', str(len(body))),
+            *headers,
+        ]
+        if key is not None:
+            sent.append(('authorization', f'Bearer {key}'))
+        conn.send_request('POST', path, sent, body)
+        return await read_answer(conn)
+
+    def _start_gateway(self, name, store):
+        document = {
+            'role': 'gateway',
+            'instance': name,
+            'region': 'riga',
+            'failure_domain': 'riga-a',
+            'address': f'127.0.0.1:{free_port()}',
+            'ready_address': f'127.0.0.1:{free_port()}',
+            'metrics_address': f'127.0.0.1:{free_port()}',
+            'peer_address': f'127.0.0.1:{free_port()}',
+            'platform': store,
+            'regions': {'riga-a': 'riga'},
+            'revocation_s': 3,
+            'stop_grace_s': 6,
+            'retry_slack': 100,
+        }
+        made, problems = settings_module.check_settings(document)
+        if problems:
+            raise AssertionError(problems)
+        stop = asyncio.Event()
+        process = gateway_composition.build_gateway(made)
+        self.settings.append(made)
+        self.stops.append(stop)
+        self._tasks.append(asyncio.create_task(process.run(stop)))
+
+
+async def read_answer(conn):
+    """Return the Answer that arrives, complete or not."""
+    answer = Answer()
+    with contextlib.suppress(Exception):
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            while not answer.complete:
+                event = await conn.next_event()
+                if isinstance(event, h11.Response):
+                    answer.status = event.status_code
+                    answer.headers = dict(event.headers)
+                elif isinstance(event, h11.Data):
+                    answer.body += bytes(event.data)
+                elif isinstance(event, h11.EndOfMessage):
+                    answer.complete = True
+    return answer
+
+
+async def _wait_ready(address):
+    async with asyncio.timeout(READY_TIMEOUT_S):
+        while True:
+            with contextlib.suppress(Exception):
+                conn = await connection.open_connection(address, 1.0)
+                conn.send_request('GET', '/readyz', [('host', 'x')], b'')
+                answer = await read_answer(conn)
+                conn.abort()
+                if answer.status == 200:
+                    return
+            await asyncio.sleep(0.05)
+
+
+def free_port():
+    """Return a port of loopback that is free now."""
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return sock.getsockname()[1]
--- /dev/null
+++ b/standins/platform_runner.py
@@ -0,0 +1,225 @@
+"""Stand in for an endpoint by the platform's published protocol."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import socket
+import struct
+
+import h11
+
+# What an endpoint may do to a request; most are taken in turn from a
+# script that a test writes.
+BEHAVIOURS = (
+    'answer',
+    'full',
+    'misdirect',
+    'fail',
+    'reset',
+    'hang',
+    'truncate',
+    'break_stream',
+    'extra',
+    'unframed',
+    'unframed_reset',
+)
+EVENTS = 4
+EVENT_PAUSE_S = 0.005
+SIGNATURE = b'signature'
+READ_BYTES = 65_536
+
+
+class RunnerStandIn:
+    """Serve requests and note which ones ran."""
+
+    def __init__(self, runner_id):
+        self.id = runner_id
+        self.script = collections.deque()
+        self.default = 'answer'
+        self.ran = collections.Counter()
+        self.heads = []
+        self.cancelled = 0
+        self._server = None
+        self._tasks = set()
+
+    @property
+    def address(self):
+        """Return the address that is served."""
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f'{host}:{port}'
+
+    async def start(self):
+        """Begin to serve on a free port."""
+        self._server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
+
+    async def stop(self):
+        """End all connections."""
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(self, reader, writer):
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        try:
+            await self._serve(reader, writer)
+        except (OSError, h11.ProtocolError):
+            self.cancelled += 1
+        finally:
+            writer.close()
+
+    async def _serve(self, reader, writer):
+        http = h11.Connection(h11.SERVER)
+        while True:
+            request, body = await _read_request(http, reader)
+            if request is None:
+                return
+            keep = await self._answer(http, writer, request, body)
+            if not keep or http.our_state is not h11.DONE:
+                return
+            http.start_next_cycle()
+
+    async def _answer(self, http, writer, request, body):
+        headers = dict(request.headers)
+        attempt = headers.get(b'attempt-id', b'')
+        self.heads.append((request, body))
+        behaviour = self.script.popleft() if self.script else self.default
+        if headers.get(b'expect-instance') != self.id.encode():
+            behaviour = 'misdirect'
+        reply = Reply(http, writer, attempt)
+        if behaviour == 'full':
+            await reply.whole(503, b'', [(b'not-executed', b'1')])
+            return True
+        if behaviour == 'misdirect':
+            await reply.whole(421, b'', [])
+            return True
+        self.ran[attempt.decode()] += 1
+        handler = getattr(self, f'_do_{behaviour}', self._do_answer)
+        return await handler(reply, headers)
+
+    async def _do_answer(self, reply, headers):
+        if headers.get(b'accept') == b'text/event-stream':
+            first = int(headers.get(b'last-event-id', b'0')) + 1
+            await reply.stream(range(first, EVENTS + 1))
+        else:
+            await reply.whole(200, b'answer ' + reply.attempt, [])
+        return True
+
+    async def _do_fail(self, reply, headers):
+        await reply.whole(500, b'failed', [])
+        return True
+
+    async def _do_reset(self, reply, headers):
+        _reset(reply.writer)
+        return False
+
+    async def _do_hang(self, reply, headers):
+        await asyncio.sleep(30)
+        return False
+
+    async def _do_truncate(self, reply, headers):
+        await reply.head(200, [(b'content-length', b'100')])
+        await reply.data(b'part')
+        return False
+
+    async def _do_break_stream(self, reply, headers):
+        first = int(headers.get(b'last-event-id', b'0')) + 1
+        await reply.head(200, [(b'content-type', b'text/event-stream')])
+        await reply.data(_event(first) + b'id: 99')
+        await asyncio.sleep(EVENT_PAUSE_S)
+        _reset(reply.writer)
+        return False
+
+    async def _do_extra(self, reply, headers):
+        body = b'answer ' + reply.attempt
+        await reply.whole(200, body, [])
+        reply.writer.write(
+            b'HTTP/1.1 200 OK\r\nattempt-id: ' + reply.attempt + b'\r\n'
+            b'content-length: 5\r\n\r\nagain'
+        )
+        return True
+
+    async def _do_unframed(self, reply, headers):
+        reply.writer.write(
+            b'HTTP/1.1 200 OK\r\nattempt-id: ' + reply.attempt + b'\r\n\r\n'
+            b'answer ' + reply.attempt
+        )
+        await reply.writer.drain()
+        return False
+
+    async def _do_unframed_reset(self, reply, headers):
+        reply.writer.write(b'HTTP/1.1 200 OK\r\n\r\npart')
+        await reply.writer.drain()
+        await asyncio.sleep(EVENT_PAUSE_S)
+        _reset(reply.writer)
+        return False
+
+
+class Reply:
+    """Write the answer to one request."""
+
+    def __init__(self, http, writer, attempt):
+        self._http = http
+        self.writer = writer
+        self.attempt = attempt
+
+    async def head(self, status, headers):
+        """Send the status and the headers."""
+        found = [(b'attempt-id', self.attempt), *headers]
+        found.append((b'upstream-signature', SIGNATURE))
+        found.append((b'keep-alive', b'timeout=5'))
+        event = h11.Response(status_code=status, headers=found)
+        self.writer.write(self._http.send(event))
+        await self.writer.drain()
+
+    async def data(self, data):
+        """Send bytes of the body."""
+        self.writer.write(self._http.send(h11.Data(data)))
+        await self.writer.drain()
+
+    async def whole(self, status, body, headers):
+        """Send a complete answer."""
+        size = str(len(body)).encode()
+        await self.head(status, [(b'content-length', size), *headers])
+        if body:
+            await self.data(body)
+        self.writer.write(self._http.send(h11.EndOfMessage()))
+
+    async def stream(self, numbers):
+        """Send a complete stream of events."""
+        await self.head(200, [(b'content-type', b'text/event-stream')])
+        for number in numbers:
+            await self.data(_event(number))
+            await asyncio.sleep(EVENT_PAUSE_S)
+        self.writer.write(self._http.send(h11.EndOfMessage()))
+
+
+def _reset(writer):
+    """Close with a reset instead of a regular end."""
+    sock = writer.get_extra_info('socket')
+    linger = struct.pack('ii', 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+def _event(number):
+    return f'id: {number}\ndata: piece {number}\n\n'.encode()
+
+
+async def _read_request(http, reader):
+    request, parts = None, []
+    while True:
+        event = http.next_event()
+        if event is h11.NEED_DATA:
+            http.receive_data(await reader.read(READ_BYTES))
+        elif isinstance(event, h11.Request):
+            request = event
+        elif isinstance(event, h11.Data):
+            parts.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            return request, b''.join(parts)
+        else:
+            return None, b''
