Let callers who come back go before newcomers

Cause: a caller that was told to come back queued again behind all that had arrived meanwhile.

Change: a caller's first attempt is dated by how much less time it has left than first attempts of its route; within a rank the oldest goes first.

--- a/persimmonroute/gateway/admission.py
+++ b/persimmonroute/gateway/admission.py
@@ -13,6 +13,33 @@
 # A caller that another gateway can serve should ask it soon.
 ELSEWHERE_RETRY_S = 0.1
 QUARANTINE_RETRY_S = 30.0
+# Differences of the remaining time below this are delays on the way.
+AGE_SLACK_S = 0.03
+# Routes whose longest remaining time is remembered.
+MAX_ROUTES = 4096
+
+
+class ArrivalAges:
+    """Tell how long ago callers first asked.
+
+    Callers say how long they will wait. The longest time that requests of
+    a route have shown is that of first attempts; who has less left comes
+    back after a refusal.
+    """
+
+    def __init__(self):
+        self._longest = {}
+
+    def find(self, route, request):
+        """Return the seconds since a caller's first attempt."""
+        remaining = request.remaining_s
+        if remaining is None:
+            return 0.0
+        longest = self._longest.get(route.name, 0.0)
+        if remaining > longest and len(self._longest) < MAX_ROUTES:
+            self._longest[route.name] = longest = remaining
+        age = longest - remaining
+        return age if age > AGE_SLACK_S else 0.0
 
 
 class Admission:
@@ -20,6 +47,7 @@
 
     def __init__(self, board):
         self._board = board
+        self._ages = ArrivalAges()
 
     def judge(self, request, now):
         """Return a Ticket, or the Rejection of a request."""
@@ -37,7 +65,14 @@
             if not self._keys_trusted(now):
                 return _unavailable('keys cannot be confirmed')
         service = routes.choose_service(route)
-        ticket = messages.Ticket(request, route, service, workspace, now)
+        ticket = messages.Ticket(
+            request,
+            route,
+            service,
+            workspace,
+            now,
+            self._ages.find(route, request),
+        )
         return self._check_use(ticket, now)
 
     def _check_use(self, ticket, now):
--- a/persimmonroute/gateway/messages.py
+++ b/persimmonroute/gateway/messages.py
@@ -27,7 +27,7 @@
     Times are in seconds of the steady clock.
     """
 
-    def __init__(self, request, route, service, workspace, now):
+    def __init__(self, request, route, service, workspace, now, age_s=0.0):
         self.request = request
         self.route = route
         self.service = service
@@ -38,9 +38,11 @@
         if request.remaining_s is not None:
             remaining_s = min(remaining_s, request.remaining_s)
         self.deadline_at = now + remaining_s
-        # Time by which the answer has to begin to be on time, counted
-        # from the caller's first attempt.
+        # Time by which the answer has to begin to be on time.
         self.due_at = now + route.objective_s
+        # When the caller first asked; who comes back after a refusal goes
+        # before newcomers of the same rank.
+        self.asked_at = now - age_s
         self.sequence = 0
         # Endpoints that this request does not go to again.
         self.excluded = set()
--- a/persimmonroute/gateway/scheduler.py
+++ b/persimmonroute/gateway/scheduler.py
@@ -146,7 +146,7 @@
         if not line:
             return
         ranked = sorted(
-            (self.rank(t, now), t.due_at, t.sequence, t) for t in line
+            (self.rank(t, now), t.asked_at, t.sequence, t) for t in line
         )
         free = self._find_allowances(service, ranked[0][0], now)
         for _, _, _, ticket in ranked:
--- a/persimmonroute/tests/gateway/beliefs_tests.py
+++ b/persimmonroute/tests/gateway/beliefs_tests.py
@@ -61,6 +61,13 @@
         self.assertEqual(self._judge(1.0, path=path).status, 404)
         self.assertEqual(self._judge(3.0, path=path).status, 503)
 
+    def test_who_comes_back_is_as_old_as_the_first_attempt(self):
+        """A caller with less time left was here before."""
+        first = self._judge(1.0, remaining_s=4.0)
+        again = self._judge(2.0, remaining_s=3.0)
+        self.assertEqual(first.asked_at, again.asked_at)
+        self.assertEqual(again.deadline_at, 5.0)
+
     def test_longest_prefix_wins(self):
         """Among the prefixes that begin a path the longest is taken."""
         long = world.route('long')._replace(prefix='/draft/deep/')
--- a/persimmonroute/tests/gateway/scheduler_tests.py
+++ b/persimmonroute/tests/gateway/scheduler_tests.py
@@ -87,6 +87,18 @@
         self.scheduler.release(busy[0], Ending.ANSWERED, 1.0)
         self.assertEqual(self._granted(), [late])
 
+    def test_who_comes_back_goes_before_newcomers(self):
+        """A caller who was told to come back has the next turn."""
+        busy = [self._submit() for _ in range(2)]
+        newcomer = self._submit(0.1)
+        back = world.ticket(0.2, age_s=1.0)
+        self.scheduler.submit(back, 0.2)
+        self._granted()
+        self.scheduler.release(busy[0], Ending.ABANDONED, 0.3)
+        self.assertEqual(self._granted(), [back])
+        self.scheduler.release(busy[1], Ending.ABANDONED, 0.3)
+        self.assertEqual(self._granted(), [newcomer])
+
     def test_overload_rejects_at_once_with_return_time(self):
         """Who cannot be served in time hears so at arrival."""
         self.board.book.hold_s['draft'] = 1.0
--- a/standins/gateway_world.py
+++ b/standins/gateway_world.py
@@ -117,7 +117,9 @@
     return schedulers.Scheduler(made.name, made.book, policy, made.peers)
 
 
-def ticket(now=0.0, route_made=None, workspace_made=None, **changes):
+def ticket(
+    now=0.0, route_made=None, workspace_made=None, age_s=0.0, **changes
+):
     """Return a ticket for a request."""
     return messages.Ticket(
         request(**changes),
@@ -125,4 +127,5 @@
         SERVICE,
         workspace_made,
         now,
+        age_s,
     )
