Take settings and rows over while the process runs

Cause: SIGHUP ended the process, as nothing handled it; a gateway that started in an outage of the store knew nothing until it was back; a stream that went on elsewhere taught a negative time to the first byte.

Ruled out: polling only (a signal has to work at once).

Change: settings are read again on SIGHUP and when the file changes, bounds come in force, invalid files change nothing; a starting gateway asks the seeds for the rows that they read and takes over their age.

Conclusion: a start no longer depends on the store alone.

--- a/persimmonroute/config/settings.py
+++ b/persimmonroute/config/settings.py
@@ -66,6 +66,13 @@
     'metrics_address': options.Address(
         'Address on which a gateway serves its metrics.'
     ),
+    'control_address': options.Address(
+        'Address on which a gateway gives peers what it read of the store.'
+    ),
+    'seeds': options.TextList(
+        'Control addresses of gateways that are asked while the store is'
+        ' away at a start.'
+    ),
     'peer_address': options.Address(
         'UDP address on which gateways exchange reports.'
     ),
@@ -114,6 +121,7 @@
         'platform',
         'ready_address',
         'metrics_address',
+        'control_address',
         'peer_address',
         'regions',
     ),
@@ -142,6 +150,8 @@
     stop_grace_s: float
     ready_address: str | None
     metrics_address: str | None
+    control_address: str | None
+    seeds: list[str] | None
     peer_address: str | None
     regions: dict[str, str] | None
     revocation_s: float
--- a/persimmonroute/daemon.py
+++ b/persimmonroute/daemon.py
@@ -22,6 +22,7 @@
 from persimmonroute.config import settings as settings_module
 from persimmonroute import exceptions
 from persimmonroute import logs
+from persimmonroute import reloading
 
 # Modules are imported by role, as a gateway's memory is scarce and it
 # needs neither gRPC nor TLS.
@@ -53,19 +54,23 @@
         return 0
     logs.setup_logs(settings.instance, settings.log_level, settings.log_format)
     try:
-        asyncio.run(_run(settings))
+        asyncio.run(_run(arguments['--config'], settings))
     finally:
         logs.close_logs()
     return 0
 
 
-async def _run(settings):
+async def _run(path, settings):
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     process = build_process(settings)
+    reloader = reloading.SettingsReloader(path, settings, process)
+    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
+    watching = asyncio.create_task(reloader.watch())
     await process.run(stop)
+    watching.cancel()
 
 
 if __name__ == '__main__':
--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -20,6 +20,10 @@
     PROCESS_STARTED = EventKind(100, 'INFO', 'process started')
     PROCESS_STOPPING = EventKind(101, 'INFO', 'graceful shutdown began')
     PROCESS_STOPPED = EventKind(102, 'INFO', 'process stopped')
+    SETTINGS_RELOADED = EventKind(103, 'INFO', 'settings read again')
+    SETTINGS_REJECTED = EventKind(
+        104, 'ERROR', 'settings file is not valid; the old ones stay'
+    )
     LINES_DROPPED = EventKind(
         110, 'WARNING', 'log lines left out for lack of room'
     )
@@ -98,6 +102,9 @@
     HISTORY_LOST = EventKind(
         721, 'WARNING', 'changes of a table are gone; reading it whole'
     )
+    ROWS_FROM_PEER = EventKind(
+        722, 'WARNING', 'table taken from a peer while the store is away'
+    )
     PEER_REPORT_UNREADABLE = EventKind(
         730, 'WARNING', 'report of a peer passed over'
     )
--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -28,6 +28,36 @@
     quotas: quotas.Tolerance
 
 
+# Settings that may change while a gateway runs.
+BOUND_SETTINGS = (
+    'revocation_s',
+    'configuration_s',
+    'retry_ratio',
+    'retry_slack',
+    'retry_window_s',
+    'quota_window_s',
+    'quota_overrun',
+    'quota_slack',
+)
+
+
+def read_bounds(settings):
+    """Return the bounds in the settings of a process."""
+    return Bounds(
+        revocation_s=settings.revocation_s,
+        configuration_s=settings.configuration_s,
+        grace_s=settings.stop_grace_s,
+        retry_ratio=settings.retry_ratio,
+        retry_slack=settings.retry_slack,
+        retry_window_s=settings.retry_window_s,
+        quotas=quotas.Tolerance(
+            settings.quota_window_s,
+            settings.quota_overrun,
+            settings.quota_slack,
+        ),
+    )
+
+
 class GatewayBoard:
     """Hold what a gateway believes and has in progress."""
 
@@ -51,6 +81,14 @@
         """Return the version of the configuration, or 0."""
         return self.table.configuration.version if self.table else 0
 
+    def apply_bounds(self, bounds):
+        """Put changed bounds in force."""
+        self.bounds = bounds
+        self.retries.set_limits(
+            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
+        )
+        self.quotas.set_tolerance(bounds.quotas)
+
     def adopt_configuration(self, configuration, now):
         """Put a configuration in force unless a newer one is."""
         if configuration.version <= self.version:
--- a/persimmonroute/gateway/following.py
+++ b/persimmonroute/gateway/following.py
@@ -51,13 +51,22 @@
         Raises HistoryLostError when the table has to be read again.
         """
 
+    @abc.abstractmethod
+    def export_rows(self):
+        """Return the values of all rows by key, for a peer."""
+
+    @abc.abstractmethod
+    def import_rows(self, values, answered_at):
+        """Return the Changes in rows that a peer has read."""
+
 
 class Follower:
     """Keep the board's view of one table up to date."""
 
-    def __init__(self, board, source, on_change):
+    def __init__(self, board, source, peer_rows, on_change):
         self._board = board
         self._source = source
+        self._peer_rows = peer_rows
         self._on_change = on_change
         self._up = True
         self._pause_s = FIRST_PAUSE_S
@@ -79,12 +88,33 @@
                 continue
             except exceptions.PlatformUnavailableError as error:
                 self._note_down(error)
+                if not fresh:
+                    await self._ask_peers()
                 await asyncio.sleep(self._pause_s)
                 self._pause_s = min(self._pause_s * 2, LONGEST_PAUSE_S)
                 continue
             self._note_up()
             self._apply(changes)
 
+    @property
+    def source(self):
+        """Return the source of the table."""
+        return self._source
+
+    async def _ask_peers(self):
+        """Begin with what a peer has read while the store is away."""
+        found = await self._peer_rows.read(self._source.name)
+        if found is not None:
+            log.emit(
+                Event.ROWS_FROM_PEER,
+                table=self._source.name,
+                rows=len(found.values),
+                age_s=round(clock.now_s() - found.confirmed_at, 3),
+            )
+            self._apply(
+                self._source.import_rows(found.values, found.confirmed_at)
+            )
+
     def _note_down(self, error):
         if self._up:
             self._up = False
@@ -128,8 +158,8 @@
 class RunnerFollower(Follower):
     """Keep the list of endpoints."""
 
-    def __init__(self, board, source, on_change, on_gone):
-        super().__init__(board, source, on_change)
+    def __init__(self, board, source, peer_rows, on_change, on_gone):
+        super().__init__(board, source, peer_rows, on_change)
         self._on_gone = on_gone
 
     def _apply_changes(self, changes, now):
--- a/persimmonroute/gateway/quotas.py
+++ b/persimmonroute/gateway/quotas.py
@@ -24,7 +24,7 @@
     """Hold the units that a workspace may still use."""
 
     def __init__(self, quota, tolerance, now):
-        self._tolerance = tolerance
+        self.tolerance = tolerance
         self.quota = quota
         self.level = START_SHARE * self.capacity
         self.updated_at = now
@@ -34,7 +34,7 @@
     @property
     def capacity(self):
         """Return the units that a full bucket holds."""
-        quota, allowed = self.quota, self._tolerance
+        quota, allowed = self.quota, self.tolerance
         regular = quota.per_s * allowed.window_s + quota.burst
         excess = allowed.overrun * regular + allowed.slack
         return quota.burst + EXCESS_SHARE * excess
@@ -57,6 +57,12 @@
         self._peer_used = {}
         self._heard_share = 1.0
 
+    def set_tolerance(self, tolerance):
+        """Set by how much quotas may be exceeded."""
+        self._tolerance = tolerance
+        for bucket in self._buckets.values():
+            bucket.tolerance = tolerance
+
     def set_heard_share(self, share):
         """Set the share of all gateways that this one hears, up to 1."""
         self._heard_share = share
--- a/persimmonroute/gateway/retry_budget.py
+++ b/persimmonroute/gateway/retry_budget.py
@@ -13,13 +13,17 @@
     """Count first and repeated sends of each service in a window."""
 
     def __init__(self, ratio, slack, window_s):
-        self._ratio = ratio
-        self._slack = slack
-        self._window_s = window_s
+        self.set_limits(ratio, slack, window_s)
         self._gateways = 1
         self._first = collections.defaultdict(collections.deque)
         self._repeats = collections.defaultdict(collections.deque)
 
+    def set_limits(self, ratio, slack, window_s):
+        """Set the repeats allowed in a window of seconds."""
+        self._ratio = ratio
+        self._slack = slack
+        self._window_s = window_s
+
     def set_gateways(self, count):
         """Set the number of gateways that share the fixed amount."""
         self._gateways = max(count, 1)
--- a/persimmonroute/gateway/scheduler.py
+++ b/persimmonroute/gateway/scheduler.py
@@ -174,7 +174,9 @@
         self._book.learn_hold(kind, hold)
         view.learn_slowness(hold / max(self._book.hold_s[kind], 1e-3))
         first = ticket.first_byte_at or now
-        self._book.learn_first_byte(kind, first - ticket.sent_at)
+        # A stream that went on here has its first byte from elsewhere.
+        if first >= ticket.sent_at:
+            self._book.learn_first_byte(kind, first - ticket.sent_at)
 
     def _grant(self, ticket, view, now):
         ticket.runner = view
--- a/persimmonroute/gateway/server.py
+++ b/persimmonroute/gateway/server.py
@@ -10,6 +10,8 @@
 
 from persimmonroute import clock
 from persimmonroute.events import Event
+from persimmonroute.gateway import board as boards
+from persimmonroute.gateway import peer_rows
 from persimmonroute import http_server
 from persimmonroute import logs
 from persimmonroute import metrics_text
@@ -28,10 +30,11 @@
 class GatewayServer:
     """Serve callers until a stop is asked for and all work has ended."""
 
-    def __init__(self, board, shell, ingress, metrics, settings):
+    def __init__(self, board, shell, ingress, metrics, sources, settings):
         self._board = board
         self._shell = shell
         self._collector = metrics
+        self._sources = {source.name: source for source in sources}
         self._settings = settings
         grace_s = settings.stop_grace_s - BALANCER_NOTICE_S - STOP_MARGIN_S
         self._front = http_server.build_server(
@@ -43,13 +46,16 @@
         self._metrics = http_server.build_server(
             self._build_metrics_app(), settings.metrics_address, 1.0
         )
+        self._peers = http_server.build_server(
+            self._build_peer_app(), settings.control_address, 1.0
+        )
 
     async def run(self, stop):
         """Serve until the stop event is set and requests have ended."""
         await self._shell.start(
             self._settings.instance, self._settings.peer_address
         )
-        servers = [self._front, self._ready, self._metrics]
+        servers = [self._front, self._ready, self._metrics, self._peers]
         serving = [asyncio.create_task(s.serve()) for s in servers]
         log.emit(Event.PROCESS_STARTED, address=self._settings.address)
         await stop.wait()
@@ -60,10 +66,16 @@
         await serving[0]
         self._ready.should_exit = True
         self._metrics.should_exit = True
+        self._peers.should_exit = True
         await self._shell.close()
         log.emit(Event.PROCESS_STOPPED)
         await asyncio.gather(*serving)
 
+    def apply_settings(self, settings):
+        """Take over the bounds; return the names of what changed by it."""
+        self._board.apply_bounds(boards.read_bounds(settings))
+        return boards.BOUND_SETTINGS
+
     def _build_ready_app(self):
         return applications.Starlette(
             routes=[routing.Route('/readyz', self._tell_ready)]
@@ -74,6 +86,21 @@
             routes=[routing.Route('/metrics', self._tell_metrics)]
         )
 
+    def _build_peer_app(self):
+        return applications.Starlette(
+            routes=[routing.Route('/rows/{table}', self._tell_rows)]
+        )
+
+    async def _tell_rows(self, request):
+        """Give a gateway that starts what this one read of a table."""
+        source = self._sources.get(request.path_params['table'])
+        if source is None or self._board.table is None:
+            return responses.JSONResponse({'error': 'not known'}, 404)
+        age_s = self._board.configuration_belief.age_s(clock.now_s())
+        return responses.JSONResponse(
+            peer_rows.encode_rows(source.export_rows(), age_s)
+        )
+
     async def _tell_ready(self, request):
         problem = self._find_problem()
         return responses.PlainTextResponse(
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -9,12 +9,13 @@
 from persimmonroute.gateway import forwarding
 from persimmonroute.gateway import metrics
 from persimmonroute.gateway import peer_link
+from persimmonroute.gateway import peer_rows
 from persimmonroute.gateway import placement
 from persimmonroute.gateway import places
-from persimmonroute.gateway import quotas
 from persimmonroute.gateway import scheduler as schedulers
 from persimmonroute.gateway import server
 from persimmonroute.gateway import shell as shells
+from persimmonroute.platform import connection
 from persimmonroute.platform import ingress
 from persimmonroute.platform import runner_client
 from persimmonroute.platform import sources
@@ -28,19 +29,7 @@
 
 def build_board(settings):
     """Return the board of a gateway."""
-    bounds = boards.Bounds(
-        revocation_s=settings.revocation_s,
-        configuration_s=settings.configuration_s,
-        grace_s=settings.stop_grace_s,
-        retry_ratio=settings.retry_ratio,
-        retry_slack=settings.retry_slack,
-        retry_window_s=settings.retry_window_s,
-        quotas=quotas.Tolerance(
-            settings.quota_window_s,
-            settings.quota_overrun,
-            settings.quota_slack,
-        ),
-    )
+    bounds = boards.read_bounds(settings)
     return boards.GatewayBoard(
         settings.instance, bounds, build_place(settings)
     )
@@ -84,17 +73,25 @@
             scheduler.set_services(board.table.configuration.services)
         dispatcher.pump(now)
 
+    rows = peer_rows.PeerRowsClient(
+        settings.seeds or (),
+        settings.control_address,
+        connection.open_connection,
+        connection.read_answer,
+    )
     followers = [
         following.ConfigurationFollower(
             board,
             sources.ConfigurationSource(
                 store, CONFIGURATION_WAIT_SHARE * settings.revocation_s
             ),
+            rows,
             note_change,
         ),
         following.RunnerFollower(
             board,
             sources.RunnerSource(store, RUNNER_WAIT_S),
+            rows,
             note_change,
             client.forget,
         ),
@@ -103,4 +100,7 @@
         board, dispatcher, client, followers, sources.GatewayList(store), link
     )
     app = ingress.IngressApp(board, forwarder)
-    return server.GatewayServer(board, shell, app, measured, settings)
+    followed = [follower.source for follower in followers]
+    return server.GatewayServer(
+        board, shell, app, measured, followed, settings
+    )
--- a/persimmonroute/platform/sources.py
+++ b/persimmonroute/platform/sources.py
@@ -23,20 +23,44 @@
         self._tables = tables
         self._wait_s = wait_s
         self._version = 0
+        # Values of all rows as they were read last.
+        self._values = {}
         self.name = table
 
     async def read(self):
         """Read the whole table."""
         page = await self._tables.read(self.name)
         self._version = page.version
-        return self._decode(page, True)
+        self._values = {}
+        return self._take(page, True)
+
+    def export_rows(self):
+        """Return the values of all rows by key, for a peer."""
+        return self._values
+
+    def import_rows(self, values, answered_at):
+        """Return the Changes in rows that a peer has read."""
+        rows = [
+            _tables.TableRow(self.name, '', key, value, 0)
+            for key, value in values.items()
+        ]
+        self._values = {}
+        return self._take(_tables.Page(tuple(rows), 0, answered_at), True)
 
     async def watch(self, patient):
         """Wait for changes, or only ask for them."""
         wait_s = self._wait_s if patient else 0.0
         page = await self._tables.watch(self.name, self._version, wait_s)
         self._version = max(self._version, page.version)
-        return self._decode(page, False)
+        return self._take(page, False)
+
+    def _take(self, page, complete):
+        for row in page.rows:
+            if row.value is None:
+                self._values.pop(row.key, None)
+            else:
+                self._values[row.key] = row.value
+        return self._decode(page, complete)
 
     def _decode(self, page, complete):
         raise NotImplementedError
--- a/persimmonroute/tests/gateway/serving_tests.py
+++ b/persimmonroute/tests/gateway/serving_tests.py
@@ -264,6 +264,19 @@
         await asyncio.sleep(1.5)
         self.assertEqual((await self.made.call('/book/x')).status, 200)
 
+    async def test_start_without_the_store(self):
+        """A gateway that starts in an outage asks its peers."""
+        self.made.platform.fault = 'down'
+        await asyncio.sleep(0.2)
+        await self.made.add_gateway()
+        answer = await self.made.call('/book/x', gateway=1)
+        self.assertEqual(answer.status, 200)
+        # The age was taken over, so keys end with the first gateway's. A
+        # watch that was under way still confirmed it for up to 1.2 s.
+        await asyncio.sleep(4.0)
+        answer = await self.made.call('/book/x', gateway=1)
+        self.assertEqual(answer.status, 503)
+
     async def test_planned_stop_cuts_off_nothing(self):
         """Requests in progress end, and new ones are told to close."""
         calls = []
--- a/persimmonroute/tests/platform/deployment_tests.py
+++ b/persimmonroute/tests/platform/deployment_tests.py
@@ -22,6 +22,8 @@
     'Ip': '10.1.0.25',
     'Listen.Front': '10.1.0.25:8221',
     'Listen.Ready': '10.1.0.25:8224',
+    'Listen.Control': '10.1.0.25:8229',
+    'Seeds': ['10.1.0.25:8229', '10.2.0.17:8229'],
     'PortRange.0': '7600',
     'PortRange.1': '7615',
     'Platform.Address': '10.200.1.7:8225',
@@ -42,7 +44,11 @@
     """Return the template filled in as the platform does it."""
 
     def fill_section(match):
-        return match.group(2) if match.group(1) in fields else ''
+        value = fields.get(match.group(1))
+        if isinstance(value, list):
+            # The entries stand in for the section's own names.
+            return ', '.join(json.dumps(entry) for entry in value)
+        return '' if value is None else match.group(2)
 
     text = re.sub(
         r'\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}', fill_section, text, 0, re.S
--- /dev/null
+++ b/persimmonroute/tests/reloading_tests.py
@@ -0,0 +1,64 @@
+"""Test that settings are taken over while a process runs."""
+
+from __future__ import annotations
+
+import json
+import os
+import tempfile
+import unittest
+
+from persimmonroute.config import settings as settings_module
+from persimmonroute.gateway import server
+from persimmonroute import reloading
+from standins import gateway_world as world
+
+DOCUMENT = {
+    'role': 'gateway',
+    'instance': 'gateway-1',
+    'region': 'riga',
+    'failure_domain': 'riga-a',
+    'address': '127.0.0.1:7001',
+    'ready_address': '127.0.0.1:7002',
+    'metrics_address': '127.0.0.1:7003',
+    'peer_address': '127.0.0.1:7004',
+    'control_address': '127.0.0.1:7005',
+    'platform': '127.0.0.1:7000',
+    'regions': {'riga-a': 'riga'},
+}
+
+
+class ReloadTests(unittest.TestCase):
+    """Change the settings file of a gateway."""
+
+    def setUp(self):
+        """Write valid settings."""
+        file = tempfile.NamedTemporaryFile('w', suffix='.json', delete=False)
+        self.addCleanup(os.unlink, file.name)
+        file.close()
+        self.path = file.name
+        self._write(DOCUMENT)
+        self.board = world.board()
+        made = settings_module.load_settings(self.path)
+        process = server.GatewayServer(self.board, None, None, None, (), made)
+        self.reloader = reloading.SettingsReloader(self.path, made, process)
+
+    def _write(self, document):
+        with open(self.path, 'w', encoding='utf-8') as file:
+            json.dump(document, file)
+
+    def test_changed_bounds_come_in_force(self):
+        """Bounds change at once, without a restart."""
+        self._write({**DOCUMENT, 'revocation_s': 9, 'quota_slack': 77})
+        self.reloader.reload()
+        self.assertEqual(self.board.bounds.revocation_s, 9)
+        self.assertEqual(self.board.bounds.quotas.slack, 77)
+
+    def test_invalid_settings_change_nothing(self):
+        """A file that is not valid leaves the old settings in force."""
+        before = self.board.bounds
+        for text in ('{', '{}', json.dumps({**DOCUMENT, 'colour': 1})):
+            with self.subTest(text=text):
+                with open(self.path, 'w', encoding='utf-8') as file:
+                    file.write(text)
+                self.reloader.reload()
+                self.assertEqual(self.board.bounds, before)
--- a/standins/gateway_deployment.py
+++ b/standins/gateway_deployment.py
@@ -85,6 +85,7 @@
         self._gateways = gateways
         self._tasks = []
         self._store_server = None
+        self._store = None
 
     async def start(self):
         """Start everything and wait until gateways are ready."""
@@ -97,10 +98,14 @@
             await runner.start()
             self.register(runner)
         self.platform.put_row('op', 'config', configuration())
-        for number in range(self._gateways):
-            self._start_gateway(f'gateway-{number}', store)
-        for made in self.settings:
-            await _wait_ready(made.ready_address)
+        self._store = store
+        for _ in range(self._gateways):
+            await self.add_gateway()
+
+    async def add_gateway(self):
+        """Start another gateway and wait until it is ready."""
+        self._start_gateway(f'gateway-{len(self.settings)}', self._store)
+        await _wait_ready(self.settings[-1].ready_address)
 
     async def stop(self):
         """Stop everything."""
@@ -163,6 +168,8 @@
             'address': f'127.0.0.1:{free_port()}',
             'ready_address': f'127.0.0.1:{free_port()}',
             'metrics_address': f'127.0.0.1:{free_port()}',
+            'control_address': f'127.0.0.1:{free_port()}',
+            'seeds': [made.control_address for made in self.settings],
             'peer_address': f'127.0.0.1:{free_port()}',
             'platform': store,
             'regions': {'riga-a': 'riga'},
