Credit a peer's share of a quota only up to its last report

For the two seconds until the cut was noticed each part refilled its bucket at the full rate.

Ruled out: reports that are lost or late before the cut (15 ms intervals); a smaller part of the excess (it would only hide the cause).

Change: each gateway owns an equal share of the refill; a peer's share is credited up to its last report and no further, so no detection is needed. A peer counts as unheard after 1 s instead of 2 s.

The new test plays a cut that nobody has noticed.

Conclusion: the bound holds by construction for the refill; what a bucket holds at the moment of a cut may still be used on both sides.

--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -123,5 +123,7 @@
         for peer in self.peers.stale(now):
             for view in self.book:
                 view.peer_in_flight.pop(peer.name, None)
-        self.quotas.set_heard_share(self.peers.heard_share(now))
+        self.quotas.set_peers(
+            self.peers.heard_times(now), self.peers.heard_share(now)
+        )
         self.retries.set_gateways(self.peers.count(now))
--- a/persimmonroute/gateway/peers.py
+++ b/persimmonroute/gateway/peers.py
@@ -11,7 +11,7 @@
 # Reports older than this are not counted.
 REPORT_LIFE_S = 1.0
 # A gateway that was not heard for this long counts as unheard.
-HEARD_S = 2.0
+HEARD_S = 1.0
 # A gateway that nobody has heard for this long is taken to be gone, as
 # processes restart within seconds.
 FORGET_S = 60.0
@@ -112,11 +112,15 @@
 
     def count(self, now):
         """Return the number of gateways, this one included."""
-        return 1 + sum(
-            1
+        return 1 + len(self.heard_times(now))
+
+    def heard_times(self, now):
+        """Return when each peer was heard; None for never."""
+        return {
+            peer.name: peer.heard_at
             for peer in self._peers.values()
             if now - (peer.heard_at or peer.known_since) < FORGET_S
-        )
+        }
 
     def heard_share(self, now):
         """Return the share of all gateways that is heard, this included."""
--- a/persimmonroute/gateway/quotas.py
+++ b/persimmonroute/gateway/quotas.py
@@ -28,6 +28,8 @@
         self.quota = quota
         self.level = START_SHARE * self.capacity
         self.updated_at = now
+        # Time up to which each peer's share of the refill was credited.
+        self.credited = {}
         # Units used through this gateway since it started.
         self.used = 0.0
 
@@ -43,10 +45,11 @@
 class QuotaKeeper:
     """Keep a bucket for each workspace, fed by all gateways' use.
 
-    Every gateway deducts what it admits and what its peers report. Peers
-    that it cannot hear may admit unseen, so it then keeps to the share of
-    the gateways that it does hear. Those shares sum to the quota in every
-    partition.
+    Every gateway deducts what it admits and what its peers report. Each
+    gateway owns an equal share of the refill. A peer's share is credited
+    only up to its last report, as nobody knows what it admitted since. So
+    in every partition the parts together stay within the quota, however
+    late the partition is noticed.
     """
 
     def __init__(self, tolerance=Tolerance()):
@@ -55,6 +58,8 @@
         self._since = None
         self._buckets = {}
         self._peer_used = {}
+        # When each peer was last heard; None for one that never was.
+        self._heard_at = {}
         self._heard_share = 1.0
 
     def set_tolerance(self, tolerance):
@@ -63,9 +68,10 @@
         for bucket in self._buckets.values():
             bucket.tolerance = tolerance
 
-    def set_heard_share(self, share):
-        """Set the share of all gateways that this one hears, up to 1."""
-        self._heard_share = share
+    def set_peers(self, heard_at, heard_share):
+        """Set when each peer was heard and the share that is heard now."""
+        self._heard_at = heard_at
+        self._heard_share = heard_share
 
     def apply(self, workspaces, now):
         """Take over the quotas of a configuration."""
@@ -144,7 +150,6 @@
         for name, units in used.items():
             bucket = self._buckets.get(name)
             if bucket is not None:
-                self._refill(bucket, now)
                 bucket.level -= units - known.get(name, 0.0)
             known[name] = units
 
@@ -157,8 +162,17 @@
         self._peer_used.pop(peer, None)
 
     def _refill(self, bucket, now):
-        quota = bucket.quota
-        share = self._heard_share
-        gained = (now - bucket.updated_at) * quota.per_s * share
-        bucket.level = min(bucket.level + gained, bucket.capacity * share)
+        """Credit the own share until now, and those of peers as heard."""
+        members = len(self._heard_at) + 1
+        seconds = now - bucket.updated_at
+        for peer, heard_at in self._heard_at.items():
+            if heard_at is None:
+                continue
+            since = bucket.credited.setdefault(peer, heard_at)
+            if heard_at > since:
+                seconds += heard_at - since
+                bucket.credited[peer] = heard_at
+        gained = seconds * bucket.quota.per_s / members
+        full = bucket.capacity * self._heard_share
+        bucket.level = min(bucket.level + gained, full)
         bucket.updated_at = now
--- a/persimmonroute/tests/gateway/quotas_tests.py
+++ b/persimmonroute/tests/gateway/quotas_tests.py
@@ -62,7 +62,7 @@
         """Gateways that do not hear each other stay within the quota."""
         keepers = [self._keeper() for _ in range(3)]
         for keeper in keepers:
-            keeper.set_heard_share(1 / 3)
+            keeper.set_peers({'a': None, 'b': None}, 1 / 3)
         self._assert_within_bound(keepers, reports=False, seed=1)
 
     def test_all_gateways_stay_within_the_bound(self):
@@ -72,19 +72,37 @@
                 keepers = [self._keeper() for _ in range(4)]
                 self._assert_within_bound(keepers, reports=True, seed=seed)
 
-    def _assert_within_bound(self, keepers, reports, seed):
+    def test_cut_that_nobody_noticed_yet(self):
+        """Gateways stay within the bound from the moment of a cut."""
+        for seed in range(10):
+            with self.subTest(seed=seed):
+                keepers = [self._keeper() for _ in range(4)]
+                self._assert_within_bound(
+                    keepers, reports=True, seed=seed, cut_at=10.0
+                )
+
+    def _assert_within_bound(self, keepers, reports, seed, cut_at=1e9):
         rng = random.Random(seed)
         taken, now = [], 0.0
+        heard = {keeper: {} for keeper in keepers}
         while now < 40.0:
             now += rng.expovariate(40)
             keeper = rng.choice(keepers)
+            reports = reports and now < cut_at
             request = world.request(prompt_tokens=rng.randrange(20, 200))
             if keeper.take(WORKSPACE, request, now) == 0.0:
                 taken.append((now, keeper.units(WORKSPACE, request)))
             if reports and rng.random() < 0.5:
                 for other in keepers:
                     if other is not keeper:
-                        other.hear_used(id(keeper), keeper.report_used(), now)
+                        used = keeper.report_used()
+                        other.hear_used(id(keeper), used, now)
+                        heard[other][id(keeper)] = now
+            if reports or now >= cut_at:
+                peers = [k for k in keepers if k is not keeper]
+                times = {id(k): heard[keeper].get(id(k)) for k in peers}
+                # Nobody has noticed the cut: all still count as heard.
+                keeper.set_peers(times, 1.0)
         allowed = (QUOTA.per_s * 8 + QUOTA.burst) * 1.1 + TOLERANCE.slack
         for start, _ in taken:
             used = sum(u for at, u in taken if start <= at < start + 8.0)
