--- a/persimmonroute/config/settings.py
+++ b/persimmonroute/config/settings.py
@@ -172,7 +172,7 @@
         if fields[name] is None:
             problems.append(
                 options.Problem(
-                    f'settings.{name}', f'is missing for an {fields["role"]}'
+                    f'settings.{name}', f'is missing for the role {fields["role"]}'
                 )
             )
     _check_tls(fields, problems)
--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -7,6 +7,7 @@
 import h11
 
 from persimmonroute import clock
+from persimmonroute.gateway import forwarding
 from persimmonroute.gateway import model
 from persimmonroute.platform import connection
 from persimmonroute.platform import names
@@ -23,7 +24,7 @@
 _TIMEOUT = re.compile(rb'timeout=(\d+)')
 
 
-class RunnerCall:
+class RunnerCall(forwarding.EndpointCall):
     """Hold one attempt at an endpoint from its sending to its end."""
 
     def __init__(self, pool, runner, conn, attempt):
