Hold a smaller part of the excess, and refill before a peer's use counts

The bucket was nearly full when a gateway was cut off, so both sides used it. The new test then showed a second cause: the use of a peer was deducted from a bucket that had not been refilled, which credits time in which it was full.

Ruled out: the refill during the cut (credited as heard since the last change).

Change: 0.45 instead of 0.85 of the excess; unheard after 0.7 s instead of 1 s, two repeats and a little; refill first.

--- a/persimmonroute/config/settings.py
+++ b/persimmonroute/config/settings.py
@@ -172,7 +172,8 @@
         if fields[name] is None:
             problems.append(
                 options.Problem(
-                    f'settings.{name}', f'is missing for the role {fields["role"]}'
+                    f'settings.{name}',
+                    f'is missing for the role {fields["role"]}',
                 )
             )
     _check_tls(fields, problems)
--- a/persimmonroute/gateway/peers.py
+++ b/persimmonroute/gateway/peers.py
@@ -10,8 +10,9 @@
 
 # Reports older than this are not counted.
 REPORT_LIFE_S = 1.0
-# A gateway that was not heard for this long counts as unheard.
-HEARD_S = 1.0
+# A gateway that was not heard for this long counts as unheard; reports
+# are repeated every 0.3 s at least, and one may be lost.
+HEARD_S = 0.7
 # A gateway that nobody has heard for this long is taken to be gone, as
 # processes restart within seconds.
 FORGET_S = 60.0
--- a/persimmonroute/gateway/quotas.py
+++ b/persimmonroute/gateway/quotas.py
@@ -4,9 +4,10 @@
 
 import typing
 
-# Share of the allowed excess that is used; the rest covers what peers
-# admit before their reports arrive, and restarts.
-EXCESS_SHARE = 0.85
+# Share of the allowed excess that a bucket may hold. The rest covers what
+# peers admit before their reports arrive, restarts, and a bucket that was
+# full when gateways lost each other, as both sides may then use it.
+EXCESS_SHARE = 0.45
 # Share of a full bucket that a gateway starts with, as it may follow one
 # that has just used its share.
 START_SHARE = 0.4
@@ -148,9 +149,12 @@
                 known.update(used)
                 return
         for name, units in used.items():
+            fresh = units - known.get(name, 0.0)
             bucket = self._buckets.get(name)
-            if bucket is not None:
-                bucket.level -= units - known.get(name, 0.0)
+            if bucket is not None and fresh:
+                # A full bucket gains nothing, so the refill comes first.
+                self._refill(bucket, now)
+                bucket.level -= fresh
             known[name] = units
 
     def _is_new(self, now):
--- a/persimmonroute/tests/gateway/quotas_tests.py
+++ b/persimmonroute/tests/gateway/quotas_tests.py
@@ -6,6 +6,7 @@
 import unittest
 
 from persimmonroute.gateway import model
+from persimmonroute.gateway import peers
 from persimmonroute.gateway import quotas
 from persimmonroute.gateway import retry_budget
 from standins import gateway_world as world
@@ -81,6 +82,42 @@
                     keepers, reports=True, seed=seed, cut_at=10.0
                 )
 
+    def test_cut_with_full_buckets(self):
+        """A full bucket at a cut keeps both sides within the bound."""
+        for seed in range(10):
+            with self.subTest(seed=seed):
+                self._play_cut_when_idle(random.Random(seed))
+
+    def _play_cut_when_idle(self, rng):
+        keepers = [self._keeper() for _ in range(4)]
+        others = {keeper: set(keepers) - {keeper} for keeper in keepers}
+        for keeper in keepers:
+            heard = {id(k): 100.0 for k in others[keeper]}
+            keeper.set_peers(heard, 1.0)
+        # From second 100 the first one is cut off; all notice it later.
+        parts = {k: set(keepers[1:]) - {k} for k in keepers[1:]}
+        parts[keepers[0]] = set()
+        taken, now = [], 100.0
+        noticed_at = 100.0 + peers.HEARD_S
+        while now < 120.0:
+            now += rng.expovariate(40)
+            keeper = rng.choice(keepers)
+            request = world.request(prompt_tokens=rng.randrange(20, 200))
+            if keeper.take(WORKSPACE, request, now) == 0.0:
+                taken.append((now, keeper.units(WORKSPACE, request)))
+            for other in parts[keeper]:
+                other.hear_used(id(keeper), keeper.report_used(), now)
+            for other in keepers:
+                heard = {
+                    id(k): now if k in parts[other] else 100.0
+                    for k in others[other]
+                }
+                share = (
+                    (len(parts[other]) + 1) / 4 if now > noticed_at else 1.0
+                )
+                other.set_peers(heard, share)
+        self._check_window(taken)
+
     def _assert_within_bound(self, keepers, reports, seed, cut_at=1e9):
         rng = random.Random(seed)
         taken, now = [], 0.0
@@ -99,10 +136,13 @@
                         other.hear_used(id(keeper), used, now)
                         heard[other][id(keeper)] = now
             if reports or now >= cut_at:
-                peers = [k for k in keepers if k is not keeper]
-                times = {id(k): heard[keeper].get(id(k)) for k in peers}
+                rest = [k for k in keepers if k is not keeper]
+                times = {id(k): heard[keeper].get(id(k)) for k in rest}
                 # Nobody has noticed the cut: all still count as heard.
                 keeper.set_peers(times, 1.0)
+        self._check_window(taken)
+
+    def _check_window(self, taken):
         allowed = (QUOTA.per_s * 8 + QUOTA.burst) * 1.1 + TOLERANCE.slack
         for start, _ in taken:
             used = sum(u for at, u in taken if start <= at < start + 8.0)
