Take out what the gateway does not use

Cause: the last read found RouteTable.find_service with its index, the grace period in Bounds and a list of behaviours in a stand-in, none of them read.

Change: they are gone; behaviour is the same.

Conclusion: dead code only.

--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -20,8 +20,6 @@
     revocation_s: float
     # A change of the configuration is in force within this.
     configuration_s: float
-    # A process that was asked to stop is killed after this.
-    grace_s: float
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
@@ -46,7 +44,6 @@
     return Bounds(
         revocation_s=settings.revocation_s,
         configuration_s=settings.configuration_s,
-        grace_s=settings.stop_grace_s,
         retry_ratio=settings.retry_ratio,
         retry_slack=settings.retry_slack,
         retry_window_s=settings.retry_window_s,
--- a/persimmonroute/gateway/routes.py
+++ b/persimmonroute/gateway/routes.py
@@ -19,7 +19,6 @@
             for workspace in configuration.workspaces
             for key in workspace.keys
         }
-        self._services = {s.name: s for s in configuration.services}
 
     @property
     def configuration(self):
@@ -48,10 +47,6 @@
         """Return the workspace that holds a key, or None."""
         return self._workspaces.get(key)
 
-    def find_service(self, name):
-        """Return the service of a name, or None."""
-        return self._services.get(name)
-
 
 def choose_service(route):
     """Return one of the route's services, drawn by weight."""
--- a/standins/gateway_world.py
+++ b/standins/gateway_world.py
@@ -20,7 +20,6 @@
 BOUNDS = boards.Bounds(
     revocation_s=5.0,
     configuration_s=2.5,
-    grace_s=8.0,
     retry_ratio=0.2,
     retry_slack=10.0,
     retry_window_s=10.0,
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -9,21 +9,6 @@
 
 import h11
 
-# What an endpoint may do to a request; most are taken in turn from a
-# script that a test writes.
-BEHAVIOURS = (
-    'answer',
-    'full',
-    'misdirect',
-    'fail',
-    'reset',
-    'hang',
-    'truncate',
-    'break_stream',
-    'extra',
-    'unframed',
-    'unframed_reset',
-)
 EVENTS = 4
 EVENT_PAUSE_S = 0.005
 SIGNATURE = b'signature'
