Log the first byte and the longest pause of an answer

Cause: of a late stream the logs told only the whole time, so it could not be told whether the queue, the endpoint's first byte or a pause made it late. Change: GATEWAY_ANSWERED carries first_byte_s and longest_pause_s.

--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -94,6 +94,15 @@
         self.may_have_run = False
         # Time of the newest bytes from an endpoint, in seconds.
         self.heard_at = 0.0
+        # Longest time between two pieces of a stream, in seconds.
+        self.longest_pause_s = 0.0
+
+    def hear(self, now):
+        """Note that bytes of the answer came."""
+        if self.begun:
+            pause_s = now - self.heard_at
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self.heard_at = now
 
 
 class Forwarder:
@@ -160,7 +169,7 @@
         if isinstance(outcome, Failed) and not outcome.may_have_run:
             progress.may_have_run = ran_before
         self._metrics.on_attempt(ending)
-        self._note_outcome(ticket, view, outcome)
+        self._note_outcome(ticket, view, outcome, progress)
         return outcome
 
     async def _send(self, ticket, view, progress):
@@ -256,7 +265,7 @@
                 return Failed(Ending.SILENT, True, 'the stream stands still')
             if data is None:
                 break
-            progress.heard_at = clock.now_s()
+            progress.hear(clock.now_s())
             for event in splitter.feed(data):
                 known = progress.last_event_id
                 if event.id is not None and known is not None:
@@ -296,7 +305,7 @@
             return False
         return self._board.retries.take(ticket.service, clock.now_s())
 
-    def _note_outcome(self, ticket, view, outcome):
+    def _note_outcome(self, ticket, view, outcome, progress):
         if isinstance(outcome, Passed):
             if self._board.quarantine.report():
                 self._board.quarantine.note_answered(
@@ -305,12 +314,16 @@
             self._metrics.on_ended(
                 ticket.route.name, str(outcome.status), 'endpoint'
             )
+            now = clock.now_s()
+            first_byte_at = ticket.first_byte_at or now
             log.emit(
                 Event.GATEWAY_ANSWERED,
                 request=ticket.attempt,
                 runner=view.id,
                 status=outcome.status,
-                took_s=round(clock.now_s() - ticket.arrived_at, 4),
+                took_s=round(now - ticket.arrived_at, 4),
+                first_byte_s=round(first_byte_at - ticket.arrived_at, 4),
+                longest_pause_s=round(progress.longest_pause_s, 4),
             )
             return
         ticket.excluded.add(view.id)
