Order gateways at an endpoint by rank first, then by nearness

Cause: near gateways had a head start at an endpoint even when only lower tiers waited there; gateways beyond the endpoint's distance were no rivals at all. Ruled out: report interval (16 to 40 ms against 60 to 180 ms of turns). Change: all gateways with requests are in one order for an endpoint: rank, who freed the room, distance, lot. The head start is gone.

--- a/persimmonroute/gateway/peers.py
+++ b/persimmonroute/gateway/peers.py
@@ -35,6 +35,18 @@
     seconds: float
 
 
+class Claim(typing.NamedTuple):
+    """Order gateways that have requests for the room of an endpoint."""
+
+    # Best rank that waits at the gateway.
+    rank: float
+    # False for the gateway whose own request has left the room.
+    from_others: bool
+    distance: Distance
+    # Gateways agree by it on an order among equals.
+    lot: int
+
+
 class PeerReport(typing.NamedTuple):
     """Hold what a gateway says of its work at one moment."""
 
@@ -139,23 +151,15 @@
         )
         return heard / max(self.count(now), 1)
 
-    def rivals(self, service, runner_id, distance, now):
-        """Return the order keys of peers that may want an endpoint's room.
-
-        They are those with waiting requests that are as near to this
-        gateway as the endpoint is.
-        """
+    def rivals(self, service, record, now):
+        """Return the Claims of peers with requests for an endpoint."""
         found = []
         for peer in self._fresh(now):
-            if self._distance(peer.failure_domain) > distance:
-                continue
             ranks = [
                 rank for name, rank in peer.report.waiting if name == service
             ]
             if ranks:
-                found.append(
-                    (min(ranks), True, draw_lot(runner_id, peer.name))
-                )
+                found.append(self._claim(peer, min(ranks), record))
         return found
 
     def work_ahead(self, service, rank, now):
@@ -198,6 +202,14 @@
         for distance in Distance:
             self._counts[distance] = len(self.at_distance(distance))
 
+    def _claim(self, peer, rank, record):
+        between = Distance.OWN_DOMAIN
+        if self._place is not None:
+            between = self._place.distance_between(
+                peer.failure_domain, record.failure_domain
+            )
+        return Claim(rank, True, between, draw_lot(record.id, peer.name))
+
     def _distance(self, failure_domain):
         if self._place is None:
             return Distance.OWN_DOMAIN
--- a/persimmonroute/gateway/places.py
+++ b/persimmonroute/gateway/places.py
@@ -31,3 +31,12 @@
         if self._region_of.get(failure_domain) == self.region:
             return Distance.OWN_REGION
         return Distance.OTHER_REGION
+
+    def distance_between(self, one, other):
+        """Return the Distance between two failure domains."""
+        if one == other:
+            return Distance.OWN_DOMAIN
+        region = self._region_of.get(one)
+        if region is not None and region == self._region_of.get(other):
+            return Distance.OWN_REGION
+        return Distance.OTHER_REGION
--- a/persimmonroute/gateway/scheduler.py
+++ b/persimmonroute/gateway/scheduler.py
@@ -11,7 +11,6 @@
 from persimmonroute.gateway import model
 from persimmonroute.gateway.model import Ending
 from persimmonroute.gateway import peers
-from persimmonroute.gateway.places import Distance
 
 # Slots of an endpoint whose entry and service name none.
 DEFAULT_SLOTS = 4
@@ -297,24 +296,20 @@
         if room <= 0:
             view.full_at = now
             return 0
-        distance = self._placement.distance(view)
-        turn_s = TURN_INTERVALS * self._peers.interval_s(distance)
-        waited = now - view.full_at
-        if distance is not Distance.OWN_DOMAIN:
-            waited -= turn_s
-        if waited < 0:
-            self._look_again(now - waited)
-            return 0
-        rivals = self._peers.rivals(service, view.id, distance, now)
+        rivals = self._peers.rivals(service, view.record, now)
         if not rivals:
             return room
-        own = (
+        distance = self._placement.distance(view)
+        turn_s = TURN_INTERVALS * self._peers.interval_s(distance)
+        own = peers.Claim(
             rank,
             view.freed_at <= view.taken_at,
+            distance,
             peers.draw_lot(view.id, self._name),
         )
+        waited = now - view.full_at
         turn = sum(rival < own for rival in rivals) // room
-        if view.freed_at <= view.taken_at:
+        if own.from_others:
             # What was sent since is not known to the rivals yet.
             waited = min(waited, now - view.taken_at - turn_s)
         if waited < turn * turn_s:
--- a/persimmonroute/tests/gateway/scheduler_tests.py
+++ b/persimmonroute/tests/gateway/scheduler_tests.py
@@ -225,6 +225,22 @@
         self.scheduler.pump(world.SERVICE, 0.1 + 0.15)
         self.assertEqual(self._granted(), low)
 
+    def test_far_higher_tier_goes_before_near_lower(self):
+        """Nearness decides only among requests of the same rank."""
+        far = world.runner('far', failure_domain='frankfurt-a')
+        self.board = world.board(runners=(far,))
+        self.scheduler = world.scheduler(self.board)
+        self.board.peers.learn('near', '127.0.0.1:1', 0.0, 'frankfurt-a')
+        for rank, expected in ((2.0, 1), (1.0, 0)):
+            with self.subTest(rank=rank):
+                work = {(world.SERVICE, rank): peers.WaitingWork(1, 0.5)}
+                report = peers.PeerReport(
+                    'near', 1, int(10 - rank), {}, work, {}, {}
+                )
+                self.board.hear_peer(report, 0.1)
+                self._submit(0.1)
+                self.assertEqual(len(self._granted()), expected)
+
     def test_room_for_all_is_not_held_back(self):
         """A lower tier goes at once when peers have room enough."""
         self.board = world.board(runners=('r1', 'r2'))
