Let the test of the far endpoint fail on the code before

At 0.1 s the head start was over, so the test passed on both. At 0.02 s it fails on the code before the change (run by hand) and passes after it.

--- a/persimmonroute/tests/gateway/scheduler_tests.py
+++ b/persimmonroute/tests/gateway/scheduler_tests.py
@@ -237,8 +237,8 @@
                 report = peers.PeerReport(
                     'near', 1, int(10 - rank), {}, work, {}, {}
                 )
-                self.board.hear_peer(report, 0.1)
-                self._submit(0.1)
+                self.board.hear_peer(report, 0.02)
+                self._submit(0.02)
                 self.assertEqual(len(self._granted()), expected)
 
     def test_room_for_all_is_not_held_back(self):
