Add a fault soak of the real programs

Gateways run as processes against the stand-ins; a loopback proxy delays, resets, cuts one way or silences their links to callers, store and endpoints; signals pause, stop, kill and reload them; the store and endpoints misbehave; operators change configurations and take keys away. Faults come in series and overlap.

--- a/standins/gateway_deployment.py
+++ b/standins/gateway_deployment.py
@@ -22,24 +22,26 @@
 READY_TIMEOUT_S = 10.0
 
 
+def route(name, **fields):
+    """Return a route as operators write it."""
+    return {
+        'Name': name,
+        'Host': HOST,
+        'Prefix': f'/{name}/',
+        'Kind': 'non_idempotent',
+        'TimeoutMs': 2000,
+        'TargetLatencyMs': 300,
+        'Priority': 1,
+        'Service': SERVICE,
+        'MaxAttempts': 2,
+        'Public': False,
+        **fields,
+    }
+
+
 def configuration(version=1, **changes):
     """Return a configuration as operators write it."""
 
-    def route(name, **fields):
-        return {
-            'Name': name,
-            'Host': HOST,
-            'Prefix': f'/{name}/',
-            'Kind': 'non_idempotent',
-            'TimeoutMs': 2000,
-            'TargetLatencyMs': 300,
-            'Priority': 1,
-            'Service': SERVICE,
-            'MaxAttempts': 2,
-            'Public': False,
-            **fields,
-        }
-
     document = {
         'Version': version,
         'Routes': [
@@ -105,7 +107,7 @@
     async def add_gateway(self):
         """Start another gateway and wait until it is ready."""
         self._start_gateway(f'gateway-{len(self.settings)}', self._store)
-        await _wait_ready(self.settings[-1].ready_address)
+        await wait_ready(self.settings[-1].ready_address)
 
     async def stop(self):
         """Stop everything."""
@@ -204,7 +206,8 @@
     return answer
 
 
-async def _wait_ready(address):
+async def wait_ready(address):
+    """Wait until a gateway says that it is ready."""
     async with asyncio.timeout(READY_TIMEOUT_S):
         while True:
             with contextlib.suppress(Exception):
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -45,12 +45,23 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def choose_behaviour(self):
+        """Return what to do with the next request."""
+        return self.script.popleft() if self.script else self.default
+
+    def note_run(self, attempt, headers):
+        """Count an attempt that begins to run."""
+        self.ran[attempt] += 1
+
     async def _accept(self, reader, writer):
         task = asyncio.current_task()
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         try:
             await self._serve(reader, writer)
+        except asyncio.CancelledError:
+            # Only stop() cancels; asyncio would print a trace of it.
+            return
         except (OSError, h11.ProtocolError):
             self.cancelled += 1
         finally:
@@ -71,7 +82,7 @@
         headers = dict(request.headers)
         attempt = headers.get(b'attempt-id', b'')
         self.heads.append((request, body))
-        behaviour = self.script.popleft() if self.script else self.default
+        behaviour = self.choose_behaviour()
         if headers.get(b'expect-instance') != self.id.encode():
             behaviour = 'misdirect'
         reply = Reply(http, writer, attempt)
@@ -81,7 +92,7 @@
         if behaviour == 'misdirect':
             await reply.whole(421, b'', [])
             return True
-        self.ran[attempt.decode()] += 1
+        self.note_run(attempt.decode(), headers)
         handler = getattr(self, f'_do_{behaviour}', self._do_answer)
         return await handler(reply, headers)
 
@@ -98,7 +109,7 @@
         return True
 
     async def _do_reset(self, reply, headers):
-        _reset(reply.writer)
+        reset(reply.writer)
         return False
 
     async def _do_hang(self, reply, headers):
@@ -115,7 +126,7 @@
         await reply.head(200, [(b'content-type', b'text/event-stream')])
         await reply.data(_event(first) + b'id: 99')
         await asyncio.sleep(EVENT_PAUSE_S)
-        _reset(reply.writer)
+        reset(reply.writer)
         return False
 
     async def _do_extra(self, reply, headers):
@@ -139,7 +150,7 @@
         reply.writer.write(b'HTTP/1.1 200 OK\r\n\r\npart')
         await reply.writer.drain()
         await asyncio.sleep(EVENT_PAUSE_S)
-        _reset(reply.writer)
+        reset(reply.writer)
         return False
 
 
@@ -171,6 +182,10 @@
         await self.head(status, [(b'content-length', size), *headers])
         if body:
             await self.data(body)
+        self.end()
+
+    def end(self):
+        """End a complete answer."""
         self.writer.write(self._http.send(h11.EndOfMessage()))
 
     async def stream(self, numbers):
@@ -179,10 +194,10 @@
         for number in numbers:
             await self.data(_event(number))
             await asyncio.sleep(EVENT_PAUSE_S)
-        self.writer.write(self._http.send(h11.EndOfMessage()))
+        self.end()
 
 
-def _reset(writer):
+def reset(writer):
     """Close with a reset instead of a regular end."""
     sock = writer.get_extra_info('socket')
     linger = struct.pack('ii', 1, 0)
--- /dev/null
+++ b/tools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Run gateways as processes under random faults and check the promises."""
--- /dev/null
+++ b/tools/soak/endpoints.py
@@ -0,0 +1,92 @@
+"""Stand in for endpoints that take time, misbehave and keep a record."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from standins import platform_runner
+from tools.soak import records
+
+EVENTS = 6
+EVENT_PAUSE_S = 0.03
+SERVICE_S = (0.01, 0.12)
+HANG_S = 1.0
+
+
+class SoakEndpoint(platform_runner.RunnerStandIn):
+    """Note what runs, and misbehave for a share of the requests."""
+
+    def __init__(self, endpoint_id, born, rng, journal, now):
+        super().__init__(endpoint_id)
+        self.born = born
+        # Share of requests by behaviour of the stand-in.
+        self.mischief = {}
+        self.leaving = False
+        self._rng = rng
+        self._journal = journal
+        self._now = now
+
+    def choose_behaviour(self):
+        """Return a drawn misbehaviour, or the regular behaviour."""
+        for behaviour, share in self.mischief.items():
+            if self._rng.random() < share:
+                return behaviour
+        return self.default
+
+    def note_run(self, attempt, headers):
+        """Record an attempt that begins to run."""
+        super().note_run(attempt, headers)
+        workspace = headers.get(b'tenant', b'').decode()
+        self._journal.runs.append(
+            records.Run(attempt, self._now(), self.id, workspace)
+        )
+
+    async def _do_answer(self, reply, headers):
+        await asyncio.sleep(self._rng.uniform(*SERVICE_S))
+        if headers.get(b'accept') == b'text/event-stream':
+            first = int(headers.get(b'last-event-id', b'0')) + 1
+            await reply.head(200, [(b'content-type', b'text/event-stream')])
+            for number in range(first, EVENTS + 1):
+                await reply.data(event(reply.attempt, number))
+                await asyncio.sleep(EVENT_PAUSE_S)
+            reply.end()
+            return True
+        await reply.whole(200, whole_body(reply.attempt), [])
+        return True
+
+    async def _do_break_stream(self, reply, headers):
+        first = int(headers.get(b'last-event-id', b'0')) + 1
+        await reply.head(200, [(b'content-type', b'text/event-stream')])
+        await reply.data(event(reply.attempt, first) + b'id: 99')
+        await asyncio.sleep(EVENT_PAUSE_S)
+        platform_runner.reset(reply.writer)
+        return False
+
+    async def _do_hang(self, reply, headers):
+        await asyncio.sleep(HANG_S)
+        return False
+
+
+def event(attempt, number):
+    """Return one event of the stream for an attempt."""
+    return f'id: {number}\ndata: {attempt.decode()} {number}\n\n'.encode()
+
+
+def whole_body(attempt):
+    """Return the answer to an attempt that is no stream."""
+    return b'answer ' + attempt
+
+
+class Bodies(typing.NamedTuple):
+    """Hold the whole answers that an attempt may have."""
+
+    stream: bytes
+    whole: bytes
+
+
+def expected_bodies(attempt):
+    """Return the bodies of a stream and of a whole answer."""
+    name = attempt.encode()
+    stream = b''.join(event(name, n) for n in range(1, EVENTS + 1))
+    return Bodies(stream, whole_body(name))
