Let a stopped reader of logs block no role, in either format

Cause: only the JSON format went through the bounded writer. In the human format, the default, each line was written by the event loop, so a gateway stood still for good when its standard error was not read: request 208 of a test that never reads, and all after it, got no answer. Ruled out: the bounded writer (JSON lines did not block). Change: both formats go through it.

--- a/persimmonroute/logs.py
+++ b/persimmonroute/logs.py
@@ -16,30 +16,42 @@
 
 
 class LogOutput:
-    """Hold the writer of the process, if it writes JSON lines."""
+    """Hold the writer of the process."""
 
     writer: log_writer.BoundedWriter | None = None
 
 
 def setup_logs(instance, level='INFO', form='human', sink=None):
-    """Send log records to the sink.
+    """Send log records to the sink, without ever waiting for its reader.
 
     JSON lines go to standard output by default, others to standard error.
     """
+    close_logs()
     logger.remove()
     logger.configure(extra={'instance': instance})
     if form == 'json':
-        _setup_json(instance, level, sink or sys.stdout)
-        return
-    logger.add(
-        sink or sys.stderr, level=level, format=_human_line, colorize=False
+        stream = sink or sys.stdout
+        line_format, format_dropped = _json_line, _json_dropped
+    else:
+        stream = sink or sys.stderr
+        line_format, format_dropped = _human_line, _human_dropped
+    writer = log_writer.BoundedWriter(
+        stream, lambda count: format_dropped(instance, count)
     )
+    LogOutput.writer = writer
+
+    def write(message):
+        failure = message.record['level'].no >= WARNING_LEVEL_NUMBER
+        writer.put(str(message), failure)
+
+    logger.add(write, level=level, format=line_format, colorize=False)
 
 
 def close_logs():
     """Write what waits to be written."""
     if LogOutput.writer is not None:
         LogOutput.writer.close()
+        LogOutput.writer = None
 
 
 def count_dropped():
@@ -47,27 +59,24 @@
     return LogOutput.writer.dropped if LogOutput.writer else 0
 
 
-def _setup_json(instance, level, stream):
-    def format_dropped(count):
-        kind = Event.LINES_DROPPED.value
-        fields = {
-            'level': kind.level,
-            'instance': instance,
-            'event': kind.number,
-            'name': Event.LINES_DROPPED.name,
-            'count': count,
-        }
-        return json.dumps(fields) + '\n'
-
-    writer = log_writer.BoundedWriter(stream, format_dropped)
-    LogOutput.writer = writer
+def _json_dropped(instance, count):
+    kind = Event.LINES_DROPPED.value
+    fields = {
+        'level': kind.level,
+        'instance': instance,
+        'event': kind.number,
+        'name': Event.LINES_DROPPED.name,
+        'count': count,
+    }
+    return json.dumps(fields) + '\n'
 
-    def write(message):
-        record = message.record
-        failure = record['level'].no >= WARNING_LEVEL_NUMBER
-        writer.put(_json_line(record), failure)
 
-    logger.add(write, level=level, format='{message}')
+def _human_dropped(instance, count):
+    kind = Event.LINES_DROPPED.value
+    return (
+        f'{kind.level: <7} {instance} E{kind.number} {kind.summary} '
+        f'count={count}\n'
+    )
 
 
 def _json_line(record):
@@ -78,7 +87,9 @@
     }
     if record['exception'] is not None:
         fields['exception'] = repr(record['exception'].value)
-    return json.dumps(fields, default=str) + '\n'
+    # loguru formats what is returned, so the line travels as a field.
+    record['extra']['line'] = json.dumps(fields, default=str)
+    return '{extra[line]}\n'
 
 
 def _human_line(record):
--- a/tools/soak/gateways.py
+++ b/tools/soak/gateways.py
@@ -29,12 +29,13 @@
         self.settings = settings
         self.store_link = proxy.Proxy()
         self.caller_link = proxy.Proxy()
+        # Where the process writes.
+        self.log = open(pathlib.Path(folder) / f'{name}.log', 'ab')
         self.start_number = 0
         # Set while the process is being replaced.
         self.ending = False
         self._tree = tree
         self._path = pathlib.Path(folder) / f'{name}.json'
-        self._log = open(pathlib.Path(folder) / f'{name}.log', 'ab')
         self._process = None
 
     @property
@@ -68,8 +69,8 @@
         self._process = subprocess.Popen(
             [*command, '--config', str(self._path)],
             cwd=self._tree,
-            stdout=self._log,
-            stderr=self._log,
+            stdout=self.log,
+            stderr=self.log,
         )
 
     def send(self, number):
@@ -93,7 +94,7 @@
             await self.end(signal.SIGKILL)
         await self.store_link.stop()
         await self.caller_link.stop()
-        self._log.close()
+        self.log.close()
 
     async def _wait_ended(self):
         for _ in range(int(GRACE_S / POLL_S)):
@@ -132,4 +133,5 @@
         'configuration_s': 2.5,
         'stop_grace_s': GRACE_S,
         'retry_slack': 100,
+        'log_format': 'json',
     }
--- a/tools/soak/play.py
+++ b/tools/soak/play.py
@@ -69,6 +69,11 @@
         self._births = 0
         self._over = False
 
+    @property
+    def gateways(self):
+        """Return the gateways of the deployment."""
+        return self._gateways
+
     async def run(self):
         """Play the seed and return the findings."""
         try:
@@ -79,7 +84,7 @@
             return self.journal.findings
 
     async def _play(self):
-        async with self._deployment():
+        async with self.deployment():
             self._began = time.monotonic()
             self.faults = schedule.draw_faults(self._rng, *self._counts)
             async with asyncio.TaskGroup() as group:
@@ -103,7 +108,8 @@
         return time.monotonic() - self._began
 
     @contextlib.asynccontextmanager
-    async def _deployment(self):
+    async def deployment(self):
+        """Own the store, the endpoints and the gateways' processes."""
         store = f'127.0.0.1:{gateway_module.free_listening_port()}'
         self._server = http_server.build_server(
             self._platform.build_app(), store, 1
