--- a/tools/soak/endpoints.py
+++ b/tools/soak/endpoints.py
@@ -11,7 +11,8 @@
 EVENTS = 6
 EVENT_PAUSE_S = 0.03
 SERVICE_S = (0.01, 0.12)
-HANG_S = 1.0
+# Beyond the deadline of callers.
+HANG_S = 4.0
 
 
 class SoakEndpoint(platform_runner.RunnerStandIn):
--- a/tools/soak/mutants.py
+++ b/tools/soak/mutants.py
@@ -100,7 +100,8 @@
             ),
             Edit(
                 FORWARDING,
-                'return SILENCE_OBJECTIVES * ticket.route.objective_s',
+                'return SILENCE_OBJECTIVES * ticket.route.objective_s\n'
+                '        return None',
                 'return None',
             ),
         ),
@@ -108,10 +109,11 @@
     Mutant(
         'believes the workspace that callers name',
         (
+            Edit('platform/names.py', '        WORKSPACE,\n', ''),
             Edit(
                 'platform/runner_client.py',
-                'names.OWN_HEADERS',
-                '(names.OWN_HEADERS - {names.WORKSPACE})',
+                'if workspace is not None:',
+                'if False:',
             ),
         ),
     ),
