--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 DEPLOYMENT ?= baltkomponents
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test generate faults rolling model slopes bench throughput propagation
+.PHONY: demo test generate faults rolling model slopes bench throughput propagation soak
 
 $(STAMP): pyproject.toml constraints.txt
 	python3 -m venv $(VENV)
@@ -40,3 +40,6 @@
 
 propagation: $(STAMP)
 	$(PYTHON) -m tools.propagation --deployment $(DEPLOYMENT)
+
+soak: $(STAMP)
+	$(PYTHON) -m tools.soak --seeds 20
