Learn configurations from peers while only the own way to the store is cut

Peers were only asked at a start. Change: who hears of a newer version than its own while the store is away asks its peers for the rows, all at once, and takes the youngest.

--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -72,6 +72,8 @@
         )
         self.quarantine = quarantine.Quarantine()
         self.draining = False
+        # Newest version of the configuration that a peer has told of.
+        self.newest_heard = 0
 
     @property
     def version(self):
--- a/persimmonroute/gateway/following.py
+++ b/persimmonroute/gateway/following.py
@@ -88,7 +88,7 @@
                 continue
             except exceptions.PlatformUnavailableError as error:
                 self._note_down(error)
-                if not fresh:
+                if not fresh or self._behind():
                     await self._ask_peers()
                 await asyncio.sleep(self._pause_s)
                 self._pause_s = min(self._pause_s * 2, LONGEST_PAUSE_S)
@@ -101,8 +101,12 @@
         """Return the source of the table."""
         return self._source
 
+    def _behind(self):
+        """Tell whether peers are known to have read something newer."""
+        return False
+
     async def _ask_peers(self):
-        """Begin with what a peer has read while the store is away."""
+        """Take over what a peer has read while the store is away."""
         found = await self._peer_rows.read(self._source.name)
         if found is not None:
             log.emit(
@@ -144,6 +148,9 @@
 class ConfigurationFollower(Follower):
     """Keep the configuration in force."""
 
+    def _behind(self):
+        return self._board.newest_heard > self._board.version
+
     def _apply_changes(self, changes, now):
         configuration = changes.configuration
         if configuration is not None:
--- a/persimmonroute/gateway/peer_link.py
+++ b/persimmonroute/gateway/peer_link.py
@@ -72,6 +72,9 @@
         self._board.peers.learn(
             message.name, message.address, now, message.failure_domain
         )
+        self._board.newest_heard = max(
+            self._board.newest_heard, message.configuration_version
+        )
         if self._board.hear_peer(_decode(message), now):
             self._heard_ms[message.name] = message.sent_at_ms
             self._confirm_configuration(message)
--- a/persimmonroute/gateway/peer_rows.py
+++ b/persimmonroute/gateway/peer_rows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import json
 import typing
@@ -9,7 +10,11 @@
 import h11
 
 from persimmonroute import clock
+from persimmonroute.events import Event
 from persimmonroute import exceptions
+from persimmonroute import logs
+
+log = logs.EventLog(__name__)
 
 # A peer that does not answer within this is passed over.
 CALL_TIMEOUT_S = 0.5
@@ -32,23 +37,33 @@
         self._read_answer = read_answer
 
     async def read(self, table):
-        """Return the PeerRows of a table, or None when no peer has them."""
-        for address in self._addresses:
-            asked_at = clock.now_s()
-            try:
-                document = json.loads(await self._call(address, table))
-                return decode_rows(document, asked_at)
-            except (
-                exceptions.EndpointUnreachableError,
-                exceptions.EndpointBrokenError,
-                exceptions.DocumentError,
-                TimeoutError,
-                ValueError,
-                h11.LocalProtocolError,
-            ):
-                # Seeds may be stale or down; the next one is asked.
-                continue
-        return None
+        """Return the youngest PeerRows of a table, or None."""
+        answers = await asyncio.gather(
+            *(self._ask(address, table) for address in self._addresses)
+        )
+        found = [rows for rows in answers if rows is not None]
+        return max(found, key=lambda r: r.confirmed_at, default=None)
+
+    async def _ask(self, address, table):
+        asked_at = clock.now_s()
+        try:
+            document = json.loads(await self._call(address, table))
+            return decode_rows(document, asked_at)
+        except (
+            exceptions.EndpointUnreachableError,
+            exceptions.EndpointBrokenError,
+            exceptions.DocumentError,
+            TimeoutError,
+            ValueError,
+            h11.LocalProtocolError,
+        ) as error:
+            # Seeds may be stale or down; others are asked as well.
+            log.emit(
+                Event.PEER_ROWS_UNAVAILABLE,
+                address=address,
+                problem=repr(error),
+            )
+            return None
 
     async def _call(self, address, table):
         conn = await self._open_connection(address, CALL_TIMEOUT_S)
--- a/persimmonroute/tests/gateway/serving_tests.py
+++ b/persimmonroute/tests/gateway/serving_tests.py
@@ -7,6 +7,7 @@
 
 from persimmonroute.platform import connection
 from standins import gateway_deployment as deployments
+from tools.soak import proxy
 
 STREAM = (('accept', 'text/event-stream'),)
 WHOLE_STREAM = b''.join(
@@ -277,6 +278,27 @@
         answer = await self.made.call('/book/x', gateway=1)
         self.assertEqual(answer.status, 503)
 
+    async def test_cut_off_gateway_learns_configurations_from_peers(self):
+        """Who alone cannot reach the store stays in force and serves."""
+        link = proxy.Proxy()
+        link.target = self.made.store
+        await link.start()
+        self.addAsyncCleanup(link.stop)
+        await self.made.add_gateway(link.address)
+        answer = await self.made.call('/book/x', gateway=1)
+        self.assertEqual(answer.status, 200)
+        link.set_mode(proxy.Mode.SILENT)
+        link.reset_all()
+        changed = deployments.configuration(2)
+        changed['Routes'].append(deployments.route('late'))
+        self.made.platform.put_row('op', 'config', changed)
+        # Longer than keys are trusted without a confirmation.
+        await asyncio.sleep(4.0)
+        for path in ('/late/x', '/book/x'):
+            with self.subTest(path=path):
+                answer = await self.made.call(path, gateway=1)
+                self.assertEqual(answer.status, 200)
+
     async def test_planned_stop_cuts_off_nothing(self):
         """Requests in progress end, and new ones are told to close."""
         calls = []
--- a/standins/gateway_deployment.py
+++ b/standins/gateway_deployment.py
@@ -89,6 +89,11 @@
         self._store_server = None
         self._store = None
 
+    @property
+    def store(self):
+        """Return the address of the store."""
+        return self._store
+
     async def start(self):
         """Start everything and wait until gateways are ready."""
         store = f'127.0.0.1:{free_port()}'
@@ -104,9 +109,11 @@
         for _ in range(self._gateways):
             await self.add_gateway()
 
-    async def add_gateway(self):
+    async def add_gateway(self, store=None):
         """Start another gateway and wait until it is ready."""
-        self._start_gateway(f'gateway-{len(self.settings)}', self._store)
+        self._start_gateway(
+            f'gateway-{len(self.settings)}', store or self._store
+        )
         await wait_ready(self.settings[-1].ready_address)
 
     async def stop(self):
