--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 
 slopes: $(STAMP)
 	$(PYTHON) -m tools.slopes --deployment $(DEPLOYMENT)
+	$(PYTHON) -m tools.gateway_slopes
 
 bench: $(STAMP)
 	$(PYTHON) -m tools.bench --deployment $(DEPLOYMENT)
--- a/persimmonroute/gateway/peer_link.py
+++ b/persimmonroute/gateway/peer_link.py
@@ -75,7 +75,7 @@
         self._board.newest_heard = max(
             self._board.newest_heard, message.configuration_version
         )
-        if self._board.hear_peer(_decode(message), now):
+        if self._board.hear_peer(_read(message), now):
             self._heard_ms[message.name] = message.sent_at_ms
             self._confirm_configuration(message)
             self._on_report(now)
@@ -119,7 +119,7 @@
         due = [r for r in self._rings if self._due_at(r) <= now + SLACK_S]
         if due:
             self._sequence += 1
-            data = self._encode(now).SerializeToString()
+            data = self.encode(now).SerializeToString()
         for ring in due:
             ring.sent_at = now
             ring.changed = False
@@ -135,7 +135,8 @@
             data + echo.SerializeToString(), (host, int(port))
         )
 
-    def _encode(self, now):
+    def encode(self, now):
+        """Return the own report as a message."""
         board = self._board
         report = pb.GatewayReport(
             name=board.name,
@@ -180,7 +181,12 @@
         board.configuration_belief.confirm(message.echo_ms / 1000 - age_s)
 
 
-def _decode(message):
+def decode(data):
+    """Return the PeerReport in a datagram."""
+    return _read(pb.GatewayReport.FromString(data))
+
+
+def _read(message):
     return peers.PeerReport(
         name=message.name,
         incarnation=message.incarnation,
