--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -109,7 +109,7 @@
         730, 'WARNING', 'report of a peer passed over'
     )
     PEER_UNREACHABLE = EventKind(731, 'DEBUG', 'report to a peer not sent')
-    PEER_ROWS_UNAVAILABLE = EventKind(732, 'DEBUG', 'rows of a peer not read')
+    PEER_ROWS_UNAVAILABLE = EventKind(733, 'DEBUG', 'rows of a peer not read')
     PEERS_LISTED = EventKind(732, 'DEBUG', 'list of gateways read')
     GATEWAY_FAULT = EventKind(
         790, 'ERROR', 'unexpected error; the request fails'
