--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -3,7 +3,7 @@
 Usage:
   soak [--seeds N] [--first N] [--jobs N] [--keep FOLDER]
   soak --seed N [--keep FOLDER]
-  soak --mutants [--seeds N] [--jobs N]
+  soak --mutants [--name TEXT] [--seeds N] [--jobs N]
 
 Options:
   --seed N       Play one seed and print its faults.
@@ -12,6 +12,7 @@
   --jobs N       Seeds that are played at the same time [default: 4].
   --keep FOLDER  Keep the logs of plays with findings there.
   --mutants      Put one fault after another into the programs.
+  --name TEXT    Only the mutant of this name.
 """
 
 from __future__ import annotations
@@ -101,7 +102,9 @@
         return 1 if ending.findings else 0
     count, jobs = int(arguments['--seeds']), int(arguments['--jobs'])
     if arguments['--mutants']:
-        return mutants.run(play_seeds, range(1, count + 1), jobs)
+        return mutants.run(
+            play_seeds, range(1, count + 1), jobs, arguments['--name']
+        )
     first = arguments['--first']
     start = (
         int(first) if first else random.SystemRandom().randrange(FRESH_SEEDS)
--- a/tools/soak/mutants.py
+++ b/tools/soak/mutants.py
@@ -7,6 +7,8 @@
 import tempfile
 import typing
 
+from tools.soak import records
+
 ROOT = pathlib.Path(__file__).parents[2]
 PROGRAMS = 'persimmonroute'
 
@@ -150,10 +152,12 @@
 )
 
 
-def run(play_seeds, seeds, jobs):
-    """Play seeds against each mutant; return the exit status."""
+def run(play_seeds, seeds, jobs, name=None):
+    """Play seeds against each mutant, or one; return the exit status."""
     missed = 0
     for mutant in MUTANTS:
+        if name is not None and mutant.name != name:
+            continue
         with tempfile.TemporaryDirectory(prefix='mutant-') as folder:
             tree = _write_tree(pathlib.Path(folder), mutant)
             seed, promise = _find(play_seeds(seeds, jobs, None, tree))
@@ -167,9 +171,12 @@
 
 def _find(endings):
     for ending in endings:
-        if ending.findings:
+        for finding in ending.findings:
+            if finding.promise == records.PLAY_FAILED:
+                print(f'seed {ending.seed}: {finding.detail}', flush=True)
+                continue
             endings.close()
-            return ending.seed, ending.findings[0].promise
+            return ending.seed, finding.promise
     return None, None
 
 
--- a/tools/soak/play.py
+++ b/tools/soak/play.py
@@ -80,7 +80,7 @@
             return await self._play()
         except Exception as error:
             # Its logs are kept like those of a broken promise.
-            self.journal.note('the play itself', repr(error))
+            self.journal.note(records.PLAY_FAILED, repr(error))
             return self.journal.findings
 
     async def _play(self):
--- a/tools/soak/records.py
+++ b/tools/soak/records.py
@@ -4,6 +4,9 @@
 
 import typing
 
+# Stands for a promise when a play could not be played.
+PLAY_FAILED = 'the play itself'
+
 
 class Run(typing.NamedTuple):
     """Tell that an endpoint began to work on an attempt."""
