--- a/persimmonroute/gateway/peers.py
+++ b/persimmonroute/gateway/peers.py
@@ -182,10 +182,10 @@
         )
 
     def higher_tiers(self, service, tier, now):
-        """Return what peers hold back of the tiers above one.
+        """Return how many requests of higher tiers wait at peers.
 
-        That is the number of requests and the seconds within which the
-        farthest of those peers hears of room and takes it.
+        With them comes the longest interval, in seconds, in which one of
+        those peers hears from this gateway.
         """
         requests, interval_s = 0, 0.0
         for peer in self._fresh(now):
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -16,6 +16,8 @@
 PATIENCE_S = 1.5
 ROUTES = ('book', 'find', 'draft', 'resume')
 STREAMS = ('draft', 'resume')
+# Routes of requests that may not be repeated.
+ONCE = ('book', 'draft')
 # Share of requests on a connection that was used before.
 REUSE_SHARE = 0.7
 # What callers send as their workspace must never be believed.
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -16,8 +16,7 @@
 STABLE_S = 3.0
 # A request may be answered this late past its deadline.
 LATE_S = 0.5
-# Requests reach an endpoint at most this long after they were sent, as
-# they wait no longer than their deadline.
+# What was sent to an endpoint reaches it within this.
 ON_THE_WAY_S = 0.3
 NOT_RUN = (408, 421, 429, 503)
 # Least share of the last calm seconds' requests that is served.
@@ -49,6 +48,8 @@
             self._check_runs(outcome)
             self._check_answer(outcome)
             self._check_end(outcome)
+        for stop in self._journal.stops:
+            self._check_stop(stop)
         self._check_leaving()
         self._check_revoked()
         self._check_versions()
@@ -61,7 +62,7 @@
 
     def _check_runs(self, outcome):
         runs = self._runs[outcome.attempt]
-        once = outcome.route in ('book', 'draft')
+        once = outcome.route in callers.ONCE
         if once and len(runs) > 1:
             where = [run.endpoint for run in runs]
             self._note('at most once', f'{outcome.attempt} ran at {where}')
@@ -96,21 +97,25 @@
                 f'{outcome.attempt} on {outcome.route} took {took:.2f} s',
             )
 
-    def check_stop(self, gateway, begin, end):
-        """Check that a planned stop cut off nothing."""
-        if not self._calm(gateway, begin, end, but='stop'):
+    def _check_stop(self, stop):
+        """Check that a planned stop ended in time and cut off nothing."""
+        if not self._calm(stop.gateway, stop.begin, stop.end, but='stop'):
             return
+        if not stop.in_time:
+            self._note('graceful stop', f'{stop.gateway} had to be killed')
         for outcome in self._journal.outcomes:
-            if outcome.gateway != gateway or outcome.complete:
+            if outcome.gateway != stop.gateway or outcome.complete:
                 continue
-            overlaps = outcome.sent_at < end and outcome.ended_at > begin
+            overlaps = (
+                outcome.sent_at < stop.end and outcome.ended_at > stop.begin
+            )
             runs = self._runs[outcome.attempt]
             sound = all(self._sound(run, outcome.ended_at) for run in runs)
             if overlaps and runs and sound:
                 self._note(
                     'graceful stop',
                     f'{outcome.attempt} on {outcome.route} was cut off by '
-                    f'the stop of {gateway} at {begin:.2f}',
+                    f'the stop of {stop.gateway} at {stop.begin:.2f}',
                 )
 
     def _check_leaving(self):
--- a/tools/soak/records.py
+++ b/tools/soak/records.py
@@ -56,6 +56,16 @@
     kind: str
 
 
+class Stop(typing.NamedTuple):
+    """Tell from when to when a gateway was stopped as planned."""
+
+    gateway: str
+    begin: float
+    end: float
+    # False when it had to be killed after its grace.
+    in_time: bool
+
+
 class Finding(typing.NamedTuple):
     """Describe one broken promise."""
 
@@ -71,6 +81,7 @@
         self.outcomes = []
         self.changes = []
         self.spans = []
+        self.stops = []
         self.findings = []
 
     def note(self, promise, detail):
