Let one stand-in of endpoints serve tests and the soak

Cause: the soak's endpoint had copies of the streams, torn streams and silence of the stand-in, and its proxy a copy of the reset. Change: events, pauses and silence are attributes of the stand-in, its events a method; the soak sets them.

--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import contextlib
 import socket
 import struct
 
@@ -11,6 +12,7 @@
 
 EVENTS = 4
 EVENT_PAUSE_S = 0.005
+HANG_S = 30.0
 SIGNATURE = b'signature'
 READ_BYTES = 65_536
 
@@ -18,6 +20,10 @@
 class RunnerStandIn:
     """Serve requests and note which ones ran."""
 
+    events = EVENTS
+    event_pause_s = EVENT_PAUSE_S
+    hang_s = HANG_S
+
     def __init__(self, runner_id):
         self.id = runner_id
         self.script = collections.deque()
@@ -49,6 +55,10 @@
         """Return what to do with the next request."""
         return self.script.popleft() if self.script else self.default
 
+    def make_event(self, attempt, number):
+        """Return one event of the stream for an attempt."""
+        return f'id: {number}\ndata: piece {number}\n\n'.encode()
+
     def note_run(self, attempt, headers):
         """Count an attempt that begins to run."""
         self.ran[attempt] += 1
@@ -98,8 +108,11 @@
 
     async def _do_answer(self, reply, headers):
         if headers.get(b'accept') == b'text/event-stream':
-            first = int(headers.get(b'last-event-id', b'0')) + 1
-            await reply.stream(range(first, EVENTS + 1))
+            first = await self._begin_stream(reply, headers)
+            for number in range(first, self.events + 1):
+                await reply.data(self.make_event(reply.attempt, number))
+                await asyncio.sleep(self.event_pause_s)
+            reply.end()
         else:
             await reply.whole(200, b'answer ' + reply.attempt, [])
         return True
@@ -113,7 +126,7 @@
         return False
 
     async def _do_hang(self, reply, headers):
-        await asyncio.sleep(30)
+        await asyncio.sleep(self.hang_s)
         return False
 
     async def _do_truncate(self, reply, headers):
@@ -122,13 +135,17 @@
         return False
 
     async def _do_break_stream(self, reply, headers):
-        first = int(headers.get(b'last-event-id', b'0')) + 1
-        await reply.head(200, [(b'content-type', b'text/event-stream')])
-        await reply.data(_event(first) + b'id: 99')
-        await asyncio.sleep(EVENT_PAUSE_S)
+        first = await self._begin_stream(reply, headers)
+        await reply.data(self.make_event(reply.attempt, first) + b'id: 99')
+        await asyncio.sleep(self.event_pause_s)
         reset(reply.writer)
         return False
 
+    async def _begin_stream(self, reply, headers):
+        """Send the head of a stream and return its first number."""
+        await reply.head(200, [(b'content-type', b'text/event-stream')])
+        return int(headers.get(b'last-event-id', b'0')) + 1
+
     async def _do_extra(self, reply, headers):
         body = b'answer ' + reply.attempt
         await reply.whole(200, body, [])
@@ -188,27 +205,17 @@
         """End a complete answer."""
         self.writer.write(self._http.send(h11.EndOfMessage()))
 
-    async def stream(self, numbers):
-        """Send a complete stream of events."""
-        await self.head(200, [(b'content-type', b'text/event-stream')])
-        for number in numbers:
-            await self.data(_event(number))
-            await asyncio.sleep(EVENT_PAUSE_S)
-        self.end()
-
 
 def reset(writer):
     """Close with a reset instead of a regular end."""
     sock = writer.get_extra_info('socket')
-    linger = struct.pack('ii', 1, 0)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    # The other side may have closed it already.
+    with contextlib.suppress(OSError):
+        linger = struct.pack('ii', 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
     writer.transport.abort()
 
 
-def _event(number):
-    return f'id: {number}\ndata: piece {number}\n\n'.encode()
-
-
 async def _read_request(http, reader):
     request, parts = None, []
     while True:
--- a/tools/soak/endpoints.py
+++ b/tools/soak/endpoints.py
@@ -21,6 +21,10 @@
 class SoakEndpoint(platform_runner.RunnerStandIn):
     """Note what runs, and misbehave for a share of the requests."""
 
+    events = EVENTS
+    event_pause_s = EVENT_PAUSE_S
+    hang_s = HANG_S
+
     def __init__(self, endpoint_id, born, rng, journal, now):
         super().__init__(endpoint_id)
         self.born = born
@@ -47,32 +51,15 @@
             records.Run(attempt, self._now(), self.id, workspace)
         )
 
+    def make_event(self, attempt, number):
+        """Return one event of the stream for an attempt."""
+        return event(attempt, number)
+
     async def _do_answer(self, reply, headers):
         is_long = self._rng.random() < self.long_share
         service_s = LONG_SERVICE_S if is_long else SERVICE_S
         await asyncio.sleep(self._rng.uniform(*service_s))
-        if headers.get(b'accept') == b'text/event-stream':
-            first = int(headers.get(b'last-event-id', b'0')) + 1
-            await reply.head(200, [(b'content-type', b'text/event-stream')])
-            for number in range(first, EVENTS + 1):
-                await reply.data(event(reply.attempt, number))
-                await asyncio.sleep(EVENT_PAUSE_S)
-            reply.end()
-            return True
-        await reply.whole(200, whole_body(reply.attempt), [])
-        return True
-
-    async def _do_break_stream(self, reply, headers):
-        first = int(headers.get(b'last-event-id', b'0')) + 1
-        await reply.head(200, [(b'content-type', b'text/event-stream')])
-        await reply.data(event(reply.attempt, first) + b'id: 99')
-        await asyncio.sleep(EVENT_PAUSE_S)
-        platform_runner.reset(reply.writer)
-        return False
-
-    async def _do_hang(self, reply, headers):
-        await asyncio.sleep(HANG_S)
-        return False
+        return await super()._do_answer(reply, headers)
 
 
 def event(attempt, number):
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -5,8 +5,8 @@
 import asyncio
 import contextlib
 import enum
-import socket
-import struct
+
+from standins import platform_runner
 
 READ_BYTES = 65_536
 CONNECT_TIMEOUT_S = 1.0
@@ -54,7 +54,7 @@
     def reset_all(self):
         """Reset every open connection, on both sides."""
         for writer in list(self._writers):
-            _reset(writer)
+            platform_runner.reset(writer)
 
     async def stop(self):
         """End all connections."""
@@ -72,7 +72,7 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 there = await asyncio.open_connection(host, int(port))
         except (OSError, TimeoutError):
-            _reset(writer)
+            platform_runner.reset(writer)
             return
         self._writers |= {writer, there[1]}
         try:
@@ -85,8 +85,8 @@
             return
         except OSError:
             # One side broke off, so the other is told likewise.
-            _reset(writer)
-            _reset(there[1])
+            platform_runner.reset(writer)
+            platform_runner.reset(there[1])
         finally:
             self._writers -= {writer, there[1]}
             writer.close()
@@ -105,11 +105,3 @@
                 return
             writer.write(data)
             await writer.drain()
-
-
-def _reset(writer):
-    sock = writer.get_extra_info('socket')
-    with contextlib.suppress(OSError):
-        linger = struct.pack('ii', 1, 0)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    writer.transport.abort()
