Judge a stream by its events, not by how its body is framed

What callers saw: a 200 with the endpoint's signature, a short body and a complete framing.

Cause: whether a stream is whole was judged by the framing of its body. A stream with a length or chunks that stopped inside an event was relayed with the partial event and ended as complete; so was a stream without a length whose connection closed before its first event. On the other hand a trailing comment, or a JSON document on a streaming route, counted as a partial event where the body had no length.

Change: a stream that ends inside an event is broken off, whatever its framing; one without a length and without any event too, unless the caller has events already; comments and blank lines belong to no event; a response of another content type is no stream.

--- a/persimmonroute/gateway/event_stream.py
+++ b/persimmonroute/event_stream.py
@@ -6,6 +6,8 @@
 
 SEPARATOR = b'\n\n'
 ID_FIELD = b'id:'
+COMMENT = b':'
+CONTENT_TYPE = b'text/event-stream'
 
 
 class StreamEvent(typing.NamedTuple):
@@ -23,9 +25,18 @@
 
     @property
     def rest(self):
-        """Return the buffered bytes of the incomplete last event."""
+        """Return the buffered bytes that complete no event."""
         return self._rest
 
+    @property
+    def in_event(self):
+        """Return whether the buffered bytes belong to an incomplete event.
+
+        Blank lines and comments belong to none.
+        """
+        lines = self._rest.splitlines()
+        return any(line and not line.startswith(COMMENT) for line in lines)
+
     def feed(self, data):
         """Add a chunk and return the events that it completes."""
         parts = (self._rest + data).split(SEPARATOR)
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -6,9 +6,9 @@
 import typing
 
 from persimmonroute import clock
+from persimmonroute import event_stream
 from persimmonroute.events import Event
 from persimmonroute import exceptions
-from persimmonroute.gateway import event_stream
 from persimmonroute.gateway import model
 from persimmonroute.gateway.model import Ending
 from persimmonroute.gateway import quarantine
@@ -96,6 +96,7 @@
 
     def __init__(self):
         self.begun = False
+        self.event_relayed = False
         self.last_event_id = None
         # True while an attempt may be running or may have run.
         self.may_have_run = False
@@ -235,7 +236,7 @@
         retry = head.status >= 500 and self._has_attempts_left(pending)
         if retry and pending.route.repeatable:
             return Failed(Ending.FAILED, True, f'status {head.status}')
-        if pending.route.streaming and head.status == 200:
+        if _is_stream(pending.route, head):
             return await self._relay_stream(
                 pending, head, call, caller, progress
             )
@@ -322,11 +323,14 @@
                         continue
                 await self._begin(head, caller, progress)
                 await caller.send(event.data)
+                progress.event_relayed = True
                 if event.id is not None:
                     progress.last_event_id = event.id
                 self._record_first_byte(pending)
-        if splitter.rest and head.ends_with_connection:
+        if splitter.in_event:
             return Failed(Ending.BROKEN, True, 'the stream ends in an event')
+        if head.ends_with_connection and not _has_events(pending, progress):
+            return Failed(Ending.BROKEN, True, 'the stream has no event')
         await self._begin(head, caller, progress)
         if splitter.rest:
             await caller.send(splitter.rest)
@@ -463,6 +467,19 @@
         )
 
 
+def _is_stream(route, head):
+    if head.status != 200:
+        return False
+    if head.content_type is None:
+        return route.streaming
+    return head.content_type.startswith(event_stream.CONTENT_TYPE)
+
+
+def _has_events(pending, progress):
+    """Return whether the caller has an event of the stream."""
+    return progress.event_relayed or pending.request.last_event_id is not None
+
+
 def _find_extension_s(pending):
     """Return for how much longer to wait for the response head."""
     if pending.runner.last_heard_at <= pending.sent_at:
--- a/persimmonroute/gateway/model.py
+++ b/persimmonroute/gateway/model.py
@@ -151,6 +151,7 @@
     leaving: bool = False
     # True if the body has no length and ends when the connection closes.
     ends_with_connection: bool = False
+    content_type: bytes | None = None
     # Time for which the endpoint asks this gateway to send nothing more.
     retry_after_s: float | None = None
 
--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -98,6 +98,7 @@
             load=_read_load(headers.get(names.RUNNER_LOAD)),
             ends_with_connection=b'content-length' not in headers
             and b'transfer-encoding' not in headers,
+            content_type=_read_content_type(headers),
             leaving=headers.get(names.SERVER_LEAVING) == b'1',
             retry_after_s=_read_retry_after(event.status_code, headers),
         )
@@ -227,6 +228,11 @@
     return min(seconds, MAX_RETRY_AFTER_S) if seconds > 0 else None
 
 
+def _read_content_type(headers):
+    value = headers.get(b'content-type')
+    return None if value is None else value.strip().lower()
+
+
 def _read_load(value):
     try:
         running, waiting, slots = (int(part) for part in value.split(b','))
--- a/persimmonroute/tests/gateway/serving_tests.py
+++ b/persimmonroute/tests/gateway/serving_tests.py
@@ -199,6 +199,51 @@
         self.assertTrue(response.complete)
         self.assertEqual(response.body, COMPLETE_STREAM)
 
+    async def test_stream_framed_as_complete_inside_an_event_broke_off(self):
+        """Chunks that end in order do not make a partial event complete."""
+        await self._check_broken_off('partial_stream')
+
+    async def test_stream_that_ends_before_its_first_event_broke_off(self):
+        """A head and a closed connection are not an empty stream."""
+        await self._check_broken_off('empty_stream')
+
+    async def _check_broken_off(self, behaviour):
+        self._script(behaviour)
+        response = await self.deployment.call('/draft/x', headers=STREAM)
+        self.assertFalse(response.complete and response.status == 200)
+        self.assertNotIn(response.status, (429, 503, 408, 421))
+        self._script(behaviour)
+        response = await self.deployment.call('/resume/x', headers=STREAM)
+        self.assertTrue(response.complete)
+        self.assertEqual(response.body, COMPLETE_STREAM)
+
+    async def test_whole_responses_are_not_taken_for_broken_streams(self):
+        """Whole streams without a length and other documents arrive whole."""
+        for route in ('draft', 'resume'):
+            with self.subTest(route=route):
+                self._script('unframed_whole_stream', 'json_on_stream')
+                response = await self.deployment.call(
+                    f'/{route}/x', headers=STREAM
+                )
+                self.assertTrue(response.complete)
+                self.assertEqual(
+                    response.body, COMPLETE_STREAM + b': end of stream\n'
+                )
+                response = await self.deployment.call(
+                    f'/{route}/x', headers=STREAM
+                )
+                self.assertTrue(response.complete)
+                self.assertEqual(response.body, b'{"note": "x"}')
+
+    async def test_resumed_stream_without_more_events_is_complete(self):
+        """A caller that has all events may get an empty rest."""
+        self._script('empty_stream')
+        response = await self.deployment.call(
+            '/resume/x', headers=(*STREAM, ('last-event-id', '4'))
+        )
+        self.assertTrue(response.complete)
+        self.assertEqual((response.status, response.body), (200, b''))
+
     async def _call_long_stream(self, timeout_ms):
         """Return the response on a resumable route with a longer timeout."""
         self.deployment.platform.put_row(
--- a/persimmonroute/tests/gateway/state_tests.py
+++ b/persimmonroute/tests/gateway/state_tests.py
@@ -4,8 +4,8 @@
 
 import unittest
 
+from persimmonroute import event_stream
 from persimmonroute.gateway import admission
-from persimmonroute.gateway import event_stream
 from persimmonroute.gateway import messages
 from persimmonroute.gateway import model
 from persimmonroute.gateway.model import Ending
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -189,16 +189,54 @@
 
     async def _do_unframed_stream(self, reply, headers):
         """Stop inside an event and close the connection in order."""
+        await self._send_unframed_head(reply)
         first = int(headers.get(b'last-event-id', b'0')) + 1
+        reply.writer.write(
+            self.make_event(reply.attempt, first) + b'id: 99\ndata: pi'
+        )
+        await reply.writer.drain()
+        return False
+
+    async def _do_partial_stream(self, reply, headers):
+        """Stop inside an event and end the response as HTTP requires."""
+        first = await self._begin_stream(reply, headers)
+        await reply.send_data(
+            self.make_event(reply.attempt, first) + b'id: 99\ndata: pi'
+        )
+        reply.end()
+        return True
+
+    async def _do_empty_stream(self, reply, headers):
+        """Send the head of an unframed stream and close the connection."""
+        await self._send_unframed_head(reply)
+        return False
+
+    async def _do_unframed_whole_stream(self, reply, headers):
+        """Send a whole stream that ends with its connection."""
+        await self._send_unframed_head(reply)
+        first = int(headers.get(b'last-event-id', b'0')) + 1
+        for number in range(first, self.event_count + 1):
+            reply.writer.write(self.make_event(reply.attempt, number))
+            await reply.writer.drain()
+            await asyncio.sleep(self.event_pause_s)
+        reply.writer.write(b': end of stream\n')
+        await reply.writer.drain()
+        return False
+
+    async def _send_unframed_head(self, reply):
         reply.writer.write(
             b'HTTP/1.1 200 OK\r\nattempt-id: '
             + reply.attempt
             + b'\r\ncontent-type: text/event-stream\r\n\r\n'
-            + self.make_event(reply.attempt, first)
-            + b'id: 99\ndata: pi'
         )
         await reply.writer.drain()
-        return False
+
+    async def _do_json_on_stream(self, reply, headers):
+        """Answer a request for a stream with a whole JSON document."""
+        await reply.send_complete(
+            200, b'{"note": "x"}', [(b'content-type', b'application/json')]
+        )
+        return True
 
     async def _do_drip(self, reply, headers):
         """Send one event, then single bytes that complete none."""
