End events of streams at blank lines with any line ending

What callers saw: nothing in the record. A sound stream with CR LF or CR line endings was held back to its end, and broken off if it had no length.

Cause: events were split at two LF bytes only; found while looking for whole responses that the judgement of broken streams could hit wrongly.

Change: buffers that hold a CR are split at two line endings of any kind.

Evidence: test_line_endings_of_every_kind_end_events fails before (8 of 12 cases) and passes now.

--- a/persimmonroute/event_stream.py
+++ b/persimmonroute/event_stream.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import re
 import typing
 
 SEPARATOR = b'\n\n'
+# Two line endings in a row, of any of the three kinds that streams may use.
+_BLANK_LINE = re.compile(rb'(?:\r\n|\n|\r(?!\n)){2}')
 ID_FIELD = b'id:'
 COMMENT = b':'
 CONTENT_TYPE = b'text/event-stream'
@@ -39,15 +42,27 @@
 
     def feed(self, data):
         """Add a chunk and return the events that it completes."""
-        parts = (self._rest + data).split(SEPARATOR)
-        self._rest = parts.pop()
-        return [
-            StreamEvent(part + SEPARATOR, _read_id(part)) for part in parts
-        ]
+        buffered = self._rest + data
+        if b'\r' in buffered:
+            events, self._rest = _split_any_ending(buffered)
+        else:
+            parts = buffered.split(SEPARATOR)
+            self._rest = parts.pop()
+            events = [part + SEPARATOR for part in parts]
+        return [StreamEvent(event, _read_id(event)) for event in events]
 
 
-def _read_id(part):
-    for line in part.split(b'\n'):
+def _split_any_ending(data):
+    """Return the events in data and the bytes that complete none."""
+    events, start = [], 0
+    for match in _BLANK_LINE.finditer(data):
+        events.append(data[start : match.end()])
+        start = match.end()
+    return events, data[start:]
+
+
+def _read_id(event):
+    for line in event.splitlines():
         if line.startswith(ID_FIELD):
             value = line[len(ID_FIELD) :].strip()
             return int(value) if value.isdigit() else None
--- a/persimmonroute/tests/gateway/state_tests.py
+++ b/persimmonroute/tests/gateway/state_tests.py
@@ -340,6 +340,24 @@
         )
         self.assertEqual(splitter.rest, b'id: 2\n')
 
+    def test_line_endings_of_every_kind_end_events(self):
+        """An event ends at a blank line, whichever line ending is used."""
+        for ending in (b'\n', b'\r\n', b'\r'):
+            sent = b'id: 1\ndata: x\n\nid: 2\ndata: y\n\n'
+            sent = sent.replace(b'\n', ending)
+            for size in (1, 2, 3, len(sent)):
+                with self.subTest(ending=ending, size=size):
+                    splitter = event_stream.EventSplitter()
+                    events = [
+                        event
+                        for at in range(0, len(sent), size)
+                        for event in splitter.feed(sent[at : at + size])
+                    ]
+                    self.assertEqual([event.id for event in events], [1, 2])
+                    self.assertFalse(splitter.in_event)
+                    relayed = b''.join(event.data for event in events)
+                    self.assertEqual(relayed + splitter.rest, sent)
+
     def test_event_without_a_number(self):
         """An id that is not a number counts as no id."""
         events = event_stream.EventSplitter().feed(b'id: x\n\n')
