Cut off responses that send bytes without end

Cause: interim responses, the copy of another answer and an event were read for as long as they came. They filled memory (a partial event is copied with every chunk) or kept the event loop busy until the deadline, and a response of the store or of a peer was kept in memory without a limit.

Change: at most 64 interim responses, 8 copies of at most 1 MiB, events of at most 1 MiB, whole responses of the store and of peers of at most 8 MiB; more counts as a broken response. A body without end is relayed as it is read and cut off at the route's timeout, as before.

--- a/persimmonroute/event_stream.py
+++ b/persimmonroute/event_stream.py
@@ -5,11 +5,15 @@
 import re
 import typing
 
+from persimmonroute import exceptions
+
 SEPARATOR = b'\n\n'
 # Two line endings in a row, of any of the three kinds that streams may use.
 _BLANK_LINE = re.compile(rb'(?:\r\n|\n|\r(?!\n)){2}')
 ID_FIELD = b'id:'
 COMMENT = b':'
+# A longer event is taken for bytes without end.
+MAX_EVENT_BYTES = 1_048_576
 CONTENT_TYPE = b'text/event-stream'
 
 
@@ -41,7 +45,10 @@
         return any(line and not line.startswith(COMMENT) for line in lines)
 
     def feed(self, data):
-        """Add a chunk and return the events that it completes."""
+        """Add a chunk and return the events that it completes.
+
+        Raises EndpointBrokenError if an event does not end.
+        """
         buffered = self._rest + data
         if b'\r' in buffered:
             events, self._rest = _split_any_ending(buffered)
@@ -49,6 +56,8 @@
             parts = buffered.split(SEPARATOR)
             self._rest = parts.pop()
             events = [part + SEPARATOR for part in parts]
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise exceptions.EndpointBrokenError('an event does not end')
         return [StreamEvent(event, _read_id(event)) for event in events]
 
 
--- a/persimmonroute/platform/connection.py
+++ b/persimmonroute/platform/connection.py
@@ -26,6 +26,11 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 MAX_HEADER_BYTES = 65_536
+# Interim (1xx) responses to one request; more are taken for a fault.
+MAX_INTERIM_RESPONSES = 64
+# Largest response that is read into memory. The table service sends pages of
+# 1 MB, which base64 and the other fields of the rows enlarge.
+MAX_WHOLE_RESPONSE_BYTES = 8_388_608
 
 
 class Connection(asyncio.Protocol):
@@ -40,6 +45,7 @@
         self._end_received = False
         self._lost = False
         self._last_request = None
+        self._interim_count = 0
         self.request_count = 0
         self.idle_since = 0.0
         self.idle_limit_s = None
@@ -84,6 +90,7 @@
         """Send a complete request, with its body."""
         request = h11.Request(method=method, target=target, headers=headers)
         self._last_request = request
+        self._interim_count = 0
         self.request_count += 1
         data = self._http.send(request)
         if body:
@@ -92,31 +99,20 @@
         self._transport.write(data)
 
     async def next_event(self):
-        """Return the next h11 event of the response.
+        """Return the next h11 event of the response; skip interim responses.
 
         Raises EndpointBrokenError if the connection ends or the response
         is not valid HTTP.
         """
         while True:
-            try:
-                event = self._http.next_event()
-            except h11.RemoteProtocolError as error:
-                raise exceptions.EndpointBrokenError(
-                    f'the answer is not valid HTTP: {error}'
-                ) from error
-            if event is not h11.NEED_DATA:
-                if isinstance(event, h11.ConnectionClosed):
-                    raise exceptions.EndpointBrokenError('connection closed')
+            event = await self._next_any_event()
+            if not isinstance(event, h11.InformationalResponse):
                 return event
-            if self._unread:
-                self._feed_parser()
-            elif self._end_received:
-                self._end_received = False
-                self._http.receive_data(b'')
-            elif self._lost:
-                raise exceptions.EndpointBrokenError('connection lost')
-            else:
-                await self._wait_for_data()
+            self._interim_count += 1
+            if self._interim_count > MAX_INTERIM_RESPONSES:
+                raise exceptions.EndpointBrokenError(
+                    'too many interim responses'
+                )
 
     def finish(self):
         """Prepare for the next request and return whether that is possible."""
@@ -157,6 +153,28 @@
         if self._transport is not None:
             self._transport.close()
 
+    async def _next_any_event(self):
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                raise exceptions.EndpointBrokenError(
+                    f'the answer is not valid HTTP: {error}'
+                ) from error
+            if event is not h11.NEED_DATA:
+                if isinstance(event, h11.ConnectionClosed):
+                    raise exceptions.EndpointBrokenError('connection closed')
+                return event
+            if self._unread:
+                self._feed_parser()
+            elif self._end_received:
+                self._end_received = False
+                self._http.receive_data(b'')
+            elif self._lost:
+                raise exceptions.EndpointBrokenError('connection lost')
+            else:
+                await self._wait_for_data()
+
     def _feed_parser(self):
         data = self._unread.popleft()
         self._unread_bytes -= len(data)
@@ -212,8 +230,11 @@
 
 
 async def read_response(conn, timeout_s):
-    """Read a complete response and return it as a WholeResponse."""
-    status, headers, parts = 0, {}, []
+    """Read a complete response and return it as a WholeResponse.
+
+    Raises EndpointBrokenError if the response breaks off or is too large.
+    """
+    status, headers, parts, size = 0, {}, [], 0
     async with timeouts.timeout(timeout_s):
         while True:
             event = await conn.next_event()
@@ -222,5 +243,10 @@
                 headers = dict(event.headers)
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
+                size += len(event.data)
+                if size > MAX_WHOLE_RESPONSE_BYTES:
+                    raise exceptions.EndpointBrokenError(
+                        'the response is too large'
+                    )
             elif isinstance(event, h11.EndOfMessage):
                 return WholeResponse(status, headers, b''.join(parts))
--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -21,6 +21,10 @@
 # run twice: if a stale connection is reset, its outcome is unknown.
 MAX_UNREPEATABLE_IDLE_S = 0.5
 MAX_IDLE_PER_RUNNER = 24
+# Late copies of other answers that are skipped before the answer, and their
+# size; more is taken for a fault of the endpoint.
+MAX_SKIPPED_COPIES = 8
+MAX_SKIPPED_BYTES = 1_048_576
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
 # Longer pauses are likely errors of the endpoint.
@@ -40,16 +44,15 @@
         self._reused = conn.request_count > 0
         self._reusable = True
         self._ended = False
+        self._skipped_bytes = 0
 
     async def head(self):
         """Return the status and headers of the response to this attempt.
 
         Raises EndpointBrokenError if the connection ends before they arrive.
         """
-        while True:
+        for _ in range(MAX_SKIPPED_COPIES + 1):
             event = await self._conn.next_event()
-            if isinstance(event, h11.InformationalResponse):
-                continue
             headers = dict(event.headers)
             echoed_attempt = headers.get(names.ATTEMPT_ID)
             if echoed_attempt == self._attempt:
@@ -62,6 +65,7 @@
                 return self._read_head(event, headers)
             await self._skip_body()
             self._conn.skip_duplicate_response()
+        raise exceptions.EndpointBrokenError('too many copies of answers')
 
     async def next_data(self):
         """Return the next chunk of the body, or None at its end."""
@@ -104,10 +108,14 @@
         )
 
     async def _skip_body(self):
-        while True:
+        while self._skipped_bytes <= MAX_SKIPPED_BYTES:
             event = await self._conn.next_event()
             if isinstance(event, h11.EndOfMessage):
                 return
+            self._skipped_bytes += len(event.data)
+        raise exceptions.EndpointBrokenError(
+            'the copy of another answer does not end'
+        )
 
     def _finish_call(self):
         self._ended = True
--- a/persimmonroute/tests/gateway/serving_tests.py
+++ b/persimmonroute/tests/gateway/serving_tests.py
@@ -19,6 +19,9 @@
     f'id: {n}\ndata: piece {n}\n\n'.encode() for n in range(1, 5)
 )
 
+# Socket buffers on loopback hold several megabytes.
+MAX_SURPLUS_BYTES = 16_777_216
+
 
 def _with_timeout(name, timeout_ms):
     """Return a newer configuration with a longer timeout of one route."""
@@ -244,6 +247,39 @@
         self.assertTrue(response.complete)
         self.assertEqual((response.status, response.body), (200, b''))
 
+    async def test_bytes_without_end_are_no_response(self):
+        """A head, a copy or an event without end is cut off early."""
+        for behaviour in (
+            'endless_head',
+            'endless_interim',
+            'endless_copy',
+            'endless_event',
+        ):
+            with self.subTest(behaviour=behaviour):
+                self._script(behaviour)
+                started_at = time.monotonic()
+                response = await self.deployment.call(
+                    '/draft/x', headers=STREAM
+                )
+                self.assertLess(time.monotonic() - started_at, 1.5)
+                self.assertFalse(response.complete and response.status == 200)
+                self.assertLess(self._take_endless_bytes(), MAX_SURPLUS_BYTES)
+
+    async def test_body_without_end_is_cut_off_at_the_timeout(self):
+        """An endless body is relayed as it is read and never complete."""
+        self._script('endless_body')
+        response = await self.deployment.call('/book/x')
+        self.assertFalse(response.complete)
+        response = await self.deployment.call('/book/x', attempt='a2')
+        self.assertEqual(response.status, 200)
+
+    def _take_endless_bytes(self):
+        runners = self.deployment.runners
+        count = sum(runner.endless_bytes for runner in runners)
+        for runner in runners:
+            runner.endless_bytes = 0
+        return count
+
     async def _call_long_stream(self, timeout_ms):
         """Return the response on a resumable route with a longer timeout."""
         self.deployment.platform.put_row(
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -15,6 +15,8 @@
 HANG_S = 30.0
 SIGNATURE = b'signature'
 READ_BYTES = 65_536
+# Bytes after which a response without end gives up.
+MAX_ENDLESS_BYTES = 1_073_741_824
 
 
 class RunnerStandIn:
@@ -43,6 +45,8 @@
         self.runs = collections.Counter()
         self.requests = []
         self.cancelled = 0
+        # Bytes of responses without end that the peers have accepted.
+        self.endless_bytes = 0
         self._server = None
         self._tasks = set()
 
@@ -238,6 +242,42 @@
         )
         return True
 
+    async def _do_endless_head(self, reply, headers):
+        """Send header lines until the peer closes."""
+        reply.writer.write(b'HTTP/1.1 200 OK\r\n')
+        return await self._send_endlessly(reply, b'x-filler: 0123456789\r\n')
+
+    async def _do_endless_interim(self, reply, headers):
+        """Send interim responses until the peer closes."""
+        return await self._send_endlessly(
+            reply, b'HTTP/1.1 102 Processing\r\n\r\n'
+        )
+
+    async def _do_endless_copy(self, reply, headers):
+        """Send an answer to another request until the peer closes."""
+        reply.writer.write(b'HTTP/1.1 200 OK\r\nattempt-id: other\r\n\r\n')
+        return await self._send_endlessly(reply, b'0123456789')
+
+    async def _do_endless_event(self, reply, headers):
+        """Send an event of a stream until the peer closes."""
+        await self._send_unframed_head(reply)
+        return await self._send_endlessly(reply, b'data: 0123456789\n')
+
+    async def _do_endless_body(self, reply, headers):
+        """Send a body without a length until the peer closes."""
+        reply.writer.write(
+            b'HTTP/1.1 200 OK\r\nattempt-id: ' + reply.attempt + b'\r\n\r\n'
+        )
+        return await self._send_endlessly(reply, b'0123456789')
+
+    async def _send_endlessly(self, reply, data):
+        block = data * (READ_BYTES // len(data))
+        for _ in range(MAX_ENDLESS_BYTES // len(block)):
+            reply.writer.write(block)
+            await reply.writer.drain()
+            self.endless_bytes += len(block)
+        return False
+
     async def _do_drip(self, reply, headers):
         """Send one event, then single bytes that complete none."""
         first = await self._begin_stream(reply, headers)
