Move the HTTP connection out of the platform's folder

Cause: the sidecar has to read responses that end with their connection, which aiosonic cannot; the connection names nothing of the platform.

Change: persimmonroute/platform/connection.py becomes persimmonroute/http_connection.py; no change of behaviour.

Result: lint and the tests of connections, timeouts and the deployment pass.

--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -20,7 +20,7 @@
 from persimmonroute.gateway import server
 from persimmonroute.gateway import shell as shells
 from persimmonroute.gateway import turns
-from persimmonroute.platform import connection
+from persimmonroute import http_connection
 from persimmonroute.platform import ingress
 from persimmonroute.platform import runner_client
 from persimmonroute.platform import sources
@@ -107,8 +107,8 @@
     rows = peer_rows.PeerRowsClient(
         settings.seeds or (),
         settings.control_address,
-        connection.open_connection,
-        connection.read_response,
+        http_connection.open_connection,
+        http_connection.read_response,
     )
     followers = [
         following.ConfigurationFollower(
--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -10,7 +10,7 @@
 from persimmonroute import exceptions
 from persimmonroute.gateway import forwarding
 from persimmonroute.gateway import model
-from persimmonroute.platform import connection
+from persimmonroute import http_connection
 from persimmonroute.platform import names
 
 CONNECT_TIMEOUT_S = 0.35
@@ -141,7 +141,7 @@
         conn = self._take_idle(runner, repeatable)
         if conn is None:
             self.connections_opened += 1
-            conn = await connection.open_connection(
+            conn = await http_connection.open_connection(
                 runner.address, CONNECT_TIMEOUT_S
             )
         call = RunnerCall(self, runner, conn, request.attempt.encode())
--- a/persimmonroute/platform/tables.py
+++ b/persimmonroute/platform/tables.py
@@ -10,7 +10,7 @@
 
 from persimmonroute import clock
 from persimmonroute import exceptions
-from persimmonroute.platform import connection
+from persimmonroute import http_connection
 from persimmonroute.platform import names
 
 CONNECT_TIMEOUT_S = 1.0
@@ -239,7 +239,7 @@
             ]
         try:
             conn.send_request(method, target, headers, data)
-            response = await connection.read_response(conn, timeout_s)
+            response = await http_connection.read_response(conn, timeout_s)
             reusable = conn.finish()
             self._record_era(response.headers)
             return response.status, response.body
@@ -267,7 +267,7 @@
             if conn.reusable:
                 return conn
             conn.abort()
-        return await connection.open_connection(
+        return await http_connection.open_connection(
             self._address, CONNECT_TIMEOUT_S
         )
 
--- a/persimmonroute/tests/gateway/serving_tests.py
+++ b/persimmonroute/tests/gateway/serving_tests.py
@@ -8,7 +8,7 @@
 import unittest
 
 from persimmonroute import exceptions
-from persimmonroute.platform import connection
+from persimmonroute import http_connection
 from persimmonroute.platform import sources
 from persimmonroute.platform import tables
 from standins import gateway_deployment as deployments
@@ -329,7 +329,7 @@
         """The attempt is released within half a second of a disconnect."""
         self._script('hang')
         address = self.deployment.settings[0].address
-        conn = await connection.open_connection(address, 1.0)
+        conn = await http_connection.open_connection(address, 1.0)
         task = asyncio.create_task(self.deployment.call_on(conn, '/book/x'))
         await asyncio.sleep(0.2)
         conn.abort()
@@ -347,7 +347,7 @@
             self.assertIn(expected, metrics)
 
     async def _metrics(self):
-        conn = await connection.open_connection(
+        conn = await http_connection.open_connection(
             self.deployment.settings[0].metrics_address, 1.0
         )
         conn.send_request('GET', '/metrics', [('host', 'x')], b'')
--- a/persimmonroute/tests/platform/connection_tests.py
+++ b/persimmonroute/tests/http_connection_tests.py
@@ -7,7 +7,7 @@
 import unittest
 
 from persimmonroute import exceptions
-from persimmonroute.platform import connection
+from persimmonroute import http_connection
 
 TIMEOUT_S = 5.0
 HEAD = b'HTTP/1.1 200 OK\r\n\r\n'
@@ -35,7 +35,7 @@
         server = await asyncio.start_server(serve, '127.0.0.1', 0)
         self.addCleanup(server.close)
         host, port = server.sockets[0].getsockname()
-        conn = await connection.open_connection(f'{host}:{port}', 1.0)
+        conn = await http_connection.open_connection(f'{host}:{port}', 1.0)
         self.addCleanup(conn.abort)
         conn.send_request('GET', '/', [('host', 'x')], b'')
         return conn
@@ -43,7 +43,7 @@
     async def test_response_without_a_length_is_read_to_its_end(self):
         """The end of the connection ends a response without a length."""
         conn = await self._send(HEAD, b'abc', 3)
-        response = await connection.read_response(conn, TIMEOUT_S)
+        response = await http_connection.read_response(conn, TIMEOUT_S)
         self.assertEqual((response.status, response.body), (200, b'abc' * 3))
 
     async def test_response_without_end_is_not_kept_in_memory(self):
@@ -56,7 +56,7 @@
             with self.subTest(block=block[:20]):
                 conn = await self._send(head, block, 10_000)
                 with self.assertRaises(exceptions.EndpointBrokenError):
-                    await connection.read_response(conn, TIMEOUT_S)
+                    await http_connection.read_response(conn, TIMEOUT_S)
                 self.assertLess(
-                    self.sent, 4 * connection.MAX_WHOLE_RESPONSE_BYTES
+                    self.sent, 4 * http_connection.MAX_WHOLE_RESPONSE_BYTES
                 )
--- a/persimmonroute/tests/timeouts_tests.py
+++ b/persimmonroute/tests/timeouts_tests.py
@@ -6,7 +6,7 @@
 import time
 import unittest
 
-from persimmonroute.platform import connection
+from persimmonroute import http_connection
 from persimmonroute import timeouts
 
 LIMIT_S = 0.2
@@ -74,7 +74,7 @@
         server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
         host, port = server.sockets[0].getsockname()
         opening = asyncio.create_task(
-            connection.open_connection(f'{host}:{port}', LIMIT_S)
+            http_connection.open_connection(f'{host}:{port}', LIMIT_S)
         )
         asyncio.get_running_loop().call_soon(time.sleep, 2 * LIMIT_S)
         conn = await opening
--- a/standins/gateway_deployment.py
+++ b/standins/gateway_deployment.py
@@ -12,8 +12,8 @@
 
 from persimmonroute.config import settings as settings_module
 from persimmonroute import gateway_composition
+from persimmonroute import http_connection
 from persimmonroute import http_server
-from persimmonroute.platform import connection
 from standins import platform
 from standins import platform_runner
 
@@ -152,7 +152,7 @@
 
     async def call(self, path, gateway=0, body=b'body', headers=(), **options):
         """Return the Response to one request on a new connection."""
-        conn = await connection.open_connection(
+        conn = await http_connection.open_connection(
             self.settings[gateway].address, 1.0
         )
         try:
@@ -233,7 +233,7 @@
     async with asyncio.timeout(READY_TIMEOUT_S):
         while True:
             with contextlib.suppress(Exception):
-                conn = await connection.open_connection(address, 1.0)
+                conn = await http_connection.open_connection(address, 1.0)
                 conn.send_request('GET', '/readyz', [('host', 'x')], b'')
                 response = await read_response(conn)
                 conn.abort()
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -6,7 +6,7 @@
 import typing
 
 from persimmonroute import exceptions
-from persimmonroute.platform import connection
+from persimmonroute import http_connection
 from standins import gateway_deployment as deployments
 from tools.soak import records
 
@@ -54,7 +54,7 @@
             conn = None
         try:
             if conn is None:
-                conn = await connection.open_connection(
+                conn = await http_connection.open_connection(
                     gateway.caller_link.address, CONNECT_S
                 )
         except (exceptions.EndpointUnreachableError, OSError):
