Read endpoints' responses in the sidecar as HTTP frames them

What callers saw: a whole response with neither a length nor chunks, or with a length of 0, ended as 502 (or ran again, where that is allowed); a stream that stopped inside an event counted as complete if it had a length; and bytes left of one broken response were read as the answer to the next call.

Cause: aiosonic reads such a body as chunks, whatever its head says, and keeps the connection of a response that it could not read. The same class as the streams that looked complete at the gateway: the end of a body was not judged by how the body is framed and by its events.

--- a/persimmonroute/http_connection.py
+++ b/persimmonroute/http_connection.py
@@ -194,6 +194,15 @@
             self._waiter.set_result(None)
 
 
+def ends_with_connection(head):
+    """Return whether a response has neither a length nor chunks."""
+    header_names = [name for name, _ in head.headers]
+    return (
+        b'content-length' not in header_names
+        and b'transfer-encoding' not in header_names
+    )
+
+
 def set_socket_options(sock):
     """Set socket options that detect an unresponsive peer in seconds."""
     tcp = socket.IPPROTO_TCP
--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -100,8 +100,7 @@
             or event.status_code == STATUS_MISDIRECTED,
             misdirected=event.status_code == STATUS_MISDIRECTED,
             load=_read_load(headers.get(names.RUNNER_LOAD)),
-            ends_with_connection=b'content-length' not in headers
-            and b'transfer-encoding' not in headers,
+            ends_with_connection=http_connection.ends_with_connection(event),
             content_type=_read_content_type(headers),
             leaving=headers.get(names.SERVER_LEAVING) == b'1',
             retry_after_s=_read_retry_after(event.status_code, headers),
--- a/persimmonroute/sidecar/endpoints.py
+++ b/persimmonroute/sidecar/endpoints.py
@@ -3,50 +3,70 @@
 from __future__ import annotations
 
 import abc
-import asyncio
+import contextlib
 import json
 
-import aiosonic
-from aiosonic import exceptions as http_exceptions
-from aiosonic import timeout as http_timeout
+import h11
 
+from persimmonroute import event_stream
 from persimmonroute import exceptions
+from persimmonroute import http_connection
 from persimmonroute.sidecar import messages
+from persimmonroute.sidecar import responses
 
 CONNECT_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 2.0
 STATUS_OK = 200
+# Longest response that is forwarded, as much as the sidecar keeps in memory.
+MAX_RESPONSE_BYTES = responses.MAX_RETAINED_BYTES
 TOKEN_EVENT_PREFIX = b'data: {'
-CALL_TIMEOUTS = http_timeout.Timeouts(
-    sock_connect=CONNECT_TIMEOUT_S,
-    sock_read=None,
-    pool_acquire=None,
-    request_timeout=None,
-)
-PROBE_TIMEOUTS = http_timeout.Timeouts(
-    sock_connect=CONNECT_TIMEOUT_S,
-    sock_read=PROBE_TIMEOUT_S,
-    request_timeout=PROBE_TIMEOUT_S,
-)
-CONNECT_ERRORS = (http_exceptions.ConnectTimeout, ConnectionRefusedError)
-CALL_ERRORS = (
-    OSError,
-    ValueError,
-    asyncio.IncompleteReadError,
-    http_exceptions.BaseTimeout,
-    http_exceptions.HttpParsingError,
-    http_exceptions.ConnectionDisconnected,
+BODILESS_METHODS = frozenset(('GET', 'HEAD', 'DELETE'))
+PROBE_ERRORS = (
+    exceptions.EndpointUnreachableError,
+    exceptions.EndpointBrokenError,
+    TimeoutError,
 )
 
 
+class _Body:
+    """Check that the body of a response is complete."""
+
+    def __init__(self, head, content_type):
+        self._ends_with_connection = http_connection.ends_with_connection(head)
+        self._splitter = None
+        self._events = 0
+        self._size = 0
+        if content_type.lower().startswith(event_stream.CONTENT_TYPE.decode()):
+            self._splitter = event_stream.EventSplitter()
+
+    def add(self, data):
+        """Add a chunk, or raise EndpointBrokenError if the body is endless."""
+        self._size += len(data)
+        if self._size > MAX_RESPONSE_BYTES:
+            raise exceptions.EndpointBrokenError('the response is too large')
+        if self._splitter is not None:
+            self._events += len(self._splitter.feed(data))
+
+    def count_tokens(self, data):
+        """Return the events in a chunk that hold a token."""
+        return data.count(TOKEN_EVENT_PREFIX) if self._splitter else 0
+
+    def check_complete(self):
+        """Raise EndpointBrokenError if a stream was broken off."""
+        if self._splitter is None:
+            return
+        if self._splitter.in_event:
+            raise exceptions.EndpointBrokenError('the stream ends in an event')
+        if self._ends_with_connection and not self._events:
+            raise exceptions.EndpointBrokenError('the stream has no event')
+
+
 class EndpointClient(abc.ABC):
     """Send attempts to one endpoint and report events to a sink."""
 
     def __init__(self, address, sink):
-        self._base = f'http://{address}'
+        self._address = address
         self._sink = sink
-        self._client = aiosonic.HTTPClient()
-        self._probe_client = aiosonic.HTTPClient()
 
     async def run(self, attempt_id, offer):
         """Send a request and report its response as events."""
@@ -61,19 +81,11 @@
     async def probe(self):
         """Return whether the endpoint responds to a health check."""
         try:
-            response = await self._probe_client.request(
-                f'{self._base}/health', timeouts=PROBE_TIMEOUTS
-            )
-            await response.content()
-        except CALL_ERRORS:
+            await self._request('GET', '/health')
+        except PROBE_ERRORS:
             return False
         return True
 
-    async def close(self):
-        """Close all connections."""
-        await self._client.aclose()
-        await self._probe_client.aclose()
-
     @abc.abstractmethod
     async def resume(self, attempt_id, offset):
         """Resume an interrupted stream at a byte offset."""
@@ -86,41 +98,69 @@
     async def list_streams(self):
         """Return the attempt ids whose streams the endpoint retains."""
 
+    async def _request(self, method, path, body=b''):
+        """Return the WholeResponse to a request that is not an attempt."""
+        conn = await self._open()
+        try:
+            self._send(conn, method, path, {}, body)
+            return await http_connection.read_response(conn, PROBE_TIMEOUT_S)
+        finally:
+            conn.abort()
+
     async def _call(self, attempt_id, method, path, headers, body, skip=0):
-        # A new connection for each call, since aiosonic sends a request
-        # again when a reused connection drops.
-        headers = {**headers, 'Connection': 'close'}
         try:
-            await self._exchange(attempt_id, method, path, headers, body, skip)
-        except CONNECT_ERRORS as error:
-            await self._fail(attempt_id, False, f'not connected: {error!r}')
-        except CALL_ERRORS as error:
-            await self._fail(attempt_id, True, f'broken off: {error!r}')
+            # A new connection for each call: one that was left open may drop
+            # while the request is sent, and whether it ran is then unknown.
+            conn = await self._open()
+        except exceptions.EndpointUnreachableError as error:
+            await self._fail(attempt_id, False, error.problem)
+            return
+        try:
+            self._send(conn, method, path, headers, body)
+            await self._forward(attempt_id, conn, skip)
         except exceptions.EndpointBrokenError as error:
             await self._fail(attempt_id, True, error.problem)
+        finally:
+            conn.abort()
 
-    async def _exchange(self, attempt_id, method, path, headers, body, skip):
-        response = await self._client.request(
-            self._base + path,
-            method=method,
-            headers=headers,
-            data=body or None,
-            timeouts=CALL_TIMEOUTS,
-            stream=True,
+    async def _open(self):
+        return await http_connection.open_connection(
+            self._address, CONNECT_TIMEOUT_S
         )
-        status = response.status_code
-        if skip and status != STATUS_OK:
+
+    def _send(self, conn, method, path, headers, body):
+        headers = {'Host': self._address, 'Connection': 'close', **headers}
+        if body or method not in BODILESS_METHODS:
+            headers['Content-Length'] = str(len(body))
+        try:
+            conn.send_request(method, path, list(headers.items()), body)
+        except h11.LocalProtocolError as error:
+            raise exceptions.EndpointBrokenError(
+                f'the request is not valid HTTP: {error}'
+            ) from error
+
+    async def _forward(self, attempt_id, conn, skip):
+        """Report a response as events, without the first bytes of its body."""
+        head = await conn.next_event()
+        if skip and head.status_code != STATUS_OK:
             raise exceptions.EndpointBrokenError(
                 'the engine no longer has the stream'
             )
-        content_type = response.headers.get('content-type', '')
-        streamed = 'event-stream' in content_type
-        async for data in response.read_chunks():
+        content_type = (
+            dict(head.headers).get(b'content-type', b'').decode('latin-1')
+        )
+        body = _Body(head, content_type)
+        while isinstance(event := await conn.next_event(), h11.Data):
+            data = bytes(event.data)
+            body.add(data)
             added, skip = data[skip:], max(skip - len(data), 0)
             if added:
-                tokens = added.count(TOKEN_EVENT_PREFIX) if streamed else 0
+                tokens = body.count_tokens(added)
                 self._sink(messages.EndpointData(attempt_id, added, tokens))
-        self._sink(messages.EndpointEnded(attempt_id, status, content_type))
+        body.check_complete()
+        self._sink(
+            messages.EndpointEnded(attempt_id, head.status_code, content_type)
+        )
 
     async def _fail(self, attempt_id, sent, problem):
         self._sink(messages.EndpointProbed(await self.probe()))
@@ -137,25 +177,16 @@
 
     async def cancel(self, attempt_id):
         """Cancel a stream; errors are ignored."""
-        try:
-            response = await self._probe_client.request(
-                f'{self._base}/v1/streams/{attempt_id}/cancel',
-                method='POST',
-                data=b'{}',
-                timeouts=PROBE_TIMEOUTS,
-            )
-            await response.content()
-        except CALL_ERRORS:
-            return
+        path = f'/v1/streams/{attempt_id}/cancel'
+        with contextlib.suppress(*PROBE_ERRORS):
+            await self._request('POST', path, b'{}')
 
     async def list_streams(self):
         """Return the stream ids of the engine; none if it does not respond."""
         try:
-            response = await self._probe_client.request(
-                f'{self._base}/v1/streams', timeouts=PROBE_TIMEOUTS
-            )
-            listed = json.loads(await response.content())
-        except CALL_ERRORS:
+            response = await self._request('GET', '/v1/streams')
+            listed = json.loads(response.body)
+        except (*PROBE_ERRORS, ValueError):
             return frozenset()
         return frozenset(listed['streams'])
 
--- a/persimmonroute/sidecar/shell.py
+++ b/persimmonroute/sidecar/shell.py
@@ -71,7 +71,6 @@
         self._wakeup.cancel()
         for task in list(self._tasks):
             task.cancel()
-        await self._endpoint.close()
         log.emit(Event.PROCESS_STOPPED)
 
     async def Connect(self, request_iterator, context):
