Break off an entry's stream whose response broke off

What callers saw: a stream whose endpoint was killed ended with an error event and then as a complete body; a partial event ran into the error event.

Cause: the entry ended every streamed body in order and relayed bytes before their event was whole.

Change: the entry relays whole events; after the outcome of a stream that is not complete the connection closes before the body ends. The callers of the stand-ins notice a body that breaks off, keep what they have and never count it as completed.

--- a/persimmonroute/entry/http_api.py
+++ b/persimmonroute/entry/http_api.py
@@ -14,6 +14,7 @@
 from persimmonroute.entry import intake
 from persimmonroute.entry import messages
 from persimmonroute.entry.messages import Outcome
+from persimmonroute import event_stream
 from persimmonroute import exceptions
 from persimmonroute import metrics_text
 
@@ -142,14 +143,26 @@
         )
 
     async def _stream(self, call, first, queue):
+        """Yield the events of a response and then its outcome.
+
+        Raises ResponseIncompleteError if the response broke off, so that the
+        server closes the connection before the body is complete.
+        """
+        splitter = event_stream.EventSplitter()
         item = first
         try:
             while isinstance(item, messages.ResponseData):
-                yield item.data
+                for event in splitter.feed(item.data):
+                    yield event.data
                 item = await queue.get()
+            completed = item.outcome is Outcome.COMPLETED
+            if completed and splitter.rest:
+                yield splitter.rest
             yield _outcome_event(item)
         finally:
             self._shell.disconnect(call.request_id)
+        if not completed:
+            raise exceptions.ResponseIncompleteError(item.problem)
 
     def _final_response(self, call, ended, body):
         headers = {
--- a/persimmonroute/exceptions.py
+++ b/persimmonroute/exceptions.py
@@ -71,6 +71,12 @@
     remedy = 'check the log of the endpoint'
 
 
+class ResponseIncompleteError(PersimmonRouteError):
+    """Report a response that broke off after a part of it was sent."""
+
+    remedy = 'look up the outcome of the request, or send it again if it may'
+
+
 class BadRequestError(PersimmonRouteError):
     """Report an invalid request of a caller."""
 
--- a/persimmonroute/tests/processes/faults_tests.py
+++ b/persimmonroute/tests/processes/faults_tests.py
@@ -143,6 +143,7 @@
 
         result = await self._send_draft('a', kill)
         self.assertEqual(result.outcome, 'unknown')
+        self.assertFalse(result.complete)
         entry = self.deployment.entries[0]
         after = await self.caller.send(entry, draft('b'))
         self.assertEqual(after.outcome, 'completed')
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -18,6 +18,11 @@
     sock_connect=2.0, sock_read=120.0, request_timeout=180.0
 )
 OUTCOME_MARKER = b': persimmon-outcome '
+# Raised by aiosonic where a body that has begun breaks off.
+BROKEN_OFF_ERRORS = (
+    *client.HTTP_ERRORS,
+    asyncio.IncompleteReadError,
+)
 # The response is not the one expected for the request.
 WRONG = 'wrong'
 # The connection to the entry closed without a final response.
@@ -78,6 +83,8 @@
     gap_s: float
     retry_after_s: float | None
     problem: str
+    # True if the response ended as HTTP requires.
+    complete: bool
 
 
 class Caller:
@@ -101,7 +108,15 @@
         except client.HTTP_ERRORS as error:
             elapsed_s = time.monotonic() - started_at
             return CallResult(
-                call, LOST, 0, elapsed_s, elapsed_s, 0.0, None, repr(error)
+                call,
+                LOST,
+                0,
+                elapsed_s,
+                elapsed_s,
+                0.0,
+                None,
+                repr(error),
+                False,
             )
 
     async def _send(self, entry, call, started_at, on_first):
@@ -116,15 +131,21 @@
         )
         first_at = None
         parts = []
-        async for part in response.read_chunks():
-            if first_at is None:
-                first_at = time.monotonic()
-                if on_first is not None:
-                    on_first()
-            parts.append(part)
+        complete = True
+        try:
+            async for part in response.read_chunks():
+                if first_at is None:
+                    first_at = time.monotonic()
+                    if on_first is not None:
+                        on_first()
+                parts.append(part)
+        except BROKEN_OFF_ERRORS:
+            complete = False
         ended_at = time.monotonic()
         first_at = first_at or ended_at
         outcome, problem = _evaluate(call, response, b''.join(parts))
+        if outcome == 'completed' and not complete:
+            outcome, problem = LOST, 'the response broke off'
         retry_after = response.headers.get('retry-after')
         steps = max(call.output_tokens - 1, 1)
         return CallResult(
@@ -136,6 +157,7 @@
             (ended_at - first_at) / steps,
             float(retry_after) if retry_after else None,
             problem,
+            complete,
         )
 
 
