Play streams that break off in order in the soak

Cause: the soak's endpoints only reset streams; none ended in order inside an event, before the first event, or without a length, so neither the reported fault nor a sound stream without a length was ever played.

Change: four kinds of endpoint faults, drawn apart so that earlier seeds keep theirs, and two mutants that take such streams for complete.

--- a/persimmonroute/tests/gateway/serving_tests.py
+++ b/persimmonroute/tests/gateway/serving_tests.py
@@ -222,6 +222,8 @@
 
     async def test_whole_responses_are_not_taken_for_broken_streams(self):
         """Whole streams without a length and other documents arrive whole."""
+        for runner in self.deployment.runners:
+            runner.stream_trailer = b': end of stream\n'
         for route in ('draft', 'resume'):
             with self.subTest(route=route):
                 self._script('unframed_whole_stream', 'json_on_stream')
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -35,6 +35,8 @@
     answer_pause_s = 0.2
     # Retry-After of the behaviour 'closed', in seconds.
     pause_s = 1.0
+    # Bytes after the events of the behaviour 'unframed_whole_stream'.
+    stream_trailer = b''
     # True if all responses say that the endpoint is leaving.
     leaving = False
 
@@ -128,7 +130,7 @@
         return await handler(reply, headers)
 
     async def _do_answer(self, reply, headers):
-        if headers.get(b'accept') == b'text/event-stream':
+        if _wants_stream(headers):
             first = await self._begin_stream(reply, headers)
             for number in range(first, self.event_count + 1):
                 await reply.send_data(self.make_event(reply.attempt, number))
@@ -193,6 +195,8 @@
 
     async def _do_unframed_stream(self, reply, headers):
         """Stop inside an event and close the connection in order."""
+        if not _wants_stream(headers):
+            return await self._do_truncate(reply, headers)
         await self._send_unframed_head(reply)
         first = int(headers.get(b'last-event-id', b'0')) + 1
         reply.writer.write(
@@ -203,6 +207,8 @@
 
     async def _do_partial_stream(self, reply, headers):
         """Stop inside an event and end the response as HTTP requires."""
+        if not _wants_stream(headers):
+            return await self._do_truncate(reply, headers)
         first = await self._begin_stream(reply, headers)
         await reply.send_data(
             self.make_event(reply.attempt, first) + b'id: 99\ndata: pi'
@@ -212,18 +218,22 @@
 
     async def _do_empty_stream(self, reply, headers):
         """Send the head of an unframed stream and close the connection."""
+        if not _wants_stream(headers):
+            return await self._do_truncate(reply, headers)
         await self._send_unframed_head(reply)
         return False
 
     async def _do_unframed_whole_stream(self, reply, headers):
         """Send a whole stream that ends with its connection."""
+        if not _wants_stream(headers):
+            return await self._do_unframed(reply, headers)
         await self._send_unframed_head(reply)
         first = int(headers.get(b'last-event-id', b'0')) + 1
         for number in range(first, self.event_count + 1):
             reply.writer.write(self.make_event(reply.attempt, number))
             await reply.writer.drain()
             await asyncio.sleep(self.event_pause_s)
-        reply.writer.write(b': end of stream\n')
+        reply.writer.write(self.stream_trailer)
         await reply.writer.drain()
         return False
 
@@ -351,6 +361,10 @@
         self.writer.write(self._http.send(h11.EndOfMessage()))
 
 
+def _wants_stream(headers):
+    return headers.get(b'accept') == b'text/event-stream'
+
+
 def reset(writer):
     """Close a connection with a TCP reset."""
     sock = writer.get_extra_info('socket')
--- a/tools/soak/mutants.py
+++ b/tools/soak/mutants.py
@@ -62,6 +62,20 @@
             ),
         ),
     ),
+    Mutant(
+        'takes streams that end inside an event for complete',
+        (Edit(FORWARDING, 'if splitter.in_event:', 'if False:'),),
+    ),
+    Mutant(
+        'takes a head without an event for a complete stream',
+        (
+            Edit(
+                FORWARDING,
+                'if head.ends_with_connection and not _has_events(',
+                'if False and not _has_events(',
+            ),
+        ),
+    ),
     Mutant(
         'trusts keys however old the configuration is',
         (
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -65,12 +65,21 @@
     Kind('version', 0.1, 0),
     Kind('revoke', 0.1, 0),
 )
-# Drawn apart from the others, so that the seeds of before keep their faults.
-LATER_KINDS = (
-    Kind('store_restore', 2.5, 0),
-    Kind('endpoint_closed', 2.0, 0),
+# Groups that are drawn apart from the others and from each other, so that the
+# seeds of before keep their faults.
+LATER_GROUPS = (
+    (
+        Kind('store_restore', 2.5, 0),
+        Kind('endpoint_closed', 2.0, 0),
+    ),
+    (
+        Kind('endpoint_unframed_stream', 2.5, 0.6),
+        Kind('endpoint_partial_stream', 2.5, 0.6),
+        Kind('endpoint_empty_stream', 2.5, 0.6),
+        Kind('endpoint_unframed_whole_stream', 2.5, 0.9),
+    ),
 )
-# Share of the schedules that contain one of them.
+# Share of the schedules that contain one kind of a group.
 LATER_SHARE = 0.5
 KINDS_BY_NAME = {kind.name: kind for kind in KINDS}
 
@@ -87,10 +96,11 @@
     faults = []
     for _ in range(rng.randint(3, 14)):
         faults.append(_draw_fault(rng, rng.choice(kinds), gateways, endpoints))
-    later = random.Random(repr(faults))
-    if later.random() < LATER_SHARE:
-        kind = later.choice(LATER_KINDS)
-        faults.append(_draw_fault(later, kind, gateways, endpoints))
+    for group in LATER_GROUPS:
+        later = random.Random(repr(faults))
+        if later.random() < LATER_SHARE:
+            kind = later.choice(group)
+            faults.append(_draw_fault(later, kind, gateways, endpoints))
     return sorted(faults)
 
 
--- a/tools/soak/seed_run.py
+++ b/tools/soak/seed_run.py
@@ -49,7 +49,18 @@
     'cut_down': proxy.Mode.CUT_DOWN,
     'silent': proxy.Mode.SILENT,
 }
-MISBEHAVIOURS = ('fail', 'reset', 'truncate', 'break_stream', 'full', 'hang')
+MISBEHAVIOURS = (
+    'fail',
+    'reset',
+    'truncate',
+    'break_stream',
+    'full',
+    'hang',
+    'unframed_stream',
+    'partial_stream',
+    'empty_stream',
+    'unframed_whole_stream',
+)
 
 
 class SeedRun:
