Log the prompt parts of an attempt that failed

Cause: the log of a crash named the request and the endpoint only, so it could not tell whether requests that crash endpoints share a part of their prompt.

Change: event 702 names the parts of the prompt and whether an event had been relayed.

Result: no change of behaviour.

--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -400,6 +400,9 @@
             runner=view.id,
             ending=outcome.ending.value,
             problem=outcome.problem,
+            # What a crash of the endpoint may be due to.
+            event_relayed=progress.event_relayed,
+            prompt=[part.id for part in pending.request.prompt],
         )
 
     async def _finish_rejected(self, pending, caller, progress, rejection):
