--- a/standins/gateway_deployment.py
+++ b/standins/gateway_deployment.py
@@ -92,6 +92,7 @@
         self.settings = []
         self._gateways = gateways
         self._tasks = []
+        self._gateway_tasks = []
         self._store_server = None
         self._store = None
 
@@ -122,16 +123,29 @@
         )
         await wait_ready(self.settings[-1].ready_address)
 
+    async def replace_gateways(self):
+        """Stop all gateways at the same time and start as many others."""
+        tasks, self._gateway_tasks = self._gateway_tasks, []
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.settings.clear()
+        self.stop_events.clear()
+        for _ in range(self._gateways):
+            await self.add_gateway()
+
     async def stop(self):
         """Stop all processes."""
         for stop in self.stop_events:
             stop.set()
-        for task in self._tasks[1:]:
+        for task in self._gateway_tasks:
             task.cancel()
         self._store_server.should_exit = True
         for runner in self.runners:
             await runner.stop()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(
+            *self._tasks, *self._gateway_tasks, return_exceptions=True
+        )
 
     def register(self, runner, state='ready', **changes):
         """Register an endpoint in the servers table."""
@@ -208,7 +222,7 @@
         process = gateway_composition.build_gateway(checked)
         self.settings.append(checked)
         self.stop_events.append(stop)
-        self._tasks.append(asyncio.create_task(process.run(stop)))
+        self._gateway_tasks.append(asyncio.create_task(process.run(stop)))
 
 
 async def read_response(conn):
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -37,6 +37,8 @@
     pause_s = 1.0
     # Bytes after the events of the behaviour 'unframed_whole_stream'.
     stream_trailer = b''
+    # Ids of prompt parts that crash the endpoint unless they are the last.
+    crashing_parts = frozenset()
     # True if all responses say that the endpoint is leaving.
     leaving = False
 
@@ -47,10 +49,12 @@
         self.runs = collections.Counter()
         self.requests = []
         self.cancelled = 0
+        self.crashed = False
         # Bytes of responses without end that the peers have accepted.
         self.endless_bytes = 0
         self._server = None
         self._tasks = set()
+        self._writers = set()
 
     @property
     def address(self):
@@ -60,6 +64,7 @@
 
     async def start(self):
         """Start serving on a free port."""
+        self.crashed = False
         self._server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
 
     async def stop(self):
@@ -69,6 +74,13 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def crash(self):
+        """Reset all connections, and refuse new ones until start()."""
+        self.crashed = True
+        self._server.close()
+        for writer in self._writers:
+            reset(writer)
+
     def choose_behaviour(self):
         """Return the behaviour for the next request."""
         return self.script.popleft() if self.script else self.default_behaviour
@@ -77,6 +89,11 @@
         """Return one server-sent event of an attempt's stream."""
         return f'id: {number}\ndata: piece {number}\n\n'.encode()
 
+    def crashes_on(self, prompt):
+        """Return whether a prompt holds a part that crashes endpoints."""
+        parts = [entry.partition(':')[0] for entry in prompt.split(',')]
+        return not self.crashing_parts.isdisjoint(parts[:-1])
+
     def record_run(self, attempt, headers):
         """Count a run of an attempt."""
         self.runs[attempt] += 1
@@ -85,6 +102,7 @@
         task = asyncio.current_task()
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        self._writers.add(writer)
         try:
             await self._serve(reader, writer)
         except asyncio.CancelledError:
@@ -93,6 +111,7 @@
         except (OSError, h11.ProtocolError):
             self.cancelled += 1
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _serve(self, reader, writer):
@@ -126,6 +145,8 @@
             await reply.send_complete(421, b'', [])
             return True
         self.record_run(attempt.decode(), headers)
+        if self.crashes_on(headers.get(b'prompt-prefix', b'').decode()):
+            behaviour = 'crash'
         handler = getattr(self, f'_do_{behaviour}', self._do_answer)
         return await handler(reply, headers)
 
@@ -140,6 +161,15 @@
             await reply.send_complete(200, b'answer ' + reply.attempt, [])
         return True
 
+    async def _do_crash(self, reply, headers):
+        """Begin to write an answer, and crash."""
+        if _wants_stream(headers):
+            await self._begin_stream(reply, headers)
+            await reply.send_data(b'id: 1\nda')
+        await asyncio.sleep(self.event_pause_s)
+        await self.crash()
+        return False
+
     async def _do_fail(self, reply, headers):
         await reply.send_complete(500, b'failed', [])
         return True
