Attribute crashes to what the requests in progress have in common

What callers saw: requests that shared nothing but one part of their prompt crashed endpoint after endpoint; streams of others there broke off with them.

Change: crashes are attributed to traits, a whole request or a part of a prompt but the last, and as few traits as explain the crashes are quarantined after three of them, the most specific first; crashes under 0.25 s apart count as one. Parts of requests that an endpoint answered, at any gateway, are no suspects. A gateway connects at once to an endpoint that broke an attempt off, which tells a crash from a lost answer. Reports carry the crashes with their ages, the store keeps what is quarantined, and requests are checked again before each send.

Serving, process and docs tests pass (56).

--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -125,6 +125,17 @@
     STORE_RESTORED = EventKind(
         723, 'WARNING', 'store was restored from an older copy'
     )
+    RUNNER_CRASHED = EventKind(
+        715, 'WARNING', 'endpoint crashed under requests of this gateway'
+    )
+    TRAIT_QUARANTINED = EventKind(
+        716,
+        'ERROR',
+        'requests with a trait that crashes endpoints are rejected',
+    )
+    TRAIT_CLEARED = EventKind(
+        717, 'INFO', 'requests with a trait are not rejected any more'
+    )
     RUNNER_GONE = EventKind(711, 'WARNING', 'endpoint removed')
     DOCUMENT_UNREADABLE = EventKind(
         720, 'WARNING', 'unreadable document in a table ignored'
--- a/persimmonroute/exceptions.py
+++ b/persimmonroute/exceptions.py
@@ -65,6 +65,12 @@
     remedy = 'check that the endpoint listens on the configured address'
 
 
+class EndpointRefusedError(EndpointUnreachableError):
+    """Report that nothing listens on the endpoint's address."""
+
+    remedy = 'check that the endpoint runs'
+
+
 class EndpointBrokenError(PersimmonRouteError):
     """Report an endpoint that failed after a request was sent."""
 
--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -147,7 +147,9 @@
         if restarted:
             self.quotas.remove_peer(report.name)
         self.quotas.apply_peer_usage(report.name, report.used, now)
-        self.quarantine.apply_peer_counts(report.name, report.crashes)
+        self.quarantine.apply_peer_findings(
+            report.name, report.crash_findings, now
+        )
         for runner_id, started_at_ms in report.leaving:
             self.runner_registry.record_leaving(runner_id, started_at_ms, now)
         for runner_id in former_in_flight.keys() - report.in_flight.keys():
--- a/persimmonroute/gateway/following.py
+++ b/persimmonroute/gateway/following.py
@@ -279,7 +279,8 @@
             )
         for view in removed_views:
             log.emit(Event.RUNNER_GONE, runner=view.id)
-            self._board.quarantine.record_crash(view.id, now)
+            if not view.record.leaving:
+                self._board.quarantine.record_crash(view.record, now)
             self._on_removed(view.record)
 
     def _is_urgent(self, changes):
--- a/persimmonroute/gateway/peers.py
+++ b/persimmonroute/gateway/peers.py
@@ -8,6 +8,7 @@
 
 from persimmonroute.gateway import groups
 from persimmonroute.gateway.locality import Distance
+from persimmonroute.gateway import quarantine
 
 # Reports older than this many of the sender's report intervals are ignored;
 # two in a row may be lost.
@@ -78,8 +79,8 @@
     # Queued work by service and rank.
     waiting: dict[tuple[str, float], WaitingWork]
     used: dict[str, float]
-    # Crashes by the fingerprint of the request in progress.
-    crashes: dict[int, int]
+    # What the gateway knows of requests that crash endpoints.
+    crash_findings: quarantine.PeerFindings = quarantine.NO_FINDINGS
     # Ids and start times of endpoints that said they are leaving.
     leaving: tuple[tuple[str, int], ...] = ()
     # Time until the next report, unless it is lost.
--- a/persimmonroute/gateway/shell.py
+++ b/persimmonroute/gateway/shell.py
@@ -32,7 +32,15 @@
     """Run the background tasks of a gateway."""
 
     def __init__(
-        self, board, dispatcher, client, followers, gateways, link, own
+        self,
+        board,
+        dispatcher,
+        client,
+        followers,
+        gateways,
+        link,
+        own,
+        quarantine_keeper,
     ):
         # This gateway as a groups.Member.
         self._own = own
@@ -42,6 +50,7 @@
         self._followers = followers
         self._gateways = gateways
         self._link = link
+        self._quarantine_keeper = quarantine_keeper
         self._tasks = []
         self._store_restored = asyncio.Event()
         board.on_store_restored = self._read_again
@@ -56,6 +65,7 @@
         functions = [follower.run for follower in self._followers]
         functions += [
             self._tick,
+            self._quarantine_keeper.run,
             functools.partial(self._list_gateways, peer_address),
         ]
         self._tasks = [
@@ -106,6 +116,7 @@
         for follower in self._followers:
             follower.read_again()
         self._store_restored.set()
+        self._quarantine_keeper.on_store_restored()
 
     async def _list_gateways(self, address):
         announced = False
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -16,6 +16,7 @@
 from persimmonroute.gateway import peer_rows
 from persimmonroute.gateway import placement
 from persimmonroute.gateway import polling
+from persimmonroute.gateway import quarantine_keeping
 from persimmonroute.gateway import scheduler as schedulers
 from persimmonroute.gateway import server
 from persimmonroute.gateway import shell as shells
@@ -136,6 +137,9 @@
         sources.GatewayList(store),
         link,
         own,
+        quarantine_keeping.QuarantineKeeper(
+            board, sources.QuarantineRows(store)
+        ),
     )
     app = ingress.IngressApp(board, forwarder)
     watched_sources = [follower.source for follower in followers]
--- a/persimmonroute/http_connection.py
+++ b/persimmonroute/http_connection.py
@@ -215,7 +215,10 @@
 
 
 async def open_connection(address, timeout_s):
-    """Open a connection or raise EndpointUnreachableError."""
+    """Open a connection or raise EndpointUnreachableError.
+
+    Raises its subclass EndpointRefusedError if nothing listens there.
+    """
     host, _, port = address.rpartition(':')
     loop = asyncio.get_running_loop()
     try:
@@ -223,6 +226,10 @@
             _, connection = await loop.create_connection(
                 Connection, host, int(port)
             )
+    except ConnectionRefusedError as error:
+        raise exceptions.EndpointRefusedError(
+            f'no connection to {address}: {error!r}'
+        ) from error
     except (OSError, ValueError, TimeoutError) as error:
         raise exceptions.EndpointUnreachableError(
             f'no connection to {address}: {error!r}'
--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -152,6 +152,17 @@
         )
         return call
 
+    async def check(self, runner):
+        """Connect to an endpoint and keep the connection for a request.
+
+        Raises EndpointUnreachableError if no connection could be opened.
+        """
+        self.connections_opened += 1
+        conn = await http_connection.open_connection(
+            runner.address, CONNECT_TIMEOUT_S
+        )
+        self.release(runner, conn)
+
     def release(self, runner, conn):
         """Return a connection to the pool, or close it if the pool is full."""
         conn.idle_since = clock.now_s()
--- a/persimmonroute/platform/sources.py
+++ b/persimmonroute/platform/sources.py
@@ -8,6 +8,7 @@
 from persimmonroute.events import Event
 from persimmonroute import exceptions
 from persimmonroute.gateway import following
+from persimmonroute.gateway import quarantine_keeping
 from persimmonroute import logs
 from persimmonroute.platform import documents
 from persimmonroute.platform import tables as _tables
@@ -15,6 +16,7 @@
 log = logs.EventLog(__name__)
 
 GATEWAY_TABLE = 'gateways'
+QUARANTINE_TABLE = 'quarantine'
 
 
 class TableSource(following.Source):
@@ -192,3 +194,35 @@
             except (ValueError, KeyError, TypeError, AttributeError) as error:
                 log.emit(Event.DOCUMENT_UNREADABLE, problem=repr(error))
         return gateways
+
+
+class QuarantineRows(quarantine_keeping.TraitRows):
+    """Keep the traits of requests that crash endpoints in the store."""
+
+    def __init__(self, tables):
+        self._tables = tables
+
+    async def read(self):
+        """Return the versions of the rows by trait."""
+        page = await self._tables.read(QUARANTINE_TABLE)
+        versions = {}
+        for row in page.rows:
+            try:
+                versions[int(row.key, 16)] = row.version
+            except ValueError as error:
+                log.emit(Event.DOCUMENT_UNREADABLE, problem=repr(error))
+        return versions
+
+    async def add(self, trait):
+        """Write the row of a trait unless it exists."""
+        write = _tables.RowWrite(
+            QUARANTINE_TABLE, '', f'{trait:016x}', b'{}', 0
+        )
+        await self._tables.transact([write])
+
+    async def remove(self, trait, version):
+        """Remove the row of a trait unless it was written again."""
+        write = _tables.RowWrite(
+            QUARANTINE_TABLE, '', f'{trait:016x}', None, version
+        )
+        await self._tables.transact([write])
--- a/tools/gateway_slopes.py
+++ b/tools/gateway_slopes.py
@@ -46,7 +46,6 @@
             for rank in (0, 1)
         },
         {f'workspace-{number}': 12345.0 for number in range(16)},
-        {},
     )
 
 
