Suspect requests whose endpoint crashed soon after its first events

What callers saw: nothing in the record. An endpoint that writes a few events before it crashes would have been taken for one that another request crashed.

Cause: attempts with any event relayed, also by an earlier attempt of a resumed stream, were no suspects.

Change: an attempt is a suspect unless its own endpoint has sent events for 0.5 s.

Evidence: test_crash_after_the_first_events_counts fails before (10 crashes, 4 allowed) and passes now, with the other crash tests.

--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -34,6 +34,9 @@
 # pause.
 STREAM_IDLE_TIMEOUT_S = 1.5
 STREAM_IDLE_PAUSES = 3.0
+# An endpoint that has sent events of a response for longer does not crash
+# because of the request.
+HARMLESS_ANSWER_S = 0.5
 # Route name reported for requests that admission rejects.
 NO_ROUTE = '-'
 
@@ -103,6 +106,8 @@
         self.may_have_run = False
         # When an endpoint last completed an event of the stream, in seconds.
         self.last_received_at = 0.0
+        # When the current attempt completed its first event, in seconds.
+        self.answering_since = None
         # Longest gap between two events of the stream, in seconds.
         self.longest_pause_s = 0.0
 
@@ -111,8 +116,15 @@
         if self.begun:
             pause_s = now - self.last_received_at
             self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        if self.answering_since is None:
+            self.answering_since = now
         self.last_received_at = now
 
+    def has_answered_for(self, seconds, now):
+        """Return whether the current attempt began to answer so long ago."""
+        since = self.answering_since
+        return since is not None and now - since >= seconds
+
 
 class Forwarder:
     """Send requests to the endpoints that the scheduler grants."""
@@ -170,6 +182,7 @@
         ending = Ending.ABANDONED
         call = None
         ran_before = progress.may_have_run
+        progress.answering_since = None
         try:
             call = await self._send(pending, view, progress)
             outcome = await self._relay(pending, call, caller, progress)
@@ -395,7 +408,8 @@
             return
         pending.excluded.add(view.id)
         now = clock.now_s()
-        if outcome.ending is Ending.BROKEN and not progress.event_relayed:
+        answered = progress.has_answered_for(HARMLESS_ANSWER_S, now)
+        if outcome.ending is Ending.BROKEN and not answered:
             self._board.quarantine.record_broken(
                 quarantine.read_traits(pending.request), view.record, now
             )
--- a/persimmonroute/tests/gateway/crash_tests.py
+++ b/persimmonroute/tests/gateway/crash_tests.py
@@ -77,6 +77,12 @@
         self.assertEqual(refused.status, 503)
         self.assertIn(b'retry-after', refused.headers)
 
+    async def test_crash_after_the_first_events_counts(self):
+        """An endpoint may write a little before it crashes."""
+        for runner in self.deployment.runners:
+            runner.events_before_crash = 2
+        await self.test_part_that_crashes_endpoints_is_refused_everywhere()
+
     async def test_sound_requests_that_share_other_parts_are_served(self):
         """Callers, first parts and groups of crashing requests go on."""
         served, sound = 0, 0
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -39,6 +39,8 @@
     stream_trailer = b''
     # Ids of prompt parts that crash the endpoint unless they are the last.
     crashing_parts = frozenset()
+    # Events that the endpoint writes before it crashes on such a part.
+    events_before_crash = 0
     # True if all responses say that the endpoint is leaving.
     leaving = False
 
@@ -165,7 +167,9 @@
         """Begin to write an answer, and crash."""
         if _wants_stream(headers):
             await self._begin_stream(reply, headers)
-            await reply.send_data(b'id: 1\nda')
+            for number in range(1, self.events_before_crash + 1):
+                await reply.send_data(self.make_event(reply.attempt, number))
+            await reply.send_data(b'id: 99\nda')
         await asyncio.sleep(self.event_pause_s)
         await self.crash()
         return False
