Pass the path of a service call on as the caller encoded it

What callers saw: a path with an encoded slash or space reached the service decoded, as another path, or as no valid request at all.

Cause: the entry took the path from the decoded route parameters; found because the sidecar's connection now refuses targets that are not valid HTTP.

Change: the path is taken from the raw one.

Evidence: test_path_reaches_the_service_as_it_was_sent fails before and passes now; the processes' fault tests pass (10).

--- a/persimmonroute/entry/http_api.py
+++ b/persimmonroute/entry/http_api.py
@@ -75,7 +75,7 @@
 
     async def _call_service(self, request):
         body = await self._read_body(request)
-        path = f'/{request.path_params["path"]}'
+        path = _read_service_path(request.scope['raw_path'])
         if request.url.query:
             path += f'?{request.url.query}'
         call = intake.read_service_call(
@@ -236,6 +236,11 @@
         }
 
 
+def _read_service_path(raw_path):
+    """Return the path below that of a service, as the caller encoded it."""
+    return '/' + raw_path.decode('ascii').split('/', 3)[3]
+
+
 async def _wait_disconnect(request):
     while True:
         message = await request.receive()
--- a/persimmonroute/tests/entry/http_api_tests.py
+++ b/persimmonroute/tests/entry/http_api_tests.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import types
 import unittest
 
 from persimmonroute.entry import http_api
@@ -24,9 +25,16 @@
 
     def __init__(self, items):
         self._items = items
+        self.calls = []
+        self.core = self
+
+    def validate_call(self, call):
+        """Return the class of a call."""
+        return types.SimpleNamespace(service='orders')
 
     def submit(self, call):
         """Return a queue that holds the response to a request."""
+        self.calls.append(call)
         queue = asyncio.Queue()
         for data in self._items:
             if isinstance(data, bytes):
@@ -62,10 +70,7 @@
             'raw_path': b'/v1/completions',
             'query_string': b'',
             'asgi': {'spec_version': '2.4'},
-            'headers': [
-                (name.lower().encode(), value.encode())
-                for name, value in HEADERS.items()
-            ],
+            'headers': _encode(HEADERS),
         }
         broken_off = False
         try:
@@ -93,3 +98,35 @@
         self.assertTrue(complete)
         self.assertTrue(body.startswith(EVENT + b': done\n'))
         self.assertIn(b': persimmon-outcome {"outcome": "completed"', body)
+
+
+class ServiceCallTests(unittest.IsolatedAsyncioTestCase):
+    """Send calls of plain services to the ASGI application."""
+
+    async def test_path_reaches_the_service_as_it_was_sent(self):
+        """Encoded slashes and spaces of a path stay encoded."""
+        shell = StubShell((b'{}', Outcome.COMPLETED))
+        received = asyncio.Queue()
+        received.put_nowait({'type': 'http.request', 'body': b''})
+
+        async def send(message):
+            del message
+
+        scope = {
+            'type': 'http',
+            'method': 'GET',
+            'path': '/services/orders/a/b c',
+            'raw_path': b'/services/orders/a%2Fb%20c',
+            'query_string': b'q=%20',
+            'headers': _encode(HEADERS),
+        }
+        app = http_api.HttpApi(shell).build_app()
+        await app(scope, received.get, send)
+        self.assertEqual(shell.calls[0].path, '/a%2Fb%20c?q=%20')
+
+
+def _encode(headers):
+    return [
+        (name.lower().encode(), value.encode())
+        for name, value in headers.items()
+    ]
