Attribute crashes to shared prefixes at the product's own door, too

Cause: unlike requests that share a prefix were never related to one another.

Change: the attribution of the gateways becomes crash_attribution.py, without a change of what it decides; sidecars report recent crashes with the prefix blocks of what had not long responded, entries attribute them and refuse a block under which three endpoints crashed.

--- a/persimmonroute/entry/dispatch.py
+++ b/persimmonroute/entry/dispatch.py
@@ -54,7 +54,7 @@
         call = event.call
         record = boards.CallRecord(call, self.validate_call(call), now)
         self._board.calls[call.request_id] = record
-        if self._board.quarantine.is_refused(call.fingerprint):
+        if self._board.quarantine.is_refused(call):
             self._finalizer.end_quarantined(record)
             return
         self._offer_sender.offer(record, now)
@@ -242,7 +242,7 @@
         if record.received_bytes < finished.length:
             self._request_resume(record)
             return
-        self._board.quarantine.clear(record.call.fingerprint, now)
+        self._board.quarantine.clear(record.call, now)
         self._claims.record_outcome(record, finished, now)
         self._finalizer.end_completed(
             record, finished.status, finished.content_type
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -7,6 +7,7 @@
 import typing
 
 from persimmonroute import clock
+from persimmonroute import crash_attribution
 from persimmonroute import event_stream
 from persimmonroute.events import Event
 from persimmonroute import exceptions
@@ -34,9 +35,6 @@
 # pause.
 STREAM_IDLE_TIMEOUT_S = 1.5
 STREAM_IDLE_PAUSES = 3.0
-# An endpoint that has sent events of a response for longer does not crash
-# because of the request.
-HARMLESS_ANSWER_S = 0.5
 # Route name reported for requests that admission rejects.
 NO_ROUTE = '-'
 
@@ -408,7 +406,9 @@
             return
         pending.excluded.add(view.id)
         now = clock.now_s()
-        answered = progress.has_answered_for(HARMLESS_ANSWER_S, now)
+        answered = progress.has_answered_for(
+            crash_attribution.HARMLESS_RESPONSE_S, now
+        )
         if outcome.ending is Ending.BROKEN and not answered:
             self._board.quarantine.record_broken(
                 quarantine.read_traits(pending.request), view.record, now
--- a/persimmonroute/sidecar/board.py
+++ b/persimmonroute/sidecar/board.py
@@ -4,6 +4,7 @@
 
 import collections
 import itertools
+import typing
 
 from persimmonroute import blackboard
 from persimmonroute.generated import exchange_pb2 as pb
@@ -52,6 +53,15 @@
         return self.offer.tier
 
 
+class EndpointCrash(typing.NamedTuple):
+    """Store the prefix blocks of what may have crashed the endpoint."""
+
+    id: int
+    at: float
+    # Position in its prompt of each block.
+    blocks: dict[int, int]
+
+
 class SidecarBoard(blackboard.Blackboard):
     """Store the state of a sidecar and its pending effects."""
 
@@ -76,6 +86,8 @@
         self.admitted_tier = LOWEST_TIER
         self.leaving = False
         self.endpoint_up = True
+        # Recent crashes of the endpoint, oldest first.
+        self.crashes: list[EndpointCrash] = []
         self.suspects: dict[str, float] = {}
         self.refused_fingerprints: dict[str, float] = {}
 
--- a/persimmonroute/sidecar/core.py
+++ b/persimmonroute/sidecar/core.py
@@ -89,6 +89,15 @@
             endpoint_down=not board.endpoint_up,
             refused_fingerprints=sorted(board.refused_fingerprints),
             suspect_fingerprints=sorted(board.suspects),
+            crashes=[
+                pb.EndpointCrash(
+                    id=crash.id,
+                    age_ms=int((now - crash.at) * 1000),
+                    blocks=crash.blocks.keys(),
+                    positions=crash.blocks.values(),
+                )
+                for crash in board.crashes
+            ],
         )
 
     def _urgent_state(self):
@@ -98,6 +107,7 @@
             board.leaving,
             board.admitted_tier,
             len(board.suspects),
+            board.crashes[-1].id if board.crashes else None,
             len(board.refused_fingerprints),
         )
 
--- a/persimmonroute/tests/faults/scenarios_tests.py
+++ b/persimmonroute/tests/faults/scenarios_tests.py
@@ -8,6 +8,7 @@
 
 from persimmonroute.entry import board as entry_boards
 from persimmonroute.entry import claims
+from persimmonroute.entry import intake
 from persimmonroute.sidecar import admission
 from persimmonroute.sidecar import execution
 from persimmonroute.sidecar import messages as sidecar_messages
@@ -288,6 +289,44 @@
         ]
         return crashes, refused
 
+    def _run_shared_part(self, seed):
+        """Send unlike requests of which some share a part that crashes."""
+        rng = random.Random(seed)
+        simulation = small_simulation.build_simulation(endpoints=4, entries=2)
+        block = intake.BLOCK_CHARACTERS
+        system, bad = 's' * block, 'bad' * block
+        groups = [f'group{n}' * block for n in range(4)]
+        for node in simulation.endpoints.values():
+            node.poison_text = bad.encode()
+        crashing, others = [], []
+
+        def send(views, number, middle):
+            prompt = f'{system}{middle}{number}'
+            call = small_simulation.draft(
+                f'{middle[:3]}-{number}', tokens=30, prompt=prompt
+            )
+            views.append(simulation.submit(call, f'entry-{rng.randint(1, 2)}'))
+
+        for number in range(16):
+            at = 3.0 + 1.5 * number + rng.uniform(0, 1.0)
+            simulation.schedule(at, send, crashing, number, bad)
+        for number in range(500):
+            at = rng.uniform(0, 30)
+            simulation.schedule(at, send, others, number, groups[number % 4])
+        simulation.run_until(simulation.now + 60.0)
+        crashes = sum(node.crashes for node in simulation.endpoints.values())
+        return crashes, crashing, others
+
+    def test_part_that_crashes_endpoints_is_refused(self):
+        """Unlike requests that share a part crash three endpoints or four."""
+        for seed in range(5):
+            with self.subTest(seed=seed):
+                crashes, crashing, others = self._run_shared_part(seed)
+                self.assertLessEqual(crashes, 4)
+                self.assertEqual(crashing[-1].ended.status, 422)
+                refused = [v for v in others if v.ended.status == 422]
+                self.assertEqual(refused, [])
+
     def test_several_crashing_requests_at_once(self):
         """Let each of several requests crash at most two endpoints."""
         for seed in range(10):
--- a/persimmonroute/tests/gateway/quarantine_tests.py
+++ b/persimmonroute/tests/gateway/quarantine_tests.py
@@ -5,6 +5,7 @@
 import itertools
 import unittest
 
+from persimmonroute import crash_attribution
 from persimmonroute.gateway import admission
 from persimmonroute.gateway import messages
 from persimmonroute.gateway import model
@@ -184,9 +185,9 @@
         """A part is kept longer than a suspect, and then tried again."""
         for _ in range(3):
             self._crash(self._request(CRASHING))
-        self.first.expire(self.now + quarantine.SUSPECT_TTL_S + 1)
+        self.first.expire(self.now + crash_attribution.SUSPECT_TTL_S + 1)
         self.assertTrue(self.first.is_quarantined(self._request(CRASHING)))
-        self.first.expire(self.now + quarantine.QUARANTINE_TTL_S + 1)
+        self.first.expire(self.now + crash_attribution.QUARANTINE_TTL_S + 1)
         self.assertFalse(self.first.is_quarantined(self._request(CRASHING)))
 
     def test_rows_of_the_store_are_kept_and_withdrawn(self):
@@ -211,7 +212,9 @@
         for number in range(400):
             self._crash(self._request(f'a{number}', f'b{number}'))
             self._answer(f'c{number}')
-        self.assertLessEqual(len(self.first.suspects), quarantine.MAX_SUSPECTS)
+        self.assertLessEqual(
+            len(self.first.suspects), crash_attribution.MAX_SUSPECTS
+        )
         self.assertLessEqual(
             len(self.first.report(self.now).suspects), quarantine.MAX_REPORTED
         )
--- a/standins/endpoint_nodes.py
+++ b/standins/endpoint_nodes.py
@@ -34,6 +34,8 @@
         self.runs_by_body = collections.Counter()
         # Request bodies that crash the endpoint.
         self.poison: frozenset[bytes] = frozenset()
+        # Text that crashes the endpoint wherever it is in a request.
+        self.poison_text: bytes | None = None
         self.crashes = 0
 
     def start(self, attempt, offer):
@@ -43,7 +45,8 @@
             return
         self.runs[attempt] += 1
         self.runs_by_body[offer.body] += 1
-        if offer.body in self.poison:
+        crashing = self.poison_text and self.poison_text in offer.body
+        if crashing or offer.body in self.poison:
             self._simulation.schedule(0.05, self.crash)
         self._run(attempt, offer)
 
--- a/standins/small_simulation.py
+++ b/standins/small_simulation.py
@@ -94,10 +94,14 @@
 
 
 def draft(
-    request_id, tokens=20, prompt_tokens=200, class_name='counter-offer'
+    request_id,
+    tokens=20,
+    prompt_tokens=200,
+    class_name='counter-offer',
+    prompt='',
 ):
     """Return a streamed completion request."""
-    body = f'draft {request_id}'.encode()
+    body = (prompt or f'draft {request_id}').encode()
     return messages.Call(
         request_id=request_id,
         workspace=WORKSPACE,
@@ -109,7 +113,7 @@
         stream=True,
         prompt_tokens=prompt_tokens,
         output_tokens=tokens,
-        prefix_blocks=(),
+        prefix_blocks=intake.hash_blocks(prompt),
         fingerprint=intake.fingerprint('POST', '/v1/completions', body),
     )
 
