Clear prompt parts only if an endpoint has served them

An endpoint that rejects a request with a 4xx has not read its prompt, but cleared its parts for ten minutes.

Cause: any response below 500 counted as an answer.

Change: only a response below 300 clears.

Evidence: test_rejected_request_does_not_clear_its_parts fails before (9 crashes, 4 allowed) and passes now, with the other crash tests (5).

--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -385,7 +385,7 @@
 
     def _record_outcome(self, pending, view, outcome, progress):
         if isinstance(outcome, Relayed):
-            if outcome.status < 500:
+            if outcome.status < 300:
                 self._board.quarantine.record_response(
                     pending.request, clock.now_s()
                 )
--- a/persimmonroute/tests/gateway/crash_tests.py
+++ b/persimmonroute/tests/gateway/crash_tests.py
@@ -83,6 +83,17 @@
             runner.events_before_crash = 2
         await self.test_part_that_crashes_endpoints_is_refused_everywhere()
 
+    async def test_rejected_request_does_not_clear_its_parts(self):
+        """An endpoint that rejects a request has not read its prompt."""
+        for runner in self.deployment.runners:
+            runner.script.append('reject')
+        response = await self._send_crashing(0)
+        self.assertEqual(response.status, 400)
+        for runner in self.deployment.runners:
+            runner.script.clear()
+            runner.requests.clear()
+        await self.test_part_that_crashes_endpoints_is_refused_everywhere()
+
     async def test_sound_requests_that_share_other_parts_are_served(self):
         """Callers, first parts and groups of crashing requests go on."""
         served, sound = 0, 0
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -147,7 +147,8 @@
             await reply.send_complete(421, b'', [])
             return True
         self.record_run(attempt.decode(), headers)
-        if self.crashes_on(headers.get(b'prompt-prefix', b'').decode()):
+        crashes = self.crashes_on(headers.get(b'prompt-prefix', b'').decode())
+        if crashes and behaviour != 'reject':
             behaviour = 'crash'
         handler = getattr(self, f'_do_{behaviour}', self._do_answer)
         return await handler(reply, headers)
@@ -178,6 +179,11 @@
         await reply.send_complete(500, b'failed', [])
         return True
 
+    async def _do_reject(self, reply, headers):
+        """Answer without having read the prompt."""
+        await reply.send_complete(400, b'rejected', [])
+        return True
+
     async def _do_reset(self, reply, headers):
         reset(reply.writer)
         return False
