--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -7,6 +7,7 @@
 import contextlib
 import socket
 import struct
+import time
 
 import h11
 
@@ -43,6 +44,9 @@
     events_before_crash = 0
     # True if all responses say that the endpoint is leaving.
     leaving = False
+    # Requests per second that all responses name as the limit, as text; None
+    # for no limit.
+    request_limit = None
 
     def __init__(self, runner_id):
         self.id = runner_id
@@ -50,6 +54,8 @@
         self.default_behaviour = 'answer'
         self.runs = collections.Counter()
         self.requests = []
+        # When each of the requests arrived, by the monotonic clock.
+        self.arrivals = []
         self.cancelled = 0
         self.crashed = False
         # Bytes of responses without end that the peers have accepted.
@@ -131,10 +137,11 @@
         headers = dict(request.headers)
         attempt = headers.get(b'attempt-id', b'')
         self.requests.append((request, body))
+        self.arrivals.append(time.monotonic())
         behaviour = self.choose_behaviour()
         if headers.get(b'expect-instance') != self.id.encode():
             behaviour = 'misdirect'
-        reply = Reply(http, writer, attempt, self.leaving)
+        reply = Reply(http, writer, attempt, self._own_headers())
         if behaviour == 'full':
             await reply.send_complete(503, b'', [(b'not-executed', b'1')])
             return True
@@ -153,6 +160,15 @@
         handler = getattr(self, f'_do_{behaviour}', self._do_answer)
         return await handler(reply, headers)
 
+    def _own_headers(self):
+        """Return what the endpoint says of itself in each response."""
+        headers = []
+        if self.leaving:
+            headers.append((b'server-leaving', b'1'))
+        if self.request_limit is not None:
+            headers.append((b'server-limit', self.request_limit.encode()))
+        return headers
+
     async def _do_answer(self, reply, headers):
         if _wants_stream(headers):
             first = await self._begin_stream(reply, headers)
@@ -366,9 +382,9 @@
 class Reply:
     """Write the response to one request."""
 
-    def __init__(self, http, writer, attempt, leaving=False):
+    def __init__(self, http, writer, attempt, own_headers=()):
         self._http = http
-        self._leaving = leaving
+        self._own_headers = own_headers
         self.writer = writer
         self.attempt = attempt
 
@@ -377,8 +393,7 @@
         all_headers = [(b'attempt-id', self.attempt), *headers]
         all_headers.append((b'upstream-signature', SIGNATURE))
         all_headers.append((b'keep-alive', b'timeout=5'))
-        if self._leaving:
-            all_headers.append((b'server-leaving', b'1'))
+        all_headers += self._own_headers
         event = h11.Response(status_code=status, headers=all_headers)
         self.writer.write(self._http.send(event))
         await self.writer.drain()
