Log the request limits that endpoints name

Cause: no event shows which limit a gateway knows of, so the log cannot tell a limit that nobody reads from one that each gateway keeps by itself.

Change: responses are decoded for the limit; events 718 and 719 and a gauge show what a gateway knows. No decision uses it yet.

--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -136,6 +136,12 @@
     TRAIT_CLEARED = EventKind(
         717, 'INFO', 'requests with a trait are not rejected any more'
     )
+    RUNNER_LIMITED = EventKind(
+        718, 'INFO', 'endpoint names a limit of requests per second, or none'
+    )
+    RUNNER_LIMIT_UNREADABLE = EventKind(
+        719, 'WARNING', 'unreadable limit of an endpoint ignored'
+    )
     RUNNER_GONE = EventKind(711, 'WARNING', 'endpoint removed')
     DOCUMENT_UNREADABLE = EventKind(
         720, 'WARNING', 'unreadable document in a table ignored'
--- a/persimmonroute/gateway/dispatcher.py
+++ b/persimmonroute/gateway/dispatcher.py
@@ -75,6 +75,14 @@
             self._route(peer, failure_domain, message, now)
         self.deliver_decisions()
 
+    def record_limit(self, change):
+        """Log a LimitChange."""
+        log.emit(
+            Event.RUNNER_LIMITED,
+            runner=change.runner_id,
+            limit_per_s=None if change.per_s == math.inf else change.per_s,
+        )
+
     def dispatch_ready(self, now):
         """Grant or reject the requests that are left to this gateway."""
         self._scheduler.dispatch_all_ready(now)
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -246,7 +246,7 @@
             # The intended endpoint did not receive the request.
             pending.sends -= 1
             return Failed(Ending.MISDIRECTED, False, 'another endpoint')
-        self._record_head(pending.runner, head)
+        self._record_head(pending, head)
         if head.not_run:
             return Failed(
                 Ending.REFUSED, False, f'refused with status {head.status}'
@@ -262,9 +262,10 @@
             return Failed(Ending.FAILED, True, f'status {head.status}')
         return await self._relay_whole(pending, head, call, caller, progress)
 
-    def _record_head(self, view, head):
+    def _record_head(self, pending, head):
         """Record what an endpoint reports about itself in a response."""
         now = clock.now_s()
+        view = pending.runner
         view.record_response(now)
         record = view.record
         if head.leaving and self._board.runner_registry.record_leaving(
@@ -284,6 +285,12 @@
                 runner=record.id,
                 retry_after_s=head.retry_after_s,
             )
+        if head.limit_per_s is None:
+            log.emit(Event.RUNNER_LIMIT_UNREADABLE, runner=record.id)
+        else:
+            self._board.runner_registry.limits.record(
+                record, head.limit_per_s, pending.sent_at, now
+            )
 
     def _start_timeout_s(self, pending):
         """Return how long to wait for the response head; None for no limit."""
--- a/persimmonroute/gateway/metrics.py
+++ b/persimmonroute/gateway/metrics.py
@@ -8,6 +8,7 @@
 from prometheus_client import core as prometheus
 
 from persimmonroute import clock
+from persimmonroute.gateway import endpoint_limits
 from persimmonroute import logs
 
 MAX_LATENCY_MS = 600_000
@@ -112,6 +113,16 @@
             peers = sum(view.peer_in_flight.values())
             runners.add_metric([view.id, 'peers'], peers)
         yield runners
+        limits = prometheus.GaugeMetricFamily(
+            'persimmonroute_endpoint_limit_per_second',
+            'Requests per second that an endpoint takes, if it names a limit.',
+            labels=['endpoint'],
+        )
+        for view in board.runner_registry:
+            per_s = board.runner_registry.limits.find_rate(view.record)
+            if per_s < endpoint_limits.UNLIMITED:
+                limits.add_metric([view.id], per_s)
+        yield limits
         yield _gauge(
             'persimmonroute_configuration_age_seconds',
             'Time since the configuration was last confirmed as the newest.',
--- a/persimmonroute/gateway/model.py
+++ b/persimmonroute/gateway/model.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 import typing
 
 LOWEST_TIER = 9
@@ -99,6 +100,11 @@
     slots: int
     leaving: bool
 
+    @property
+    def incarnation(self):
+        """Return what distinguishes this start from all others."""
+        return self.id, self.started_at_ms
+
 
 class PromptPart(typing.NamedTuple):
     """Identify a part of a prompt and its length in tokens."""
@@ -154,6 +160,9 @@
     content_type: bytes | None = None
     # Time for which the endpoint asks this gateway to send nothing more.
     retry_after_s: float | None = None
+    # Requests per second that the endpoint takes from all gateways together:
+    # infinity if it names no limit, None if it names one that is unreadable.
+    limit_per_s: float | None = math.inf
 
 
 class Rejection(typing.NamedTuple):
--- a/persimmonroute/gateway/runners.py
+++ b/persimmonroute/gateway/runners.py
@@ -5,6 +5,7 @@
 import collections
 import math
 
+from persimmonroute.gateway import endpoint_limits
 from persimmonroute.gateway.model import Ending
 
 # Backoff after a failure to reach an endpoint; doubles up to the maximum.
@@ -202,6 +203,8 @@
     """Keep the endpoints of all services and their mean service times."""
 
     def __init__(self):
+        # What the endpoints say of the requests that they take.
+        self.limits = endpoint_limits.EndpointLimits()
         self._views = {}
         self._services = {}
         # Increases with every change of the registrations.
@@ -272,7 +275,7 @@
                 view is not None
                 and record.started_at_ms < view.record.started_at_ms
             )
-            if replaced or _incarnation(record) in self._removed:
+            if replaced or record.incarnation in self._removed:
                 self._held[record.id] = (record, now + RESTORED_HOLD_S)
             else:
                 current.append(record)
@@ -342,10 +345,10 @@
             view.lapsed_at = None
             return None
         added = self._views[record.id] = RunnerView(record, now)
-        added.announced_leaving = _incarnation(record) in self._leaving
+        added.announced_leaving = record.incarnation in self._leaving
         if record.leaving:
             _remember(self._leaving, record, -math.inf)
-        self._removed.pop(_incarnation(record), None)
+        self._removed.pop(record.incarnation, None)
         return view
 
     def record_end(self, pending, view, ending, now):
@@ -397,12 +400,8 @@
     return first_byte_at - pending.sent_at
 
 
-def _incarnation(record):
-    return record.id, record.started_at_ms
-
-
 def _remember(incarnations, record, now):
-    incarnations[_incarnation(record)] = now
+    incarnations[record.incarnation] = now
     while len(incarnations) > MAX_FORMER_INCARNATIONS:
         incarnations.popitem(last=False)
 
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -92,6 +92,7 @@
         dispatcher,
         own.cores,
     )
+    board.runner_registry.limits.on_change = dispatcher.record_limit
     dispatcher.on_change = link.schedule_reports
     dispatcher.send = link.send_admission
     store = tables.TableClient(settings.platform)
--- a/persimmonroute/platform/names.py
+++ b/persimmonroute/platform/names.py
@@ -24,6 +24,8 @@
 RETRY_AFTER = b'retry-after'
 # Set to 1 in the responses of an endpoint that is leaving.
 SERVER_LEAVING = b'server-leaving'
+# Requests per second that an endpoint takes from all gateways together.
+SERVER_LIMIT = b'server-limit'
 # Number of times that the store was restored from an older copy.
 STORE_ERA = b'store-era'
 
--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 
 import h11
@@ -104,6 +105,7 @@
             content_type=_read_content_type(headers),
             leaving=headers.get(names.SERVER_LEAVING) == b'1',
             retry_after_s=_read_retry_after(event.status_code, headers),
+            limit_per_s=_read_limit(headers),
         )
 
     async def _skip_body(self):
@@ -246,6 +248,17 @@
     return min(seconds, MAX_RETRY_AFTER_S) if seconds > 0 else None
 
 
+def _read_limit(headers):
+    """Return the named limit; infinity for none, None if unreadable."""
+    if names.SERVER_LIMIT not in headers:
+        return math.inf
+    try:
+        per_s = float(headers[names.SERVER_LIMIT])
+    except ValueError:
+        return None
+    return per_s if 0 <= per_s < math.inf else None
+
+
 def _read_content_type(headers):
     value = headers.get(b'content-type')
     return None if value is None else value.strip().lower()
