Grant nothing to gateways that have fallen silent

Cause: a host that frees the slots of a silent gateway grants them to what is queued, also by the same gateway, and drops that in the same step; building the grant for it then raised an error, and all replies of that step were lost.

Change: a grant of a request that has been dropped since is not sent.

Result: test_gateways_that_fall_silent_together_free_their_slots fails on the code before (AttributeError) and passes now.

--- a/persimmonroute/gateway/admission_host.py
+++ b/persimmonroute/gateway/admission_host.py
@@ -207,6 +207,9 @@
         for effect in self.scheduler.take_effects():
             hosted = effect.pending
             if isinstance(effect, messages.Granted):
+                if hosted.runner is None:
+                    # Its gateway fell silent, and the slot is free again.
+                    continue
                 reply = _build_grant(hosted)
             else:
                 reply = self._refuse(hosted, effect)
--- a/persimmonroute/tests/gateway/admission_host_tests.py
+++ b/persimmonroute/tests/gateway/admission_host_tests.py
@@ -433,6 +433,16 @@
             self.host.take_replies(), [('g2', messages.Grant(2, 'r1', 1))]
         )
 
+    def test_gateways_that_fall_silent_together_free_their_slots(self):
+        """The queued offer of a silent gateway gets no freed slot."""
+        self._receive(_offer(1))
+        self._receive(_offer(2), gateway='g1')
+        self.host.tick(1.0 + admission_host.LEASE_TIMEOUT_S + 0.1)
+        self.assertEqual(self.host.take_replies(), [])
+        self.assertEqual(
+            self._receive(_offer(3), 2.2, 'g2'), [messages.Grant(3, 'r1', 1)]
+        )
+
     def test_silent_gateway_is_not_told_as_a_failure_of_its_endpoint(self):
         """One gateway that fails to reach an endpoint may be cut off."""
         self._receive(_offer(1))
