Keep all gateways together to the limits that endpoints name

Callers saw late answers, and endpoints in need got up to twice what the operators tolerate: nothing read the limit that an endpoint names in its answers.

Cause: what an endpoint says of itself was known to the gateway that heard it at most; nobody paced the sum of all gateways.

Change: the host of a group paces its grants with a token bucket for each incarnation, so the whole limit is in one hand at 4 as at 300 gateways. Gateways report what they heard to all peers and with each offer, so a host knows at least what the gateway knows that it grants to. Hosts pace at the share of the gateways that respond, gateways without a host at an equal share: the sides of a partition add up to the limit. Leases that another host granted count. Predicted waits know the limit, so requests are refused early.

--- a/persimmonroute/gateway/admission_codec.py
+++ b/persimmonroute/gateway/admission_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from persimmonroute.gateway import admission_messages as messages
+from persimmonroute.gateway import endpoint_limits
 from persimmonroute.gateway import model
 from persimmonroute.generated import peers_pb2 as pb
 
@@ -87,6 +88,7 @@
         ],
         excluded=offer.excluded,
         redirected=offer.redirected,
+        limits=[encode_limit(limit) for limit in offer.limits],
     )
 
 
@@ -106,6 +108,24 @@
         ),
         excluded=tuple(offer.excluded),
         redirected=offer.redirected,
+        limits=tuple(decode_limit(limit) for limit in offer.limits),
+    )
+
+
+def encode_limit(limit):
+    """Encode a LimitReport."""
+    return pb.EndpointLimit(
+        id=limit.runner_id,
+        started_at_ms=limit.started_at_ms,
+        per_s=limit.per_s,
+        age_ms=_ms(limit.age_s),
+    )
+
+
+def decode_limit(limit):
+    """Return the LimitReport of a message."""
+    return endpoint_limits.LimitReport(
+        limit.id, limit.started_at_ms, limit.per_s, limit.age_ms / 1000
     )
 
 
--- a/persimmonroute/gateway/admission_host.py
+++ b/persimmonroute/gateway/admission_host.py
@@ -98,9 +98,9 @@
 class HostedGroup:
     """Queue the requests for one group and track who uses its endpoints."""
 
-    def __init__(self, group, placement, now):
+    def __init__(self, group, placement, limits, now):
         self.group = group
-        self.runner_registry = runners.RunnerRegistry()
+        self.runner_registry = runners.RunnerRegistry(limits)
         self.scheduler = schedulers.Scheduler(
             self.runner_registry,
             placement,
@@ -186,6 +186,7 @@
                 continue
             view.in_flight[key] = None
             self.learned[key] = view
+            self.scheduler.record_foreign(view, now)
         self.scheduler.dispatch_ready(self.group.service, now)
 
     def drop_gateway(self, gateway, now):
@@ -339,6 +340,12 @@
                 del self._groups[group]
         self._collect()
 
+    def dispatch_ready(self, now):
+        """Grant what waited for the limits of endpoints."""
+        for hosted_group in self._groups.values():
+            hosted_group.scheduler.dispatch_all_ready(now)
+        self._collect()
+
     def take_replies(self):
         """Remove and return the replies as (gateway, reply) pairs."""
         replies, self._replies = self._replies, []
@@ -367,6 +374,7 @@
             reply = admission_messages.NotHost(offer.offer_id)
             self._replies.append((gateway, reply))
             return
+        self._runner_registry.limits.learn(offer.limits, now)
         region = offer.region
         hosted_group = self._find_group(
             groups.Group(offer.service, region), now
@@ -386,7 +394,8 @@
     def _find_group(self, group, now):
         hosted_group = self._groups.get(group)
         if hosted_group is None:
-            hosted_group = HostedGroup(group, self._placement, now)
+            limits = self._runner_registry.limits
+            hosted_group = HostedGroup(group, self._placement, limits, now)
             self._groups[group] = hosted_group
         self._update_runners(hosted_group, now)
         return hosted_group
--- a/persimmonroute/gateway/admission_messages.py
+++ b/persimmonroute/gateway/admission_messages.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from persimmonroute.gateway import endpoint_limits
 from persimmonroute.gateway import model
 
 
@@ -31,6 +32,8 @@
     excluded: tuple[str, ...]
     # True if the host of another group passed the request on.
     redirected: bool
+    # What the gateway knows of the limits of the service's endpoints.
+    limits: tuple[endpoint_limits.LimitReport, ...] = ()
 
 
 class Grant(typing.NamedTuple):
--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -152,6 +152,7 @@
         )
         for runner_id, started_at_ms in report.leaving:
             self.runner_registry.record_leaving(runner_id, started_at_ms, now)
+        self.runner_registry.limits.learn(report.limits, now)
         for runner_id in former_in_flight.keys() - report.in_flight.keys():
             view = self.runner_registry.find(runner_id)
             if view is not None:
@@ -167,7 +168,11 @@
         for peer in self.peers.stale(now):
             for view in self.runner_registry:
                 view.peer_in_flight.pop(peer.name, None)
+        reporting_share = self.peers.reporting_share(now)
+        gateways = self.peers.gateway_count(now)
         self.quotas.set_peers(
-            self.peers.last_report_times(now), self.peers.reporting_share(now)
+            self.peers.last_report_times(now), reporting_share
         )
-        self.retries.set_gateways(self.peers.gateway_count(now))
+        self.retries.set_gateways(gateways)
+        self.runner_registry.limits.reporting_share = reporting_share
+        self.runner_registry.limits.gateways = gateways
--- a/persimmonroute/gateway/dispatcher.py
+++ b/persimmonroute/gateway/dispatcher.py
@@ -76,12 +76,15 @@
         self.deliver_decisions()
 
     def record_limit(self, change):
-        """Log a LimitChange."""
+        """Log a LimitChange, and tell the peers what was heard here."""
         log.emit(
             Event.RUNNER_LIMITED,
             runner=change.runner_id,
             limit_per_s=None if change.per_s == math.inf else change.per_s,
+            heard_here=change.heard_here,
         )
+        if change.heard_here:
+            self.on_change()
 
     def dispatch_ready(self, now):
         """Grant or reject the requests that are left to this gateway."""
@@ -197,4 +200,5 @@
         self._timer = None
         now = clock.now_s()
         self._offers.tick(now)
+        self._host.dispatch_ready(now)
         self.dispatch_ready(now)
--- a/persimmonroute/gateway/offers.py
+++ b/persimmonroute/gateway/offers.py
@@ -252,6 +252,15 @@
             prompt=pending.request.prompt,
             excluded=tuple(self._find_excluded(pending, now)),
             redirected=state.redirected,
+            limits=self._runner_registry.limits.report_of(
+                [
+                    view.record
+                    for view in self._runner_registry.of_service(
+                        pending.service
+                    )
+                ],
+                now,
+            ),
         )
 
     def _find_excluded(self, pending, now):
--- a/persimmonroute/gateway/peer_link.py
+++ b/persimmonroute/gateway/peer_link.py
@@ -244,6 +244,10 @@
             now
         ):
             report.leaving.add(id=runner_id, started_at_ms=started_at_ms)
+        report.limits.extend(
+            admission_codec.encode_limit(limit)
+            for limit in board.runner_registry.limits.report(now)
+        )
         return report
 
     def _confirm_configuration(self, message):
@@ -302,4 +306,7 @@
         interval_s=message.next_report_ms / 1000 or peers.IDLE_INTERVAL_S,
         stopping=message.stopping,
         leaving=tuple((e.id, e.started_at_ms) for e in message.leaving),
+        limits=tuple(
+            admission_codec.decode_limit(limit) for limit in message.limits
+        ),
     )
--- a/persimmonroute/gateway/peers.py
+++ b/persimmonroute/gateway/peers.py
@@ -6,6 +6,7 @@
 
 import xxhash
 
+from persimmonroute.gateway import endpoint_limits
 from persimmonroute.gateway import groups
 from persimmonroute.gateway.locality import Distance
 from persimmonroute.gateway import quarantine
@@ -83,6 +84,8 @@
     crash_findings: quarantine.PeerFindings = quarantine.NO_FINDINGS
     # Ids and start times of endpoints that said they are leaving.
     leaving: tuple[tuple[str, int], ...] = ()
+    # What endpoints told the gateway of their limits.
+    limits: tuple[endpoint_limits.LimitReport, ...] = ()
     # Time until the next report, unless it is lost.
     interval_s: float = DEFAULT_REPORT_INTERVAL_S
     # True in the last report of a gateway that stops.
--- a/persimmonroute/gateway/runners.py
+++ b/persimmonroute/gateway/runners.py
@@ -202,9 +202,9 @@
 class RunnerRegistry:
     """Keep the endpoints of all services and their mean service times."""
 
-    def __init__(self):
+    def __init__(self, limits=None):
         # What the endpoints say of the requests that they take.
-        self.limits = endpoint_limits.EndpointLimits()
+        self.limits = limits or endpoint_limits.EndpointLimits()
         self._views = {}
         self._services = {}
         # Increases with every change of the registrations.
--- a/persimmonroute/gateway/scheduler.py
+++ b/persimmonroute/gateway/scheduler.py
@@ -98,6 +98,10 @@
         """Return how many requests may be in flight at an endpoint."""
         return self._slot_policy.limit_of(view)
 
+    def record_foreign(self, view, now):
+        """Count a request that was sent without a grant of this scheduler."""
+        self._slot_policy.record_sent(view, now)
+
     def queue_length(self, service):
         """Return the number of requests queued for a service."""
         return len(self._queues.get(service, ()))
@@ -109,7 +113,8 @@
     def mean_interval_s(self, service, now):
         """Return the mean time between completions in all slots."""
         total = self._slot_policy.total_slots(service, now)
-        return self._slot_policy.mean_service_time_s(service) / max(total, 1)
+        mean_s = self._slot_policy.mean_service_time_s(service)
+        return mean_s / total if total else mean_s
 
     def expected_waits(self, service, now):
         """Return the expected wait in seconds by tier.
@@ -287,6 +292,7 @@
         pending.runner = view
         pending.sent_at = now
         view.record_sent(pending, now)
+        self._slot_policy.record_sent(view, now)
         self.put(messages.Granted(pending, view))
 
     def _shed(self, service, ranked, now):
@@ -313,7 +319,7 @@
     def _find_rejections(self, service, ranked, now):
         """Return (pending, expected wait, reason or None) for each request."""
         views = self._slot_policy.usable(service, now)
-        slots = sum(self._slot_policy.slots_of(view) for view in views)
+        slots = sum(self._slot_policy.capacity_of(view) for view in views)
         usable = {view.id for view in views}
         queued_s = 0.0
         decisions = []
--- a/persimmonroute/gateway/slots.py
+++ b/persimmonroute/gateway/slots.py
@@ -5,6 +5,8 @@
 import abc
 import math
 
+from persimmonroute.gateway import endpoint_limits
+
 # Slots of an endpoint if neither its registration nor its service sets them.
 DEFAULT_SLOTS = 4
 # Service time assumed for a route without measurements.
@@ -21,6 +23,9 @@
 
     def __init__(self, runner_registry):
         self._runner_registry = runner_registry
+        self._pacer = endpoint_limits.Pacer(
+            runner_registry.limits, self._find_limit_share
+        )
         self._slots = {}
         self._wakeup_at = math.inf
 
@@ -35,10 +40,18 @@
         rank and tier are those of the best queued request.
         """
 
+    @abc.abstractmethod
+    def _find_limit_share(self):
+        """Return the part of an endpoint's limit that may be used here."""
+
     def has_free(self, service, now):
         """Return whether the highest tier may use any slot."""
         return bool(self.find_free(service, 0, 0, now))
 
+    def record_sent(self, view, now):
+        """Count a request that is sent to an endpoint."""
+        self._pacer.take(view.record, now)
+
     def set_services(self, services):
         """Apply the slots per endpoint that the configuration sets."""
         self._slots = {s.name: s.slots for s in services}
@@ -48,9 +61,19 @@
         slots = view.record.slots or self._slots.get(view.record.service)
         return slots or DEFAULT_SLOTS
 
+    def capacity_of(self, view):
+        """Return how many slots of an endpoint can be kept busy."""
+        slots = self.slots_of(view)
+        rate = self._pacer.find_rate(view.record)
+        if rate == endpoint_limits.UNLIMITED:
+            return slots
+        return min(slots, rate * self.mean_service_time_s(view.record.service))
+
     def total_slots(self, service, now):
-        """Return the slots of all usable endpoints of a service."""
-        return sum(self.slots_of(view) for view in self.usable(service, now))
+        """Return the slots of a service that can be kept busy."""
+        return sum(
+            self.capacity_of(view) for view in self.usable(service, now)
+        )
 
     def usable(self, service, now):
         """Return the usable endpoints of a service."""
@@ -71,6 +94,13 @@
         at, self._wakeup_at = self._wakeup_at, math.inf
         return at
 
+    def _apply_pace(self, view, free, now):
+        """Return how many of the free slots an endpoint's limit allows."""
+        available = self._pacer.count_available(view.record, now)
+        if not available:
+            self._schedule_wakeup(self._pacer.next_at(view.record, now))
+        return min(free, available)
+
     def _schedule_wakeup(self, at):
         self._wakeup_at = min(self._wakeup_at, at)
 
@@ -99,19 +129,28 @@
         free = {}
         share = self._queued_share(service)
         for view in self.usable(service, now):
-            limit = self._add_queued(self.slots_of(view), share)
-            if view.load < limit:
-                free[view] = limit - view.load
+            count = self._count_free(view, share, now)
+            if count:
+                free[view] = count
         return free
 
     def has_free(self, service, now):
         """Return whether any usable endpoint has a free slot."""
         share = self._queued_share(service)
         return any(
-            view.load < self._add_queued(self.slots_of(view), share)
+            self._count_free(view, share, now)
             for view in self.usable(service, now)
         )
 
+    def _find_limit_share(self):
+        return self._runner_registry.limits.reporting_share
+
+    def _count_free(self, view, share, now):
+        limit = self._add_queued(self.slots_of(view), share)
+        if view.load >= limit:
+            return 0
+        return self._apply_pace(view, limit - view.load, now)
+
     def _queued_share(self, service):
         return min(self._turnaround_s / self.mean_service_time_s(service), 1.0)
 
--- a/persimmonroute/gateway/turns.py
+++ b/persimmonroute/gateway/turns.py
@@ -42,6 +42,7 @@
         allowed = {}
         for view in usable:
             allowance = self._allowance(view, service, rank, now)
+            allowance = allowance and self._apply_pace(view, allowance, now)
             if not allowance:
                 continue
             free_at = max(view.last_full_at, view.last_sent_at) + reservation_s
@@ -51,6 +52,9 @@
             allowed[view] = allowance
         return allowed
 
+    def _find_limit_share(self):
+        return 1 / self._runner_registry.limits.gateways
+
     def _reservation_s(self, service, views, tier, now):
         """Return how long free slots are reserved for peers' higher tiers.
 
--- /dev/null
+++ b/persimmonroute/pacing.py
@@ -0,0 +1,51 @@
+"""Space out requests so that their rate stays at a limit."""
+
+from __future__ import annotations
+
+# Unused requests are saved for this long, so that a rate is also reached by
+# requests that come in small groups.
+SAVED_S = 0.25
+# Time for which requests that others sent may be owed.
+MAX_DEBT_S = 0.5
+# Absorbs rounding between the time of a wakeup and the level then.
+ROUNDING = 1e-6
+
+
+class Pace:
+    """Count the requests that a rate allows, as a token bucket.
+
+    It starts empty: who sent how much before is not known.
+    """
+
+    def __init__(self, per_s, now):
+        self._per_s = per_s
+        self._level = 0.0
+        self._updated_at = now
+
+    def set_rate(self, per_s, now):
+        """Apply a rate in requests per second from now on."""
+        if per_s != self._per_s:
+            self._refill(now)
+            self._per_s = per_s
+
+    def count_available(self, now):
+        """Return the number of requests that may be sent now."""
+        self._refill(now)
+        return max(int(self._level + ROUNDING), 0)
+
+    def take(self, now):
+        """Count a request, which may be one more than is available."""
+        self._refill(now)
+        least = -(1.0 + MAX_DEBT_S * self._per_s)
+        self._level = max(self._level - 1.0, least)
+
+    def next_at(self, now):
+        """Return when the next request may be sent."""
+        self._refill(now)
+        return now + max(1.0 - self._level, 0.0) / self._per_s
+
+    def _refill(self, now):
+        most = max(1.0, SAVED_S * self._per_s)
+        added = (now - self._updated_at) * self._per_s
+        self._level = min(self._level + added, most)
+        self._updated_at = now
--- a/persimmonroute/tests/gateway/admission_host_tests.py
+++ b/persimmonroute/tests/gateway/admission_host_tests.py
@@ -7,6 +7,7 @@
 from persimmonroute.gateway import admission_codec
 from persimmonroute.gateway import admission_host
 from persimmonroute.gateway import admission_messages as messages
+from persimmonroute.gateway import endpoint_limits
 from persimmonroute.gateway import groups
 from persimmonroute.gateway import model
 from persimmonroute.gateway import offers
@@ -486,10 +487,17 @@
     def test_messages_survive_encoding(self):
         """Every kind of message is the same after decoding."""
         part = model.PromptPart('a1', 60)
+        limits = (
+            endpoint_limits.LimitReport('r1', 1_700_000_000_000, 1.1, 0.25),
+            endpoint_limits.LimitReport(
+                'r2', 1_700_000_000_000, endpoint_limits.UNLIMITED, 0.0
+            ),
+        )
         sent = [
             _offer(3)._replace(
                 prompt=(part,), excluded=('r2',), due_s=-0.25, redirected=True
             ),
+            _offer(4)._replace(limits=limits),
             messages.Grant(1, 'r1', 1_700_000_000_000),
             messages.Queued(2),
             messages.Refusal(3, 'overloaded', 0.125),
--- a/persimmonroute/tests/gateway/peer_link_tests.py
+++ b/persimmonroute/tests/gateway/peer_link_tests.py
@@ -71,6 +71,20 @@
                 self.assertLessEqual(far_per_s, 50)
                 self.assertLessEqual(sum(by_distance.values()), 101)
 
+    def test_peers_learn_the_limits_of_endpoints(self):
+        """A limit that one gateway heard is in force at the others."""
+        board, link = self._build(1, 0)
+        (view,) = board.runner_registry
+        board.runner_registry.limits.record(view.record, 1.1, 0.0, 1.0)
+        report = peer_link.decode(link.encode(1.5).SerializeToString())
+        peer = fixtures.board(name='peer')
+        peer.peers.update_peer('own', 'own:1', 0.0, NEAR, 1.0)
+        self.assertTrue(peer.apply_peer_report(report, 7.0))
+        self.assertEqual(
+            peer.runner_registry.limits.find_rate(view.record), 1.1
+        )
+        self.assertEqual(peer.runner_registry.limits.report(7.0), [])
+
     def test_small_fleet_reports_as_often_everywhere(self):
         """Few peers cost little, wherever they are."""
         board, _ = self._build(2, 2)
--- a/standins/admission_simulation.py
+++ b/standins/admission_simulation.py
@@ -14,6 +14,7 @@
 from persimmonroute import blackboard
 from persimmonroute.gateway import admission_host
 from persimmonroute.gateway import admission_messages
+from persimmonroute.gateway import endpoint_limits
 from persimmonroute.gateway import groups
 from persimmonroute.gateway import locality
 from persimmonroute.gateway import messages
@@ -38,6 +39,8 @@
 # Time that a gateway needs to process one message.
 PROCESSING_S = 0.002
 TICK_S = 0.05
+# Time until a report of a gateway is with all others.
+REPORT_DELAY_S = 0.3
 # Cost of an engine's step for one token, alone and per other request.
 STEP_S = 0.00303
 STEP_PER_REQUEST_S = 0.000121
@@ -83,9 +86,14 @@
         self.waiting = collections.deque()
         self.busy_s = 0.0
         self.most_waiting = 0
+        # Requests per second that responses name as the limit.
+        self.limit_per_s = endpoint_limits.UNLIMITED
+        # When each request arrived, and from which gateway.
+        self.arrivals = []
 
-    def receive(self, pending, on_first, on_end):
+    def receive(self, gateway, pending, on_first, on_end):
         """Queue a request and start it as soon as a slot is free."""
+        self.arrivals.append((self._simulation.now, gateway.name))
         self.waiting.append((pending, on_first, on_end))
         self.start_ready()
         self.most_waiting = max(self.most_waiting, len(self.waiting))
@@ -140,6 +148,7 @@
         self.host = admission_host.AdmissionHost(
             self.runner_registry, placement.Placement(place), place
         )
+        self.runner_registry.limits.on_change = self.report_limits
 
     def submit(self, pending, on_decision):
         """Offer a request; on_decision gets its runner, a rejection or None.
@@ -155,6 +164,28 @@
         self.offers.release(pending, ending, self._simulation.now)
         self.deliver()
 
+    def hear(self, pending):
+        """Record the limit that a response names."""
+        record = pending.runner.record
+        self.runner_registry.limits.record(
+            record,
+            self._simulation.engines[record.id].limit_per_s,
+            pending.sent_at,
+            self._simulation.now,
+        )
+
+    def report_limits(self, change):
+        """Report a limit that was heard here to all other gateways."""
+        if change.heard_here:
+            reports = self.runner_registry.limits.report(self._simulation.now)
+            self._simulation.report(self, reports)
+
+    def learn_limits(self, reports, age_s):
+        """Apply the report of another gateway."""
+        aged = [r._replace(age_s=r.age_s + age_s) for r in reports]
+        if self.alive and not self.paused:
+            self.runner_registry.limits.learn(aged, self._simulation.now)
+
     def receive(self, sender, message):
         """Process a message, once this gateway runs."""
         if not self.alive:
@@ -232,6 +263,8 @@
         self.now = 100.0
         self.random = random.Random(seed)
         self.loss_share = 0.0
+        # Pairs of names of gateways without a way from the first to the other.
+        self.cuts = set()
         self.outcomes = []
         self.engines = {}
         self.gateways = {}
@@ -261,11 +294,27 @@
         if gateway is sender:
             self.after(0.0, gateway.receive, sender, message)
             return
-        if self.random.random() < self.loss_share:
+        lost = self.random.random() < self.loss_share
+        if lost or self.is_cut(sender, gateway):
             return
         delay_s = self._delay_s(sender.failure_domain, gateway.failure_domain)
         self.after(delay_s + PROCESSING_S, gateway.receive, sender, message)
 
+    def report(self, sender, reports):
+        """Bring a report of limits to all other gateways."""
+        for gateway in self.gateways.values():
+            if gateway is not sender and not self.is_cut(sender, gateway):
+                self.after(
+                    REPORT_DELAY_S,
+                    gateway.learn_limits,
+                    reports,
+                    REPORT_DELAY_S,
+                )
+
+    def is_cut(self, sender, receiver):
+        """Return whether messages from one gateway to another are lost."""
+        return (sender.name, receiver.name) in self.cuts
+
     def play(self, duration_s, drain_s=4.0):
         """Play arrivals for a while, then let requests end."""
         end = self.now + duration_s
@@ -381,6 +430,7 @@
             self._simulation.after(
                 DELAY_S['own'],
                 engine.receive,
+                self._gateway,
                 self._pending,
                 self._on_first,
                 self._on_end,
@@ -389,6 +439,8 @@
     def _on_first(self):
         self._first_at = self._simulation.now
         self._pending.first_byte_at = self._first_at
+        if self._gateway.alive:
+            self._gateway.hear(self._pending)
 
     def _on_end(self):
         if self._gateway.alive:
