--- a/persimmonroute/gateway/endpoint_limits.py
+++ b/persimmonroute/gateway/endpoint_limits.py
@@ -15,11 +15,7 @@
 
 from persimmonroute import pacing
 
-# Rate of an endpoint that names no limit.
-UNLIMITED = math.inf
-# Lowest rate at which endpoints are asked, in requests per second: only a
-# response can tell that a limit near zero has ended.
-MIN_PER_S = 0.25
+UNLIMITED = pacing.UNLIMITED
 # Endpoints whose limits are remembered.
 MAX_ENDPOINTS = 4096
 # How long other gateways are told that an endpoint lifted its limit.
@@ -59,6 +55,9 @@
     heard_here: bool
 
 
+NO_LIMIT = NamedLimit(UNLIMITED, -math.inf, False)
+
+
 class EndpointLimits:
     """Keep the limits that endpoints name, by incarnation."""
 
@@ -71,18 +70,10 @@
         self.on_change = lambda change: None
 
     def record(self, runner, per_s, sent_at, now):
-        """Record what a response to a request sent at a time names.
-
-        A response without a limit lifts it only if its request was sent
-        after the limit was last named: responses may overtake one another.
-        """
-        named = self._limits.get(runner.incarnation)
-        if per_s == UNLIMITED:
-            if named is None or named.per_s == UNLIMITED:
-                return
-            if sent_at <= named.named_at:
-                return
-        self._store(runner.incarnation, NamedLimit(per_s, now, True))
+        """Record what a response to a request sent at a time names."""
+        named = self._limits.get(runner.incarnation, NO_LIMIT)
+        if pacing.is_news(named.per_s, named.named_at, per_s, sent_at):
+            self._store(runner.incarnation, NamedLimit(per_s, now, True))
 
     def learn(self, reports, now):
         """Apply what other gateways heard, unless newer is known."""
@@ -152,7 +143,7 @@
         rate = self._limits.find_rate(runner)
         if rate == UNLIMITED:
             return rate
-        return max(rate, MIN_PER_S) * self._find_share()
+        return max(rate, pacing.MIN_PER_S) * self._find_share()
 
     def count_available(self, runner, now):
         """Return how many requests may be sent now; infinity for no limit."""
--- a/persimmonroute/pacing.py
+++ b/persimmonroute/pacing.py
@@ -2,6 +2,13 @@
 
 from __future__ import annotations
 
+import math
+
+# Rate of who names no limit.
+UNLIMITED = math.inf
+# Lowest rate at which endpoints are asked, in requests per second: only a
+# response can tell that a limit near zero has ended.
+MIN_PER_S = 0.25
 # Unused requests are saved for this long, so that a rate is also reached by
 # requests that come in small groups.
 SAVED_S = 0.25
@@ -11,6 +18,26 @@
 ROUNDING = 1e-6
 
 
+def read_rate(text):
+    """Return a named rate in requests per second, or None if unreadable."""
+    try:
+        per_s = float(text)
+    except ValueError:
+        return None
+    return per_s if 0 <= per_s < UNLIMITED else None
+
+
+def is_news(former_per_s, named_at, per_s, sent_at):
+    """Return whether a response to a request sent at a time tells a limit.
+
+    A response without a limit lifts a former one only if its request was sent
+    after that was last named: responses may overtake one another.
+    """
+    if per_s < UNLIMITED:
+        return True
+    return former_per_s < UNLIMITED and sent_at > named_at
+
+
 class Pace:
     """Count the requests that a rate allows, as a token bucket.
 
@@ -49,3 +76,20 @@
         added = (now - self._updated_at) * self._per_s
         self._level = min(self._level + added, most)
         self._updated_at = now
+
+
+class RateLimit:
+    """Keep to the requests per second that one endpoint names."""
+
+    def __init__(self):
+        self.per_s = UNLIMITED
+        self._named_at = -math.inf
+        self._pace = None
+
+    def record(self, per_s, sent_at, now):
+        """Apply what a response names; return whether the limit changed."""
+        if not is_news(self.per_s, self._named_at, per_s, sent_at):
+            return False
+        changed = per_s != self.per_s
+        self.per_s, self._named_at = per_s, now
+        return changed
--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import re
 
 import h11
@@ -12,6 +11,7 @@
 from persimmonroute.gateway import forwarding
 from persimmonroute.gateway import model
 from persimmonroute import http_connection
+from persimmonroute import pacing
 from persimmonroute.platform import names
 
 CONNECT_TIMEOUT_S = 0.35
@@ -251,12 +251,8 @@
 def _read_limit(headers):
     """Return the named limit; infinity for none, None if unreadable."""
     if names.SERVER_LIMIT not in headers:
-        return math.inf
-    try:
-        per_s = float(headers[names.SERVER_LIMIT])
-    except ValueError:
-        return None
-    return per_s if 0 <= per_s < math.inf else None
+        return pacing.UNLIMITED
+    return pacing.read_rate(headers[names.SERVER_LIMIT])
 
 
 def _read_content_type(headers):
--- a/persimmonroute/sidecar/board.py
+++ b/persimmonroute/sidecar/board.py
@@ -8,6 +8,7 @@
 
 from persimmonroute import blackboard
 from persimmonroute.generated import exchange_pb2 as pb
+from persimmonroute import pacing
 from persimmonroute.sidecar import messages
 from persimmonroute.sidecar import waiting
 
@@ -86,6 +87,8 @@
         self.admitted_tier = LOWEST_TIER
         self.leaving = False
         self.endpoint_up = True
+        # Requests per second that the endpoint says it takes.
+        self.rate_limit = pacing.RateLimit()
         # Recent crashes of the endpoint, oldest first.
         self.crashes: list[EndpointCrash] = []
         self.suspects: dict[str, float] = {}
--- a/persimmonroute/sidecar/core.py
+++ b/persimmonroute/sidecar/core.py
@@ -35,6 +35,7 @@
             messages.EndpointData: self._executor.on_data,
             messages.EndpointEnded: self._executor.on_ended,
             messages.EndpointFailed: self._executor.on_failed,
+            messages.EndpointNamedLimit: self._executor.on_limit,
             messages.EndpointProbed: self._executor.on_probed,
             messages.StreamsListed: self._on_streams_listed,
             messages.TimePassed: self._on_time,
--- a/persimmonroute/sidecar/endpoints.py
+++ b/persimmonroute/sidecar/endpoints.py
@@ -11,6 +11,7 @@
 from persimmonroute import event_stream
 from persimmonroute import exceptions
 from persimmonroute import http_connection
+from persimmonroute import pacing
 from persimmonroute.sidecar import messages
 from persimmonroute.sidecar import responses
 
@@ -19,6 +20,8 @@
 STATUS_OK = 200
 # Longest response that is forwarded, as much as the sidecar keeps in memory.
 MAX_RESPONSE_BYTES = responses.MAX_RETAINED_BYTES
+# Requests per second that the endpoint takes.
+REQUEST_LIMIT = b'request-limit'
 TOKEN_EVENT_PREFIX = b'data: {'
 BODILESS_METHODS = frozenset(('GET', 'HEAD', 'DELETE'))
 PROBE_ERRORS = (
@@ -146,9 +149,11 @@
             raise exceptions.EndpointBrokenError(
                 'the engine no longer has the stream'
             )
-        content_type = (
-            dict(head.headers).get(b'content-type', b'').decode('latin-1')
+        headers = dict(head.headers)
+        self._sink(
+            messages.EndpointNamedLimit(attempt_id, _read_limit(headers))
         )
+        content_type = headers.get(b'content-type', b'').decode('latin-1')
         body = _Body(head, content_type)
         while isinstance(event := await conn.next_event(), h11.Data):
             data = bytes(event.data)
@@ -167,6 +172,13 @@
         self._sink(messages.EndpointFailed(attempt_id, sent, problem))
 
 
+def _read_limit(headers):
+    """Return the limit that a response names, as in EndpointNamedLimit."""
+    if REQUEST_LIMIT not in headers:
+        return pacing.UNLIMITED
+    return pacing.read_rate(headers[REQUEST_LIMIT])
+
+
 class ModelEngineClient(EndpointClient):
     """Call a model engine, which can resume and cancel streams."""
 
--- a/persimmonroute/sidecar/execution.py
+++ b/persimmonroute/sidecar/execution.py
@@ -6,6 +6,7 @@
 
 from persimmonroute.events import Event
 from persimmonroute.generated import exchange_pb2 as pb
+from persimmonroute import pacing
 from persimmonroute.sidecar import admission
 from persimmonroute.sidecar import board as boards
 from persimmonroute.sidecar import messages
@@ -119,6 +120,24 @@
             self._record_crash(now)
             self._finish_incomplete(attempt, event.problem, now)
 
+    def on_limit(self, event, now):
+        """Record the limit that the endpoint names in a response."""
+        board = self._board
+        attempt = board.attempts.get(event.attempt_id)
+        if attempt is None:
+            return
+        if event.per_s is None:
+            board.log(Event.RUNNER_LIMIT_UNREADABLE, runner=board.name)
+        elif board.rate_limit.record(event.per_s, attempt.started_at, now):
+            board.log(
+                Event.RUNNER_LIMITED,
+                runner=board.name,
+                limit_per_s=None
+                if event.per_s == pacing.UNLIMITED
+                else event.per_s,
+                heard_here=True,
+            )
+
     def on_probed(self, event, now):
         """Update whether the endpoint is up."""
         board = self._board
--- a/persimmonroute/sidecar/messages.py
+++ b/persimmonroute/sidecar/messages.py
@@ -54,6 +54,16 @@
     problem: str
 
 
+class EndpointNamedLimit(typing.NamedTuple):
+    """Report the limit that the response to an attempt names.
+
+    It is in requests per second: infinity for none, None if unreadable.
+    """
+
+    attempt_id: str
+    per_s: float | None
+
+
 class EndpointProbed(typing.NamedTuple):
     """Report the result of a health check."""
 
--- a/persimmonroute/tests/gateway/endpoint_limit_load_tests.py
+++ b/persimmonroute/tests/gateway/endpoint_limit_load_tests.py
@@ -6,6 +6,7 @@
 import unittest
 
 from persimmonroute.gateway import endpoint_limits
+from persimmonroute import pacing
 from standins import admission_simulation as simulations
 from standins import gateway_fixtures as fixtures
 
@@ -95,7 +96,7 @@
         simulation = _build(case)
         begin = simulation.now
         simulation.play(PLAY_S, drain_s=0.0)
-        rate = max(case.limit_per_s, endpoint_limits.MIN_PER_S)
+        rate = max(case.limit_per_s, pacing.MIN_PER_S)
         burst = max(1.0, rate / 4)
         for engine in limited_engines(simulation, case):
             arrivals = arrivals_since(engine, begin + NOTICE_S)
--- a/standins/endpoint_nodes.py
+++ b/standins/endpoint_nodes.py
@@ -6,6 +6,7 @@
 import collections
 
 from persimmonroute.entry import routing
+from persimmonroute import pacing
 from persimmonroute.sidecar import messages
 from standins import engine_model
 
@@ -37,6 +38,10 @@
         # Text that crashes the endpoint wherever it is in a request.
         self.poison_text: bytes | None = None
         self.crashes = 0
+        # Requests per second that responses name as the limit.
+        self.limit_per_s = pacing.UNLIMITED
+        # When each request arrived.
+        self.arrivals = []
 
     def start(self, attempt, offer):
         """Run an attempt, or fail it while the endpoint is down."""
@@ -45,6 +50,8 @@
             return
         self.runs[attempt] += 1
         self.runs_by_body[offer.body] += 1
+        self.arrivals.append(self._simulation.now)
+        self._emit(messages.EndpointNamedLimit(attempt, self.limit_per_s))
         crashing = self.poison_text and self.poison_text in offer.body
         if crashing or offer.body in self.poison:
             self._simulation.schedule(0.05, self.crash)
