Keep endpoints of sidecars within the limits that they name

Cause: a sidecar paced its endpoint by slots and prefill only. The limit that the endpoint names was read and not used.

Change: the sidecar, the only way to its endpoint, takes each start from a token bucket; a start that is dropped before it is sent is given back. Predicted waits include the limit, so entries route elsewhere and refusals come early.

--- a/persimmonroute/pacing.py
+++ b/persimmonroute/pacing.py
@@ -66,6 +66,10 @@
         least = -(1.0 + MAX_DEBT_S * self._per_s)
         self._level = max(self._level - 1.0, least)
 
+    def give_back(self):
+        """Uncount a request."""
+        self._level += 1.0
+
     def next_at(self, now):
         """Return when the next request may be sent."""
         self._refill(now)
@@ -92,4 +96,34 @@
             return False
         changed = per_s != self.per_s
         self.per_s, self._named_at = per_s, now
+        if per_s == UNLIMITED:
+            self._pace = None
+        elif self._pace is None:
+            self._pace = Pace(self._rate, now)
+        else:
+            self._pace.set_rate(self._rate, now)
         return changed
+
+    def allows(self, now):
+        """Return whether a request may be sent now."""
+        return self._pace is None or self._pace.count_available(now) > 0
+
+    def take(self, now):
+        """Count a request that is about to be sent."""
+        if self._pace is not None:
+            self._pace.take(now)
+
+    def give_back(self):
+        """Uncount a request that was not sent after all."""
+        if self._pace is not None:
+            self._pace.give_back()
+
+    def wait_s(self, requests, now):
+        """Return the time until so many requests may have been sent."""
+        if self._pace is None:
+            return 0.0
+        return self._pace.next_at(now) - now + (requests - 1) / self._rate
+
+    @property
+    def _rate(self):
+        return max(self.per_s, MIN_PER_S)
--- a/persimmonroute/sidecar/admission.py
+++ b/persimmonroute/sidecar/admission.py
@@ -56,8 +56,9 @@
         """Accept an attempt of an admitted tier that can start in time."""
         board = self._board
         self.refresh(now)
-        ahead = board.queue.ahead_of(attempt)
-        wait = self._limit.wait_s(ahead, board.running, now)
+        wait = predict_wait_s(
+            board, self._limit, board.queue.ahead_of(attempt), now
+        )
         late = wait > attempt.offer.patience_s
         if attempt.tier > board.admitted_tier or late:
             return AdmissionDecision(False, wait, pb.OVERLOADED)
@@ -84,7 +85,15 @@
 def predict_tier_wait_s(board, limit, tier, now):
     """Return the predicted wait of a new request of a tier, in seconds."""
     ahead = [attempt for attempt in board.queue if attempt.tier <= tier]
-    return limit.wait_s(ahead, board.running, now)
+    return predict_wait_s(board, limit, ahead, now)
+
+
+def predict_wait_s(board, limit, ahead, now):
+    """Return the predicted wait behind other attempts, in seconds."""
+    return max(
+        limit.wait_s(ahead, board.running, now),
+        board.rate_limit.wait_s(len(ahead) + 1, now),
+    )
 
 
 def retry_after_s(wait_s):
--- a/persimmonroute/sidecar/execution.py
+++ b/persimmonroute/sidecar/execution.py
@@ -170,7 +170,10 @@
             self._drop(attempt)
             self.request_grants(now)
         elif timer.kind == 'patience' and attempt.state in ('held', 'queued'):
-            wait = self._limit.service_time_s
+            wait = max(
+                self._limit.service_time_s,
+                self._board.rate_limit.wait_s(1, now),
+            )
             self._shed(attempt, pb.OVERLOADED, wait, now)
             self.request_grants(now)
 
@@ -183,6 +186,7 @@
                 self._schedule_capacity_retry(now)
                 return
             advance(attempt, 'reserve')
+            board.rate_limit.take(now)
             board.queue.discard(attempt)
             board.running[attempt.attempt_id] = attempt
             board.send(attempt.owner, attempt.attempt_id, ready=pb.Ready())
@@ -204,6 +208,8 @@
         )
         if alone and running:
             return False
+        if not self._board.rate_limit.allows(now):
+            return False
         return self._limit.has_capacity(attempt, running, now)
 
     def _on_offer(self, link, attempt_id, offer, now):
@@ -384,6 +390,8 @@
 
     def _remove(self, attempt):
         board = self._board
+        if attempt.state == 'ready':
+            board.rate_limit.give_back()
         advance(attempt, 'drop')
         board.attempts.pop(attempt.attempt_id, None)
         board.queue.discard(attempt)
