Play limits of endpoints in the soak and name them in all stand-ins

Cause: neither the soak nor the stand-ins of the product's own door knew limits, and two mutants of the soak did not fit the sources any more.

Change: the soak lets one or all endpoints name a limit and checks what reaches them in windows of 4 s; two mutants of the limit; a test applies all mutants to the sources; engine and service name a limit and count what arrives.

--- a/persimmonroute/tests/gateway/endpoint_limit_load_tests.py
+++ b/persimmonroute/tests/gateway/endpoint_limit_load_tests.py
@@ -9,6 +9,7 @@
 from persimmonroute import pacing
 from standins import admission_simulation as simulations
 from standins import gateway_fixtures as fixtures
+from standins import windows
 
 WINDOW_S = 4.0
 # What the operators tolerate in a window beyond the limit.
@@ -73,16 +74,6 @@
     return [at for at, _ in engine.arrivals if since <= at < until]
 
 
-def most_in_window(arrivals):
-    """Return the largest number of arrivals in any window."""
-    first = most = 0
-    for last, at in enumerate(arrivals):
-        while arrivals[first] <= at - WINDOW_S:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
 class NamedLimitLoadTests(unittest.TestCase):
     """Play more than the endpoints serve, while some name limits."""
 
@@ -101,7 +92,7 @@
         for engine in limited_engines(simulation, case):
             arrivals = arrivals_since(engine, begin + NOTICE_S)
             self.assertLessEqual(
-                most_in_window(arrivals),
+                windows.most_in_window(arrivals, WINDOW_S),
                 rate * WINDOW_S + burst + PLANNED_REQUESTS,
             )
             # At 30 a second the slots are the limit.
@@ -170,7 +161,7 @@
     def _check_tolerance(self, limit_per_s, since, until=float('inf')):
         arrivals = arrivals_since(self.engine, since, until)
         self.assertLessEqual(
-            most_in_window(arrivals),
+            windows.most_in_window(arrivals, WINDOW_S),
             TOLERATED_SHARE * limit_per_s * WINDOW_S + TOLERATED_REQUESTS,
         )
         return arrivals
--- a/persimmonroute/tests/gateway/endpoint_limit_tests.py
+++ b/persimmonroute/tests/gateway/endpoint_limit_tests.py
@@ -7,6 +7,7 @@
 import unittest
 
 from standins import gateway_deployment as deployments
+from standins import windows
 
 GATEWAYS = 3
 # Requests per second of all callers, far above the limits.
@@ -21,16 +22,6 @@
 PLAY_S = 6.0
 
 
-def most_in_window(arrivals, window_s=WINDOW_S):
-    """Return the largest number of arrivals in any window."""
-    first = most = 0
-    for last, at in enumerate(arrivals):
-        while arrivals[first] <= at - window_s:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
 class NamedLimitTests(unittest.IsolatedAsyncioTestCase):
     """Send more to three gateways than one of two endpoints takes."""
 
@@ -70,7 +61,8 @@
         arrivals = self._arrivals_since(self.limited, begun_at + NOTICE_S)
         allowed = TOLERATED_SHARE * LIMIT_PER_S * WINDOW_S
         self.assertLessEqual(
-            most_in_window(arrivals), allowed + TOLERATED_REQUESTS
+            windows.most_in_window(arrivals, WINDOW_S),
+            allowed + TOLERATED_REQUESTS,
         )
         self.assertEqual({r.status for r in responses}, {200})
 
--- a/persimmonroute/tests/processes/faults_tests.py
+++ b/persimmonroute/tests/processes/faults_tests.py
@@ -195,6 +195,27 @@
                 self.assertEqual(result.status, status)
                 self.assertIn(kind, result.problem)
 
+    async def test_service_gets_no_more_calls_than_it_names(self):
+        """Refuse what is beyond the limit of the only endpoint."""
+        entry = self.deployment.entries[0]
+        address = self.deployment.endpoints['trade-desk-1']['address']
+        await self.deployment.post_json(
+            f'http://{address}/control', {'request_limit': 1.0}
+        )
+        await self.caller.send(entry, order(0, 'first'))
+        calls = []
+        for number in range(40):
+            call = order(number, f'k{number}')
+            calls.append(asyncio.create_task(self.caller.send(entry, call)))
+            await asyncio.sleep(0.1)
+        outcomes = [result.outcome for result in await asyncio.gather(*calls)]
+        self.assertEqual(set(outcomes), {'completed', 'not-run'})
+        counts = await self.deployment.get_json(
+            f'http://{address}/control/counts'
+        )
+        self.assertLessEqual(counts['most_in_window'], 7)
+        self.assertGreaterEqual(outcomes.count('completed'), 3)
+
     async def test_store_outage(self):
         """Reject an order while the store is down and run its retry later."""
         entry = self.deployment.entries[0]
--- a/persimmonroute/tests/sidecar/rate_limit_tests.py
+++ b/persimmonroute/tests/sidecar/rate_limit_tests.py
@@ -6,6 +6,7 @@
 
 from persimmonroute import pacing
 from standins import small_simulation
+from standins import windows
 
 LIMIT_PER_S = 2.0
 WINDOW_S = 4.0
@@ -40,10 +41,7 @@
 
     def _count_in_windows(self, node, since):
         arrivals = [at for at in node.arrivals if at >= since]
-        return max(
-            sum(at <= other < at + WINDOW_S for other in arrivals)
-            for at in arrivals
-        )
+        return windows.most_in_window(arrivals, WINDOW_S)
 
     def test_endpoint_gets_what_it_named_and_the_other_the_rest(self):
         """No window holds more, and no request is refused."""
--- a/persimmonroute/tests/soak_tests.py
+++ b/persimmonroute/tests/soak_tests.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import pathlib
 import random
+import tempfile
 import unittest
 
 from tools.soak import __main__ as soak
 from tools.soak import checks
 from tools.soak import endpoints
+from tools.soak import mutants
 from tools.soak import records
 from tools.soak import schedule
 
@@ -152,6 +155,21 @@
                     [p for p in promises if p == 'recovery'], expected
                 )
 
+    def test_endpoint_that_gets_more_than_it_named(self):
+        """A window holds no more than the limit and the tolerance allow."""
+        for count, expected in ((17, set()), (18, {'limits'})):
+            with self.subTest(count=count):
+                self.setUp()
+                self.journal.limits.append(records.Limit('r0', 2.0, 5.0, 15.0))
+                outcomes = []
+                for number in range(count):
+                    name = f'a{number}'
+                    self._execute(name, started_at=10.0 + number * 0.1)
+                    outcomes.append(
+                        outcome(name, body=endpoints.plain_body(name.encode()))
+                    )
+                self.assertEqual(self._check(*outcomes), expected)
+
     def test_stop_that_breaks_off_a_request(self):
         """A planned stop does not break off a response."""
         self._execute()
@@ -169,6 +187,17 @@
         self.assertEqual(self._check(), {'graceful stop'})
 
 
+class MutantTests(unittest.TestCase):
+    """Apply the mutants to the current sources."""
+
+    def test_mutants_fit_the_sources(self):
+        """Each edit finds its text exactly once."""
+        for mutant in mutants.MUTANTS:
+            with self.subTest(mutant=mutant.name):
+                with tempfile.TemporaryDirectory() as folder:
+                    mutants.write_tree(pathlib.Path(folder), mutant)
+
+
 class SeedTests(unittest.TestCase):
     """Run seeds with real processes."""
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -26,6 +26,7 @@
 from persimmonroute.entry import intake
 from standins import engine_model
 from standins import serving
+from standins import windows
 
 CRASH_EXIT_STATUS = 70
 
@@ -71,6 +72,7 @@
         self._runs = collections.Counter()
         self._work_available = asyncio.Event()
         self._frozen = False
+        self._named_limit = windows.NamedLimit()
 
     def build_app(self):
         """Return the ASGI application."""
@@ -115,6 +117,7 @@
         attempt = request.headers['x-request-id']
         count = document.get('max_tokens', intake.DEFAULT_OUTPUT_TOKENS)
         self._runs[document.get('user', attempt)] += 1
+        self._named_limit.record_arrival()
         buffer = StreamBuffer()
         self._buffers[attempt] = buffer
         self._words[attempt] = engine_model.response_words(prompt, count)
@@ -126,7 +129,7 @@
         )
         self._work_available.set()
         if document.get('stream') is True:
-            return _stream_response(buffer)
+            return _stream_response(buffer, self._named_limit.headers)
         return await self._collect(buffer, attempt, count)
 
     async def _collect(self, buffer, attempt, count):
@@ -140,7 +143,8 @@
                     {'index': 0, 'text': text, 'finish_reason': 'length'}
                 ],
                 'usage': {'completion_tokens': count},
-            }
+            },
+            headers=self._named_limit.headers,
         )
 
     def _emit(self, token):
@@ -168,7 +172,7 @@
         buffer = self._buffers.get(request.path_params['attempt'])
         if buffer is None:
             return responses.JSONResponse({'error': 'no such stream'}, 404)
-        return _stream_response(buffer)
+        return _stream_response(buffer, self._named_limit.headers)
 
     async def _cancel(self, request):
         attempt = request.path_params['attempt']
@@ -188,6 +192,7 @@
         change = await request.json()
         self.model.slowdown = change.get('slowdown', self.model.slowdown)
         self._frozen = change.get('frozen', self._frozen)
+        self._named_limit.apply(change)
         self._work_available.set()
         return responses.JSONResponse({})
 
@@ -197,13 +202,14 @@
                 'runs': dict(self._runs),
                 'prefilled_tokens': self.model.prefilled_tokens,
                 'wasted_tokens': self.model.wasted_tokens,
+                'most_in_window': self._named_limit.most_in_window(),
             }
         )
 
 
-def _stream_response(buffer):
+def _stream_response(buffer, headers):
     return responses.StreamingResponse(
-        buffer.read(), media_type='text/event-stream'
+        buffer.read(), headers=headers, media_type='text/event-stream'
     )
 
 
--- a/standins/service.py
+++ b/standins/service.py
@@ -20,6 +20,7 @@
 import xxhash
 
 from standins import serving
+from standins import windows
 
 METHODS = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE']
 
@@ -31,6 +32,7 @@
         self._service_time_s = seconds
         self._runs = collections.Counter()
         self._finished = 0
+        self._named_limit = windows.NamedLimit()
 
     def build_app(self):
         """Return the ASGI application."""
@@ -47,11 +49,14 @@
         body = await request.body()
         call = json.loads(body or b'{}')
         self._runs[call.get('id', request.url.path)] += 1
+        self._named_limit.record_arrival()
         await asyncio.sleep(self._service_time_s)
         self._finished += 1
         receipt = xxhash.xxh3_64_hexdigest(body)
         return responses.JSONResponse(
-            {'id': call.get('id'), 'receipt': receipt}, 201
+            {'id': call.get('id'), 'receipt': receipt},
+            201,
+            self._named_limit.headers,
         )
 
     async def _health(self, request):
@@ -60,11 +65,16 @@
     async def _control(self, request):
         change = await request.json()
         self._service_time_s = change.get('seconds', self._service_time_s)
+        self._named_limit.apply(change)
         return responses.JSONResponse({})
 
     async def _counts(self, request):
         return responses.JSONResponse(
-            {'runs': dict(self._runs), 'finished': self._finished}
+            {
+                'runs': dict(self._runs),
+                'finished': self._finished,
+                'most_in_window': self._named_limit.most_in_window(),
+            }
         )
 
 
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -4,6 +4,7 @@
 
 import collections
 
+from standins import windows
 from tools.soak import callers
 from tools.soak import endpoints
 
@@ -18,6 +19,12 @@
 DEADLINE_TOLERANCE_S = 0.5
 # A request that was sent to an endpoint arrives within this time.
 DELIVERY_S = 0.3
+# A limit that an endpoint names is in force at all gateways after this time.
+LIMIT_NOTICE_S = 1.0
+# What may exceed it in a window: a share of the limit, and some requests.
+LIMIT_WINDOW_S = 4.0
+LIMIT_TOLERATED_SHARE = 1.5
+LIMIT_TOLERATED_REQUESTS = 5
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 # Minimum share of the requests in the recovery window that are served.
 MIN_RECOVERED_SHARE = 0.8
@@ -51,6 +58,8 @@
         for stop in self._journal.stops:
             self._check_stop(stop)
         self._check_leaving()
+        for limit in self._journal.limits:
+            self._check_limit(limit)
         self._check_revoked_keys()
         self._check_versions()
         self._check_recovery()
@@ -155,6 +164,31 @@
                     f'{change.acknowledged_at:.2f}, {late[0].attempt} first',
                 )
 
+    def _check_limit(self, limit):
+        """Check that all gateways together keep to a named limit."""
+        begin = limit.begin + LIMIT_NOTICE_S
+        if self._link_disturbed(limit.endpoint, begin, limit.end):
+            return
+        started = sorted(
+            execution.started_at
+            for execution in self._journal.executions
+            if execution.endpoint == limit.endpoint
+            and begin <= execution.started_at <= limit.end
+            and self._sender_undisturbed(execution, limit.begin)
+        )
+        most = windows.most_in_window(started, LIMIT_WINDOW_S)
+        allowed = (
+            LIMIT_TOLERATED_SHARE * limit.per_s * LIMIT_WINDOW_S
+            + LIMIT_TOLERATED_REQUESTS
+        )
+        if most > allowed:
+            self._add_finding(
+                'limits',
+                f'{limit.endpoint} named {limit.per_s} a second at '
+                f'{limit.begin:.2f} and got {most} requests in '
+                f'{LIMIT_WINDOW_S} s',
+            )
+
     def _check_revoked_keys(self):
         """Check that revoked keys are refused, even during disturbances."""
         revoked_at = {
@@ -246,6 +280,16 @@
             for disturbance in self._journal.disturbances
         )
 
+    def _link_disturbed(self, endpoint, begin, end):
+        """Return whether requests to an endpoint may have been held up."""
+        return any(
+            disturbance.component == endpoint
+            and '_link_' in disturbance.kind
+            and disturbance.begin <= end
+            and disturbance.end >= begin
+            for disturbance in self._journal.disturbances
+        )
+
     def _gateway_undisturbed(self, gateway, begin, end, ignored_kind=None):
         """Return whether a gateway was stable throughout an interval."""
         return not any(
--- a/tools/soak/mutants.py
+++ b/tools/soak/mutants.py
@@ -91,8 +91,8 @@
         (
             Edit(
                 'gateway/runners.py',
-                'if self.record.leaving or now < self.suspended_until:',
-                'if now < self.suspended_until:',
+                'if self.announced_leaving or self.record.leaving:',
+                'if False:',
             ),
         ),
     ),
@@ -111,8 +111,8 @@
         (
             Edit(
                 FORWARDING,
-                'asyncio.timeout(max(pending.deadline_at - now, 0))',
-                'asyncio.timeout(60)',
+                'timeouts.timeout(max(pending.deadline_at - now, 0))',
+                'timeouts.timeout(60)',
             ),
             Edit(
                 FORWARDING,
@@ -153,6 +153,26 @@
             ),
         ),
     ),
+    Mutant(
+        'paces the limit of an endpoint for each gateway alone',
+        (
+            Edit(
+                'gateway/endpoint_limits.py',
+                'return max(rate, pacing.MIN_PER_S) * self._find_share()',
+                'return max(rate, pacing.MIN_PER_S) * self._limits.gateways',
+            ),
+        ),
+    ),
+    Mutant(
+        'never lifts the limit of an endpoint',
+        (
+            Edit(
+                'pacing.py',
+                'return former_per_s < UNLIMITED and sent_at > named_at',
+                'return False',
+            ),
+        ),
+    ),
     Mutant(
         'ends when it is told to read its settings again',
         (
@@ -173,7 +193,7 @@
         if name is not None and mutant.name != name:
             continue
         with tempfile.TemporaryDirectory(prefix='mutant-') as folder:
-            tree = _write_tree(pathlib.Path(folder), mutant)
+            tree = write_tree(pathlib.Path(folder), mutant)
             seed, promise = _find_failing_seed(
                 run_seeds(seeds, jobs, None, tree)
             )
@@ -196,7 +216,8 @@
     return None, None
 
 
-def _write_tree(folder, mutant):
+def write_tree(folder, mutant):
+    """Copy the package to a folder, with a mutant's edits."""
     shutil.copytree(ROOT / PACKAGE, folder / PACKAGE)
     for edit in mutant.edits:
         path = folder / PACKAGE / edit.path
--- a/tools/soak/records.py
+++ b/tools/soak/records.py
@@ -56,6 +56,15 @@
     kind: str
 
 
+class Limit(typing.NamedTuple):
+    """Record that an endpoint named a limit in an interval."""
+
+    endpoint: str
+    per_s: float
+    begin: float
+    end: float
+
+
 class Stop(typing.NamedTuple):
     """Record the interval of a planned stop of a gateway."""
 
@@ -82,6 +91,7 @@
         self.changes = []
         self.disturbances = []
         self.stops = []
+        self.limits = []
         self.findings = []
 
     def add_finding(self, promise, detail):
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -78,6 +78,10 @@
         Kind('endpoint_empty_stream', 2.5, 0.6),
         Kind('endpoint_unframed_whole_stream', 2.5, 0.9),
     ),
+    (
+        Kind('endpoint_limit', 7.0, 0),
+        Kind('endpoint_limit_all', 7.0, 0),
+    ),
 )
 # Share of the schedules that contain one kind of a group.
 LATER_SHARE = 0.5
--- a/tools/soak/seed_run.py
+++ b/tools/soak/seed_run.py
@@ -37,6 +37,9 @@
 # Time that a gateway has to notice that an endpoint asks for a pause.
 PAUSE_NOTICE_S = 0.6
 MAX_SENDS_PER_PAUSE = 2
+# Requests per second that a limited endpoint names, well below its share of
+# the load.
+LIMIT_PER_S = 2.0
 STORE_FAULTS = {
     'store_down': 'down',
     'store_slow': 'slow',
@@ -259,6 +262,8 @@
         kind = fault.kind
         if kind in ('version', 'revoke', 'endpoint_leave', 'reload'):
             return None
+        if kind.startswith('endpoint_limit'):
+            return None
         if kind.startswith('endpoint'):
             return self._endpoints[fault.target].id
         if kind in STORE_FAULTS or kind in ('store_forget', 'store_restore'):
@@ -341,6 +346,24 @@
                 f' {fault.duration_s} s, over {allowed}',
             )
 
+    async def _do_endpoint_limit(self, fault):
+        await self._limit([self._endpoints[fault.target]], fault.duration_s)
+
+    async def _do_endpoint_limit_all(self, fault):
+        await self._limit(list(self._endpoints), fault.duration_s)
+
+    async def _limit(self, endpoints, duration_s):
+        """Let endpoints name a limit for a while."""
+        begin = self.now()
+        for endpoint in endpoints:
+            endpoint.request_limit = str(LIMIT_PER_S)
+        await asyncio.sleep(duration_s)
+        for endpoint in endpoints:
+            endpoint.request_limit = None
+            self.journal.limits.append(
+                records.Limit(endpoint.id, LIMIT_PER_S, begin, self.now())
+            )
+
     async def _do_pause(self, fault):
         gateway = self._gateways[fault.target]
         gateway.send_signal(signal.SIGSTOP)
