--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -83,6 +83,8 @@
         Kind('endpoint_limit_all', 7.0, 0),
     ),
 )
+# First group whose draws do not depend on the groups before it.
+SALTED_GROUP = 2
 # Share of the schedules that contain one kind of a group.
 LATER_SHARE = 0.5
 KINDS_BY_NAME = {kind.name: kind for kind in KINDS}
@@ -100,8 +102,11 @@
     faults = []
     for _ in range(rng.randint(3, 14)):
         faults.append(_draw_fault(rng, rng.choice(kinds), gateways, endpoints))
-    for group in LATER_GROUPS:
-        later = random.Random(repr(faults))
+    for number, group in enumerate(LATER_GROUPS):
+        # The first two groups depend on one another: without one of them the
+        # next draw is the same.
+        salt = '' if number < SALTED_GROUP else str(number)
+        later = random.Random(repr(faults) + salt)
         if later.random() < LATER_SHARE:
             kind = later.choice(group)
             faults.append(_draw_fault(later, kind, gateways, endpoints))
