--- a/persimmonroute/gateway/model.py
+++ b/persimmonroute/gateway/model.py
@@ -99,6 +99,9 @@
     failure_domain: str
     slots: int
     leaving: bool
+    # Version of the endpoint's software. What two versions write of a stream
+    # does not fit together.
+    version: str
 
     @property
     def incarnation(self):
@@ -134,6 +137,9 @@
     states_tokens: bool
     prompt: tuple[PromptPart, ...]
     last_event_id: int | None
+    # Attempt that brought the first event of the stream that the caller takes
+    # up again, as the caller states it.
+    resumes: str | None = None
 
 
 class RunnerLoad(typing.NamedTuple):
--- a/persimmonroute/platform/documents.py
+++ b/persimmonroute/platform/documents.py
@@ -51,6 +51,7 @@
             failure_domain=_string(document['Zone']),
             slots=_integer(document['Slots']),
             leaving=LEAVING_BY_STATE[_string(document['State'])],
+            version=_string(document['Version']),
         )
     except MALFORMED_DOCUMENT_ERRORS as error:
         raise exceptions.DocumentError(
--- a/persimmonroute/platform/ingress.py
+++ b/persimmonroute/platform/ingress.py
@@ -147,6 +147,7 @@
     if scope['query_string']:
         target += '?' + scope['query_string'].decode('ascii')
     last_event_id = header_values.get(names.LAST_EVENT_ID, b'')
+    resumes = header_values.get(names.RESUMES)
     return model.Request(
         attempt=header_values.get(
             names.ATTEMPT_ID, uuid.uuid4().hex.encode()
@@ -171,6 +172,7 @@
         states_tokens=states_tokens,
         prompt=_read_prompt(header_values.get(names.PROMPT_PREFIX, b'')),
         last_event_id=int(last_event_id) if last_event_id.isdigit() else None,
+        resumes=None if resumes is None else resumes.decode('latin-1'),
     )
 
 
--- a/persimmonroute/platform/names.py
+++ b/persimmonroute/platform/names.py
@@ -16,6 +16,8 @@
 # Prompt parts in order, as comma-separated ID:TOKENS.
 PROMPT_PREFIX = b'prompt-prefix'
 LAST_EVENT_ID = b'last-event-id'
+# Attempt that brought the first event of a stream that is taken up again.
+RESUMES = b'resumes'
 # Present if the endpoint did not execute the request.
 NOT_EXECUTED = b'not-executed'
 # Running requests, waiting requests and slots, separated by commas.
--- a/persimmonroute/tests/platform/deployment_tests.py
+++ b/persimmonroute/tests/platform/deployment_tests.py
@@ -135,6 +135,7 @@
             'Zone': 'a',
             'Slots': 2,
             'State': 'ready',
+            'Version': 'v1',
         }
         good = documents.read_runner('r', json.dumps(registration).encode())
         self.assertEqual(good.slots, 2)
@@ -145,6 +146,8 @@
             {'Slots': '2'},
             {'Slots': True},
             {'born': 1.5},
+            {'Version': 1},
+            {'Version': ''},
         ):
             with self.subTest(change=change):
                 data = json.dumps({**registration, **change}).encode()
--- a/standins/gateway_fixtures.py
+++ b/standins/gateway_fixtures.py
@@ -95,6 +95,7 @@
         failure_domain='riga-a',
         slots=1,
         leaving=False,
+        version='v1',
     )
     return built._replace(**changes)
 
