Reproduce streams that go on at another version, as known red

Cause: a stream that breaks off, and one that a caller takes up again, goes on at any endpoint of its service.

--- a/persimmonroute/tests/gateway/crash_tests.py
+++ b/persimmonroute/tests/gateway/crash_tests.py
@@ -41,8 +41,9 @@
                     continue
                 await asyncio.sleep(RESTART_S)
                 born += 1
+                runner.born = born
                 await runner.start()
-                self.deployment.register(runner, born=born)
+                self.deployment.register(runner)
 
     def _crash_count(self):
         return sum(
--- /dev/null
+++ b/persimmonroute/tests/gateway/stream_version_tests.py
@@ -0,0 +1,183 @@
+"""Test that streams go on only at the software version that began them."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import unittest
+
+from standins import gateway_deployment as deployments
+
+STREAM = ('accept', 'text/event-stream')
+GATEWAYS = 4
+EVENTS = 4
+STREAMS = 16
+# Time in which a version is in force and gateways know one another.
+SETTLE_S = 0.8
+OTHER_KEY = 'key-2'
+
+
+def versions_of(*bodies):
+    """Return the versions that wrote the events of bodies."""
+    lines = b''.join(bodies).split(b'\n')
+    data = [line for line in lines if line.startswith(b'data: ')]
+    return {line.split()[1] for line in data}
+
+
+def last_event_id(body):
+    """Return the id of the last event of a body, as text."""
+    ids = [line for line in body.split(b'\n') if line.startswith(b'id: ')]
+    return ids[-1][4:].decode()
+
+
+class StreamVersionTests(unittest.IsolatedAsyncioTestCase):
+    """Break off streams while endpoints of two versions serve."""
+
+    async def asyncSetUp(self):
+        """Start four gateways, and two endpoints of each of two versions."""
+        self.deployment = deployments.GatewayDeployment(4, GATEWAYS)
+        self.addAsyncCleanup(self.deployment.stop)
+        for number, runner in enumerate(self.deployment.runners):
+            runner.version = ('v1', 'v1.1')[number % 2]
+        await self.deployment.start()
+        document = deployments.configuration(2)
+        document['Routes'].append(
+            deployments.route(
+                'single', Kind='streaming', StreamResume=True, MaxAttempts=1
+            )
+        )
+        document['Tenants'].append(
+            {'Name': 'other', 'ApiKeys': [OTHER_KEY], 'Priority': 1}
+        )
+        self.deployment.platform.put_row('op', 'config', document)
+        await asyncio.sleep(SETTLE_S)
+        self._sent = 0
+
+    async def _call(self, route, gateway=None, headers=(), **options):
+        self._sent += 1
+        if gateway is None:
+            gateway = self._sent % GATEWAYS
+        attempt = f'a{self._sent}'
+        response = await self.deployment.call(
+            f'/{route}/x',
+            gateway=gateway,
+            headers=(STREAM, *headers),
+            attempt=attempt,
+            **options,
+        )
+        response.attempt = attempt
+        return response
+
+    async def _begin(self, gateway=0):
+        """Return the broken-off begin of a stream."""
+        for runner in self.deployment.runners:
+            runner.script.clear()
+            runner.script.append('break_stream')
+        begun = await self._call('single', gateway)
+        for runner in self.deployment.runners:
+            runner.script.clear()
+        self.assertFalse(begun.complete)
+        self.assertEqual(len(versions_of(begun.body)), 1)
+        return begun
+
+    async def _resume(self, begun, gateway, resumes=None, **options):
+        headers = [('last-event-id', last_event_id(begun.body))]
+        if resumes != '':
+            headers.append(('resumes', resumes or begun.attempt))
+        return await self._call('single', gateway, headers, **options)
+
+    def _count_requests(self):
+        return sum(len(r.requests) for r in self.deployment.runners)
+
+    def _assert_refused(self, response, arrived):
+        self.assertEqual(response.status, 503)
+        self.assertIn(b'retry-after', response.headers)
+        self.assertEqual(self._count_requests(), arrived)
+
+    async def test_broken_stream_goes_on_at_its_version(self):
+        """Within one answer all events are of one version."""
+        first, second, *_ = self.deployment.runners
+        for _ in range(STREAMS):
+            for runner in (first, second):
+                runner.script.clear()
+                runner.script.append('break_stream')
+            response = await self._call('resume')
+            self.assertEqual(len(versions_of(response.body)), 1)
+            self.assertTrue(response.complete)
+
+    async def test_stream_ends_at_once_if_its_version_is_gone(self):
+        """It neither goes on at another version nor looks complete."""
+        first, *others = self.deployment.runners
+        for runner in others:
+            runner.version, runner.born = 'v2', 2
+            self.deployment.register(runner)
+        await asyncio.sleep(SETTLE_S)
+        first.default_behaviour = 'break_stream'
+        broken = 0
+        for _ in range(STREAMS):
+            began_at = time.monotonic()
+            response = await self._call('resume')
+            if versions_of(response.body) == {b'v2'}:
+                continue
+            broken += 1
+            self.assertEqual(versions_of(response.body), {b'v1'})
+            self.assertFalse(response.complete)
+            self.assertLess(time.monotonic() - began_at, 1.0)
+        self.assertGreater(broken, 0)
+
+    async def test_stream_is_taken_up_at_its_version_everywhere(self):
+        """A gateway that never saw a stream finds who began it."""
+        for number in range(STREAMS):
+            begun = await self._begin(number % GATEWAYS)
+            rest = await self._resume(begun, (number + 1) % GATEWAYS)
+            self.assertEqual(rest.status, 200)
+            self.assertTrue(rest.complete)
+            self.assertEqual(len(versions_of(begun.body, rest.body)), 1)
+
+    async def test_third_try_names_the_attempt_of_the_first_event(self):
+        """A chain over three gateways stays at one version."""
+        for _ in range(4):
+            begun = await self._begin(0)
+            for runner in self.deployment.runners:
+                runner.script.append('break_stream')
+            second = await self._resume(begun, 1)
+            for runner in self.deployment.runners:
+                runner.script.clear()
+            self.assertFalse(second.complete)
+            third = await self._resume(second, 2, begun.attempt)
+            self.assertTrue(third.complete)
+            bodies = begun.body, second.body, third.body
+            self.assertEqual(len(versions_of(*bodies)), 1)
+
+    async def test_stream_of_a_killed_gateway_goes_on_at_its_version(self):
+        """What a gateway knew of its streams outlives it."""
+        begun = [await self._begin(3) for _ in range(6)]
+        await self.deployment.kill_gateway(3)
+        for number, stream in enumerate(begun):
+            rest = await self._resume(stream, number % 3)
+            self.assertEqual(rest.status, 200)
+            self.assertEqual(len(versions_of(stream.body, rest.body)), 1)
+
+    async def test_unknown_stream_is_refused_and_not_run(self):
+        """Whatever callers write, nothing is guessed."""
+        begun = await self._begin()
+        arrived = self._count_requests()
+        for junk in ('unknown', 'x' * 3000, '\xff\x00'[:1], '{}', ''):
+            response = await self._resume(begun, 1, junk)
+            self._assert_refused(response, arrived)
+        foreign = await self._resume(begun, 0, key=OTHER_KEY)
+        self._assert_refused(foreign, arrived)
+
+    async def test_endpoint_started_again_at_another_version_is_not_used(self):
+        """A registration may be older than the process that answers."""
+        begun = await self._begin()
+        (version,) = versions_of(begun.body)
+        for runner in self.deployment.runners:
+            if runner.version == version.decode():
+                await runner.crash()
+                runner.version, runner.born = 'v9', 2
+                port = int(runner.former_address.rpartition(':')[2])
+                await runner.start(port)
+        rest = await self._resume(begun, 1)
+        self.assertNotIn(b'v9', versions_of(rest.body))
+        self.assertNotEqual(rest.status, 200)
--- a/standins/gateway_deployment.py
+++ b/standins/gateway_deployment.py
@@ -123,6 +123,12 @@
         )
         await wait_ready(self.settings[-1].ready_address)
 
+    async def kill_gateway(self, number):
+        """End a gateway at once; the others keep their numbers."""
+        task = self._gateway_tasks[number]
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
     async def replace_gateways(self):
         """Stop all gateways at the same time and start as many others."""
         tasks, self._gateway_tasks = self._gateway_tasks, []
@@ -153,12 +159,12 @@
             'Service': SERVICE,
             'Address': runner.address,
             'Zone': 'riga-a',
-            'Version': 'v1',
+            'Version': runner.version or 'v1',
             'Slots': 4,
             'State': state,
             'ColdRemainingMs': 0,
             'Sequence': 1,
-            'born': 1,
+            'born': runner.born,
         }
         self.platform.put_row(
             'servers', runner.id, {**registration, **changes}
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import contextlib
+import json
 import socket
 import struct
 import time
@@ -42,6 +43,11 @@
     crashing_parts = frozenset()
     # Events that the endpoint writes before it crashes on such a part.
     events_before_crash = 0
+    # Version of the software, which each event of a stream names; without one
+    # events name none.
+    version = None
+    # Start of the process, in Unix milliseconds.
+    born = 1
     # True if all responses say that the endpoint is leaving.
     leaving = False
     # Requests per second that all responses name as the limit, as text; None
@@ -53,10 +59,14 @@
         self.script = collections.deque()
         self.default_behaviour = 'answer'
         self.runs = collections.Counter()
+        # Address at the last start.
+        self.former_address = None
         self.requests = []
         # When each of the requests arrived, by the monotonic clock.
         self.arrivals = []
         self.cancelled = 0
+        # Requests for the state of the endpoint.
+        self.reports = 0
         self.crashed = False
         # Bytes of responses without end that the peers have accepted.
         self.endless_bytes = 0
@@ -70,10 +80,13 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return f'{host}:{port}'
 
-    async def start(self):
-        """Start serving on a free port."""
+    async def start(self, port=0):
+        """Start serving on a port, by default on a free one."""
         self.crashed = False
-        self._server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
+        self._server = await asyncio.start_server(
+            self._accept, '127.0.0.1', port
+        )
+        self.former_address = self.address
 
     async def stop(self):
         """Stop serving and cancel all connections."""
@@ -95,7 +108,8 @@
 
     def make_event(self, attempt, number):
         """Return one server-sent event of an attempt's stream."""
-        return f'id: {number}\ndata: piece {number}\n\n'.encode()
+        version = f'{self.version} ' if self.version else ''
+        return f'id: {number}\ndata: {version}piece {number}\n\n'.encode()
 
     def crashes_on(self, prompt):
         """Return whether a prompt holds a part that crashes endpoints."""
@@ -135,6 +149,8 @@
 
     async def _respond(self, http, writer, request, body):
         headers = dict(request.headers)
+        if request.target == b'/report':
+            return await self._send_report(http, writer)
         attempt = headers.get(b'attempt-id', b'')
         self.requests.append((request, body))
         self.arrivals.append(time.monotonic())
@@ -160,6 +176,13 @@
         handler = getattr(self, f'_do_{behaviour}', self._do_answer)
         return await handler(reply, headers)
 
+    async def _send_report(self, http, writer):
+        """Tell the state of the endpoint, without a slot."""
+        self.reports += 1
+        body = json.dumps({'Queued': 0, 'born': self.born}).encode()
+        await Reply(http, writer, b'').send_complete(200, body, [])
+        return True
+
     def _own_headers(self):
         """Return what the endpoint says of itself in each response."""
         headers = []
--- a/tools/soak/endpoints.py
+++ b/tools/soak/endpoints.py
@@ -27,7 +27,7 @@
 
     def __init__(self, endpoint_id, start_number, rng, journal, now):
         super().__init__(endpoint_id)
-        self.start_number = start_number
+        self.start_number = self.born = start_number
         # Share of requests by the behaviour applied to them.
         self.misbehaviour_shares = {}
         self.long_share = LONG_SHARE
