Go on with a stream only at the software version that began it

Callers got answers whose events came from two versions and looked whole.

Cause: the version of an endpoint was not read, so a stream that broke off, or that a caller took up again, went on at any endpoint of its service.

Change: the first event binds a stream to the version of its endpoint, and only endpoints of that version are granted from then on, before new work of the tier; if none is left the stream ends at once. A gateway tells two keepers, in unlike failure domains, which version began a stream; one that is asked to go on with an unknown stream asks the keepers of all regions, and up to 16 gateways. Nothing is guessed: a stream nobody knows is refused (503) unless only one version has served since before it can have begun. Before it goes on, the process that answers has to name the start that its registration names, on the same connection.

--- a/persimmonroute/exceptions.py
+++ b/persimmonroute/exceptions.py
@@ -77,6 +77,12 @@
     remedy = 'check the log of the endpoint'
 
 
+class EndpointReplacedError(PersimmonRouteError):
+    """Report that another incarnation responds at an endpoint's address."""
+
+    remedy = 'wait until the new incarnation has registered'
+
+
 class ResponseIncompleteError(PersimmonRouteError):
     """Report a response that broke off after a part of it was sent."""
 
--- a/persimmonroute/gateway/admission_codec.py
+++ b/persimmonroute/gateway/admission_codec.py
@@ -24,6 +24,8 @@
             )
         elif isinstance(message, messages.LeaseList):
             _add_lease_list(encoded, message)
+        elif isinstance(message, messages.StreamMessage):
+            _add_stream_message(encoded, message)
         else:
             encoded.summaries.add(
                 service=message.service,
@@ -68,6 +70,24 @@
             )
             for summary in encoded.summaries
         ),
+        *(
+            messages.StreamBegun(begun.key, begun.service, begun.version)
+            for begun in encoded.streams_begun
+        ),
+        *(
+            messages.StreamQuestion(question.key, question.service)
+            for question in encoded.stream_questions
+        ),
+        *(
+            messages.StreamReply(
+                reply.key,
+                reply.service,
+                reply.version,
+                tuple(reply.versions),
+                reply.complete,
+            )
+            for reply in encoded.stream_replies
+        ),
     ]
 
 
@@ -89,6 +109,7 @@
         excluded=offer.excluded,
         redirected=offer.redirected,
         limits=[encode_limit(limit) for limit in offer.limits],
+        version=offer.version or '',
     )
 
 
@@ -109,6 +130,7 @@
         excluded=tuple(offer.excluded),
         redirected=offer.redirected,
         limits=tuple(decode_limit(limit) for limit in offer.limits),
+        version=offer.version or None,
     )
 
 
@@ -174,6 +196,15 @@
         listed.leases.add(offer_id=lease.offer_id, endpoint=lease.runner_id)
 
 
+def _add_stream_message(encoded, message):
+    if isinstance(message, messages.StreamBegun):
+        encoded.streams_begun.add(**message._asdict())
+    elif isinstance(message, messages.StreamQuestion):
+        encoded.stream_questions.add(**message._asdict())
+    else:
+        encoded.stream_replies.add(**message._asdict())
+
+
 def _ms(seconds):
     return max(round(seconds * 1000), 0)
 
--- a/persimmonroute/gateway/admission_host.py
+++ b/persimmonroute/gateway/admission_host.py
@@ -83,6 +83,7 @@
         self.first_arrived_at = now - offer.age_s
         self.sequence = 0
         self.excluded = set(offer.excluded)
+        self.version = offer.version
         self.queued_at = now
         self.heard_at = now
         self.runner = None
--- a/persimmonroute/gateway/admission_messages.py
+++ b/persimmonroute/gateway/admission_messages.py
@@ -34,6 +34,8 @@
     redirected: bool
     # What the gateway knows of the limits of the service's endpoints.
     limits: tuple[endpoint_limits.LimitReport, ...] = ()
+    # Software version that began the stream, or None.
+    version: str | None = None
 
 
 class Grant(typing.NamedTuple):
@@ -110,4 +112,35 @@
     wait_s: dict[int, float]
 
 
-Message = Offer | Reply | OfferEnd | LeaseList | GroupSummary
+class StreamBegun(typing.NamedTuple):
+    """Ask a keeper to remember which version began a stream."""
+
+    key: int
+    service: str
+    version: str
+
+
+class StreamQuestion(typing.NamedTuple):
+    """Ask which version began a stream.
+
+    service is the only one that it can have begun at, or empty.
+    """
+
+    key: int
+    service: str
+
+
+class StreamReply(typing.NamedTuple):
+    """Tell which version began a stream; empty if that is not known."""
+
+    key: int
+    service: str
+    version: str
+    # Of a stream that is not known: the versions of the service seen lately,
+    # and whether none can be missing.
+    versions: tuple[str, ...] = ()
+    complete: bool = False
+
+
+StreamMessage = StreamBegun | StreamQuestion | StreamReply
+Message = StreamMessage | Offer | Reply | OfferEnd | LeaseList | GroupSummary
--- a/persimmonroute/gateway/dispatcher.py
+++ b/persimmonroute/gateway/dispatcher.py
@@ -12,6 +12,7 @@
 from persimmonroute.gateway import messages
 from persimmonroute.gateway import model
 from persimmonroute.gateway import offers as _offers
+from persimmonroute.gateway import stream_origins
 from persimmonroute import logs
 
 log = logs.EventLog(__name__)
@@ -28,14 +29,18 @@
     Those that no host decides are left to the gateway's own scheduler.
     """
 
-    def __init__(self, own, scheduler, offers, host, directory):
+    def __init__(self, own, scheduler, offers, host, directory, origins):
         self._name = own.name
         self._failure_domain = own.failure_domain
         self._scheduler = scheduler
         self._offers = offers
         self._host = host
         self._directory = directory
+        self._origins = origins
+        # Futures of the requests that wait for an endpoint, and of questions
+        # about streams.
         self._waiting = {}
+        self._questions = {}
         self._timer = None
         self._summarized_at = 0.0
         self.on_change = lambda: None
@@ -61,6 +66,30 @@
             self._offers.withdraw(pending)
             self.deliver_decisions()
 
+    async def find_origin(self, workspace, attempt, service):
+        """Return the Origin of a stream, or None if it is not known."""
+        future = asyncio.get_running_loop().create_future()
+        question = self._origins.ask(
+            workspace, attempt, service, clock.now_s()
+        )
+        self._questions[question] = future
+        try:
+            self.deliver_decisions()
+            return await future
+        finally:
+            del self._questions[question]
+            self._origins.withdraw(question)
+
+    def record_begun(self, pending, origin):
+        """Remember which version began a stream."""
+        self._origins.record_begun(
+            pending.workspace, pending.attempt, origin, clock.now_s()
+        )
+
+    def record_complete(self, pending):
+        """Record that a stream needs no keeper any more."""
+        self._origins.record_complete(pending.workspace, pending.attempt)
+
     def release(self, pending, ending):
         """Release the slot that a request occupied at its endpoint."""
         now = clock.now_s()
@@ -94,6 +123,7 @@
     def tick(self, now):
         """Repeat and expire what is due, in this gateway and as a host."""
         self._offers.tick(now)
+        self._origins.tick(now)
         self._host.tick(now)
         self._scheduler.dispatch_all_ready(now)
         if now - self._summarized_at >= SUMMARY_INTERVAL_S:
@@ -118,6 +148,7 @@
             if effects:
                 self.on_change()
             sent = self._offers.take_effects()
+            sent += self._origins.take_effects()
             replies = self._host.take_replies()
             if not effects and not sent and not replies:
                 break
@@ -137,10 +168,14 @@
 
     def _apply_effect(self, effect):
         now = clock.now_s()
-        if isinstance(effect, _offers.Send):
+        if isinstance(effect, (_offers.Send, stream_origins.Send)):
             self._send(effect.peer, effect.message, now)
         elif isinstance(effect, blackboard.LogEvent):
             log.emit(effect.event, **effect.fields)
+        elif isinstance(effect, stream_origins.Resolved):
+            future = self._questions.get(effect.question)
+            if future is not None and not future.done():
+                future.set_result(effect.origin)
         elif isinstance(effect, _offers.Undecided):
             if effect.pending in self._waiting:
                 log.emit(
@@ -170,9 +205,11 @@
             self.send(peer, message)
 
     def _route(self, peer, failure_domain, message, now):
-        """Hand a reply to the offers, and any other message to the host."""
+        """Hand a message to the part that it concerns."""
         if isinstance(message, admission_messages.Reply):
             self._offers.receive(peer, message, now)
+        elif isinstance(message, admission_messages.StreamMessage):
+            self._origins.receive(peer, message, now)
         else:
             self._host.receive(peer, failure_domain, message, now)
 
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -4,6 +4,7 @@
 
 import abc
 import asyncio
+import math
 import typing
 
 from persimmonroute import clock
@@ -15,6 +16,7 @@
 from persimmonroute.gateway.model import Ending
 from persimmonroute.gateway import quarantine
 from persimmonroute.gateway import scheduler as schedulers
+from persimmonroute.gateway import stream_origins
 from persimmonroute import logs
 from persimmonroute import timeouts
 
@@ -35,6 +37,9 @@
 # pause.
 STREAM_IDLE_TIMEOUT_S = 1.5
 STREAM_IDLE_PAUSES = 3.0
+# Of a stream whose endpoint may have started again just before; no endpoint
+# has it.
+UNKNOWN_VERSION = ''
 # Route name reported for requests that admission rejects.
 NO_ROUTE = '-'
 
@@ -148,6 +153,12 @@
         progress = Progress()
         try:
             async with timeouts.timeout(max(pending.deadline_at - now, 0)):
+                rejection = await self._find_version(pending)
+                if rejection is not None:
+                    await self._finish_rejected(
+                        pending, caller, progress, rejection
+                    )
+                    return
                 await self._serve_pending(pending, caller, progress)
         except TimeoutError:
             await self._time_out(pending, caller, progress)
@@ -155,6 +166,25 @@
             if pending.workspace is not None and not pending.sends:
                 self._board.quotas.refund(pending.workspace, request)
 
+    async def _find_version(self, pending):
+        """Find the version of a stream that a caller takes up again.
+
+        Returns a Rejection if it is not known: versions do not fit together.
+        """
+        request = pending.request
+        if not pending.route.streaming or request.last_event_id is None:
+            return None
+        services = [d.service for d in pending.route.destinations]
+        origin = await self._dispatcher.find_origin(
+            pending.workspace,
+            request.resumes,
+            services[0] if len(services) == 1 else None,
+        )
+        if origin is None or origin.service not in services:
+            return model.STREAM_UNKNOWN
+        pending.service, pending.version = origin
+        return None
+
     async def _serve_pending(self, pending, caller, progress):
         while True:
             granted = await self._dispatcher.wait_for_grant(pending)
@@ -189,6 +219,10 @@
             ending = Ending.UNREACHABLE
             outcome = Failed(ending, False, error.problem)
             self._record_crash(view)
+            view.doubted_at = clock.now_s()
+        except exceptions.EndpointReplacedError as error:
+            ending = Ending.MISDIRECTED
+            outcome = Failed(ending, False, error.problem)
         except exceptions.EndpointUnreachableError as error:
             ending = Ending.UNREACHABLE
             outcome = Failed(ending, False, error.problem)
@@ -216,6 +250,8 @@
             pending.workspace,
             pending.deadline_at - now,
             pending.route.repeatable,
+            # Only a process of the version that began the stream may go on.
+            verify_incarnation=pending.version is not None,
         )
         pending.sends += 1
         progress.may_have_run = True
@@ -350,6 +386,7 @@
                     if event.id <= last_id:
                         continue
                 await self._begin(head, caller, progress)
+                self._record_begun(pending, progress)
                 await caller.send(event.data)
                 progress.event_relayed = True
                 if event.id is not None:
@@ -363,8 +400,24 @@
         if splitter.rest:
             await caller.send(splitter.rest)
         await caller.finish()
+        self._dispatcher.record_complete(pending)
         return Relayed(head.status)
 
+    def _record_begun(self, pending, progress):
+        """Bind a stream to the version that wrote its first event."""
+        if progress.event_relayed or pending.version is not None:
+            return
+        view, now = pending.runner, clock.now_s()
+        if not view.knows_version(pending.sent_at, now):
+            pending.version = UNKNOWN_VERSION
+            return
+        pending.version = view.record.version
+        if pending.route.resumable:
+            self._dispatcher.record_begun(
+                pending,
+                stream_origins.Origin(pending.service, pending.version),
+            )
+
     def _record_first_byte(self, pending):
         if pending.first_byte_at is None:
             pending.first_byte_at = clock.now_s()
@@ -419,11 +472,16 @@
         answered = progress.has_answered_for(
             crash_attribution.HARMLESS_RESPONSE_S, now
         )
-        if outcome.ending is Ending.BROKEN and not answered:
-            self._board.quarantine.record_broken(
-                quarantine.read_traits(pending.request), view.record, now
-            )
-            self._check_crash(view)
+        if outcome.ending is Ending.BROKEN:
+            if not answered:
+                self._board.quarantine.record_broken(
+                    quarantine.read_traits(pending.request), view.record, now
+                )
+            if pending.route.streaming:
+                # The next stream may meet another incarnation.
+                view.doubted_at = now
+            if not answered or pending.route.streaming:
+                self._check_crash(view, pending.route.streaming)
         log.emit(
             Event.GATEWAY_ATTEMPT_FAILED,
             request=pending.attempt,
@@ -435,20 +493,28 @@
             prompt=[part.id for part in pending.request.prompt],
         )
 
-    def _check_crash(self, view):
+    def _check_crash(self, view, verify):
         """Ask at once whether an endpoint crashed: it soon starts again."""
         crash = quarantine.crash_id(view.record)
         if crash not in self._checks:
-            self._checks[crash] = asyncio.create_task(self._connect(view))
+            self._checks[crash] = asyncio.create_task(
+                self._connect(view, verify)
+            )
             self._checks[crash].add_done_callback(
                 lambda _: self._checks.pop(crash, None)
             )
 
-    async def _connect(self, view):
+    async def _connect(self, view, verify):
+        doubted_at = view.doubted_at
         try:
-            await self._client.check(view.record)
+            await self._client.check(view.record, verify)
+            if verify and view.doubted_at == doubted_at:
+                view.doubted_at = -math.inf
         except exceptions.EndpointRefusedError:
             self._record_crash(view)
+        except exceptions.EndpointReplacedError:
+            view.record_ending(Ending.MISDIRECTED, clock.now_s())
+            self._record_crash(view)
         except exceptions.EndpointUnreachableError:
             # A crash that shows in the registration only.
             return
--- a/persimmonroute/gateway/messages.py
+++ b/persimmonroute/gateway/messages.py
@@ -56,6 +56,9 @@
         self.host = None
         # Ids of endpoints that are not tried again.
         self.excluded = set()
+        # Software version that began the stream, and that alone may go on
+        # with it; None for a request that has no event yet.
+        self.version = None
         # Attempts at endpoints that count toward the route's max_attempts.
         self.sends = 0
         self.queued_at = now
@@ -69,6 +72,13 @@
         return self.request.attempt
 
 
+def accepts(pending, view):
+    """Return whether a request may be sent to an endpoint."""
+    if view.id in pending.excluded:
+        return False
+    return pending.version is None or pending.version == view.record.version
+
+
 def _combine_tiers(workspace, route):
     """Return a tier ordered by the workspace's tier, then the route's."""
     route_tier = min(route.tier, model.LOWEST_TIER)
--- a/persimmonroute/gateway/model.py
+++ b/persimmonroute/gateway/model.py
@@ -181,6 +181,14 @@
     detail: str = ''
 
 
+# An endpoint that crashed is back with its version in about a second.
+VERSION_GONE = Rejection(
+    503, 'no endpoint has the version that began the stream', 1.0
+)
+# Gateways that did not respond may know the stream a moment later.
+STREAM_UNKNOWN = Rejection(
+    503, 'the version that began the stream is not known', 0.5
+)
 # Short, since capacity may become free at any time.
 TIMEOUT_WHILE_QUEUED = Rejection(503, 'timeout while queued', 0.1)
 
--- a/persimmonroute/gateway/offers.py
+++ b/persimmonroute/gateway/offers.py
@@ -13,6 +13,7 @@
 from persimmonroute.gateway import admission_messages
 from persimmonroute.gateway import groups
 from persimmonroute.gateway import messages
+from persimmonroute.gateway import model
 from persimmonroute.gateway.model import Ending
 from persimmonroute.gateway import runners
 from persimmonroute.gateway import scheduler as schedulers
@@ -104,6 +105,12 @@
         """Offer a request to the host of the nearest group."""
         known_groups = self.find_groups(pending.service)
         pending.offer_id = next(self._offer_ids)
+        if pending.version is not None:
+            known_groups = self._find_version_groups(pending)
+            if not known_groups:
+                rejection = model.VERSION_GONE
+                self.put(messages.Rejected(pending, rejection))
+                return
         if not known_groups:
             self._leave_undecided(pending)
             return
@@ -111,6 +118,30 @@
         self._offers[pending.offer_id] = state
         self._send_to_next_host(state, now)
 
+    def _find_version_groups(self, pending):
+        """Return the groups that have the version that began a stream.
+
+        If no endpoint of the version is left to try, those that failed are
+        tried again: no other one can go on.
+        """
+        views = [
+            view
+            for view in self._runner_registry.of_service(pending.service)
+            if view.record.version == pending.version and not view.leaving
+        ]
+        if not any(messages.accepts(pending, view) for view in views):
+            pending.excluded.difference_update(view.id for view in views)
+        regions = {
+            self._locality.region_of(view.record.failure_domain)
+            for view in views
+            if messages.accepts(pending, view)
+        }
+        return [
+            group
+            for group in self.find_groups(pending.service)
+            if group.region in regions
+        ]
+
     def withdraw(self, pending):
         """Withdraw the offer of a request that needs no endpoint any more."""
         state = self._offers.pop(pending.offer_id, None)
@@ -251,7 +282,9 @@
             age_s=now - pending.first_arrived_at,
             prompt=pending.request.prompt,
             excluded=tuple(self._find_excluded(pending, now)),
-            redirected=state.redirected,
+            # Another region may have no endpoint of the version.
+            redirected=state.redirected or pending.version is not None,
+            version=pending.version,
             limits=self._report_limits(state.group, now),
         )
 
@@ -285,7 +318,7 @@
             view is not None
             and view.record.started_at_ms == grant.started_at_ms
         )
-        usable = known and view.id not in pending.excluded and view.usable(now)
+        usable = known and messages.accepts(pending, view) and view.usable(now)
         if not usable or now - state.sent_at > GRANT_VALID_S:
             self._return_grant(state.host, grant)
             # Each offer excludes the endpoints that are paused at its time.
--- a/persimmonroute/gateway/runners.py
+++ b/persimmonroute/gateway/runners.py
@@ -44,6 +44,12 @@
 LEAVING_REPORT_S = 10.0
 
 
+# Versions of endpoints that are gone are remembered this long.
+VERSION_HISTORY_S = 60.0
+# Time in which an endpoint that started again has registered.
+REGISTRATION_LAG_S = 5.0
+
+
 class RunnerView:
     """Track the state of one incarnation of an endpoint."""
 
@@ -64,6 +70,9 @@
         # After such a pause one request is sent alone before any others.
         self._probe_needed = False
         self._probe = None
+        # When a connection broke: a later one may reach another incarnation,
+        # whose registration has not been seen yet.
+        self.doubted_at = -math.inf
         # When the endpoint last responded to any request.
         self.last_heard_at = -math.inf
         self.last_released_at = -math.inf
@@ -112,6 +121,11 @@
         # After a failure a single request probes the endpoint first.
         return not (self.suspension_s and self.in_flight)
 
+    def knows_version(self, sent_at, now):
+        """Return whether a request sent at a time met this incarnation."""
+        settled = now - self.doubted_at > REGISTRATION_LAG_S
+        return settled or sent_at <= self.doubted_at
+
     def suspend(self, now):
         """Suspend the endpoint with exponential backoff."""
         longer = max(self.suspension_s * 2, FIRST_SUSPENSION_S)
@@ -209,6 +223,11 @@
         self._services = {}
         # Increases with every change of the registrations.
         self.generation = 0
+        # When the endpoints were first listed, or the store was restored.
+        self._listed_at = math.inf
+        # When each version of a service was last seen with an endpoint that
+        # is gone.
+        self._former_versions = {}
         # Incarnations that said they are leaving, and when.
         self._leaving = collections.OrderedDict()
         # Incarnations whose registration was removed.
@@ -241,6 +260,7 @@
         only have lapsed, so its endpoint stays in use for LAPSE_S.
         """
         removed_views = []
+        self._listed_at = min(self._listed_at, now)
         for record in records:
             self._held.pop(record.id, None)
             replaced = self._apply_record(record, now)
@@ -256,6 +276,7 @@
                     view.lapsed_at = now
             else:
                 removed_views.append(self._views.pop(runner_id))
+                self._record_former(view.record, now)
                 _remember(self._removed, view.record, now)
         self._index_services()
         return removed_views
@@ -268,6 +289,8 @@
         held back until they register again or RESTORED_HOLD_S has passed.
         """
         self._held.clear()
+        # The copy does not tell what came and went since.
+        self._listed_at = now
         current = []
         for record in records:
             view = self._views.get(record.id)
@@ -317,6 +340,7 @@
         ]
         for view in removed_views:
             del self._views[view.id]
+            self._record_former(view.record, now)
             _remember(self._removed, view.record, now)
         if removed_views:
             self._index_services()
@@ -337,6 +361,8 @@
             view is not None
             and view.record.started_at_ms == record.started_at_ms
         ):
+            if record.version != view.record.version:
+                self._record_former(view.record, now)
             if record.leaving:
                 _remember(self._leaving, record, -math.inf)
             # A leaving incarnation never becomes ready again.
@@ -344,6 +370,8 @@
             view.record = record
             view.lapsed_at = None
             return None
+        if view is not None:
+            self._record_former(view.record, now)
         added = self._views[record.id] = RunnerView(record, now)
         added.announced_leaving = record.incarnation in self._leaving
         if record.leaving:
@@ -351,6 +379,24 @@
         self._removed.pop(record.incarnation, None)
         return view
 
+    def find_versions(self, service, now):
+        """Return the versions of a service seen lately.
+
+        The second value tells whether no version can be missing.
+        """
+        versions = {v.record.version for v in self.of_service(service)}
+        versions.update(
+            version
+            for (name, version), at in self._former_versions.items()
+            if name == service and now - at <= VERSION_HISTORY_S
+        )
+        return versions, now - self._listed_at >= VERSION_HISTORY_S
+
+    def _record_former(self, record, now):
+        self._former_versions[(record.service, record.version)] = now
+        if len(self._former_versions) > MAX_FORMER_INCARNATIONS:
+            del self._former_versions[next(iter(self._former_versions))]
+
     def record_end(self, pending, view, ending, now):
         """Free the slot of an attempt and record how it ended."""
         view.in_flight.pop(pending.attempt, None)
--- a/persimmonroute/gateway/scheduler.py
+++ b/persimmonroute/gateway/scheduler.py
@@ -153,8 +153,11 @@
 
         Within a tier, requests that can still be on time go first: serving
         the oldest first would make all of them late under overload. A late
-        request still goes before all lower tiers.
+        request still goes before all lower tiers. A stream that has begun
+        goes before new work of its tier: few endpoints can go on with it.
         """
+        if pending.version is not None:
+            return pending.tier
         first_byte_s = self._runner_registry.first_byte_s.get(
             pending.route.name, DEFAULT_FIRST_BYTE_S
         )
@@ -206,7 +209,7 @@
 
     def _rank_queue(self, service, now):
         ranked = sorted(
-            Ranked(self.rank(p, now), p.first_arrived_at, p.sequence, p)
+            Ranked(self.rank(p, now), _find_place(p), p.sequence, p)
             for p in self._queue(service)
         )
         late_rank = next((r.rank for r in ranked if _is_late(r)), math.inf)
@@ -275,7 +278,7 @@
             if not free:
                 return False
             pending = entry.pending
-            views = [view for view in free if view.id not in pending.excluded]
+            views = [view for view in free if messages.accepts(pending, view)]
             view = self._placement.choose(pending, views, self.limit_of, now)
             if view is None:
                 continue
@@ -319,20 +322,22 @@
     def _find_rejections(self, service, ranked, now):
         """Return (pending, expected wait, reason or None) for each request."""
         views = self._slot_policy.usable(service, now)
-        slots = sum(self._slot_policy.capacity_of(view) for view in views)
-        usable = {view.id for view in views}
+        all_slots = self._count_slots(views)
         queued_s = 0.0
         decisions = []
         for entry in ranked:
             pending = entry.pending
             service_time_s = self._service_time_s(pending)
-            wait_s = None
-            if not usable <= pending.excluded:
+            wait_s, slots = None, all_slots
+            accepted = [v for v in views if messages.accepts(pending, v)]
+            if accepted:
+                if pending.version is not None:
+                    slots = self._count_slots(accepted)
                 wait_s = self._expect_wait_s(
                     service, entry, queued_s + service_time_s, slots, now
                 )
             limit_s = pending.route.objective_s
-            if not usable:
+            if not views:
                 limit_s *= NO_ENDPOINT_SHARE
             reason = self._find_rejection_reason(pending, wait_s, limit_s, now)
             if reason is None:
@@ -340,6 +345,9 @@
             decisions.append((pending, wait_s, reason))
         return decisions
 
+    def _count_slots(self, views):
+        return sum(self._slot_policy.capacity_of(view) for view in views)
+
     def _expect_wait_s(self, service, entry, work_s, slots, now):
         """Return the wait after which work in the queue has been served."""
         if entry.passes:
@@ -369,6 +377,12 @@
         return self._queues.setdefault(service, {})
 
 
+def _find_place(pending):
+    """Return the place of a request among those of its rank."""
+    begun = pending.version is not None
+    return -math.inf if begun else pending.first_arrived_at
+
+
 def _find_caller_wait_s(pending, now):
     """Return for how many seconds the caller is expected to wait."""
     wait_s = CALLER_WAIT_OBJECTIVES * pending.route.objective_s
--- /dev/null
+++ b/persimmonroute/gateway/stream_origins.py
@@ -0,0 +1,289 @@
+"""Remember which software version began a stream, and find it again.
+
+A caller may take a stream up again at a gateway that never saw it begin. A
+gateway that begins a stream tells two keepers, which every gateway can compute
+from the caller's attempt, so what it knew outlives it. A gateway that is asked
+to go on with an unknown stream asks the keepers of all regions, and in a small
+fleet all gateways. It costs messages for each stream that begins, not for each
+gateway.
+"""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+import xxhash
+
+from persimmonroute import blackboard
+from persimmonroute.gateway import admission_messages
+from persimmonroute.gateway import runners
+
+# Streams are remembered for this long after their begin, well beyond the
+# longest time that callers wait.
+STREAM_LIFE_S = runners.VERSION_HISTORY_S
+MAX_STREAMS = 20_000
+# Gateways of a region that remember a stream for the one that began it.
+KEEPERS = 2
+# Gateways asked about one stream. In a fleet of that size all are asked.
+MAX_ASKED = 16
+# Pauses before a question without a reply is sent again, and before it counts
+# as unanswered. Gateways of other regions are tens of milliseconds away.
+RESEND_AFTER_S = 0.06
+GIVE_UP_AFTER_S = 0.2
+# Key of a stream whose first attempt the caller does not name.
+NO_KEY = 0
+# Callers write the names of attempts, so questions are bounded.
+MAX_QUESTIONS = 500
+
+
+class Origin(typing.NamedTuple):
+    """Name the service and the software version that began a stream."""
+
+    service: str
+    version: str
+
+
+class Send(typing.NamedTuple):
+    """Send a message to another gateway."""
+
+    peer: str
+    message: admission_messages.StreamMessage
+
+
+class Resolved(typing.NamedTuple):
+    """Answer a question about a stream; None if nobody knows it."""
+
+    question: Question
+    origin: Origin | None
+
+
+class Question:
+    """Track what other gateways reply about one stream."""
+
+    def __init__(self, key, service, asked, now):
+        self.key = key
+        # The only service that the stream can have begun at, or None.
+        self.service = service
+        self.unanswered = set(asked)
+        self.asked_at = now
+        self.resend_at = now + RESEND_AFTER_S
+        # Versions of the service that any gateway has seen.
+        self.versions = set()
+        # Whether any gateway has seen all versions since before the stream
+        # can have begun.
+        self.history_complete = False
+
+    def add_history(self, versions, complete):
+        """Add the versions of the service that a gateway has seen."""
+        self.versions.update(versions)
+        self.history_complete |= complete
+
+    def conclude(self):
+        """Return the only possible origin if no gateway knows the stream."""
+        certain = (
+            self.service is not None
+            and not self.unanswered
+            and self.history_complete
+            and len(self.versions) == 1
+        )
+        return Origin(self.service, *self.versions) if certain else None
+
+
+class StreamOrigins(blackboard.Blackboard):
+    """Remember the begun streams of this gateway and those it keeps."""
+
+    def __init__(self, own, locality, peer_registry, runner_registry):
+        super().__init__()
+        self._own = own
+        self._locality = locality
+        self._peers = peer_registry
+        self._runner_registry = runner_registry
+        # Origins with the time at which they were learned, oldest first.
+        self._origins = collections.OrderedDict()
+        # Own streams that the keepers have not been told of yet.
+        self._untold = {}
+        self._questions = {}
+        # Members by region, as of a generation of the peers.
+        self._members = {}
+        self._generation = -1
+
+    def record_begun(self, workspace, attempt, origin, now):
+        """Remember a stream of this gateway, and tell its keepers soon."""
+        key = find_key(workspace, attempt)
+        self._remember(key, origin, now)
+        self._untold[key] = origin
+
+    def record_complete(self, workspace, attempt):
+        """Do not tell the keepers of a stream that is complete already."""
+        self._untold.pop(find_key(workspace, attempt), None)
+
+    def ask(self, workspace, attempt, service, now):
+        """Return a Question; a Resolved effect follows.
+
+        service is the only one that the stream can have begun at, or None.
+        attempt is None if the caller names none.
+        """
+        key = NO_KEY if attempt is None else find_key(workspace, attempt)
+        question = Question(key, service, (), now)
+        origin = self._find(key, now)
+        if origin is not None:
+            self.put(Resolved(question, origin))
+            return question
+        if len(self._questions) >= MAX_QUESTIONS:
+            self.put(Resolved(question, None))
+            return question
+        question.add_history(*self._history(service, now))
+        question.unanswered.update(self._find_asked(key))
+        self._questions.setdefault(key, []).append(question)
+        self._send_question(question)
+        self._end_if_answered(question)
+        return question
+
+    def withdraw(self, question):
+        """Forget a question whose caller is gone."""
+        waiting = self._questions.get(question.key, [])
+        if question in waiting:
+            waiting.remove(question)
+        if not waiting:
+            self._questions.pop(question.key, None)
+
+    def receive(self, peer, message, now):
+        """Process a message of another gateway."""
+        if isinstance(message, admission_messages.StreamBegun):
+            origin = Origin(message.service, message.version)
+            self._remember(message.key, origin, now)
+        elif isinstance(message, admission_messages.StreamQuestion):
+            self._reply(peer, message, now)
+        else:
+            self._receive_reply(peer, message, now)
+
+    def tick(self, now):
+        """Tell the keepers of new streams, and end old questions."""
+        untold, self._untold = self._untold, {}
+        for key, origin in untold.items():
+            for keeper in self._find_keepers(key, self._locality.region):
+                message = admission_messages.StreamBegun(key, *origin)
+                self._send(keeper, message)
+        for waiting in list(self._questions.values()):
+            for question in list(waiting):
+                if now - question.asked_at >= GIVE_UP_AFTER_S:
+                    self._end(question, question.conclude())
+                elif now >= question.resend_at:
+                    question.resend_at += RESEND_AFTER_S
+                    self._send_question(question)
+
+    def _find(self, key, now):
+        origin, at = self._origins.get(key, (None, now))
+        return origin if now - at <= STREAM_LIFE_S else None
+
+    def _remember(self, key, origin, now):
+        self._origins.pop(key, None)
+        self._origins[key] = origin, now
+        while self._origins:
+            oldest = next(iter(self._origins))
+            _, at = self._origins[oldest]
+            full = len(self._origins) > MAX_STREAMS
+            if not full and now - at <= STREAM_LIFE_S:
+                return
+            del self._origins[oldest]
+
+    def _history(self, service, now):
+        if service is None:
+            return (), False
+        return self._runner_registry.find_versions(service, now)
+
+    def _reply(self, peer, message, now):
+        origin = self._find(message.key, now)
+        versions, complete = (), False
+        if origin is None:
+            versions, complete = self._history(message.service or None, now)
+        self._send(
+            peer,
+            admission_messages.StreamReply(
+                message.key, *(origin or ('', '')), tuple(versions), complete
+            ),
+        )
+
+    def _receive_reply(self, peer, message, now):
+        if message.version:
+            origin = Origin(message.service, message.version)
+            self._remember(message.key, origin, now)
+            for question in list(self._questions.get(message.key, ())):
+                self._end(question, origin)
+            return
+        for question in list(self._questions.get(message.key, ())):
+            if peer in question.unanswered:
+                question.unanswered.discard(peer)
+                question.add_history(message.versions, message.complete)
+                self._end_if_answered(question)
+
+    def _end_if_answered(self, question):
+        if not question.unanswered:
+            self._end(question, question.conclude())
+
+    def _end(self, question, origin):
+        self.withdraw(question)
+        self.put(Resolved(question, origin))
+
+    def _send_question(self, question):
+        message = admission_messages.StreamQuestion(
+            question.key, question.service or ''
+        )
+        for peer in question.unanswered:
+            self._send(peer, message)
+
+    def _send(self, peer, message):
+        if peer != self._own.name:
+            self.put(Send(peer, message))
+
+    def _find_asked(self, key):
+        """Return the gateways to ask: the keepers of all regions, others."""
+        asked = dict.fromkeys(
+            keeper
+            for region in sorted(self._members_by_region())
+            for keeper in self._find_keepers(key, region)
+        )
+        asked.update(
+            dict.fromkeys(m.name for m in _order(key, self._peers.members()))
+        )
+        asked.pop(self._own.name, None)
+        return list(asked)[:MAX_ASKED]
+
+    def _find_keepers(self, key, region):
+        """Return the gateways that remember a stream begun in a region.
+
+        They are in unlike failure domains, of other regions if need be.
+        """
+        members = self._members_by_region()
+        keepers = {}
+        for near in (region, *sorted(members.keys() - {region})):
+            for member in _order(key, members.get(near, ())):
+                keepers.setdefault(member.failure_domain, member.name)
+                if len(keepers) == KEEPERS:
+                    return list(keepers.values())
+        return list(keepers.values())
+
+    def _members_by_region(self):
+        if self._generation != self._peers.generation:
+            self._generation = self._peers.generation
+            self._members = {}
+            for member in (self._own, *self._peers.members()):
+                region = self._locality.region_of(member.failure_domain)
+                self._members.setdefault(region, []).append(member)
+        return self._members
+
+
+def find_key(workspace, attempt):
+    """Return the key of a workspace's stream, by its first attempt."""
+    owner = '' if workspace is None else workspace.name
+    return xxhash.xxh3_64_intdigest(
+        f'{len(owner)}:{owner}{attempt}'.encode('utf-8', 'replace')
+    )
+
+
+def _order(key, members):
+    return sorted(
+        members,
+        key=lambda m: xxhash.xxh3_64_intdigest(f'{key}|{m.name}'.encode()),
+    )
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -20,6 +20,7 @@
 from persimmonroute.gateway import scheduler as schedulers
 from persimmonroute.gateway import server
 from persimmonroute.gateway import shell as shells
+from persimmonroute.gateway import stream_origins
 from persimmonroute.gateway import turns
 from persimmonroute import http_connection
 from persimmonroute.platform import ingress
@@ -63,6 +64,9 @@
             board.runner_registry, scheduler.placement, own_locality
         ),
         directory,
+        stream_origins.StreamOrigins(
+            own, own_locality, board.peers, board.runner_registry
+        ),
     )
 
 
--- a/persimmonroute/platform/documents.py
+++ b/persimmonroute/platform/documents.py
@@ -60,6 +60,17 @@
         ) from error
 
 
+def read_start(data):
+    """Return when an endpoint started by its report, or None.
+
+    In Unix milliseconds, as in its registration.
+    """
+    try:
+        return _integer(json.loads(data)['born'])
+    except MALFORMED_DOCUMENT_ERRORS:
+        return None
+
+
 def _decode_route(document):
     kind = document['Kind']
     if kind not in ROUTE_KINDS:
--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -12,9 +12,13 @@
 from persimmonroute.gateway import model
 from persimmonroute import http_connection
 from persimmonroute import pacing
+from persimmonroute.platform import documents
 from persimmonroute.platform import names
 
 CONNECT_TIMEOUT_S = 0.35
+# Tells the state of an endpoint, without a slot.
+REPORT_PATH = '/report'
+REPORT_TIMEOUT_S = 0.35
 # Idle connections are closed this long before the endpoint's timeout.
 IDLE_MARGIN_S = 0.5
 DEFAULT_IDLE_LIMIT_S = 4.0
@@ -133,18 +137,27 @@
         self._idle_connections = {}
         self.connections_opened = 0
 
-    async def send(self, runner, request, workspace, remaining_s, repeatable):
+    async def send(
+        self,
+        runner,
+        request,
+        workspace,
+        remaining_s,
+        repeatable,
+        verify_incarnation=False,
+    ):
         """Send a request and return its RunnerCall.
 
-        Raises EndpointUnreachableError if no connection could be opened;
-        nothing was sent in that case.
+        Raises EndpointUnreachableError if no connection could be opened, and
+        EndpointReplacedError if the process that responds there is not the
+        incarnation to be verified; nothing was sent in these cases.
         """
-        conn = self._take_idle(runner, repeatable)
+        if verify_incarnation:
+            conn = await self._open_verified(runner)
+        else:
+            conn = self._take_idle(runner, repeatable)
         if conn is None:
-            self.connections_opened += 1
-            conn = await http_connection.open_connection(
-                runner.address, CONNECT_TIMEOUT_S
-            )
+            conn = await self._open(runner)
         call = RunnerCall(self, runner, conn, request.attempt.encode())
         conn.send_request(
             request.method,
@@ -154,15 +167,51 @@
         )
         return call
 
-    async def check(self, runner):
-        """Connect to an endpoint and keep the connection for a request.
-
-        Raises EndpointUnreachableError if no connection could be opened.
-        """
+    async def _open(self, runner):
         self.connections_opened += 1
-        conn = await http_connection.open_connection(
+        return await http_connection.open_connection(
             runner.address, CONNECT_TIMEOUT_S
         )
+
+    async def _open_verified(self, runner):
+        """Open a connection to the process of an incarnation.
+
+        Whatever answers on a connection is one process, so what it says of
+        its start holds for the next request, too.
+        """
+        conn = await self._open(runner)
+        conn.send_request('GET', REPORT_PATH, [('host', runner.address)], b'')
+        try:
+            report = await http_connection.read_response(
+                conn, REPORT_TIMEOUT_S
+            )
+        except (exceptions.EndpointBrokenError, TimeoutError) as error:
+            conn.abort()
+            raise exceptions.EndpointUnreachableError(
+                f'no report of the endpoint: {error!r}'
+            ) from error
+        started_at_ms = documents.read_start(report.body)
+        if started_at_ms not in (None, runner.started_at_ms):
+            conn.abort()
+            raise exceptions.EndpointReplacedError(
+                f'{runner.id} started again at {started_at_ms}'
+            )
+        if conn.finish():
+            return conn
+        conn.close()
+        raise exceptions.EndpointUnreachableError(
+            'the endpoint closes after its report'
+        )
+
+    async def check(self, runner, verify_incarnation=False):
+        """Connect to an endpoint and keep the connection for a request.
+
+        Raises the same errors as send().
+        """
+        if verify_incarnation:
+            conn = await self._open_verified(runner)
+        else:
+            conn = await self._open(runner)
         self.release(runner, conn)
 
     def release(self, runner, conn):
--- a/persimmonroute/tests/gateway/admission_host_tests.py
+++ b/persimmonroute/tests/gateway/admission_host_tests.py
@@ -344,6 +344,26 @@
         self._grant(offer, 1.01)
         self.assertEqual(pending.excluded, set())
 
+    def test_stream_without_its_version_is_refused_at_once(self):
+        """A leaving endpoint of the version is none, either."""
+        leaving = fixtures.runner('r2', version='v2', leaving=True)
+        self.registry.apply([leaving], (), False, 0.0)
+        pending = fixtures.pending_request(1.0)
+        pending.version = 'v2'
+        self.client.submit(pending, 1.0)
+        (rejected,) = self.client.take_effects()
+        self.assertEqual(rejected.rejection, model.VERSION_GONE)
+
+    def test_last_endpoint_of_a_version_is_tried_again(self):
+        """Another one cannot go on with the stream."""
+        pending = fixtures.pending_request(1.0)
+        pending.version = 'v1'
+        pending.excluded.add('r1')
+        self.client.submit(pending, 1.0)
+        (send,) = self.client.take_effects()
+        self.assertEqual(send.message.version, 'v1')
+        self.assertEqual(send.message.excluded, ())
+
     def test_grant_after_withdrawal_is_returned(self):
         """A caller that has left occupies no slot."""
         pending, offer = self._offer()
@@ -497,7 +517,7 @@
             _offer(3)._replace(
                 prompt=(part,), excluded=('r2',), due_s=-0.25, redirected=True
             ),
-            _offer(4)._replace(limits=limits),
+            _offer(4)._replace(limits=limits, version='v1'),
             messages.Grant(1, 'r1', 1_700_000_000_000),
             messages.Queued(2),
             messages.Refusal(3, 'overloaded', 0.125),
@@ -508,6 +528,10 @@
             messages.OfferEnd(8, model.Ending.SILENT),
             messages.LeaseList('llm', 'riga', (messages.Lease(9, 'r1'),)),
             messages.GroupSummary('llm', 'riga', {0: 0.5, 2: 1.0}),
+            messages.StreamBegun(2**63, 'llm', 'v1'),
+            messages.StreamQuestion(2**63, 'llm'),
+            messages.StreamReply(2**63, 'llm', 'v1'),
+            messages.StreamReply(2**63, '', '', ('v1', 'v2'), True),
         ]
         self.assertEqual(
             admission_codec.decode(admission_codec.encode(sent)), sent
--- a/persimmonroute/tests/gateway/scheduler_tests.py
+++ b/persimmonroute/tests/gateway/scheduler_tests.py
@@ -51,6 +51,41 @@
         self.scheduler.release(busy[1], Ending.ANSWERED, 0.2)
         self.assertEqual(self._granted(), [low])
 
+    def test_begun_stream_goes_first_and_only_to_its_version(self):
+        """A stream waits for its version, before new work but late."""
+        other = fixtures.runner('r2', version='v2')
+        self.board.runner_registry.apply([other], (), False, 0.0)
+        requests = [self._submit() for _ in range(4)]
+        self.assertEqual(self._granted(), requests)
+        self._submit()
+        begun = fixtures.pending_request(0.1)
+        begun.version = 'v2'
+        begun.due_at = 0.0
+        self.scheduler.submit(begun, 0.1)
+        of_r1, of_r2 = (
+            next(r for r in requests if r.runner.id == name)
+            for name in ('r1', 'r2')
+        )
+        self.scheduler.release(of_r2, Ending.ANSWERED, 0.2)
+        self.assertEqual(self._granted(), [begun])
+        self.assertEqual(begun.runner.id, 'r2')
+        begun = fixtures.pending_request(0.3)
+        begun.version = 'v2'
+        self.scheduler.submit(begun, 0.3)
+        self.scheduler.release(of_r1, Ending.ANSWERED, 0.4)
+        self.assertNotIn(begun, self._granted())
+
+    def test_begun_stream_does_not_pass_higher_tiers(self):
+        """Only work of its own tier yields to it."""
+        busy = [self._submit() for _ in range(2)]
+        begun = fixtures.pending_request(0.0)
+        begun.version = 'v1'
+        self.scheduler.submit(begun, 0.0)
+        high = self._submit(custom_route=fixtures.route('high', tier=0))
+        self._granted()
+        self.scheduler.release(busy[0], Ending.ANSWERED, 0.1)
+        self.assertEqual(self._granted(), [high])
+
     def test_caller_that_came_back_waits_like_a_new_one(self):
         """A retry is not refused because its first attempt is long ago."""
         for _ in range(2):
--- a/persimmonroute/tests/gateway/serving_tests.py
+++ b/persimmonroute/tests/gateway/serving_tests.py
@@ -242,9 +242,12 @@
 
     async def test_resumed_stream_without_more_events_is_complete(self):
         """A caller that has all events may get an empty rest."""
+        begun = await self.deployment.call('/resume/x', headers=STREAM)
+        self.assertEqual(begun.body, COMPLETE_STREAM)
         self._script('empty_stream')
+        taken_up = (('last-event-id', '4'), ('resumes', 'a1'))
         response = await self.deployment.call(
-            '/resume/x', headers=(*STREAM, ('last-event-id', '4'))
+            '/resume/x', headers=(*STREAM, *taken_up), attempt='a2'
         )
         self.assertTrue(response.complete)
         self.assertEqual((response.status, response.body), (200, b''))
--- /dev/null
+++ b/persimmonroute/tests/gateway/stream_origins_tests.py
@@ -0,0 +1,222 @@
+"""Find the version that began a stream, at fleets of every size."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from persimmonroute.gateway import admission_messages as messages
+from persimmonroute.gateway import groups
+from persimmonroute.gateway import locality
+from persimmonroute.gateway import peers
+from persimmonroute.gateway import runners
+from persimmonroute.gateway import stream_origins
+from standins import gateway_fixtures as fixtures
+
+REGIONS = {
+    'riga-a': 'riga',
+    'riga-b': 'riga',
+    'frankfurt-a': 'frankfurt',
+    'frankfurt-b': 'frankfurt',
+}
+DOMAINS = tuple(REGIONS)
+SIZES = (4, 68, 300)
+DESK = fixtures.workspace()
+BEGUN = stream_origins.Origin(fixtures.SERVICE, 'v1')
+LONG_S = runners.VERSION_HISTORY_S + 1.0
+
+
+class Fleet:
+    """Exchange the messages of many gateways, in steps of 10 ms."""
+
+    step_s = 0.01
+
+    def __init__(self, count, loss_share=0.0):
+        self.now = 100.0
+        self.sent = 0
+        self.silent = set()
+        self.resolved = {}
+        self._random = random.Random(count)
+        self._loss_share = loss_share
+        self._underway = []
+        members = [
+            groups.Member(f'g{n}', DOMAINS[n % len(DOMAINS)], 1.0)
+            for n in range(count)
+        ]
+        self.gateways = {m.name: self._build(m, members) for m in members}
+        self.registries = {}
+
+    def _build(self, own, members):
+        place = locality.Locality(
+            own.failure_domain, REGIONS[own.failure_domain], REGIONS
+        )
+        known = peers.PeerRegistry(own.name, place)
+        for member in members:
+            known.update_peer(
+                member.name, 'x:1', self.now, member.failure_domain, 1.0
+            )
+        registry = runners.RunnerRegistry()
+        registry.apply([fixtures.runner('r1')], (), False, self.now)
+        gateway = stream_origins.StreamOrigins(own, place, known, registry)
+        gateway.registry = registry
+        return gateway
+
+    def pass_time(self, seconds):
+        """Deliver messages and run the periodic work of all gateways."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += self.step_s
+            underway, self._underway = self._underway, []
+            for sender, receiver, message in underway:
+                if receiver not in self.silent:
+                    self.gateways[receiver].receive(sender, message, self.now)
+            for name, gateway in self.gateways.items():
+                if name not in self.silent:
+                    gateway.tick(self.now)
+                    self._collect(name, gateway)
+
+    def begin(self, name, attempt, workspace=DESK, origin=BEGUN):
+        """Begin a stream at a gateway, which then tells its keepers."""
+        self.gateways[name].record_begun(workspace, attempt, origin, self.now)
+
+    def ask(self, name, attempt, workspace=DESK):
+        """Return the Origin that a gateway finds, or None."""
+        gateway = self.gateways[name]
+        question = gateway.ask(workspace, attempt, fixtures.SERVICE, self.now)
+        self._collect(name, gateway)
+        asked_at = self.now
+        while question not in self.resolved:
+            self.pass_time(self.step_s)
+        self.took_s = self.now - asked_at
+        return self.resolved.pop(question)
+
+    def _collect(self, name, gateway):
+        for effect in gateway.take_effects():
+            if isinstance(effect, stream_origins.Resolved):
+                self.resolved[effect.question] = effect.origin
+                continue
+            self.sent += 1
+            if self._random.random() >= self._loss_share:
+                self._underway.append((name, effect.peer, effect.message))
+
+
+class KnownStreamTests(unittest.TestCase):
+    """Take streams up at gateways that never saw them begin."""
+
+    def test_any_gateway_finds_a_stream(self):
+        """It costs few messages, however many gateways there are."""
+        for size in SIZES:
+            with self.subTest(size=size):
+                fleet = Fleet(size)
+                fleet.begin('g0', 'a1')
+                fleet.pass_time(0.1)
+                self.assertLessEqual(fleet.sent, stream_origins.KEEPERS)
+                fleet.sent = 0
+                for name in list(fleet.gateways)[:20]:
+                    self.assertEqual(fleet.ask(name, 'a1'), BEGUN)
+                most = 20 * 2 * stream_origins.MAX_ASKED
+                self.assertLessEqual(fleet.sent, most)
+
+    def test_stream_outlives_the_gateway_that_began_it(self):
+        """Also if its failure domain is gone with it."""
+        for size in SIZES:
+            with self.subTest(size=size):
+                fleet = Fleet(size)
+                for number in range(20):
+                    fleet.begin('g0', f'a{number}')
+                fleet.pass_time(0.1)
+                fleet.silent = {
+                    name
+                    for number, name in enumerate(fleet.gateways)
+                    if number % len(DOMAINS) == 0
+                }
+                for number in range(20):
+                    self.assertEqual(fleet.ask('g1', f'a{number}'), BEGUN)
+
+    def test_lost_messages(self):
+        """Questions are repeated; two keepers are seldom both missed."""
+        fleet = Fleet(68, loss_share=0.1)
+        for number in range(100):
+            fleet.begin('g0', f'a{number}')
+        fleet.pass_time(0.1)
+        fleet.silent = {'g0'}
+        found = [fleet.ask('g1', f'a{n}') for n in range(100)]
+        self.assertGreaterEqual(found.count(BEGUN), 95)
+
+    def test_stream_that_is_complete_at_once_costs_nothing(self):
+        """Keepers are told only of streams that last."""
+        fleet = Fleet(4)
+        fleet.begin('g0', 'a1')
+        fleet.gateways['g0'].record_complete(DESK, 'a1')
+        fleet.pass_time(0.1)
+        self.assertEqual(fleet.sent, 0)
+        self.assertEqual(fleet.ask('g0', 'a1'), BEGUN)
+
+
+class UnknownStreamTests(unittest.TestCase):
+    """Ask for streams that nobody knows."""
+
+    def test_silent_gateways_are_not_waited_for_long(self):
+        """A gateway that is cut off refuses within a fifth of a second."""
+        fleet = Fleet(4)
+        fleet.pass_time(LONG_S)
+        fleet.silent = {'g0', 'g1', 'g2'}
+        self.assertIsNone(fleet.ask('g3', 'a1'))
+        self.assertLessEqual(
+            fleet.took_s, stream_origins.GIVE_UP_AFTER_S + 0.05
+        )
+
+    def test_only_version_since_before_the_stream_began(self):
+        """Without any other version the origin is certain."""
+        fleet = Fleet(4)
+        self.assertIsNone(fleet.ask('g3', 'a1'))
+        fleet.pass_time(LONG_S)
+        self.assertEqual(fleet.ask('g3', 'a1'), BEGUN)
+        self.assertEqual(fleet.ask('g3', None), BEGUN)
+
+    def test_version_that_one_gateway_saw_come_and_go(self):
+        """Nothing is certain until it is long gone."""
+        fleet = Fleet(4)
+        fleet.pass_time(LONG_S)
+        registry = fleet.gateways['g1'].registry
+        late = fixtures.runner('r2', version='v2')
+        registry.apply([late], (), False, fleet.now)
+        registry.apply((), ['r2'], False, fleet.now)
+        self.assertIsNone(fleet.ask('g3', 'a1'))
+        fleet.pass_time(LONG_S)
+        self.assertEqual(fleet.ask('g3', 'a1'), BEGUN)
+
+    def test_gateway_of_which_nothing_is_heard(self):
+        """It may have begun the stream at a version that others missed."""
+        fleet = Fleet(4)
+        fleet.pass_time(LONG_S)
+        fleet.silent = {'g1'}
+        self.assertIsNone(fleet.ask('g3', 'a1'))
+
+    def test_stream_of_another_workspace(self):
+        """A name that a caller guesses leads to nothing."""
+        fleet = Fleet(4)
+        fleet.begin('g0', 'a1')
+        other = fixtures.workspace('other', 'key-2')
+        self.assertIsNone(fleet.ask('g0', 'a1', other))
+        self.assertIsNone(fleet.ask('g1', 'a1', other))
+
+    def test_invented_names_grow_nothing(self):
+        """Streams and questions are bounded."""
+        fleet = Fleet(4)
+        gateway = fleet.gateways['g0']
+        for number in range(stream_origins.MAX_QUESTIONS + 10):
+            gateway.ask(DESK, f'x{number}', fixtures.SERVICE, fleet.now)
+        refused = [
+            effect
+            for effect in gateway.take_effects()
+            if isinstance(effect, stream_origins.Resolved)
+        ]
+        self.assertEqual(len(refused), 10)
+        for number in range(stream_origins.MAX_STREAMS + 10):
+            begun = messages.StreamBegun(number + 1, *BEGUN)
+            gateway.receive('g1', begun, fleet.now)
+        self.assertEqual(len(gateway._origins), stream_origins.MAX_STREAMS)
+        later = fleet.now + stream_origins.STREAM_LIFE_S + 1.0
+        gateway.record_begun(DESK, 'last', BEGUN, later)
+        self.assertEqual(len(gateway._origins), 1)
--- a/persimmonroute/tests/gateway/stream_version_tests.py
+++ b/persimmonroute/tests/gateway/stream_version_tests.py
@@ -162,7 +162,7 @@
         """Whatever callers write, nothing is guessed."""
         begun = await self._begin()
         arrived = self._count_requests()
-        for junk in ('unknown', 'x' * 3000, '\xff\x00'[:1], '{}', ''):
+        for junk in ('unknown', 'x' * 3000, b'\xff\xfe', '{}', ''):
             response = await self._resume(begun, 1, junk)
             self._assert_refused(response, arrived)
         foreign = await self._resume(begun, 0, key=OTHER_KEY)
