Keep in the store which versions have served of late

Cause: after all gateways had stopped at the same moment, streams that callers took up again were refused although only one version had served: a gateway that starts cannot know what came and went before.

Change: a version has a row from the moment it is seen until it has been gone for 60 s, written by one of the gateways that respond; gateways read the rows when they start and after a restore. Requests without exclusions are not compared with each endpoint.

Result: test_restart_of_all_gateways_with_one_version fails without the keeper (503) and passes with it; version_keeping_tests pass.

--- a/persimmonroute/gateway/runners.py
+++ b/persimmonroute/gateway/runners.py
@@ -228,6 +228,8 @@
         # When each version of a service was last seen with an endpoint that
         # is gone.
         self._former_versions = {}
+        # Services whose earlier versions the store has told.
+        self._stored_services = frozenset()
         # Incarnations that said they are leaving, and when.
         self._leaving = collections.OrderedDict()
         # Incarnations whose registration was removed.
@@ -291,6 +293,7 @@
         self._held.clear()
         # The copy does not tell what came and went since.
         self._listed_at = now
+        self._stored_services = frozenset()
         current = []
         for record in records:
             view = self._views.get(record.id)
@@ -384,13 +387,24 @@
 
         The second value tells whether no version can be missing.
         """
-        versions = {v.record.version for v in self.of_service(service)}
-        versions.update(
-            version
-            for (name, version), at in self._former_versions.items()
-            if name == service and now - at <= VERSION_HISTORY_S
-        )
-        return versions, now - self._listed_at >= VERSION_HISTORY_S
+        versions = {v for s, v in self.list_versions(now) if s == service}
+        complete = now - self._listed_at >= VERSION_HISTORY_S
+        return versions, complete or service in self._stored_services
+
+    def list_versions(self, now):
+        """Return the services and versions seen lately."""
+        current = {(v.record.service, v.record.version) for v in self}
+        return current | {
+            key
+            for key, at in self._former_versions.items()
+            if now - at <= VERSION_HISTORY_S
+        }
+
+    def apply_stored_versions(self, stored, now):
+        """Apply the services and versions that gateways saw before."""
+        for key in stored:
+            self._former_versions.setdefault(key, now)
+        self._stored_services = {service for service, _ in stored}
 
     def _record_former(self, record, now):
         self._former_versions[(record.service, record.version)] = now
--- a/persimmonroute/gateway/scheduler.py
+++ b/persimmonroute/gateway/scheduler.py
@@ -278,7 +278,7 @@
             if not free:
                 return False
             pending = entry.pending
-            views = [view for view in free if messages.accepts(pending, view)]
+            views = _list_accepted(pending, free)
             view = self._placement.choose(pending, views, self.limit_of, now)
             if view is None:
                 continue
@@ -329,7 +329,7 @@
             pending = entry.pending
             service_time_s = self._service_time_s(pending)
             wait_s, slots = None, all_slots
-            accepted = [v for v in views if messages.accepts(pending, v)]
+            accepted = _list_accepted(pending, views)
             if accepted:
                 if pending.version is not None:
                     slots = self._count_slots(accepted)
@@ -377,6 +377,13 @@
         return self._queues.setdefault(service, {})
 
 
+def _list_accepted(pending, views):
+    """Return the views of the endpoints that a request may be sent to."""
+    if not pending.excluded and pending.version is None:
+        return views
+    return [view for view in views if messages.accepts(pending, view)]
+
+
 def _find_place(pending):
     """Return the place of a request among those of its rank."""
     begun = pending.version is not None
--- a/persimmonroute/gateway/shell.py
+++ b/persimmonroute/gateway/shell.py
@@ -40,7 +40,7 @@
         gateways,
         link,
         own,
-        quarantine_keeper,
+        keepers,
     ):
         # This gateway as a groups.Member.
         self._own = own
@@ -50,7 +50,8 @@
         self._followers = followers
         self._gateways = gateways
         self._link = link
-        self._quarantine_keeper = quarantine_keeper
+        # Keep rows of this gateway's knowledge in the store.
+        self._keepers = keepers
         self._tasks = []
         self._store_restored = asyncio.Event()
         board.on_store_restored = self._read_again
@@ -65,7 +66,7 @@
         functions = [follower.run for follower in self._followers]
         functions += [
             self._tick,
-            self._quarantine_keeper.run,
+            *(keeper.run for keeper in self._keepers),
             functools.partial(self._list_gateways, peer_address),
         ]
         self._tasks = [
@@ -116,7 +117,8 @@
         for follower in self._followers:
             follower.read_again()
         self._store_restored.set()
-        self._quarantine_keeper.on_store_restored()
+        for keeper in self._keepers:
+            keeper.on_store_restored()
 
     async def _list_gateways(self, address):
         announced = False
--- /dev/null
+++ b/persimmonroute/gateway/version_keeping.py
@@ -0,0 +1,98 @@
+"""Keep in the platform's store which versions have served of late.
+
+A gateway that starts cannot know which versions of a service came and went
+before, and all gateways may start at the same time. A version has a row from
+the moment it is seen until it has been gone for long, so the rows tell whether
+a stream that nobody knows can have begun at one version only.
+"""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import random
+
+from persimmonroute import clock
+from persimmonroute.events import Event
+from persimmonroute import exceptions
+from persimmonroute.gateway import polling
+from persimmonroute import logs
+
+log = logs.EventLog(__name__)
+
+CHECK_INTERVAL_S = 0.3
+# After the store was restored from an older copy, gateways compare their
+# versions with its rows within this time.
+REREAD_SPREAD_S = 2.0
+
+
+class VersionRows(abc.ABC):
+    """Read and write the rows of services' versions."""
+
+    @abc.abstractmethod
+    async def read(self):
+        """Return the numbers of the rows by service and version."""
+
+    @abc.abstractmethod
+    async def add(self, service, version):
+        """Write the row of a version unless it exists."""
+
+    @abc.abstractmethod
+    async def remove(self, service, version, number):
+        """Remove the row of a version unless it was written again."""
+
+
+class VersionKeeper:
+    """Read the versions at the start, and write those that are new.
+
+    Each row is left to one of the gateways that respond.
+    """
+
+    def __init__(self, board, rows):
+        self._board = board
+        self._rows = rows
+        self._stored = {}
+        self._must_read = True
+        self._restored = False
+
+    def on_store_restored(self):
+        """Compare with the rows of a store that may have lost some."""
+        self._must_read = self._restored = True
+
+    async def run(self):
+        """Keep the rows up to date until cancelled."""
+        backoff = polling.Backoff()
+        while True:
+            try:
+                await self._synchronize()
+                backoff.reset()
+                await asyncio.sleep(CHECK_INTERVAL_S)
+            except exceptions.PlatformUnavailableError as error:
+                log.emit(Event.STORE_CALL_FAILED, problem=error.problem)
+                gateways = self._board.peers.gateway_count(clock.now_s())
+                await asyncio.sleep(backoff.draw_s(gateways))
+
+    async def _synchronize(self):
+        if self._restored:
+            await asyncio.sleep(random.uniform(0.0, REREAD_SPREAD_S))
+        registry = self._board.runner_registry
+        if self._must_read:
+            self._stored = await self._rows.read()
+            registry.apply_stored_versions(self._stored, clock.now_s())
+            self._must_read = self._restored = False
+        now = clock.now_s()
+        seen = registry.list_versions(now)
+        for key in self._find_own(seen - self._stored.keys(), now):
+            await self._rows.add(*key)
+            self._must_read = True
+        for key in self._find_own(self._stored.keys() - seen, now):
+            await self._rows.remove(*key, self._stored[key])
+            self._must_read = True
+
+    def _find_own(self, keys, now):
+        """Return the versions whose rows this gateway has to change."""
+        return [
+            key
+            for key in sorted(keys)
+            if self._board.peers.is_responsible('/'.join(key), now)
+        ]
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -22,6 +22,7 @@
 from persimmonroute.gateway import shell as shells
 from persimmonroute.gateway import stream_origins
 from persimmonroute.gateway import turns
+from persimmonroute.gateway import version_keeping
 from persimmonroute import http_connection
 from persimmonroute.platform import ingress
 from persimmonroute.platform import runner_client
@@ -142,9 +143,12 @@
         sources.GatewayList(store),
         link,
         own,
-        quarantine_keeping.QuarantineKeeper(
-            board, sources.QuarantineRows(store)
-        ),
+        [
+            quarantine_keeping.QuarantineKeeper(
+                board, sources.QuarantineRows(store)
+            ),
+            version_keeping.VersionKeeper(board, sources.VersionRows(store)),
+        ],
     )
     app = ingress.IngressApp(board, forwarder)
     watched_sources = [follower.source for follower in followers]
--- a/persimmonroute/platform/sources.py
+++ b/persimmonroute/platform/sources.py
@@ -5,10 +5,13 @@
 import json
 import typing
 
+import xxhash
+
 from persimmonroute.events import Event
 from persimmonroute import exceptions
 from persimmonroute.gateway import following
 from persimmonroute.gateway import quarantine_keeping
+from persimmonroute.gateway import version_keeping
 from persimmonroute import logs
 from persimmonroute.platform import documents
 from persimmonroute.platform import tables as _tables
@@ -16,6 +19,7 @@
 log = logs.EventLog(__name__)
 
 GATEWAY_TABLE = 'gateways'
+VERSION_TABLE = 'versions'
 QUARANTINE_TABLE = 'quarantine'
 
 
@@ -196,6 +200,42 @@
         return gateways
 
 
+class VersionRows(version_keeping.VersionRows):
+    """Keep the versions of services that have served of late."""
+
+    def __init__(self, tables):
+        self._tables = tables
+
+    async def read(self):
+        """Return the numbers of the rows by service and version."""
+        page = await self._tables.read(VERSION_TABLE)
+        numbers = {}
+        for row in page.rows:
+            try:
+                document = json.loads(row.value)
+                key = (document['service'], document['version'])
+                numbers[key] = row.version
+            except (ValueError, KeyError, TypeError) as error:
+                log.emit(Event.DOCUMENT_UNREADABLE, problem=repr(error))
+        return numbers
+
+    async def add(self, service, version):
+        """Write the row of a version unless it exists."""
+        await self._write(service, version, 0)
+
+    async def remove(self, service, version, number):
+        """Remove the row of a version unless it was written again."""
+        await self._write(service, version, number, removed=True)
+
+    async def _write(self, service, version, expected, removed=False):
+        document = {'service': service, 'version': version}
+        # Names may be longer than keys.
+        key = xxhash.xxh3_64_hexdigest(f'{service}/{version}'.encode())
+        value = None if removed else json.dumps(document).encode()
+        write = _tables.RowWrite(VERSION_TABLE, '', key, value, expected)
+        await self._tables.transact([write])
+
+
 class QuarantineRows(quarantine_keeping.TraitRows):
     """Keep the traits of requests that crash endpoints in the store."""
 
--- a/persimmonroute/tests/gateway/stream_version_tests.py
+++ b/persimmonroute/tests/gateway/stream_version_tests.py
@@ -5,7 +5,9 @@
 import asyncio
 import time
 import unittest
+from unittest import mock
 
+from persimmonroute.gateway import runners
 from standins import gateway_deployment as deployments
 
 STREAM = ('accept', 'text/event-stream')
@@ -168,6 +170,28 @@
         foreign = await self._resume(begun, 0, key=OTHER_KEY)
         self._assert_refused(foreign, arrived)
 
+    async def test_restart_of_all_gateways(self):
+        """What nobody knows any more is refused while versions are mixed."""
+        begun = await self._begin()
+        await self.deployment.replace_gateways()
+        arrived = self._count_requests()
+        self._assert_refused(await self._resume(begun, 1), arrived)
+
+    async def test_restart_of_all_gateways_with_one_version(self):
+        """The store tells that only one version can have begun a stream."""
+        for runner in self.deployment.runners:
+            if runner.version != 'v1':
+                runner.version, runner.born = 'v1', 2
+                self.deployment.register(runner)
+        with mock.patch.object(runners, 'VERSION_HISTORY_S', 0.5):
+            await asyncio.sleep(4 * SETTLE_S)
+            begun = await self._begin()
+            await self.deployment.replace_gateways()
+            await asyncio.sleep(SETTLE_S)
+        rest = await self._resume(begun, 1)
+        self.assertEqual(rest.status, 200)
+        self.assertEqual(versions_of(begun.body, rest.body), {b'v1'})
+
     async def test_endpoint_started_again_at_another_version_is_not_used(self):
         """A registration may be older than the process that answers."""
         begun = await self._begin()
--- /dev/null
+++ b/persimmonroute/tests/gateway/version_keeping_tests.py
@@ -0,0 +1,123 @@
+"""Test what gateways keep of versions in the store."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from unittest import mock
+
+from persimmonroute import clock
+from persimmonroute.gateway import runners
+from persimmonroute.gateway import version_keeping
+from standins import gateway_fixtures as fixtures
+
+KEY = (fixtures.SERVICE, 'v1')
+
+
+class FakeRows(version_keeping.VersionRows):
+    """Keep the rows in memory, and count the calls."""
+
+    def __init__(self):
+        self.rows = {}
+        self.reads = 0
+        self.writes = 0
+
+    async def read(self):
+        """Return the rows."""
+        self.reads += 1
+        return dict(self.rows)
+
+    async def add(self, service, version):
+        """Write a row."""
+        self.writes += 1
+        self.rows.setdefault((service, version), self.writes)
+
+    async def remove(self, service, version, number):
+        """Remove a row unless it was written again."""
+        self.writes += 1
+        if self.rows.get((service, version)) == number:
+            del self.rows[(service, version)]
+
+
+class VersionKeeperTests(unittest.IsolatedAsyncioTestCase):
+    """Synchronize the rows of one gateway, or of several."""
+
+    def setUp(self):
+        """Prepare an empty store, read without pauses."""
+        self.rows = FakeRows()
+        self.board = self._build('gateway-1')
+        patch = mock.patch.object(version_keeping, 'CHECK_INTERVAL_S', 0.001)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def _build(self, name):
+        return fixtures.board(now=clock.now_s(), name=name)
+
+    async def _run(self, *boards):
+        """Keep the rows for a moment."""
+        tasks = [
+            asyncio.create_task(
+                version_keeping.VersionKeeper(board, self.rows).run()
+            )
+            for board in boards
+        ]
+        await asyncio.sleep(0.05)
+        for task in tasks:
+            task.cancel()
+
+    async def test_gateway_that_starts_again_knows_the_versions(self):
+        """Without another version no other can have begun a stream."""
+        await self._run(self.board)
+        self.assertEqual(self.rows.rows.keys(), {KEY})
+        again = self._build('gateway-2')
+        self.assertEqual(self._find(again), ({'v1'}, False))
+        await self._run(again)
+        self.assertEqual(self._find(again), ({'v1'}, True))
+
+    async def test_version_that_came_and_went_is_still_known(self):
+        """Its row stays until it has been gone for long."""
+        late = fixtures.runner('r2', version='v2')
+        registry = self.board.runner_registry
+        registry.apply([late], (), False, clock.now_s())
+        await self._run(self.board)
+        registry.apply((), ['r2'], False, clock.now_s())
+        await self._run(self.board)
+        again = self._build('gateway-2')
+        await self._run(again)
+        self.assertEqual(self._find(again), ({'v1', 'v2'}, True))
+        with mock.patch.object(runners, 'VERSION_HISTORY_S', 0.01):
+            await self._run(self.board)
+        self.assertEqual(self.rows.rows.keys(), {KEY})
+
+    async def test_one_gateway_writes(self):
+        """Calls do not grow with the fleet."""
+        boards = [self._build(f'gateway-{n}') for n in range(10)]
+        now = clock.now_s()
+        for board in boards:
+            for other in boards:
+                board.peers.update_peer(other.name, 'x:1', now, 'riga-a')
+                report = mock.Mock(
+                    incarnation=1, sequence=1, stopping=False, interval_s=9.0
+                )
+                report.name = other.name
+                board.peers.apply_report(report, now)
+        await self._run(*boards)
+        self.assertEqual(self.rows.writes, 1)
+        self.assertLessEqual(self.rows.reads, 11)
+
+    async def test_restored_store_gets_the_rows_again(self):
+        """A row that the copy lacks is written once more."""
+        keeper = version_keeping.VersionKeeper(self.board, self.rows)
+        with mock.patch.object(version_keeping, 'REREAD_SPREAD_S', 0.001):
+            task = asyncio.create_task(keeper.run())
+            await asyncio.sleep(0.05)
+            self.rows.rows.clear()
+            keeper.on_store_restored()
+            await asyncio.sleep(0.05)
+            task.cancel()
+        self.assertEqual(self.rows.rows.keys(), {KEY})
+
+    def _find(self, board):
+        return board.runner_registry.find_versions(
+            fixtures.SERVICE, clock.now_s()
+        )
