--- a/persimmonroute/tests/soak_tests.py
+++ b/persimmonroute/tests/soak_tests.py
@@ -170,6 +170,59 @@
                     )
                 self.assertEqual(self._check(*outcomes), expected)
 
+    def test_stream_of_two_versions(self):
+        """One version writes a stream, over all tries of its caller."""
+        self._execute('a')
+        self._execute('b')
+        first = outcome(
+            'a',
+            route='single',
+            body=endpoints.event(b'a', 1),
+            complete=False,
+        )
+        for version, expected in (('v1', set()), ('v2', {'one version'})):
+            with self.subTest(version=version):
+                self.journal.findings.clear()
+                self.journal.outcomes.clear()
+                body = b''.join(
+                    endpoints.event(b'b', n, version)
+                    for n in range(2, endpoints.EVENTS + 1)
+                )
+                rest = outcome(
+                    'b',
+                    route='single',
+                    body=body,
+                    headers={b'attempt-id': b'b'},
+                    resumes='a',
+                    last_event_id=1,
+                )
+                self.assertEqual(self._check(first, rest), expected)
+
+    def test_streams_that_are_not_taken_up(self):
+        """Refusing all streams that callers take up is no way out."""
+        for name in ('r0', 'r1'):
+            self.journal.services[name] = records.Service('v1', 0.0)
+        outcomes = []
+        for number in range(checks.LEAST_TAKEN_UP):
+            name = f'a{number}'
+            self._execute(name)
+            first = outcome(
+                name,
+                route='single',
+                body=endpoints.event(name.encode(), 1),
+                complete=False,
+            )
+            refused = outcome(
+                f'b{number}',
+                route='single',
+                status=503,
+                body=b'',
+                resumes=name,
+                last_event_id=1,
+            )
+            outcomes += [first, refused]
+        self.assertEqual(self._check(*outcomes), {'taken up'})
+
     def test_stop_that_breaks_off_a_request(self):
         """A planned stop does not break off a response."""
         self._execute()
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -14,8 +14,11 @@
 DEADLINE_S = 2.0
 # How long a caller waits for a response after its deadline.
 RESPONSE_GRACE_S = 1.5
-ROUTES = ('book', 'find', 'draft', 'resume')
-STREAM_ROUTES = ('draft', 'resume')
+# A stream of the last route is sent to one endpoint only, so that callers take
+# it up when it breaks off.
+ROUTES = ('book', 'find', 'draft', 'resume', 'single')
+STREAM_ROUTES = ('draft', 'resume', 'single')
+RESUMABLE_ROUTES = ('resume', 'single')
 # Requests of these routes must not be repeated.
 AT_MOST_ONCE_ROUTES = ('book', 'draft')
 # Share of requests that may reuse an open connection.
@@ -32,6 +35,14 @@
     gateway: object
 
 
+class Place(typing.NamedTuple):
+    """Hold where a caller takes a stream up again."""
+
+    # Attempt that brought the first event.
+    first_attempt: str
+    last_event_id: int
+
+
 class Caller:
     """Send the requests of one caller over reused connections."""
 
@@ -42,7 +53,7 @@
         self._connections = {}
         self._attempt_count = 0
 
-    async def send_request(self, target, reuse):
+    async def send_request(self, target, reuse, place=None):
         """Send one request and record its Outcome; None if unreachable."""
         self._attempt_count += 1
         attempt = f'{self._name}-{self._attempt_count}'
@@ -60,7 +71,7 @@
         except (exceptions.EndpointUnreachableError, OSError):
             return None
         sent_at = self._now()
-        response = await self._exchange(conn, target, attempt)
+        response = await self._exchange(conn, target, attempt, place)
         outcome = records.Outcome(
             attempt=attempt,
             route=target.route,
@@ -73,6 +84,8 @@
             headers=response.headers,
             body=response.body,
             complete=response.complete,
+            resumes=place.first_attempt if place else None,
+            last_event_id=place.last_event_id if place else 0,
         )
         self._journal.outcomes.append(outcome)
         closing = response.headers.get(b'connection') == b'close'
@@ -87,7 +100,7 @@
         for conn in self._connections.values():
             conn.abort()
 
-    async def _exchange(self, conn, target, attempt):
+    async def _exchange(self, conn, target, attempt, place):
         headers = [
             ('host', deployments.HOST),
             ('attempt-id', attempt),
@@ -98,6 +111,9 @@
         ]
         if target.route in STREAM_ROUTES:
             headers.append(('accept', 'text/event-stream'))
+        if place is not None:
+            headers.append(('resumes', place.first_attempt))
+            headers.append(('last-event-id', str(place.last_event_id)))
         path = f'/{target.route}/x'
         try:
             conn.send_request('POST', path, headers, b'body')
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -25,6 +25,8 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_TOLERATED_SHARE = 1.5
 LIMIT_TOLERATED_REQUESTS = 5
+# Streams that callers took up, from which on their share is judged.
+LEAST_TAKEN_UP = 6
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 # Minimum share of the requests in the recovery window that are served.
 MIN_RECOVERED_SHARE = 0.8
@@ -57,6 +59,8 @@
             self._check_deadline(outcome)
         for stop in self._journal.stops:
             self._check_stop(stop)
+        self._check_streams()
+        self._check_taken_up()
         self._check_leaving()
         for limit in self._journal.limits:
             self._check_limit(limit)
@@ -92,7 +96,10 @@
         if outcome.status != 200 or not outcome.complete:
             return
         received_id = outcome.headers.get(b'attempt-id', b'').decode()
-        bodies = endpoints.expected_bodies(outcome.attempt)
+        version = next(iter(endpoints.versions_of(outcome.body)), '')
+        bodies = endpoints.expected_bodies(
+            outcome.attempt, version, outcome.last_event_id
+        )
         expected = bodies.plain
         if outcome.route in callers.STREAM_ROUTES:
             expected = bodies.stream
@@ -103,6 +110,59 @@
                 f'{outcome.body!r}',
             )
 
+    def _check_streams(self):
+        """Check that one version wrote each stream, over all tries."""
+        versions = collections.defaultdict(set)
+        for outcome in self._journal.outcomes:
+            if outcome.route in callers.STREAM_ROUTES:
+                first = outcome.resumes or outcome.attempt
+                versions[first] |= endpoints.versions_of(outcome.body)
+        for attempt, wrote in versions.items():
+            if len(wrote) > 1:
+                self._add_finding(
+                    'one version', f'{attempt} has events of {sorted(wrote)}'
+                )
+
+    def _check_taken_up(self):
+        """Check that streams go on half as often as new ones begin."""
+        first_by_attempt = {o.attempt: o for o in self._journal.outcomes}
+        counts = {True: [0, 0], False: [0, 0]}
+        for outcome in self._journal.outcomes:
+            if outcome.route not in callers.RESUMABLE_ROUTES:
+                continue
+            resumed = outcome.resumes is not None
+            first = first_by_attempt[outcome.resumes or outcome.attempt]
+            if not self._gateway_undisturbed(
+                outcome.gateway, first.sent_at, outcome.ended_at
+            ):
+                continue
+            if resumed and self._count_serving(first, outcome) < 2:
+                continue
+            progressed = outcome.complete and outcome.status == 200
+            counts[resumed][0] += progressed or bool(
+                endpoints.versions_of(outcome.body)
+            )
+            counts[resumed][1] += 1
+        (went_on, taken_up), (begun, new) = counts[True], counts[False]
+        if taken_up >= LEAST_TAKEN_UP and went_on / taken_up < 0.5 * (
+            begun / new
+        ):
+            self._add_finding(
+                'taken up',
+                f'{went_on} of {taken_up} streams went on, {begun} of {new} '
+                f'began',
+            )
+
+    def _count_serving(self, first, outcome):
+        """Count the endpoints that could go on with a stream."""
+        versions = endpoints.versions_of(first.body)
+        return sum(
+            service.version in versions
+            and service.begin + STABILIZATION_S < outcome.sent_at
+            and service.end > outcome.ended_at
+            for service in self._journal.services.values()
+        )
+
     def _check_deadline(self, outcome):
         if not self._gateway_undisturbed(
             outcome.gateway, outcome.sent_at, outcome.ended_at
--- a/tools/soak/endpoints.py
+++ b/tools/soak/endpoints.py
@@ -28,6 +28,7 @@
     def __init__(self, endpoint_id, start_number, rng, journal, now):
         super().__init__(endpoint_id)
         self.start_number = self.born = start_number
+        self.version = 'v2' if start_number % 3 == 0 else 'v1'
         # Share of requests by the behaviour applied to them.
         self.misbehaviour_shares = {}
         self.long_share = LONG_SHARE
@@ -53,7 +54,7 @@
 
     def make_event(self, attempt, number):
         """Return one event of the stream for an attempt."""
-        return event(attempt, number)
+        return event(attempt, number, self.version)
 
     async def _do_answer(self, reply, headers):
         is_long = self._rng.random() < self.long_share
@@ -62,9 +63,26 @@
         return await super()._do_answer(reply, headers)
 
 
-def event(attempt, number):
+def event(attempt, number, version='v1'):
     """Return one event of the stream for an attempt."""
-    return f'id: {number}\ndata: {attempt.decode()} {number}\n\n'.encode()
+    text = f'{attempt.decode()} {number} {version}'
+    return f'id: {number}\ndata: {text}\n\n'.encode()
+
+
+def versions_of(body):
+    """Return the versions that wrote the events of a body."""
+    lines = body.split(b'\n')
+    return {
+        line.split()[-1].decode()
+        for line in lines
+        if line.startswith(b'data: ')
+    }
+
+
+def last_event_id(body):
+    """Return the number of the last event of a body, or 0."""
+    ids = [line for line in body.split(b'\n') if line.startswith(b'id: ')]
+    return int(ids[-1][4:]) if ids else 0
 
 
 def plain_body(attempt):
@@ -79,8 +97,12 @@
     plain: bytes
 
 
-def expected_bodies(attempt):
-    """Return the expected streaming and plain bodies of an attempt."""
+def expected_bodies(attempt, version, after=0):
+    """Return the expected streaming and plain bodies of an attempt.
+
+    after is the last event that the caller had before.
+    """
     name = attempt.encode()
-    stream = b''.join(event(name, n) for n in range(1, EVENTS + 1))
+    numbers = range(after + 1, EVENTS + 1)
+    stream = b''.join(event(name, n, version) for n in numbers)
     return Bodies(stream, plain_body(name))
--- a/tools/soak/mutants.py
+++ b/tools/soak/mutants.py
@@ -153,6 +153,41 @@
             ),
         ),
     ),
+    Mutant(
+        'goes on at any version within an answer',
+        (
+            Edit(
+                FORWARDING,
+                '        pending.version = view.record.version\n',
+                '        version = view.record.version\n',
+            ),
+            Edit(
+                FORWARDING,
+                'stream_origins.Origin(pending.service, pending.version)',
+                'stream_origins.Origin(pending.service, version)',
+            ),
+        ),
+    ),
+    Mutant(
+        'goes on at any version over tries',
+        (
+            Edit(
+                FORWARDING,
+                'pending.service, pending.version = origin',
+                'pending.service, _ = origin',
+            ),
+        ),
+    ),
+    Mutant(
+        'refuses all streams that are taken up',
+        (
+            Edit(
+                FORWARDING,
+                'if origin is None or origin.service not in services:',
+                'if True:',
+            ),
+        ),
+    ),
     Mutant(
         'paces the limit of an endpoint for each gateway alone',
         (
--- a/tools/soak/records.py
+++ b/tools/soak/records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 # Reported in place of a promise when the run itself raised an error.
@@ -32,6 +33,10 @@
     headers: dict[bytes, bytes]
     body: bytes
     complete: bool
+    # Of a stream that the caller took up again: the attempt that brought its
+    # first event, and the last event that the caller had.
+    resumes: str | None = None
+    last_event_id: int = 0
 
 
 class Change(typing.NamedTuple):
@@ -65,6 +70,14 @@
     end: float
 
 
+class Service(typing.NamedTuple):
+    """Record from when to when an endpoint of a version served."""
+
+    version: str
+    begin: float
+    end: float = math.inf
+
+
 class Stop(typing.NamedTuple):
     """Record the interval of a planned stop of a gateway."""
 
@@ -92,6 +105,8 @@
         self.disturbances = []
         self.stops = []
         self.limits = []
+        # Versions of endpoints by id, with the times at which they served.
+        self.services = {}
         self.findings = []
 
     def add_finding(self, promise, detail):
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -82,6 +82,7 @@
         Kind('endpoint_limit', 7.0, 0),
         Kind('endpoint_limit_all', 7.0, 0),
     ),
+    (Kind('endpoint_break_all', 6.0, 0.7),),
 )
 # First group whose draws do not depend on the groups before it.
 SALTED_GROUP = 2
--- a/tools/soak/seed_run.py
+++ b/tools/soak/seed_run.py
@@ -52,6 +52,9 @@
     'cut_down': proxy.Mode.CUT_DOWN,
     'silent': proxy.Mode.SILENT,
 }
+# Times that a caller takes a stream up again, and the pause before each.
+MAX_TAKE_UPS = 2
+TAKE_UP_PAUSE_S = 0.02
 MISBEHAVIOURS = (
     'fail',
     'reset',
@@ -189,15 +192,22 @@
         link.target = endpoint.address
         await link.start()
         self._endpoints[index] = endpoint
+        self.journal.services[endpoint.id] = records.Service(
+            endpoint.version, self.now()
+        )
         self._write_endpoint(index, 'ready')
 
+    def _end_service(self, endpoint):
+        service = self.journal.services[endpoint.id]
+        self.journal.services[endpoint.id] = service._replace(end=self.now())
+
     def _write_endpoint(self, index, state):
         endpoint = self._endpoints[index]
         registration = {
             'Service': deployments.SERVICE,
             'Address': self._links[index].address,
             'Zone': 'riga-a',
-            'Version': 'v1',
+            'Version': endpoint.version,
             'Slots': 8,
             'State': state,
             'ColdRemainingMs': 0,
@@ -208,6 +218,11 @@
 
     def _write_configuration(self):
         routes = deployments.configuration()['Routes']
+        routes.append(
+            deployments.route(
+                'single', Kind='streaming', StreamResume=True, MaxAttempts=1
+            )
+        )
         # Each version keeps the probe routes of the previous one.
         probe_routes = [
             deployments.route(name, Kind='idempotent')
@@ -229,12 +244,33 @@
             while not self._finished:
                 target = self._choose_target()
                 reuse = self._rng.random() < callers.REUSE_SHARE
-                if await caller.send_request(target, reuse) is None:
+                outcome = await caller.send_request(target, reuse)
+                if outcome is None:
                     await asyncio.sleep(MEAN_PAUSE_S)
+                elif outcome.route in callers.RESUMABLE_ROUTES:
+                    await self._take_up(caller, target, outcome)
                 await asyncio.sleep(self._rng.expovariate(1 / MEAN_PAUSE_S))
         finally:
             caller.close()
 
+    async def _take_up(self, caller, target, first):
+        """Take a stream that broke off up at other gateways."""
+        outcome, last_event_id = first, 0
+        for _ in range(MAX_TAKE_UPS):
+            last_event_id = max(
+                last_event_id, endpoint_module.last_event_id(outcome.body)
+            )
+            if outcome.complete and outcome.status == 200 or not last_event_id:
+                return
+            await asyncio.sleep(TAKE_UP_PAUSE_S)
+            others = [g for g in self._gateways if g is not target.gateway]
+            target = target._replace(gateway=self._rng.choice(others))
+            outcome = await caller.send_request(
+                target, False, callers.Place(first.attempt, last_event_id)
+            )
+            if outcome is None:
+                return
+
     def _choose_target(self):
         route = self._rng.choice(callers.ROUTES)
         if self._probe_routes and self._rng.random() < PROBE_SHARE:
@@ -262,7 +298,7 @@
         kind = fault.kind
         if kind in ('version', 'revoke', 'endpoint_leave', 'reload'):
             return None
-        if kind.startswith('endpoint_limit'):
+        if kind.startswith('endpoint_limit') or kind == 'endpoint_break_all':
             return None
         if kind.startswith('endpoint'):
             return self._endpoints[fault.target].id
@@ -352,6 +388,18 @@
     async def _do_endpoint_limit_all(self, fault):
         await self._limit(list(self._endpoints), fault.duration_s)
 
+    async def _do_endpoint_break_all(self, fault):
+        """Let streams of all endpoints break off after an event."""
+        begin, broken = self.now(), list(self._endpoints)
+        for endpoint in broken:
+            endpoint.misbehaviour_shares['break_stream'] = fault.strength
+        await asyncio.sleep(fault.duration_s)
+        for endpoint in broken:
+            endpoint.misbehaviour_shares.pop('break_stream', None)
+            self.journal.disturbances.append(
+                records.Disturbance(endpoint.id, begin, self.now(), fault.kind)
+            )
+
     async def _limit(self, endpoints, duration_s):
         """Let endpoints name a limit for a while."""
         begin = self.now()
@@ -405,6 +453,7 @@
         if endpoint.leaving:
             return
         endpoint.leaving = True
+        self._end_service(endpoint)
         await endpoint.stop()
         self._links[fault.target].reset_all()
         await asyncio.sleep(fault.duration_s)
@@ -417,6 +466,7 @@
         if endpoint.leaving:
             return
         endpoint.leaving = True
+        self._end_service(endpoint)
         self._write_endpoint(fault.target, 'draining')
         self.journal.changes.append(
             records.Change('leaving', endpoint.id, self.now())
