Expect the wait of a begun stream from what goes before it

Cause: the wait of a stream that has begun was expected as if all work of the service had to pass the few endpoints of its version, so under a high load it was refused while its endpoints had room.

Change: what is ahead counts against all slots, the stream itself against those of its version. The simulated endpoints have versions, crash and are replaced.

--- a/persimmonroute/gateway/scheduler.py
+++ b/persimmonroute/gateway/scheduler.py
@@ -322,19 +322,23 @@
     def _find_rejections(self, service, ranked, now):
         """Return (pending, expected wait, reason or None) for each request."""
         views = self._slot_policy.usable(service, now)
-        all_slots = self._count_slots(views)
+        slots = self._count_slots(views)
         queued_s = 0.0
         decisions = []
         for entry in ranked:
             pending = entry.pending
             service_time_s = self._service_time_s(pending)
-            wait_s, slots = None, all_slots
+            wait_s = None
             accepted = _list_accepted(pending, views)
             if accepted:
+                # What is ahead may use all slots, a begun stream only those
+                # of its version.
+                own_slots = slots
                 if pending.version is not None:
-                    slots = self._count_slots(accepted)
+                    own_slots = self._count_slots(accepted)
+                work_s = queued_s + service_time_s * slots / own_slots
                 wait_s = self._expect_wait_s(
-                    service, entry, queued_s + service_time_s, slots, now
+                    service, entry, work_s, slots, now
                 )
             limit_s = pending.route.objective_s
             if not views:
--- a/standins/admission_simulation.py
+++ b/standins/admission_simulation.py
@@ -41,6 +41,8 @@
 TICK_S = 0.05
 # Time until a report of a gateway is with all others.
 REPORT_DELAY_S = 0.3
+# Time until gateways see that the registration of an endpoint is gone.
+REGISTRATION_LAG_S = 0.5
 # Cost of an engine's step for one token, alone and per other request.
 STEP_S = 0.00303
 STEP_PER_REQUEST_S = 0.000121
@@ -73,6 +75,10 @@
     retry_after_s: float | None = None
     # Time of the last decision, when the request was sent or refused.
     decided_at: float = 0.0
+    # Versions of the endpoints that wrote events, and times it broke off
+    # after its first event.
+    versions: tuple[str, ...] = ()
+    breaks: int = 0
 
 
 class Engine:
@@ -86,27 +92,41 @@
         self.waiting = collections.deque()
         self.busy_s = 0.0
         self.most_waiting = 0
+        self.crashed = False
+        # Calls that wait or run here.
+        self._underway = set()
         # Requests per second that responses name as the limit.
         self.limit_per_s = endpoint_limits.UNLIMITED
         # When each request arrived, and from which gateway.
         self.arrivals = []
 
-    def receive(self, gateway, pending, on_first, on_end):
-        """Queue a request and start it as soon as a slot is free."""
-        self.arrivals.append((self._simulation.now, gateway.name))
-        self.waiting.append((pending, on_first, on_end))
+    def receive(self, call):
+        """Queue a call and start it as soon as a slot is free."""
+        if self.crashed:
+            call.on_break()
+            return
+        self.arrivals.append((self._simulation.now, call.gateway.name))
+        self._underway.add(call)
+        self.waiting.append(call)
         self.start_ready()
         self.most_waiting = max(self.most_waiting, len(self.waiting))
 
+    def crash(self):
+        """Break off all calls; the endpoint never comes back."""
+        self.crashed = True
+        underway, self._underway = self._underway, set()
+        for call in sorted(underway, key=lambda c: c.pending.attempt):
+            call.on_break()
+
     def start_ready(self):
-        """Start queued requests while slots are free."""
+        """Start queued calls while slots are free."""
         while self.waiting and self.running < self.record.slots:
-            pending, on_first, on_end = self.waiting.popleft()
+            call = self.waiting.popleft()
             self.running += 1
-            first_s, total_s = self._times(pending)
+            first_s, total_s = self._times(call.pending)
             self.busy_s += total_s
-            self._simulation.after(first_s, on_first)
-            self._simulation.after(total_s, self._end, on_end)
+            self._simulation.after(first_s, self._first, call)
+            self._simulation.after(total_s, self._end, call)
 
     def _times(self, pending):
         prefill_s = pending.request.prompt_tokens / PREFILL_TOKENS_PER_S
@@ -115,10 +135,17 @@
         decode_s = pending.request.output_tokens * step_s / self.speed
         return first_s, first_s + decode_s
 
-    def _end(self, on_end):
+    def _first(self, call):
+        if not self.crashed:
+            call.on_first(self.record.version)
+
+    def _end(self, call):
+        if self.crashed:
+            return
+        self._underway.discard(call)
         self.running -= 1
         self.start_ready()
-        on_end()
+        call.on_end()
 
 
 class Gateway:
@@ -315,6 +342,21 @@
         """Return whether messages from one gateway to another are lost."""
         return (sender.name, receiver.name) in self.cuts
 
+    def replace_engine(self, name, new_name, version, down_s=1.0):
+        """Crash an endpoint, and start one of a version in its place."""
+        former = self.engines[name]
+        record = former.record._replace(
+            id=new_name, started_at_ms=int(self.now * 1000), version=version
+        )
+        former.crash()
+        self.engines[new_name] = Engine(self, record, former.speed)
+        self.after(REGISTRATION_LAG_S, self._register, (), [name])
+        self.after(down_s, self._register, [record], ())
+
+    def _register(self, records, removed):
+        for gateway in self.gateways.values():
+            gateway.runner_registry.apply(records, removed, False, self.now)
+
     def play(self, duration_s, drain_s=4.0):
         """Play arrivals for a while, then let requests end."""
         end = self.now + duration_s
@@ -411,9 +453,13 @@
     """Follow one request from its arrival to what its caller gets."""
 
     def __init__(self, simulation, gateway, pending, load):
+        self.gateway = gateway
+        self.pending = pending
+        # Versions that wrote events of the answer, and times it broke off
+        # after the first of them.
+        self.versions = []
+        self.breaks = 0
         self._simulation = simulation
-        self._gateway = gateway
-        self._pending = pending
         self._load = load
         self._first_at = None
         self._decided_at = 0.0
@@ -427,25 +473,33 @@
             self._end('refused', decision.retry_after_s)
         else:
             engine = self._simulation.engines[decision.id]
-            self._simulation.after(
-                DELAY_S['own'],
-                engine.receive,
-                self._gateway,
-                self._pending,
-                self._on_first,
-                self._on_end,
-            )
-
-    def _on_first(self):
-        self._first_at = self._simulation.now
-        self._pending.first_byte_at = self._first_at
-        if self._gateway.alive:
-            self._gateway.hear(self._pending)
-
-    def _on_end(self):
-        if self._gateway.alive:
-            self._gateway.release(self._pending, Ending.ANSWERED)
-        late = self._first_at > self._pending.due_at
+            self._simulation.after(DELAY_S['own'], engine.receive, self)
+
+    def on_first(self, version):
+        """Record the first event that an endpoint wrote."""
+        self.versions.append(version)
+        if self._first_at is None:
+            self._first_at = self._simulation.now
+            self.pending.first_byte_at = self._first_at
+            self.pending.version = version
+        if self.gateway.alive:
+            self.gateway.hear(self.pending)
+
+    def on_break(self):
+        """Go on at another endpoint, as long as the gateway lives."""
+        if not self.gateway.alive:
+            self._end('lost')
+            return
+        self.breaks += self._first_at is not None
+        self.pending.excluded.add(self.pending.runner.id)
+        self.gateway.release(self.pending, Ending.BROKEN)
+        self.gateway.submit(self.pending, self.decide)
+
+    def on_end(self):
+        """Record that the answer is complete."""
+        if self.gateway.alive:
+            self.gateway.release(self.pending, Ending.ANSWERED)
+        late = self._first_at > self.pending.due_at
         self._end('late' if late else 'on time')
 
     def _end(self, status, retry_after_s=None):
@@ -453,9 +507,11 @@
             Outcome(
                 self._load,
                 status,
-                self._pending.arrived_at,
+                self.pending.arrived_at,
                 self._simulation.now,
                 retry_after_s,
                 self._decided_at,
+                tuple(self.versions),
+                self.breaks,
             )
         )
