--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import abc
-import asyncio
-import math
 import typing
 
 from persimmonroute import clock
@@ -12,6 +10,7 @@
 from persimmonroute import event_stream
 from persimmonroute.events import Event
 from persimmonroute import exceptions
+from persimmonroute.gateway import crash_checks
 from persimmonroute.gateway import model
 from persimmonroute.gateway.model import Ending
 from persimmonroute.gateway import quarantine
@@ -138,8 +137,9 @@
         self._dispatcher = dispatcher
         self._client = client
         self._metrics = metrics
-        # Checks under way, by the id of the crash that they look for.
-        self._checks = {}
+        self._crash_checker = crash_checks.CrashChecker(
+            board.quarantine, client
+        )
 
     async def serve(self, request, caller):
         """Respond to a request; to be cancelled if the caller disconnects."""
@@ -218,7 +218,7 @@
         except exceptions.EndpointRefusedError as error:
             ending = Ending.UNREACHABLE
             outcome = Failed(ending, False, error.problem)
-            self._record_crash(view)
+            self._crash_checker.record_crash(view)
             view.doubted_at = clock.now_s()
         except exceptions.EndpointReplacedError as error:
             ending = Ending.MISDIRECTED
@@ -483,7 +483,7 @@
                 # The next stream may meet another incarnation.
                 view.doubted_at = now
             if not answered or pending.route.streaming:
-                self._check_crash(view, pending.route.streaming)
+                self._crash_checker.check(view, pending.route.streaming)
         log.emit(
             Event.GATEWAY_ATTEMPT_FAILED,
             request=pending.attempt,
@@ -495,43 +495,6 @@
             prompt=[part.id for part in pending.request.prompt],
         )
 
-    def _check_crash(self, view, verify):
-        """Ask at once whether an endpoint crashed: it soon starts again."""
-        crash = quarantine.crash_id(view.record)
-        if crash not in self._checks:
-            self._checks[crash] = asyncio.create_task(
-                self._connect(view, verify)
-            )
-            self._checks[crash].add_done_callback(
-                lambda _: self._checks.pop(crash, None)
-            )
-
-    async def _connect(self, view, verify):
-        doubted_at = view.doubted_at
-        try:
-            await self._client.check(view.record, verify)
-            if verify and view.doubted_at == doubted_at:
-                view.doubted_at = -math.inf
-        except exceptions.EndpointRefusedError:
-            self._record_crash(view)
-        except exceptions.EndpointReplacedError:
-            view.record_ending(Ending.MISDIRECTED, clock.now_s())
-            self._record_crash(view)
-        except exceptions.EndpointUnreachableError:
-            # A crash that shows in the registration only.
-            return
-
-    def _record_crash(self, view):
-        suspects = self._board.quarantine.record_crash(
-            view.record, clock.now_s()
-        )
-        if suspects:
-            log.emit(
-                Event.RUNNER_CRASHED,
-                runner=view.id,
-                suspects=[f'{trait:016x}' for trait in suspects],
-            )
-
     async def _finish_rejected(self, pending, caller, progress, rejection):
         if progress.begun or progress.may_have_run:
             failed = Failed(Ending.FAILED, True, rejection.reason)
--- a/persimmonroute/gateway/quarantine_keeping.py
+++ b/persimmonroute/gateway/quarantine_keeping.py
@@ -8,22 +8,14 @@
 from __future__ import annotations
 
 import abc
-import asyncio
-import random
 
 from persimmonroute import clock
 from persimmonroute.events import Event
-from persimmonroute import exceptions
-from persimmonroute.gateway import polling
+from persimmonroute.gateway import row_keeping
 from persimmonroute import logs
 
 log = logs.EventLog(__name__)
 
-CHECK_INTERVAL_S = 0.5
-# After the store was restored from an older copy, the first gateway to look
-# writes the missing rows again; the others find them.
-REWRITE_SPREAD_S = 2.0
-
 
 class TraitRows(abc.ABC):
     """Read and write the rows of quarantined traits."""
@@ -41,38 +33,18 @@
         """Remove the row of a trait unless it was written again."""
 
 
-class QuarantineKeeper:
+class QuarantineKeeper(row_keeping.RowKeeper):
     """Read the quarantine at the start and write what changes."""
 
     def __init__(self, board, rows):
-        self._board = board
+        super().__init__(board)
         self._rows = rows
-        self._restored = False
         self._loaded = False
         self._known = frozenset()
 
-    def on_store_restored(self):
-        """Compare with the rows of a store that may have lost some."""
-        self._restored = True
-
-    async def run(self):
-        """Keep the rows up to date until cancelled."""
-        backoff = polling.Backoff()
-        while True:
-            try:
-                await self._synchronize()
-                backoff.reset()
-                await asyncio.sleep(CHECK_INTERVAL_S)
-            except exceptions.PlatformUnavailableError as error:
-                log.emit(Event.STORE_CALL_FAILED, problem=error.problem)
-                gateways = self._board.peers.gateway_count(clock.now_s())
-                await asyncio.sleep(backoff.draw_s(gateways))
-
     async def _synchronize(self):
         quarantine = self._board.quarantine
         self._log_changes(quarantine.quarantined)
-        if self._restored:
-            await asyncio.sleep(random.uniform(0.0, REWRITE_SPREAD_S))
         if self._restored or not self._loaded:
             await self._load()
         for trait in quarantine.find_unstored(clock.now_s()):
--- a/persimmonroute/gateway/version_keeping.py
+++ b/persimmonroute/gateway/version_keeping.py
@@ -9,21 +9,9 @@
 from __future__ import annotations
 
 import abc
-import asyncio
-import random
 
 from persimmonroute import clock
-from persimmonroute.events import Event
-from persimmonroute import exceptions
-from persimmonroute.gateway import polling
-from persimmonroute import logs
-
-log = logs.EventLog(__name__)
-
-CHECK_INTERVAL_S = 0.3
-# After the store was restored from an older copy, gateways compare their
-# versions with its rows within this time.
-REREAD_SPREAD_S = 2.0
+from persimmonroute.gateway import row_keeping
 
 
 class VersionRows(abc.ABC):
@@ -42,41 +30,21 @@
         """Remove the row of a version unless it was written again."""
 
 
-class VersionKeeper:
+class VersionKeeper(row_keeping.RowKeeper):
     """Read the versions at the start, and write those that are new.
 
     Each row is left to one of the gateways that respond.
     """
 
     def __init__(self, board, rows):
-        self._board = board
+        super().__init__(board)
         self._rows = rows
         self._stored = {}
         self._must_read = True
-        self._restored = False
-
-    def on_store_restored(self):
-        """Compare with the rows of a store that may have lost some."""
-        self._must_read = self._restored = True
-
-    async def run(self):
-        """Keep the rows up to date until cancelled."""
-        backoff = polling.Backoff()
-        while True:
-            try:
-                await self._synchronize()
-                backoff.reset()
-                await asyncio.sleep(CHECK_INTERVAL_S)
-            except exceptions.PlatformUnavailableError as error:
-                log.emit(Event.STORE_CALL_FAILED, problem=error.problem)
-                gateways = self._board.peers.gateway_count(clock.now_s())
-                await asyncio.sleep(backoff.draw_s(gateways))
 
     async def _synchronize(self):
-        if self._restored:
-            await asyncio.sleep(random.uniform(0.0, REREAD_SPREAD_S))
         registry = self._board.runner_registry
-        if self._must_read:
+        if self._must_read or self._restored:
             self._stored = await self._rows.read()
             registry.apply_stored_versions(self._stored, clock.now_s())
             self._must_read = self._restored = False
--- a/persimmonroute/tests/gateway/version_keeping_tests.py
+++ b/persimmonroute/tests/gateway/version_keeping_tests.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from persimmonroute import clock
+from persimmonroute.gateway import row_keeping
 from persimmonroute.gateway import runners
 from persimmonroute.gateway import version_keeping
 from standins import gateway_fixtures as fixtures
@@ -46,7 +47,7 @@
         """Prepare an empty store, read without pauses."""
         self.rows = FakeRows()
         self.board = self._build('gateway-1')
-        patch = mock.patch.object(version_keeping, 'CHECK_INTERVAL_S', 0.001)
+        patch = mock.patch.object(row_keeping, 'CHECK_INTERVAL_S', 0.001)
         patch.start()
         self.addCleanup(patch.stop)
 
@@ -108,7 +109,7 @@
     async def test_restored_store_gets_the_rows_again(self):
         """A row that the copy lacks is written once more."""
         keeper = version_keeping.VersionKeeper(self.board, self.rows)
-        with mock.patch.object(version_keeping, 'REREAD_SPREAD_S', 0.001):
+        with mock.patch.object(row_keeping, 'REWRITE_SPREAD_S', 0.001):
             task = asyncio.create_task(keeper.run())
             await asyncio.sleep(0.05)
             self.rows.rows.clear()
