--- a/review/harness.py
+++ b/review/harness.py
@@ -36,6 +36,8 @@
 RECOVER_S = 12.0
 READY_TIMEOUT_S = 20.0
 CONNECT_S = 1.0
+# Longer than any script.
+LOST_S = 600.0
 # Exit statuses of a script.
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
@@ -71,10 +73,13 @@
     def __init__(self, runner_id, recorder):
         super().__init__(runner_id)
         self._recorder = recorder
+        # When each attempt began to run.
+        self.run_times = []
 
     def record_run(self, attempt, headers):
         """Record a run of an attempt."""
         super().record_run(attempt, headers)
+        self.run_times.append((self._recorder.now(), attempt))
         self._recorder.write(f'{self.id} runs {attempt}')
 
 
@@ -147,6 +152,33 @@
         return None
 
 
+class QuietStore:
+    """Give no response to one gateway's calls, as an ASGI application.
+
+    The calls are told apart by the address that they are made to. What is
+    answered meanwhile gets no response later either, and its connection
+    delivers nothing further.
+    """
+
+    def __init__(self, app):
+        self._app = app
+        self.quiet = False
+
+    async def __call__(self, scope, receive, send):
+        """Serve one call."""
+        lost = False
+
+        async def send_unless_quiet(message):
+            nonlocal lost
+            lost = lost or self.quiet
+            if lost:
+                await asyncio.sleep(LOST_S)
+            else:
+                await send(message)
+
+        await self._app(scope, receive, send_unless_quiet)
+
+
 class Deployment:
     """Hold the store, the endpoints and the gateways of a script."""
 
@@ -156,15 +188,13 @@
         self.gateways = []
         self._folder = folder
         self._runners = []
-        self._store_address = f'127.0.0.1:{gateway_deployment.free_port()}'
-        self._server = http_server.build_server(
-            self.store.build_app(), self._store_address, 1
-        )
-        self._serving = None
+        # What each gateway reaches of the store, by the gateway's name.
+        self.store_links = {}
+        self._servers = []
+        self._serving = []
 
     async def start(self, gateways, runners):
         """Start everything and wait until the gateways are ready."""
-        self._serving = asyncio.create_task(self._server.serve())
         self.write_configuration(1)
         for runner_id in runners:
             await self.add_runner(runner_id)
@@ -252,6 +282,11 @@
         def address():
             return f'127.0.0.1:{gateway_deployment.free_port()}'
 
+        store_address = address()
+        link = self.store_links[name] = QuietStore(self.store.build_app())
+        server = http_server.build_server(link, store_address, 1)
+        self._servers.append(server)
+        self._serving.append(asyncio.create_task(server.serve()))
         settings = {
             'role': 'gateway',
             'instance': name,
@@ -263,7 +298,7 @@
             'control_address': address(),
             'seeds': [g.settings['control_address'] for g in self.gateways],
             'peer_address': address(),
-            'platform': self._store_address,
+            'platform': store_address,
             'regions': {ZONE: REGION},
             'cpu_share': 0.817,
             'cores': 1,
@@ -286,9 +321,9 @@
             gateway.close()
         for runner in self._runners:
             await runner.stop()
-        self._server.should_exit = True
-        if self._serving is not None:
-            await self._serving
+        for server in self._servers:
+            server.should_exit = True
+        await asyncio.gather(*self._serving)
 
 
 class Answer:
