--- a/review/build.sh
+++ b/review/build.sh
@@ -4,5 +4,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 export PYTHONPATH="$PWD/target/deps:$PWD" PYTHONDONTWRITEBYTECODE=1
-python3 -S -c 'import h11; from review import harness'
+python3 -S -c 'from review import harness'
 echo "stand-ins are ready"
--- a/review/harness.py
+++ b/review/harness.py
@@ -15,8 +15,6 @@
 import time
 import tomllib
 
-import h11
-
 from persimmonroute import exceptions
 from persimmonroute import http_connection
 from persimmonroute import http_server
@@ -30,14 +28,10 @@
 SERVICE = 'trade-desk'
 ZONE, REGION = 'riga-a', 'riga'
 SIGNATURE = b'upstream-signature'
-# Bounds of sites/baltkomp-route.toml.
-DRAIN_S = 2.5
-GRACE_S = 8.0
+# Of sites/baltkomp-route.toml.
 RECOVER_S = 12.0
 READY_TIMEOUT_S = 20.0
 CONNECT_S = 1.0
-# Longer than any script.
-LOST_S = 600.0
 # Exit statuses of a script.
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
@@ -73,13 +67,10 @@
     def __init__(self, runner_id, recorder):
         super().__init__(runner_id)
         self._recorder = recorder
-        # When each attempt began to run.
-        self.run_times = []
 
     def record_run(self, attempt, headers):
         """Record a run of an attempt."""
         super().record_run(attempt, headers)
-        self.run_times.append((self._recorder.now(), attempt))
         self._recorder.write(f'{self.id} runs {attempt}')
 
 
@@ -152,33 +143,6 @@
         return None
 
 
-class QuietStore:
-    """Give no response to one gateway's calls, as an ASGI application.
-
-    The calls are told apart by the address that they are made to. What is
-    answered meanwhile gets no response later either, and its connection
-    delivers nothing further.
-    """
-
-    def __init__(self, app):
-        self._app = app
-        self.quiet = False
-
-    async def __call__(self, scope, receive, send):
-        """Serve one call."""
-        lost = False
-
-        async def send_unless_quiet(message):
-            nonlocal lost
-            lost = lost or self.quiet
-            if lost:
-                await asyncio.sleep(LOST_S)
-            else:
-                await send(message)
-
-        await self._app(scope, receive, send_unless_quiet)
-
-
 class Deployment:
     """Hold the store, the endpoints and the gateways of a script."""
 
@@ -187,14 +151,16 @@
         self.store = platform.PlatformStandIn([], 0.0)
         self.gateways = []
         self._folder = folder
-        self._runners = []
-        # What each gateway reaches of the store, by the gateway's name.
-        self.store_links = {}
-        self._servers = []
-        self._serving = []
+        self.runners = []
+        self._store_address = f'127.0.0.1:{gateway_deployment.free_port()}'
+        self._server = http_server.build_server(
+            self.store.build_app(), self._store_address, 1
+        )
+        self._serving = None
 
     async def start(self, gateways, runners):
         """Start everything and wait until the gateways are ready."""
+        self._serving = asyncio.create_task(self._server.serve())
         self.write_configuration(1)
         for runner_id in runners:
             await self.add_runner(runner_id)
@@ -213,18 +179,24 @@
 
     def write_configuration(self, version):
         """Write op/config, as the operator does."""
-        kinds = {'book': 'non_idempotent', 'find': 'idempotent'}
+        kinds = {
+            'book': 'non_idempotent',
+            'find': 'idempotent',
+            'draft': 'streaming',
+            'resume': 'streaming',
+        }
         routes = [
             {
                 'Name': name,
                 'Host': HOST,
                 'Prefix': f'/{name}/',
                 'Kind': kind,
-                'TimeoutMs': 2000,
+                'TimeoutMs': 15000 if kind == 'streaming' else 2000,
                 'TargetLatencyMs': 400,
                 'Priority': 1,
                 'Service': SERVICE,
-                'MaxAttempts': 2 if kind == 'idempotent' else 1,
+                'StreamResume': name == 'resume',
+                'MaxAttempts': 2 if name in ('find', 'resume') else 1,
                 'Public': True,
             }
             for name, kind in kinds.items()
@@ -255,7 +227,7 @@
         runner = Runner(runner_id, self.recorder)
         runner.born = int(time.time() * 1000)
         await runner.start()
-        self._runners.append(runner)
+        self.runners.append(runner)
         self.register(runner, 'ready')
         return runner
 
@@ -270,8 +242,8 @@
             'Service': SERVICE,
             'Address': runner.address,
             'Zone': ZONE,
-            'Version': 'v1',
-            'Slots': 6,
+            'Version': runner.version or 'v1',
+            'Slots': 9,
             'State': state,
             'ColdRemainingMs': 0,
             'Sequence': 1,
@@ -282,11 +254,6 @@
         def address():
             return f'127.0.0.1:{gateway_deployment.free_port()}'
 
-        store_address = address()
-        link = self.store_links[name] = QuietStore(self.store.build_app())
-        server = http_server.build_server(link, store_address, 1)
-        self._servers.append(server)
-        self._serving.append(asyncio.create_task(server.serve()))
         settings = {
             'role': 'gateway',
             'instance': name,
@@ -298,7 +265,7 @@
             'control_address': address(),
             'seeds': [g.settings['control_address'] for g in self.gateways],
             'peer_address': address(),
-            'platform': store_address,
+            'platform': self._store_address,
             'regions': {ZONE: REGION},
             'cpu_share': 0.817,
             'cores': 1,
@@ -319,11 +286,11 @@
         """End all processes and stand-ins."""
         for gateway in self.gateways:
             gateway.close()
-        for runner in self._runners:
+        for runner in self.runners:
             await runner.stop()
-        for server in self._servers:
-            server.should_exit = True
-        await asyncio.gather(*self._serving)
+        self._server.should_exit = True
+        if self._serving is not None:
+            await self._serving
 
 
 class Answer:
@@ -418,60 +385,6 @@
         self._conn = None
 
 
-class PlainServer:
-    """Serve an HTTP site that knows nothing of the platform's protocol."""
-
-    def __init__(self, recorder):
-        self._recorder = recorder
-        self._server = None
-        self.requests = 0
-
-    @property
-    def address(self):
-        """Return the address to connect to."""
-        host, port = self._server.sockets[0].getsockname()[:2]
-        return f'{host}:{port}'
-
-    async def start(self):
-        """Start serving on a free port."""
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-
-    def stop(self):
-        """Stop serving."""
-        self._server.close()
-
-    async def _serve(self, reader, writer):
-        http = h11.Connection(h11.SERVER)
-        try:
-            while True:
-                event = http.next_event()
-                if event is h11.NEED_DATA:
-                    http.receive_data(await reader.read(65536))
-                elif isinstance(event, h11.Request):
-                    self.requests += 1
-                    target = event.target.decode()
-                    self._recorder.write(f'the plain site gets {target}')
-                elif isinstance(event, h11.EndOfMessage):
-                    body = b'welcome'
-                    head = h11.Response(
-                        status_code=200,
-                        headers=[(b'content-length', b'%d' % len(body))],
-                    )
-                    writer.write(
-                        http.send(head)
-                        + http.send(h11.Data(body))
-                        + http.send(h11.EndOfMessage())
-                    )
-                    await writer.drain()
-                    http.start_next_cycle()
-                elif isinstance(event, h11.ConnectionClosed):
-                    return
-        except (OSError, h11.ProtocolError):
-            return
-        finally:
-            writer.close()
-
-
 def trouble_wanted():
     """Return whether the disruption is to be injected."""
     return os.environ.get('TROUBLE', '1') != '0'
