Refuse what a stopping gateway would cut off

Callers saw: streams sent 3.0 to 3.1 s after a SIGTERM on a kept connection were begun, and cut at the end of the grace period. Cause: a stopping gateway took every request that it could read until uvicorn closed the idle connections, 2.6 s of removal, up to 0.1 s of uvicorn's tick, 0.02 s and 0.4 s later, whether or not its answer could end in time. Ruled out: the endpoints, and the cut itself, which falls to what is still open at the end of the grace period. The grace period also ended by the time of the tick and cut down to whole seconds. Change: a stop is a Drain with two times. Until the load balancer has removed the gateway everything is taken as before; later only requests whose deadline lies within the grace period, so short ones are still served and the others are told at once that they have not run. The end counts from the SIGTERM.

--- a/persimmonroute/gateway/admission.py
+++ b/persimmonroute/gateway/admission.py
@@ -15,6 +15,9 @@
 CRASHES_ENDPOINTS = model.Rejection(
     503, 'the request or a part of it crashes endpoints', QUARANTINE_RETRY_S
 )
+STOPPING = model.Rejection(
+    503, 'the gateway is stopping', OTHER_GATEWAY_RETRY_S
+)
 # Age of a request from which its key is checked again before it is sent.
 RECHECK_S = 0.5
 # Smaller differences of the remaining time are network delays.
@@ -106,6 +109,9 @@
 
     def _check_limits(self, pending, now):
         board = self._board
+        drain = board.drain
+        if drain is not None and not drain.accepts(pending.deadline_at, now):
+            return STOPPING
         if board.quarantine.is_quarantined(pending.request):
             return CRASHES_ENDPOINTS
         if pending.workspace is not None:
--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from persimmonroute import draining
 from persimmonroute.gateway import freshness
 from persimmonroute.gateway import peers
 from persimmonroute.gateway import quarantine
@@ -76,7 +77,8 @@
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
         )
         self.quarantine = quarantine.Quarantine()
-        self.draining = False
+        # How the gateway stops; None while it serves.
+        self.drain: draining.Drain | None = None
         # Newest configuration version that a peer has reported.
         self.newest_reported_version = 0
         # Since when peers have had a newer configuration; None if they have
@@ -88,6 +90,11 @@
         # Called when the era rises.
         self.on_store_restored = lambda: None
 
+    @property
+    def draining(self):
+        """Return whether the gateway is stopping."""
+        return self.drain is not None
+
     @property
     def version(self):
         """Return the version of the configuration; 0 without one."""
--- a/persimmonroute/gateway/server.py
+++ b/persimmonroute/gateway/server.py
@@ -9,6 +9,7 @@
 from starlette import routing
 
 from persimmonroute import clock
+from persimmonroute import draining
 from persimmonroute.events import Event
 from persimmonroute.gateway import board as boards
 from persimmonroute.gateway import peer_rows
@@ -25,6 +26,9 @@
 BALANCER_REMOVAL_S = 2.6
 # Part of the grace period reserved for shutdown after the last request.
 SHUTDOWN_RESERVE_S = 0.7
+# Time that open requests get after the removal, however short the grace
+# period is.
+MIN_DRAIN_S = 1.4
 
 
 class GatewayServer:
@@ -36,14 +40,8 @@
         self._collector = metrics
         self._sources = {source.name: source for source in sources}
         self._settings = settings
-        grace_s = (
-            settings.stop_grace_s
-            - BALANCER_REMOVAL_S
-            - http_server.ACCEPTED_GRACE_S
-            - SHUTDOWN_RESERVE_S
-        )
         self._front = http_server.build_server(
-            ingress, settings.address, max(grace_s, 1.0)
+            ingress, settings.address, settings.stop_grace_s
         )
         self._ready = http_server.build_server(
             self._build_ready_app(), settings.ready_address, 1.0, 0.0
@@ -63,10 +61,10 @@
         log.emit(Event.PROCESS_STARTED, address=self._settings.address)
         await stop.wait()
         log.emit(Event.PROCESS_STOPPING)
-        self._board.draining = True
+        drain = self._board.drain = self._begin_drain()
         self._shell.stop_hosting()
         await asyncio.sleep(BALANCER_REMOVAL_S)
-        self._front.should_exit = True
+        self._front.stop(drain.ends_at - clock.now_s())
         await serving[0]
         self._ready.should_exit = True
         self._metrics.should_exit = True
@@ -80,6 +78,14 @@
         self._board.apply_bounds(boards.read_bounds(settings))
         return boards.BOUND_SETTINGS
 
+    def _begin_drain(self):
+        return draining.begin(
+            clock.now_s(),
+            BALANCER_REMOVAL_S,
+            MIN_DRAIN_S,
+            self._settings.stop_grace_s - SHUTDOWN_RESERVE_S,
+        )
+
     def _build_ready_app(self):
         return applications.Starlette(
             routes=[routing.Route('/readyz', self._serve_ready)]
--- a/persimmonroute/http_server.py
+++ b/persimmonroute/http_server.py
@@ -9,6 +9,7 @@
 
 import uvicorn
 
+from persimmonroute import clock
 
 # Longer than load balancers and clients keep idle connections, so that no
 # request is sent on a connection that the server is closing.
@@ -30,6 +31,14 @@
     def __init__(self, config, accepted_grace_s):
         super().__init__(config)
         self._accepted_grace_s = accepted_grace_s
+        # When open requests are cancelled; None for the configured time after
+        # the shutdown began.
+        self._ends_at = None
+
+    def stop(self, within_s):
+        """Begin a shutdown that cancels what is still open within_s later."""
+        self._ends_at = clock.now_s() + within_s
+        self.should_exit = True
 
     @contextlib.contextmanager
     def capture_signals(self):
@@ -49,6 +58,9 @@
         for server in self.servers:
             server.close()
         await asyncio.sleep(self._accepted_grace_s)
+        if self._ends_at is not None:
+            left_s = max(self._ends_at - clock.now_s(), 0.0)
+            self.config.timeout_graceful_shutdown = left_s
         await super().shutdown(sockets)
 
 
