End the stop of an entry within its grace period

Callers saw (by the same cause as at gateways): an entry took calls for 1.6 s after a SIGTERM, did not ask callers to close their connections, and then gave open calls the whole grace period, so that whoever kills the process at its end cuts them off. Cause: the grace period counted from the end of the shutdown's first part. Change: an entry's stop is a Drain, too. Calls have no deadline, so after the balancer's notice they are refused as not run; responses carry Connection: close from the signal on. Before: the stop of entry/server_tests lasted 5.586 s with a grace period of 4 s; the call of dispatch_tests was offered. After: both pass, with the fault matrix and the tests of entry processes.

--- a/persimmonroute/entry/board.py
+++ b/persimmonroute/entry/board.py
@@ -6,6 +6,7 @@
 
 from persimmonroute import blackboard
 from persimmonroute.config import declarations
+from persimmonroute import draining
 from persimmonroute.entry import messages
 from persimmonroute.entry import quarantine
 from persimmonroute.generated import exchange_pb2 as pb
@@ -112,7 +113,13 @@
         # Requests that await the response of an attempt, by attempt id.
         self._subscribers: dict[str, list[CallRecord]] = {}
         self.quarantine = quarantine.QuarantineView()
-        self.stopping = False
+        # How the entry stops; None while it serves.
+        self.drain: draining.Drain | None = None
+
+    @property
+    def stopping(self):
+        """Return whether the entry is stopping."""
+        return self.drain is not None
 
     def subscribe(self, record, attempt):
         """Subscribe a request to the response of an attempt."""
--- a/persimmonroute/entry/core.py
+++ b/persimmonroute/entry/core.py
@@ -97,4 +97,4 @@
             self._board.quarantine.expire(now)
 
     def _on_stop(self, event, now):
-        self._board.stopping = True
+        self._board.drain = event.drain
--- a/persimmonroute/entry/dispatch.py
+++ b/persimmonroute/entry/dispatch.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from persimmonroute.entry import board as boards
 from persimmonroute.entry.call_states import advance
 from persimmonroute.entry import messages
@@ -11,6 +13,9 @@
 
 RESUME_TIMEOUT_S = 20.0
 ATTACH_TIMEOUT_S = 5.0
+STOPPING = 'the entry is stopping'
+# Other entries may serve the caller at once.
+STOPPING_RETRY_S = 0.1
 
 
 class Dispatcher:
@@ -54,6 +59,11 @@
         call = event.call
         record = boards.CallRecord(call, self.validate_call(call), now)
         self._board.calls[call.request_id] = record
+        drain = self._board.drain
+        # Calls have no deadline, so none surely ends within the grace period.
+        if drain is not None and not drain.accepts(math.inf, now):
+            self._finalizer.end_not_run(record, STOPPING, STOPPING_RETRY_S)
+            return
         if self._board.quarantine.is_refused(call):
             self._finalizer.end_quarantined(record)
             return
--- a/persimmonroute/entry/http_api.py
+++ b/persimmonroute/entry/http_api.py
@@ -8,6 +8,8 @@
 import uuid
 
 from starlette import applications
+from starlette import datastructures
+from starlette import middleware
 from starlette import responses
 from starlette import routing
 
@@ -31,6 +33,26 @@
 METHODS = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE']
 
 
+class CloseWhenStopping:
+    """Ask callers to close their connections while the entry stops."""
+
+    def __init__(self, app, board):
+        self._app = app
+        self._board = board
+
+    async def __call__(self, scope, receive, send):
+        """Serve one request."""
+
+        async def send_closing(message):
+            if message['type'] == 'http.response.start':
+                if self._board.stopping:
+                    headers = datastructures.MutableHeaders(scope=message)
+                    headers['Connection'] = 'close'
+            await send(message)
+
+        await self._app(scope, receive, send_closing)
+
+
 class HttpApi:
     """Translate between HTTP requests and the entry's shell."""
 
@@ -64,6 +86,11 @@
             exception_handlers={
                 exceptions.BadRequestError: self._refuse_bad_request
             },
+            middleware=[
+                middleware.Middleware(
+                    CloseWhenStopping, board=self._shell.core.board
+                )
+            ],
         )
 
     async def _complete(self, request):
--- a/persimmonroute/entry/messages.py
+++ b/persimmonroute/entry/messages.py
@@ -5,6 +5,7 @@
 import enum
 import typing
 
+from persimmonroute import draining
 from persimmonroute.generated import exchange_pb2 as pb
 from persimmonroute import store
 
@@ -104,6 +105,8 @@
 class StopRequested(typing.NamedTuple):
     """Report that a graceful shutdown began."""
 
+    drain: draining.Drain
+
 
 class SendFrame(typing.NamedTuple):
     """Send a frame to a sidecar."""
--- a/persimmonroute/entry/server.py
+++ b/persimmonroute/entry/server.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
+from persimmonroute import draining
 from persimmonroute.entry import messages
 from persimmonroute.events import Event
 from persimmonroute import http_server
@@ -13,6 +15,11 @@
 
 # Time for the load balancer to see that the entry is not ready.
 BALANCER_NOTICE_S = 1.0
+# Part of the grace period reserved for shutdown after the last request.
+SHUTDOWN_RESERVE_S = 0.7
+# Time that open requests get after the notice, however short the grace period
+# is.
+MIN_DRAIN_S = 1.4
 
 
 class EntryServer:
@@ -32,9 +39,17 @@
         log.emit(Event.PROCESS_STARTED, address=self._settings.address)
         await stop.wait()
         log.emit(Event.PROCESS_STOPPING)
-        self._shell.handle(messages.StopRequested())
+        drain = begin_drain(time.monotonic(), self._settings.stop_grace_s)
+        self._shell.handle(messages.StopRequested(drain))
         await asyncio.sleep(BALANCER_NOTICE_S)
-        self._server.should_exit = True
+        self._server.stop(drain.ends_at - time.monotonic())
         await serving
         await self._shell.close()
         log.emit(Event.PROCESS_STOPPED)
+
+
+def begin_drain(now, stop_grace_s):
+    """Return the Drain of an entry that is asked to stop."""
+    return draining.begin(
+        now, BALANCER_NOTICE_S, MIN_DRAIN_S, stop_grace_s - SHUTDOWN_RESERVE_S
+    )
--- a/persimmonroute/tests/entry/dispatch_tests.py
+++ b/persimmonroute/tests/entry/dispatch_tests.py
@@ -7,6 +7,7 @@
 
 from persimmonroute import composition
 from persimmonroute.entry import messages
+from persimmonroute.entry import server
 from persimmonroute import exceptions
 from persimmonroute.generated import exchange_pb2 as pb
 from standins import small_simulation
@@ -143,6 +144,18 @@
         kinds = [f.WhichOneof('body') for _, f in self._frames(effects)]
         self.assertEqual(kinds, ['withdraw'])
 
+    def test_late_call_of_a_stopping_entry_is_not_run(self):
+        """Guards against calls that a stop accepts late and then cuts off."""
+        stop = messages.StopRequested(server.begin_drain(0.0, 8.0))
+        self._handle(stop, 0.0)
+        self._submit(0.9)
+        call = small_simulation.draft('late')
+        effects = self._handle(messages.CallArrived(call), 1.1)
+        self.assertEqual(self._frames(effects), [])
+        ended = [e for e in effects if isinstance(e, messages.ResponseEnded)]
+        self.assertEqual(ended[0].outcome, messages.Outcome.NOT_RUN)
+        self.assertGreater(ended[0].retry_after_s, 0)
+
     def test_invalid_calls_raise_typed_errors(self):
         """Each kind of invalid call raises its own error type."""
         call = small_simulation.order('o')
--- a/persimmonroute/tests/entry/http_api_tests.py
+++ b/persimmonroute/tests/entry/http_api_tests.py
@@ -27,6 +27,7 @@
         self._items = items
         self.calls = []
         self.core = self
+        self.board = types.SimpleNamespace(stopping=False)
 
     def validate_call(self, call):
         """Return the class of a call."""
--- /dev/null
+++ b/persimmonroute/tests/entry/server_tests.py
@@ -0,0 +1,105 @@
+"""Test how an entry stops while callers use open connections."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+import types
+import unittest
+
+from persimmonroute.entry import board as boards
+from persimmonroute.entry import http_api
+from persimmonroute.entry import messages
+from persimmonroute.entry import server
+from persimmonroute import http_connection
+from standins import gateway_deployment as deployments
+
+GRACE_S = 4
+# A stream lasts longer than the grace period.
+EVENTS = 120
+EVENT_PAUSE_S = 0.05
+EVENT = b'data: {"a": 1}\n\n'
+HEADERS = [
+    ('host', 'x'),
+    ('content-type', 'application/json'),
+    ('persimmon-workspace', 'desk'),
+    ('persimmon-class', 'drafts'),
+]
+
+
+class StubShell:
+    """Answer calls with long streams until the core refuses them."""
+
+    def __init__(self):
+        self.board = boards.EntryBoard('e', boards.Locality('r', 'r-a'))
+        self.core = self
+        self.begun_at = []
+        self._tasks = []
+
+    def validate_call(self, call):
+        """Return the class of a call."""
+        return types.SimpleNamespace(service='llm')
+
+    def start(self):
+        """Do nothing."""
+
+    async def close(self):
+        """End the streams."""
+        for task in self._tasks:
+            task.cancel()
+
+    def handle(self, event):
+        """Apply what the server says of its stop."""
+        if isinstance(event, messages.StopRequested):
+            self.board.drain = event.drain
+
+    def submit(self, call):
+        """Begin a stream."""
+        self.begun_at.append(time.monotonic())
+        queue = asyncio.Queue()
+        self._tasks.append(asyncio.create_task(self._fill(queue, call)))
+        return queue
+
+    def disconnect(self, request_id):
+        """Do nothing."""
+
+    async def _fill(self, queue, call):
+        for _ in range(EVENTS):
+            queue.put_nowait(messages.ResponseData(call.request_id, EVENT))
+            await asyncio.sleep(EVENT_PAUSE_S)
+
+
+class StopTests(unittest.IsolatedAsyncioTestCase):
+    """Stop an entry while a stream runs."""
+
+    async def test_stop_ends_within_the_grace_period(self):
+        """Guards against a stop that outlasts its grace period."""
+        shell = StubShell()
+        settings = types.SimpleNamespace(
+            address=f'127.0.0.1:{deployments.free_port()}',
+            stop_grace_s=GRACE_S,
+        )
+        app = http_api.HttpApi(shell).build_app()
+        stop = asyncio.Event()
+        process = server.EntryServer(shell, app, settings)
+        running = asyncio.create_task(process.run(stop))
+        await asyncio.sleep(0.3)
+        before = asyncio.create_task(self._stream(settings.address))
+        await asyncio.sleep(0.2)
+        stopped_at = time.monotonic()
+        stop.set()
+        await asyncio.sleep(0.1)
+        during = asyncio.create_task(self._stream(settings.address))
+        await running
+        self.assertLess(time.monotonic() - stopped_at, GRACE_S)
+        self.assertNotIn(b'connection', (await before).headers)
+        self.assertEqual((await during).headers[b'connection'], b'close')
+
+    async def _stream(self, address):
+        conn = await http_connection.open_connection(address, 1.0)
+        self.addCleanup(conn.abort)
+        body = json.dumps({'prompt': 'x', 'stream': True}).encode()
+        length = ('content-length', str(len(body)))
+        conn.send_request('POST', '/v1/completions', [*HEADERS, length], body)
+        return await deployments.read_response(conn)
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -5,9 +5,11 @@
 import typing
 
 from persimmonroute.entry import messages as entry_messages
+from persimmonroute.entry import server as entry_server
 from persimmonroute.sidecar import messages as sidecar_messages
 
 FREEZE_S = 5.0
+STOP_GRACE_S = 8.0
 OUTAGE_S = 8.0
 STALL_S = 1.5
 COMPLETED = frozenset({'completed'})
@@ -68,7 +70,8 @@
 def stop_entry(trial):
     """Request a graceful stop of the entry."""
     node = trial.simulation.entries[trial.entry]
-    node.handle(entry_messages.StopRequested())
+    drain = entry_server.begin_drain(trial.simulation.now, STOP_GRACE_S)
+    node.handle(entry_messages.StopRequested(drain))
 
 
 def stop_sidecar(trial, name=None):
