Store a version before the first stream begins there

Callers may see (shown by a test, reported by another system): after all gateways were killed, a stream that had begun at a version which came just before the kill was taken up at another: 200, to the end, text of v2 and v1. Cause: a gateway that starts takes the table of versions for complete, but a version's row was written up to half a second and a call after its first streams had begun. A version that came in that time and was gone after the kill was known nowhere. Change: a gateway waits for the row of a version, 0.3 s at most, before it begins a resumable stream there. If the store fails the stream begins all the same, and event 735 says so: refusing new streams would be worse. Before: test_short_lived_version_is_known_after_a_restart_of_all got 200 with events of v1 after events of v2. After: 503, told when to come back.

--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -171,6 +171,11 @@
     PEER_ROWS_UNAVAILABLE = EventKind(
         733, 'DEBUG', 'rows could not be loaded from a peer'
     )
+    VERSION_UNCONFIRMED = EventKind(
+        735,
+        'WARNING',
+        'stream begins at a version that the store may not know',
+    )
     PEERS_LISTED = EventKind(732, 'DEBUG', 'list of gateways received')
     GATEWAY_ROW_REMOVED = EventKind(
         734, 'INFO', 'row of a gateway that is gone removed'
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -131,12 +131,16 @@
 class Forwarder:
     """Send requests to the endpoints that the scheduler grants."""
 
-    def __init__(self, board, admission, dispatcher, client, metrics):
+    def __init__(
+        self, board, admission, dispatcher, client, metrics, confirm_version
+    ):
         self._board = board
         self._admission = admission
         self._dispatcher = dispatcher
         self._client = client
         self._metrics = metrics
+        # Makes the store know a version, before a stream begins there.
+        self._confirm_version = confirm_version
         self._crash_checker = crash_checks.CrashChecker(
             board.quarantine, client
         )
@@ -240,6 +244,10 @@
         return outcome
 
     async def _send(self, pending, view, progress):
+        if pending.route.resumable and pending.version is None:
+            await self._confirm_version(
+                view.record.service, view.record.version
+            )
         now = clock.now_s()
         request = pending.request
         if progress.last_event_id is not None:
--- a/persimmonroute/gateway/runners.py
+++ b/persimmonroute/gateway/runners.py
@@ -393,13 +393,16 @@
 
     def list_versions(self, now):
         """Return the services and versions seen lately."""
-        current = {(v.record.service, v.record.version) for v in self}
-        return current | {
+        return self.list_current_versions() | {
             key
             for key, at in self._former_versions.items()
             if now - at <= VERSION_HISTORY_S
         }
 
+    def list_current_versions(self):
+        """Return the services and versions of the known endpoints."""
+        return {(v.record.service, v.record.version) for v in self}
+
     def apply_stored_versions(self, stored, now):
         """Apply the services and versions that gateways saw before."""
         for key in stored:
--- a/persimmonroute/gateway/version_keeping.py
+++ b/persimmonroute/gateway/version_keeping.py
@@ -1,17 +1,32 @@
 """Keep in the platform's store which versions have served of late.
 
 A gateway that starts cannot know which versions of a service came and went
-before, and all gateways may start at the same time. A version has a row from
-the moment it is seen until it has been gone for long, so the rows tell whether
-a stream that nobody knows can have begun at one version only.
+before, and all gateways may start at the same time. A version has a row before
+the first stream begins there and until it has been gone for long, so the rows
+tell whether a stream that nobody knows can have begun at one version only.
 """
 
 from __future__ import annotations
 
 import abc
+import asyncio
+import random
 
 from persimmonroute import clock
+from persimmonroute.events import Event
+from persimmonroute import exceptions
+from persimmonroute.gateway import polling
 from persimmonroute.gateway import row_keeping
+from persimmonroute import logs
+
+log = logs.EventLog(__name__)
+
+# A stream waits no longer for the row of its version; a transaction takes some
+# milliseconds.
+CONFIRM_TIMEOUT_S = 0.3
+# Gateways that have to confirm the same version ask for its row at different
+# times, so that in a large fleet most find the row of another.
+CONFIRM_SPREAD_PER_GATEWAY_S = 0.0005
 
 
 class VersionRows(abc.ABC):
@@ -41,6 +56,63 @@
         self._rows = rows
         self._stored = {}
         self._must_read = True
+        # Versions with a row since an endpoint of theirs was last missing.
+        self._confirmed = set()
+        # Confirmations under way, with the time at which they began.
+        self._confirming = {}
+
+    def on_store_restored(self):
+        """Compare with the rows of a store that may have lost some."""
+        super().on_store_restored()
+        self._confirmed.clear()
+
+    async def confirm(self, service, version):
+        """Wait until the store has the row of a version.
+
+        Without the store a stream begins all the same, soon after: then its
+        version is not certain to be known after all gateways were killed.
+        """
+        key = (service, version)
+        if key in self._confirmed:
+            return
+        now = clock.now_s()
+        if key not in self._confirming:
+            self._confirming[key] = asyncio.create_task(self._store(key)), now
+        storing, began_at = self._confirming[key]
+        left_s = began_at + CONFIRM_TIMEOUT_S - now
+        if left_s > 0:
+            await asyncio.wait((storing,), timeout=left_s)
+        if not storing.done():
+            log.emit(
+                Event.VERSION_UNCONFIRMED, service=service, version=version
+            )
+
+    async def _store(self, key):
+        backoff = polling.Backoff()
+        try:
+            while key in self._board.runner_registry.list_current_versions():
+                try:
+                    await self._add(key)
+                    self._confirmed.add(key)
+                    return
+                except exceptions.PlatformUnavailableError:
+                    gateways = self._board.peers.gateway_count(clock.now_s())
+                    await asyncio.sleep(backoff.draw_s(gateways))
+        finally:
+            del self._confirming[key]
+
+    async def _add(self, key):
+        """Write the row of a version unless another gateway has."""
+        now = clock.now_s()
+        if not self._find_own([key], now):
+            gateways = self._board.peers.gateway_count(now)
+            await asyncio.sleep(
+                random.uniform(0.0, gateways * CONFIRM_SPREAD_PER_GATEWAY_S)
+            )
+            if key in await self._rows.read():
+                return
+        await self._rows.add(*key)
+        self._must_read = True
 
     async def _synchronize(self):
         registry = self._board.runner_registry
@@ -48,6 +120,8 @@
             self._stored = await self._rows.read()
             registry.apply_stored_versions(self._stored, clock.now_s())
             self._must_read = self._restored = False
+        # The row of a version that comes back may have been removed.
+        self._confirmed &= registry.list_current_versions()
         now = clock.now_s()
         seen = registry.list_versions(now)
         for key in self._find_own(seen - self._stored.keys(), now):
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -102,8 +102,16 @@
     dispatcher.send = link.send_admission
     store = tables.TableClient(settings.platform)
     gateway_metrics = metrics.GatewayMetrics(board, scheduler)
+    version_keeper = version_keeping.VersionKeeper(
+        board, sources.VersionRows(store)
+    )
     forwarder = forwarding.Forwarder(
-        board, admission.Admission(board), dispatcher, client, gateway_metrics
+        board,
+        admission.Admission(board),
+        dispatcher,
+        client,
+        gateway_metrics,
+        version_keeper.confirm,
     )
 
     def on_table_change(now):
@@ -147,7 +155,7 @@
             quarantine_keeping.QuarantineKeeper(
                 board, sources.QuarantineRows(store)
             ),
-            version_keeping.VersionKeeper(board, sources.VersionRows(store)),
+            version_keeper,
         ],
     )
     app = ingress.IngressApp(board, forwarder)
--- a/persimmonroute/tests/gateway/stream_version_tests.py
+++ b/persimmonroute/tests/gateway/stream_version_tests.py
@@ -8,6 +8,7 @@
 import unittest
 from unittest import mock
 
+from persimmonroute.gateway import row_keeping
 from persimmonroute.gateway import runners
 from standins import gateway_deployment as deployments
 
@@ -201,6 +202,46 @@
         self.assertEqual(rest.status, 200)
         self.assertEqual(versions_of(begun.body, rest.body), {b'v1'})
 
+    async def test_short_lived_version_is_known_after_a_restart_of_all(self):
+        """Guards against streams joined after all gateways were killed.
+
+        The version that began a stream came just before the kill and is gone
+        after it, so nothing but the store can tell that it served.
+        """
+        for runner in self.deployment.runners:
+            if runner.version != 'v1':
+                runner.version, runner.born = 'v1', 2
+                self.deployment.register(runner)
+        with (
+            mock.patch.object(runners, 'VERSION_HISTORY_S', 0.5),
+            mock.patch.object(row_keeping, 'CHECK_INTERVAL_S', 0.05),
+        ):
+            await self._wait_until_only_version('v1')
+            # Nothing but the begin of a stream makes gateways write.
+            row_keeping.CHECK_INTERVAL_S = 60.0
+            await asyncio.sleep(0.2)
+            brief = self.deployment.runners[0]
+            brief.version, brief.born = 'v2', 3
+            self.deployment.register(brief)
+            begun = await self._begin_at(b'v2')
+            await self.deployment.stop_gateways()
+        brief.version, brief.born = 'v1', 4
+        self.deployment.register(brief)
+        await self.deployment.start_gateways()
+        # Long enough to read what the store tells of versions.
+        await asyncio.sleep(SETTLE_S)
+        rest = await self._resume(begun, 1)
+        self.assertEqual(versions_of(begun.body, rest.body), {b'v2'})
+        self.assertEqual(rest.status, 503)
+
+    async def _begin_at(self, version):
+        """Return the broken-off begin of a stream of a version."""
+        for _ in range(10 * STREAMS):
+            begun = await self._begin()
+            if versions_of(begun.body) == {version}:
+                return begun
+        self.fail(f'no stream begins at {version}')
+
     async def _wait_until_only_version(self, version):
         """Wait until the store tells of no other version any more."""
         tables = self.deployment.platform.tables
--- a/persimmonroute/tests/gateway/version_keeping_tests.py
+++ b/persimmonroute/tests/gateway/version_keeping_tests.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from persimmonroute import clock
+from persimmonroute import exceptions
 from persimmonroute.gateway import row_keeping
 from persimmonroute.gateway import runners
 from persimmonroute.gateway import version_keeping
@@ -118,6 +119,46 @@
             task.cancel()
         self.assertEqual(self.rows.rows.keys(), {KEY})
 
+    async def test_version_has_its_row_before_a_stream_begins(self):
+        """The row exists once the version is confirmed, without a pause."""
+        keeper = version_keeping.VersionKeeper(self.board, self.rows)
+        await keeper.confirm(*KEY)
+        self.assertEqual(self.rows.rows.keys(), {KEY})
+        await keeper.confirm(*KEY)
+        self.assertEqual(self.rows.writes, 1)
+
+    async def test_version_that_comes_back_is_confirmed_again(self):
+        """Its row may have been removed while it was gone."""
+        keeper = version_keeping.VersionKeeper(self.board, self.rows)
+        await keeper.confirm(*KEY)
+        registry = self.board.runner_registry
+        record = registry.find('r1').record
+        registry.apply((), ['r1'], False, clock.now_s())
+        task = asyncio.create_task(keeper.run())
+        await asyncio.sleep(0.02)
+        task.cancel()
+        self.rows.rows.clear()
+        registry.apply([record], (), False, clock.now_s())
+        await keeper.confirm(*KEY)
+        self.assertEqual(self.rows.rows.keys(), {KEY})
+
+    async def test_store_that_fails_holds_no_stream_up_for_long(self):
+        """One stream waits a moment, later ones do not; then it is tried."""
+        keeper = version_keeping.VersionKeeper(self.board, self.rows)
+        failure = exceptions.PlatformUnavailableError('no answer')
+        with (
+            mock.patch.object(version_keeping, 'CONFIRM_TIMEOUT_S', 0.05),
+            mock.patch.object(self.rows, 'add', side_effect=failure),
+        ):
+            began_at = clock.now_s()
+            await keeper.confirm(*KEY)
+            self.assertGreater(clock.now_s() - began_at, 0.04)
+            began_at = clock.now_s()
+            await keeper.confirm(*KEY)
+            self.assertLess(clock.now_s() - began_at, 0.04)
+        await asyncio.sleep(0.5)
+        self.assertEqual(self.rows.rows.keys(), {KEY})
+
     def _find(self, board):
         return board.runner_registry.find_versions(
             fixtures.SERVICE, clock.now_s()
--- a/standins/gateway_deployment.py
+++ b/standins/gateway_deployment.py
@@ -130,13 +130,21 @@
         await asyncio.gather(task, return_exceptions=True)
 
     async def replace_gateways(self):
-        """Stop all gateways at the same time and start as many others."""
+        """End all gateways at the same time and start as many others."""
+        await self.stop_gateways()
+        await self.start_gateways()
+
+    async def stop_gateways(self):
+        """End all gateways at the same time."""
         tasks, self._gateway_tasks = self._gateway_tasks, []
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         self.settings.clear()
         self.stop_events.clear()
+
+    async def start_gateways(self):
+        """Start as many gateways as at the beginning."""
         for _ in range(self._gateways):
             await self.add_gateway()
 
