Ask the store before a stream's version is concluded

Callers may see (shown by a test): a gateway that had lost the store before a version came took a stream up at another version, 200 and joined text, once the gateways that knew better had stopped. Cause: without anybody who knows a stream, its version was concluded from what gateways have seen, which says nothing of what they missed. The table of versions was read only at the start. Change: such a conclusion is checked with the rows of the store, read after the caller came. A version has its row before its first stream, so the answer is certain. Without the store the caller is told to come back, as nothing has run. Callers that come at the same time share a read. Before: test_gateway_without_the_store_guesses_no_version got events of v2 and v1. After: it passes, with the tests of origins and of rows.

--- a/persimmonroute/gateway/dispatcher.py
+++ b/persimmonroute/gateway/dispatcher.py
@@ -29,7 +29,9 @@
     Those that no host decides are left to the gateway's own scheduler.
     """
 
-    def __init__(self, own, scheduler, offers, host, directory, origins):
+    def __init__(
+        self, own, scheduler, offers, host, directory, origins, versions
+    ):
         self._name = own.name
         self._failure_domain = own.failure_domain
         self._scheduler = scheduler
@@ -37,6 +39,8 @@
         self._host = host
         self._directory = directory
         self._origins = origins
+        # Tells what the store has of the versions of services.
+        self._versions = versions
         # Futures of the requests that wait for an endpoint, and of questions
         # about streams.
         self._waiting = {}
@@ -75,10 +79,15 @@
         self._questions[question] = future
         try:
             self.deliver_decisions()
-            return await future
+            resolved = await future
         finally:
             del self._questions[question]
             self._origins.withdraw(question)
+        origin = resolved.origin
+        if origin is None or not resolved.by_exclusion:
+            return origin
+        certain = await self._versions.is_only_version(*origin)
+        return origin if certain else None
 
     def record_begun(self, pending, origin):
         """Remember which version began a stream."""
@@ -175,7 +184,7 @@
         elif isinstance(effect, stream_origins.Resolved):
             future = self._questions.get(effect.question)
             if future is not None and not future.done():
-                future.set_result(effect.origin)
+                future.set_result(effect)
         elif isinstance(effect, _offers.Undecided):
             if effect.pending in self._waiting:
                 log.emit(
--- a/persimmonroute/gateway/stream_origins.py
+++ b/persimmonroute/gateway/stream_origins.py
@@ -56,6 +56,9 @@
 
     question: Question
     origin: Origin | None
+    # True if no gateway knows the stream, and none knows of another version
+    # that can have begun it. Gateways that missed one may all agree.
+    by_exclusion: bool = False
 
 
 class Question:
@@ -168,7 +171,7 @@
         for waiting in list(self._questions.values()):
             for question in list(waiting):
                 if now - question.asked_at >= GIVE_UP_AFTER_S:
-                    self._end(question, question.conclude())
+                    self._conclude(question)
                 elif now >= question.resend_at:
                     question.resend_at += RESEND_AFTER_S
                     self._send_question(question)
@@ -220,11 +223,14 @@
 
     def _end_if_answered(self, question):
         if not question.unanswered:
-            self._end(question, question.conclude())
+            self._conclude(question)
 
-    def _end(self, question, origin):
+    def _conclude(self, question):
+        self._end(question, question.conclude(), by_exclusion=True)
+
+    def _end(self, question, origin, by_exclusion=False):
         self.withdraw(question)
-        self.put(Resolved(question, origin))
+        self.put(Resolved(question, origin, by_exclusion))
 
     def _send_question(self, question):
         message = admission_messages.StreamQuestion(
--- a/persimmonroute/gateway/version_keeping.py
+++ b/persimmonroute/gateway/version_keeping.py
@@ -10,6 +10,7 @@
 
 import abc
 import asyncio
+import math
 import random
 
 from persimmonroute import clock
@@ -18,6 +19,7 @@
 from persimmonroute.gateway import polling
 from persimmonroute.gateway import row_keeping
 from persimmonroute import logs
+from persimmonroute import timeouts
 
 log = logs.EventLog(__name__)
 
@@ -60,6 +62,10 @@
         self._confirmed = set()
         # Confirmations under way, with the time at which they began.
         self._confirming = {}
+        # The rows as last read for a question, and when that read began.
+        self._newest = {}
+        self._read_at = -math.inf
+        self._reading = asyncio.Lock()
 
     def on_store_restored(self):
         """Compare with the rows of a store that may have lost some."""
@@ -87,6 +93,33 @@
                 Event.VERSION_UNCONFIRMED, service=service, version=version
             )
 
+    async def is_only_version(self, service, version):
+        """Return whether a service can have had streams of no other version.
+
+        The store is asked now: this gateway and its peers may have missed
+        that a version came. Without the store the answer is no.
+        """
+        try:
+            async with timeouts.timeout(CONFIRM_TIMEOUT_S):
+                stored = await self._read_newest()
+        except (exceptions.PlatformUnavailableError, TimeoutError) as error:
+            log.emit(Event.STORE_CALL_FAILED, problem=repr(error))
+            return False
+        return {v for s, v in stored if s == service} == {version}
+
+    async def _read_newest(self):
+        """Return rows that were read after the call of this method.
+
+        Callers that ask at the same time share a read.
+        """
+        asked_at = clock.now_s()
+        async with self._reading:
+            if self._read_at <= asked_at:
+                read_at = clock.now_s()
+                self._newest = await self._rows.read()
+                self._read_at = read_at
+            return self._newest
+
     async def _store(self, key):
         backoff = polling.Backoff()
         try:
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -53,7 +53,7 @@
     )
 
 
-def build_dispatcher(board, scheduler, own, settings):
+def build_dispatcher(board, scheduler, own, settings, versions):
     """Build the dispatcher of a gateway, with its part as a host."""
     own_locality = build_locality(settings)
     directory = groups.HostDirectory(own, own_locality, board.peers)
@@ -68,6 +68,7 @@
         stream_origins.StreamOrigins(
             own, own_locality, board.peers, board.runner_registry
         ),
+        versions,
     )
 
 
@@ -87,7 +88,13 @@
         settings.failure_domain,
         settings.cpu_share * settings.cores,
     )
-    dispatcher = build_dispatcher(board, scheduler, own, settings)
+    store = tables.TableClient(settings.platform)
+    version_keeper = version_keeping.VersionKeeper(
+        board, sources.VersionRows(store)
+    )
+    dispatcher = build_dispatcher(
+        board, scheduler, own, settings, version_keeper
+    )
     client = runner_client.RunnerClient()
     link = peer_link.PeerLink(
         board,
@@ -100,11 +107,7 @@
     board.runner_registry.limits.on_change = dispatcher.record_limit
     dispatcher.on_change = link.schedule_reports
     dispatcher.send = link.send_admission
-    store = tables.TableClient(settings.platform)
     gateway_metrics = metrics.GatewayMetrics(board, scheduler)
-    version_keeper = version_keeping.VersionKeeper(
-        board, sources.VersionRows(store)
-    )
     forwarder = forwarding.Forwarder(
         board,
         admission.Admission(board),
--- a/persimmonroute/tests/gateway/stream_version_tests.py
+++ b/persimmonroute/tests/gateway/stream_version_tests.py
@@ -11,6 +11,7 @@
 from persimmonroute.gateway import row_keeping
 from persimmonroute.gateway import runners
 from standins import gateway_deployment as deployments
+from tools.soak import proxy
 
 STREAM = ('accept', 'text/event-stream')
 GATEWAYS = 4
@@ -223,7 +224,7 @@
             brief = self.deployment.runners[0]
             brief.version, brief.born = 'v2', 3
             self.deployment.register(brief)
-            begun = await self._begin_at(b'v2')
+            begun = await self._begin_at(brief)
             await self.deployment.stop_gateways()
         brief.version, brief.born = 'v1', 4
         self.deployment.register(brief)
@@ -234,13 +235,60 @@
         self.assertEqual(versions_of(begun.body, rest.body), {b'v2'})
         self.assertEqual(rest.status, 503)
 
-    async def _begin_at(self, version):
-        """Return the broken-off begin of a stream of a version."""
+    async def test_gateway_without_the_store_guesses_no_version(self):
+        """Guards against a list of endpoints that is out of date.
+
+        The only gateway that does not stop has lost the store before the
+        version came that began a stream.
+        """
+        document = deployments.configuration(3)
+        document['Routes'].append(
+            deployments.route(
+                'single',
+                Kind='streaming',
+                StreamResume=True,
+                MaxAttempts=1,
+                Public=True,
+            )
+        )
+        self.deployment.platform.put_row('op', 'config', document)
+        for runner in self.deployment.runners:
+            if runner.version != 'v1':
+                runner.version, runner.born = 'v1', 2
+                self.deployment.register(runner)
+        link = proxy.Proxy()
+        link.target = self.deployment.store
+        await link.start()
+        self.addAsyncCleanup(link.stop)
+        # A small one is not the host of the endpoints.
+        await self.deployment.add_gateway(link.address, cpu_share=0.01)
+        with mock.patch.object(runners, 'VERSION_HISTORY_S', 0.5):
+            await self._wait_until_only_version('v1')
+            await asyncio.sleep(SETTLE_S)
+            link.set_mode(proxy.Mode.SILENT)
+            link.reset_all()
+            brief = self.deployment.runners[0]
+            brief.version, brief.born = 'v2', 3
+            self.deployment.register(brief)
+            begun = [await self._begin_at(brief) for _ in range(4)]
+            for stop in self.deployment.stop_events[:GATEWAYS]:
+                stop.set()
+            await asyncio.sleep(0.2)
+            for stream in begun:
+                rest = await self._resume(stream, GATEWAYS)
+                versions = versions_of(stream.body, rest.body)
+                self.assertEqual(versions, {b'v2'})
+
+    async def _begin_at(self, runner):
+        """Return the broken-off begin of a stream at one endpoint."""
         for _ in range(10 * STREAMS):
-            begun = await self._begin()
-            if versions_of(begun.body) == {version}:
+            runner.script.clear()
+            runner.script.append('break_stream')
+            begun = await self._call('single', 0)
+            if not begun.complete:
+                runner.script.clear()
                 return begun
-        self.fail(f'no stream begins at {version}')
+        self.fail(f'no stream begins at {runner.id}')
 
     async def _wait_until_only_version(self, version):
         """Wait until the store tells of no other version any more."""
--- a/persimmonroute/tests/gateway/version_keeping_tests.py
+++ b/persimmonroute/tests/gateway/version_keeping_tests.py
@@ -159,6 +159,28 @@
         await asyncio.sleep(0.5)
         self.assertEqual(self.rows.rows.keys(), {KEY})
 
+    async def test_only_version_is_read_from_the_store(self):
+        """What gateways missed counts; without the store nothing is sure."""
+        keeper = version_keeping.VersionKeeper(self.board, self.rows)
+        await keeper.confirm(*KEY)
+        self.assertTrue(await keeper.is_only_version(*KEY))
+        await self.rows.add(fixtures.SERVICE, 'v2')
+        self.assertFalse(await keeper.is_only_version(*KEY))
+        failure = exceptions.PlatformUnavailableError('no answer')
+        with mock.patch.object(self.rows, 'read', side_effect=failure):
+            self.assertFalse(await keeper.is_only_version(*KEY))
+
+    async def test_questions_at_the_same_time_share_reads(self):
+        """Many streams are taken up at once after a kill."""
+        keeper = version_keeping.VersionKeeper(self.board, self.rows)
+        await keeper.confirm(*KEY)
+        before = self.rows.reads
+        answers = await asyncio.gather(
+            *(keeper.is_only_version(*KEY) for _ in range(50))
+        )
+        self.assertEqual(set(answers), {True})
+        self.assertLessEqual(self.rows.reads - before, 2)
+
     def _find(self, board):
         return board.runner_registry.find_versions(
             fixtures.SERVICE, clock.now_s()
--- a/standins/gateway_deployment.py
+++ b/standins/gateway_deployment.py
@@ -116,10 +116,10 @@
         for _ in range(self._gateways):
             await self.add_gateway()
 
-    async def add_gateway(self, store=None):
+    async def add_gateway(self, store=None, **changes):
         """Start another gateway and wait until it is ready."""
         self._start_gateway(
-            f'gateway-{len(self.settings)}', store or self._store
+            f'gateway-{len(self.settings)}', store or self._store, changes
         )
         await wait_ready(self.settings[-1].ready_address)
 
@@ -211,7 +211,7 @@
         conn.send_request('POST', path, sent, body)
         return await read_response(conn)
 
-    def _start_gateway(self, name, store):
+    def _start_gateway(self, name, store, changes):
         document = {
             'role': 'gateway',
             'instance': name,
@@ -228,6 +228,7 @@
             'revocation_s': 3,
             'stop_grace_s': 6,
             'retry_slack': 100,
+            **changes,
         }
         checked, problems = settings_module.check_settings(document)
         if problems:
