Let the rows of a test answer after a moment

The test of shared reads failed as it was committed: its store answered at once, so no two questions were open at the same time. The bound stays.

--- a/persimmonroute/tests/gateway/version_keeping_tests.py
+++ b/persimmonroute/tests/gateway/version_keeping_tests.py
@@ -13,6 +13,8 @@
 from persimmonroute.gateway import version_keeping
 from standins import gateway_fixtures as fixtures
 
+# Time that the store needs for an answer.
+READ_S = 0.001
 KEY = (fixtures.SERVICE, 'v1')
 
 
@@ -27,6 +29,7 @@
     async def read(self):
         """Return the rows."""
         self.reads += 1
+        await asyncio.sleep(READ_S)
         return dict(self.rows)
 
     async def add(self, service, version):
