Begin a stream only at a process whose start is known

Cause: a stream was bound to the version of the registration. Only a broken attempt put that in doubt; an endpoint that was replaced while no request was open to it was not noticed. Asked over a caller's tries, all gateways then even agreed that only the registered version had served. Ruled out: the resumption itself, which goes only to the version named. Change: a resumable stream begins, as it goes on, only on a connection whose process has told the start of the registered incarnation, or that was opened while such a process had been heard within 0.1 s. A report that tells no start is no proof any more. The doubt after a broken attempt is not needed now.

--- a/persimmonroute/gateway/crash_checks.py
+++ b/persimmonroute/gateway/crash_checks.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 
 from persimmonroute import clock
 from persimmonroute.events import Event
@@ -49,11 +48,8 @@
             )
 
     async def _connect(self, view, verify):
-        doubted_at = view.doubted_at
         try:
             await self._client.check(view.record, verify)
-            if verify and view.doubted_at == doubted_at:
-                view.doubted_at = -math.inf
         except exceptions.EndpointRefusedError:
             self.record_crash(view)
         except exceptions.EndpointReplacedError:
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -36,9 +36,6 @@
 # pause.
 STREAM_IDLE_TIMEOUT_S = 1.5
 STREAM_IDLE_PAUSES = 3.0
-# Of a stream whose endpoint may have started again just before; no endpoint
-# has it.
-UNKNOWN_VERSION = ''
 # Route name reported for requests that admission rejects.
 NO_ROUTE = '-'
 
@@ -223,7 +220,6 @@
             ending = Ending.UNREACHABLE
             outcome = Failed(ending, False, error.problem)
             self._crash_checker.record_crash(view)
-            view.doubted_at = clock.now_s()
         except exceptions.EndpointReplacedError as error:
             ending = Ending.MISDIRECTED
             outcome = Failed(ending, False, error.problem)
@@ -258,8 +254,11 @@
             pending.workspace,
             pending.deadline_at - now,
             pending.route.repeatable,
-            # Only a process of the version that began the stream may go on.
-            verify_incarnation=pending.version is not None,
+            # The version of the process that answers has to be known: only
+            # that version may go on with the stream.
+            verify_incarnation=(
+                pending.route.resumable or pending.version is not None
+            ),
         )
         pending.sends += 1
         progress.may_have_run = True
@@ -417,11 +416,7 @@
         """Bind a stream to the version that wrote its first event."""
         if progress.event_relayed or pending.version is not None:
             return
-        view, now = pending.runner, clock.now_s()
-        if not view.knows_version(pending.sent_at, now):
-            pending.version = UNKNOWN_VERSION
-            return
-        pending.version = view.record.version
+        pending.version = pending.runner.record.version
         if pending.route.resumable:
             self._dispatcher.record_begun(
                 pending,
@@ -487,9 +482,6 @@
                 self._board.quarantine.record_broken(
                     quarantine.read_traits(pending.request), view.record, now
                 )
-            if pending.route.streaming:
-                # The next stream may meet another incarnation.
-                view.doubted_at = now
             if not answered or pending.route.streaming:
                 self._crash_checker.check(view, pending.route.streaming)
         log.emit(
--- a/persimmonroute/gateway/runners.py
+++ b/persimmonroute/gateway/runners.py
@@ -46,8 +46,6 @@
 
 # Versions of endpoints that are gone are remembered this long.
 VERSION_HISTORY_S = 60.0
-# Time in which an endpoint that started again has registered.
-REGISTRATION_LAG_S = 5.0
 
 
 class RunnerView:
@@ -70,9 +68,6 @@
         # After such a pause one request is sent alone before any others.
         self._probe_needed = False
         self._probe = None
-        # When a connection broke: a later one may reach another incarnation,
-        # whose registration has not been seen yet.
-        self.doubted_at = -math.inf
         # When the endpoint last responded to any request.
         self.last_heard_at = -math.inf
         self.last_released_at = -math.inf
@@ -121,11 +116,6 @@
         # After a failure a single request probes the endpoint first.
         return not (self.suspension_s and self.in_flight)
 
-    def knows_version(self, sent_at, now):
-        """Return whether a request sent at a time met this incarnation."""
-        settled = now - self.doubted_at > REGISTRATION_LAG_S
-        return settled or sent_at <= self.doubted_at
-
     def suspend(self, now):
         """Suspend the endpoint with exponential backoff."""
         longer = max(self.suspension_s * 2, FIRST_SUSPENSION_S)
--- a/persimmonroute/http_connection.py
+++ b/persimmonroute/http_connection.py
@@ -47,6 +47,8 @@
         self._last_request = None
         self._interim_count = 0
         self.request_count = 0
+        # True if the other end is known to be the process that was meant.
+        self.verified = False
         self.idle_since = 0.0
         self.idle_limit_s = None
 
--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 
 import h11
@@ -26,6 +27,9 @@
 # run twice: if a stale connection is reset, its outcome is unknown.
 MAX_UNREPEATABLE_IDLE_S = 0.5
 MAX_IDLE_PER_RUNNER = 24
+# An endpoint that was heard so recently is taken for the same process: none
+# ends and is replaced by another in less time.
+SAME_PROCESS_S = 0.1
 # Late copies of other answers that are skipped before the answer, and their
 # size; more is taken for a fault of the endpoint.
 MAX_SKIPPED_COPIES = 8
@@ -57,7 +61,7 @@
         Raises EndpointBrokenError if the connection ends before they arrive.
         """
         for _ in range(MAX_SKIPPED_COPIES + 1):
-            event = await self._conn.next_event()
+            event = await self._next_event()
             headers = dict(event.headers)
             echoed_attempt = headers.get(names.ATTEMPT_ID)
             if echoed_attempt == self._attempt:
@@ -75,7 +79,7 @@
     async def next_data(self):
         """Return the next chunk of the body, or None at its end."""
         while True:
-            event = await self._conn.next_event()
+            event = await self._next_event()
             if isinstance(event, h11.Data):
                 return bytes(event.data)
             if isinstance(event, h11.EndOfMessage):
@@ -88,6 +92,11 @@
             self._ended = True
             self._conn.abort()
 
+    async def _next_event(self):
+        event = await self._conn.next_event()
+        self._pool.record_heard(self._runner, self._conn)
+        return event
+
     def _read_head(self, event, headers):
         close = b'close' in headers.get(b'connection', b'').lower()
         self._reusable = not close
@@ -135,6 +144,8 @@
 
     def __init__(self):
         self._idle_connections = {}
+        # When each incarnation was last heard on a verified connection.
+        self._heard_at = {}
         self.connections_opened = 0
 
     async def send(
@@ -152,12 +163,11 @@
         EndpointReplacedError if the process that responds there is not the
         incarnation to be verified; nothing was sent in these cases.
         """
-        if verify_incarnation:
-            conn = await self._open_verified(runner)
-        else:
-            conn = self._take_idle(runner, repeatable)
+        conn = self._take_idle(runner, repeatable)
         if conn is None:
             conn = await self._open(runner)
+        if verify_incarnation and not conn.verified:
+            await self._verify(runner, conn)
         call = RunnerCall(self, runner, conn, request.attempt.encode())
         conn.send_request(
             request.method,
@@ -169,17 +179,19 @@
 
     async def _open(self, runner):
         self.connections_opened += 1
-        return await http_connection.open_connection(
+        conn = await http_connection.open_connection(
             runner.address, CONNECT_TIMEOUT_S
         )
+        heard_at = self._heard_at.get(runner.incarnation, -math.inf)
+        conn.verified = clock.now_s() - heard_at < SAME_PROCESS_S
+        return conn
 
-    async def _open_verified(self, runner):
-        """Open a connection to the process of an incarnation.
+    async def _verify(self, runner, conn):
+        """Check that a connection leads to the process of an incarnation.
 
         Whatever answers on a connection is one process, so what it says of
         its start holds for the next request, too.
         """
-        conn = await self._open(runner)
         conn.send_request('GET', REPORT_PATH, [('host', runner.address)], b'')
         try:
             report = await http_connection.read_response(
@@ -191,35 +203,43 @@
                 f'no report of the endpoint: {error!r}'
             ) from error
         started_at_ms = documents.read_start(report.body)
+        if started_at_ms is None and runner.started_at_ms:
+            conn.abort()
+            raise exceptions.EndpointUnreachableError(
+                'the report of the endpoint does not tell its start'
+            )
         if started_at_ms not in (None, runner.started_at_ms):
             conn.abort()
             raise exceptions.EndpointReplacedError(
                 f'{runner.id} started again at {started_at_ms}'
             )
-        if conn.finish():
-            return conn
-        conn.close()
-        raise exceptions.EndpointUnreachableError(
-            'the endpoint closes after its report'
-        )
+        if not conn.finish():
+            conn.close()
+            raise exceptions.EndpointUnreachableError(
+                'the endpoint closes after its report'
+            )
+        conn.verified = True
+        self.record_heard(runner, conn)
 
     async def check(self, runner, verify_incarnation=False):
         """Connect to an endpoint and keep the connection for a request.
 
         Raises the same errors as send().
         """
+        conn = await self._open(runner)
         if verify_incarnation:
-            conn = await self._open_verified(runner)
-        else:
-            conn = await self._open(runner)
+            await self._verify(runner, conn)
         self.release(runner, conn)
 
+    def record_heard(self, runner, conn):
+        """Record that an endpoint sent something on a connection."""
+        if conn.verified:
+            self._heard_at[runner.incarnation] = clock.now_s()
+
     def release(self, runner, conn):
         """Return a connection to the pool, or close it if the pool is full."""
         conn.idle_since = clock.now_s()
-        idle = self._idle_connections.setdefault(
-            (runner.id, runner.started_at_ms), []
-        )
+        idle = self._idle_connections.setdefault(runner.incarnation, [])
         if len(idle) < MAX_IDLE_PER_RUNNER:
             idle.append(conn)
         else:
@@ -227,9 +247,8 @@
 
     def close_idle_connections(self, runner):
         """Close the idle connections to an endpoint that was removed."""
-        for conn in self._idle_connections.pop(
-            (runner.id, runner.started_at_ms), ()
-        ):
+        self._heard_at.pop(runner.incarnation, None)
+        for conn in self._idle_connections.pop(runner.incarnation, ()):
             conn.close()
 
     def close_expired(self):
@@ -244,9 +263,7 @@
 
     def _take_idle(self, runner, repeatable):
         now = clock.now_s()
-        idle = self._idle_connections.get(
-            (runner.id, runner.started_at_ms), []
-        )
+        idle = self._idle_connections.get(runner.incarnation, [])
         while idle:
             conn = idle.pop()
             if not conn.reusable or _remaining_idle_s(conn, now) <= 0:
--- a/persimmonroute/tests/gateway/stream_version_tests.py
+++ b/persimmonroute/tests/gateway/stream_version_tests.py
@@ -235,6 +235,39 @@
         self.assertEqual(versions_of(begun.body, rest.body), {b'v2'})
         self.assertEqual(rest.status, 503)
 
+    async def test_stream_begins_only_at_a_known_process(self):
+        """Guards against a process that replaced the registered one.
+
+        Nothing was sent to it since, it has not registered, and it ends
+        before it does.
+        """
+        brief, *others = self.deployment.runners
+        for runner in self.deployment.runners:
+            runner.event_count = 20
+            runner.event_pause_s = 0.05
+        for runner in others:
+            runner.version, runner.born = 'v1', 2
+            self.deployment.register(runner)
+        await asyncio.sleep(SETTLE_S)
+        for begun_again in range(2):
+            await brief.crash()
+            brief.version, brief.born = 'v9', 10 + begun_again
+            port = int(brief.former_address.rpartition(':')[2])
+            await brief.start(port)
+            reading = [
+                asyncio.create_task(self._call('resume'))
+                for _ in range(STREAMS)
+            ]
+            await asyncio.sleep(0.4)
+            await brief.crash()
+            await brief.start(port)
+            answers = await asyncio.gather(*reading)
+            for answer in answers:
+                self.assertLessEqual(len(versions_of(answer.body)), 1)
+            whole = [answer for answer in answers if answer.complete]
+            self.assertGreaterEqual(len(whole), STREAMS / 2)
+            await asyncio.sleep(1.0)
+
     async def test_gateway_without_the_store_guesses_no_version(self):
         """Guards against a list of endpoints that is out of date.
 
