Refuse rows of other writers that cannot be used safely

Cause: json raises RecursionError for deep nesting, which the reader did not expect, so the loop that reads the table failed again each half second. The same reader let values pass that fail later: starts that do not fit into messages between gateways, slots of any size, texts of kilobytes or with half characters, ids that no header takes, addresses that are no IP address. At the other door an entry stopped reading the list of instances for good at the first row that is no JSON or lacks a field. Change: all rows are read by platform/documents.py, which returns values in range or raises DocumentError; the row is logged and passed over, the others are used. A claim that cannot be read is a failed read, not a missing claim.

--- a/persimmonroute/platform/client.py
+++ b/persimmonroute/platform/client.py
@@ -10,6 +10,7 @@
 from persimmonroute.events import Event
 from persimmonroute import exceptions
 from persimmonroute import logs
+from persimmonroute.platform import documents
 from persimmonroute.platform import tables
 from persimmonroute import store
 from persimmonroute.store import StoreStatus
@@ -67,16 +68,19 @@
         ]
         try:
             committed, version_or_conflicts = await self._tables.transact(rows)
-        except exceptions.PlatformUnavailableError as error:
+            if not committed:
+                conflicts = _find_conflicts(writes, version_or_conflicts)
+        except (
+            exceptions.PlatformUnavailableError,
+            exceptions.DocumentError,
+        ) as error:
             return _report_failure(error)
         if committed:
             current = tuple(
                 store.Row(w.key, w.value, version_or_conflicts) for w in writes
             )
             return store.StoreReply(StoreStatus.COMMITTED, current)
-        return store.StoreReply(
-            StoreStatus.CONFLICT, _find_conflicts(writes, version_or_conflicts)
-        )
+        return store.StoreReply(StoreStatus.CONFLICT, conflicts)
 
     async def read(self, table, key):
         """Read one row; the reply has no rows if the key does not exist."""
@@ -87,9 +91,15 @@
         return await self._read_range(table, prefix, prefix + PREFIX_SCAN_END)
 
     async def list_instances(self):
-        """Return the instances of the platform as decoded JSON objects."""
+        """Return the readable instances of the platform, as JSON objects."""
         page = await self._tables.read(INSTANCE_TABLE)
-        return [json.loads(row.value) for row in page.rows]
+        instances = []
+        for row in page.rows:
+            try:
+                instances.append(documents.read_instance(row.value))
+            except exceptions.DocumentError as error:
+                log.emit(Event.DOCUMENT_UNREADABLE, problem=error.problem)
+        return instances
 
     async def close(self):
         """Close all connections."""
@@ -98,11 +108,13 @@
     async def _read_range(self, table, start, end):
         try:
             page = await self._tables.read(table, start=start, end=end)
-        except exceptions.PlatformUnavailableError as error:
+            rows = tuple(_convert_row(row) for row in page.rows)
+        except (
+            exceptions.PlatformUnavailableError,
+            exceptions.DocumentError,
+        ) as error:
             return _report_failure(error)
-        return store.StoreReply(
-            StoreStatus.FOUND, tuple(_convert_row(row) for row in page.rows)
-        )
+        return store.StoreReply(StoreStatus.FOUND, rows)
 
 
 def _report_failure(error):
@@ -123,4 +135,4 @@
 
 
 def _convert_row(row):
-    return store.Row(row.key, json.loads(row.value), row.version)
+    return store.Row(row.key, documents.read_value(row.value), row.version)
--- a/persimmonroute/platform/documents.py
+++ b/persimmonroute/platform/documents.py
@@ -1,8 +1,16 @@
-"""Decode the JSON documents stored in the platform's tables."""
+"""Decode the JSON documents stored in the platform's tables.
+
+Anybody may write a row, so whatever its bytes are, it is decoded into values
+that are safe to use or refused with a DocumentError.
+"""
 
 from __future__ import annotations
 
+import ipaddress
 import json
+import math
+import re
+import typing
 
 from persimmonroute import exceptions
 from persimmonroute.gateway import model
@@ -10,9 +18,48 @@
 CONFIGURATION_TABLE = 'op'
 CONFIGURATION_KEY = 'config'
 RUNNER_TABLE = 'servers'
+INSTANCE_FIELDS = (
+    'name',
+    'kind',
+    'service',
+    'region',
+    'failure_domain',
+    'address',
+    'state',
+)
 LEAVING_BY_STATE = {'ready': False, 'draining': True}
 ROUTE_KINDS = ('idempotent', 'non_idempotent', 'streaming')
-MALFORMED_DOCUMENT_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+# json raises RecursionError for nested brackets, float() OverflowError for
+# long integers.
+MALFORMED_DOCUMENT_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    RecursionError,
+    OverflowError,
+)
+# Larger integers are not exact in JSON, and do not fit into messages between
+# gateways.
+MAX_INTEGER = 2**53 - 1
+MAX_SLOTS = 1_000_000
+MAX_TEXT_CHARACTERS = 200
+MAX_PORT = 65_535
+MAX_CORES = 1_000_000.0
+# Part of a problem that is logged.
+MAX_PROBLEM_CHARACTERS = 300
+# Ids are sent in a header.
+_RUNNER_ID = re.compile(r'[!-~]{1,200}')
+_TRAIT = re.compile(r'[0-9a-f]{16}')
+_PORT = re.compile(r'[0-9]{1,5}')
+
+
+class GatewayDocument(typing.NamedTuple):
+    """Describe a registered gateway; empty if it did not state a field."""
+
+    address: str
+    failure_domain: str
+    cores: float
 
 
 def read_configuration(data):
@@ -29,35 +76,84 @@
             limits=_decode_limits(document.get('Limits') or {}),
         )
     except MALFORMED_DOCUMENT_ERRORS as error:
-        raise exceptions.DocumentError(
-            f'cannot decode the configuration: {error!r}'
-        ) from error
+        raise _refuse('the configuration', error) from error
 
 
 def read_runner(runner_id, data):
     """Decode the registration of an endpoint or raise DocumentError."""
     try:
+        if not _RUNNER_ID.fullmatch(runner_id):
+            raise ValueError('the id has characters that are not allowed')
         document = json.loads(data)
-        address = _string(document['Address'])
-        host, _, port = address.rpartition(':')
-        if not host or not 0 < int(port) < 65536:
-            raise ValueError(f'invalid address {address!r}')
-        started_at_ms = document.get('born', 0)
         return model.Runner(
             id=runner_id,
-            started_at_ms=_integer(started_at_ms),
-            service=_string(document['Service']),
-            address=address,
-            failure_domain=_string(document['Zone']),
-            slots=_integer(document['Slots']),
-            leaving=LEAVING_BY_STATE[_string(document['State'])],
-            version=_string(document['Version']),
+            started_at_ms=_integer(document.get('born', 0), 0),
+            service=_text(document['Service']),
+            address=_address(document['Address']),
+            failure_domain=_text(document['Zone']),
+            slots=_integer(document['Slots'], 1, MAX_SLOTS),
+            leaving=LEAVING_BY_STATE[_text(document['State'])],
+            version=_text(document['Version']),
+        )
+    except MALFORMED_DOCUMENT_ERRORS as error:
+        subject = f'the registration of endpoint {runner_id[:100]!r}'
+        raise _refuse(subject, error) from error
+
+
+def read_gateway(data):
+    """Decode a GatewayDocument or raise DocumentError."""
+    try:
+        document = json.loads(data)
+        cores = _number(document.get('cores', 0.0))
+        if not 0.0 <= cores <= MAX_CORES:
+            raise ValueError('the cores are out of range')
+        domain = document.get('failure_domain', '')
+        return GatewayDocument(
+            _address(document['address']),
+            _text(domain) if domain else '',
+            cores,
         )
     except MALFORMED_DOCUMENT_ERRORS as error:
-        raise exceptions.DocumentError(
-            f'cannot decode the registration of endpoint {runner_id!r}:'
-            f' {error!r}'
-        ) from error
+        raise _refuse('the row of a gateway', error) from error
+
+
+def read_version(data):
+    """Decode a service and its version, or raise DocumentError."""
+    try:
+        document = json.loads(data)
+        return _text(document['service']), _text(document['version'])
+    except MALFORMED_DOCUMENT_ERRORS as error:
+        raise _refuse('the row of a version', error) from error
+
+
+def read_trait(key):
+    """Decode the trait in the key of a row, or raise DocumentError."""
+    if not _TRAIT.fullmatch(key):
+        raise exceptions.DocumentError(f'not a trait: {key[:100]!r}')
+    return int(key, 16)
+
+
+def read_value(data):
+    """Decode any JSON document or raise DocumentError."""
+    try:
+        return json.loads(data)
+    except MALFORMED_DOCUMENT_ERRORS as error:
+        raise _refuse('a row', error) from error
+
+
+def read_instance(data):
+    """Decode an instance that runs a sidecar or an entry.
+
+    Returns its fields by name, or raises DocumentError.
+    """
+    try:
+        document = json.loads(data)
+        names = INSTANCE_FIELDS
+        if document['kind'] == 'endpoint':
+            names += ('sidecar',)
+        return {**document, **{name: _text(document[name]) for name in names}}
+    except MALFORMED_DOCUMENT_ERRORS as error:
+        raise _refuse('an instance', error) from error
 
 
 def read_start(data):
@@ -66,7 +162,7 @@
     In Unix milliseconds, as in its registration.
     """
     try:
-        return _integer(json.loads(data)['born'])
+        return _integer(json.loads(data)['born'], 0)
     except MALFORMED_DOCUMENT_ERRORS:
         return None
 
@@ -78,12 +174,12 @@
     traffic_split = document.get('TrafficSplit')
     if traffic_split:
         destinations = tuple(
-            model.Destination(_string(d['Service']), float(d['Weight']))
+            model.Destination(_string(d['Service']), _number(d['Weight']))
             for d in traffic_split
         )
     else:
         destinations = (model.Destination(_string(document['Service']), 1.0),)
-    timeout_s = float(document['TimeoutMs']) / 1000
+    timeout_s = _number(document['TimeoutMs']) / 1000
     # Latency objective: time until a stream starts or until any other
     # response is complete.
     objective_ms = document.get('TargetLatencyMs') or document['TimeoutMs']
@@ -96,7 +192,7 @@
         idempotent=kind == 'idempotent',
         resumable=bool(document.get('StreamResume')),
         timeout_s=timeout_s,
-        objective_s=float(objective_ms) / 1000,
+        objective_s=_number(objective_ms) / 1000,
         tier=_integer(document.get('Priority', 0)),
         max_attempts=max(_integer(document.get('MaxAttempts', 1)), 1),
         public=bool(document.get('Public')),
@@ -116,15 +212,15 @@
 
 def _decode_workspace(document):
     tier = document.get('Priority')
-    rate = float(document.get('RatePerS') or 0)
+    rate = _number(document.get('RatePerS') or 0)
     quota = None
     if rate > 0:
         plain_units = 1.0
         # With this unit, rate and burst count tokens instead of requests.
         if document.get('Unit') == 'token_count':
-            plain_units = float(document.get('PlainTokens') or 1)
+            plain_units = _number(document.get('PlainTokens') or 1)
         quota = model.Quota(
-            rate, float(document.get('Burst') or 0), plain_units
+            rate, _number(document.get('Burst') or 0), plain_units
         )
     return model.Workspace(
         name=_string(document['Name']),
@@ -141,18 +237,48 @@
             document.get('MaxHeaderBytes', default.header_bytes)
         ),
         body_bytes=_integer(document.get('MaxBodyBytes', default.body_bytes)),
-        header_timeout_s=float(document.get('HeaderTimeoutMs', 3000)) / 1000,
-        idle_timeout_s=float(document.get('IdleTimeoutMs', 15000)) / 1000,
+        header_timeout_s=_number(document.get('HeaderTimeoutMs', 3000)) / 1000,
+        idle_timeout_s=_number(document.get('IdleTimeoutMs', 15000)) / 1000,
     )
 
 
+def _refuse(subject, error):
+    problem = f'cannot decode {subject}: {error!r}'
+    return exceptions.DocumentError(problem[:MAX_PROBLEM_CHARACTERS])
+
+
 def _string(value):
     if not isinstance(value, str) or not value:
-        raise TypeError(f'not a non-empty string: {value!r}')
+        raise TypeError(f'not a non-empty string but {type(value)}')
     return value
 
 
-def _integer(value):
+def _text(value):
+    """Return a string that may stand in messages and logs."""
+    if not _string(value).isprintable() or len(value) > MAX_TEXT_CHARACTERS:
+        raise ValueError('the text is too long or not printable')
+    return value
+
+
+def _integer(value, least=-MAX_INTEGER, most=MAX_INTEGER):
     if isinstance(value, bool) or not isinstance(value, int):
-        raise TypeError(f'not an integer: {value!r}')
+        raise TypeError(f'not an integer but {type(value)}')
+    if not least <= value <= most:
+        raise ValueError(f'not from {least} to {most}')
+    return value
+
+
+def _number(value):
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError('not a finite number')
+    return number
+
+
+def _address(value):
+    """Return an IP address with a port."""
+    host, _, port = _text(value).rpartition(':')
+    ipaddress.ip_address(host.strip('[]'))
+    if not _PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
+        raise ValueError('the port is out of range')
     return value
--- a/persimmonroute/platform/sources.py
+++ b/persimmonroute/platform/sources.py
@@ -188,15 +188,10 @@
         gateways = {}
         for row in page.rows:
             try:
-                document = json.loads(row.value)
-                gateways[row.key] = GatewayRow(
-                    document['address'],
-                    document.get('failure_domain', ''),
-                    float(document.get('cores', 0.0)),
-                    row.version,
-                )
-            except (ValueError, KeyError, TypeError, AttributeError) as error:
-                log.emit(Event.DOCUMENT_UNREADABLE, problem=repr(error))
+                document = documents.read_gateway(row.value)
+                gateways[row.key] = GatewayRow(*document, row.version)
+            except exceptions.DocumentError as error:
+                log.emit(Event.DOCUMENT_UNREADABLE, problem=error.problem)
         return gateways
 
 
@@ -212,11 +207,9 @@
         numbers = {}
         for row in page.rows:
             try:
-                document = json.loads(row.value)
-                key = (document['service'], document['version'])
-                numbers[key] = row.version
-            except (ValueError, KeyError, TypeError) as error:
-                log.emit(Event.DOCUMENT_UNREADABLE, problem=repr(error))
+                numbers[documents.read_version(row.value)] = row.version
+            except exceptions.DocumentError as error:
+                log.emit(Event.DOCUMENT_UNREADABLE, problem=error.problem)
         return numbers
 
     async def add(self, service, version):
@@ -248,9 +241,9 @@
         versions = {}
         for row in page.rows:
             try:
-                versions[int(row.key, 16)] = row.version
-            except ValueError as error:
-                log.emit(Event.DOCUMENT_UNREADABLE, problem=repr(error))
+                versions[documents.read_trait(row.key)] = row.version
+            except exceptions.DocumentError as error:
+                log.emit(Event.DOCUMENT_UNREADABLE, problem=error.problem)
         return versions
 
     async def add(self, trait):
--- a/persimmonroute/platform/tables.py
+++ b/persimmonroute/platform/tables.py
@@ -223,6 +223,7 @@
             exceptions.EndpointBrokenError,
             TimeoutError,
             ValueError,
+            RecursionError,
         ) as error:
             raise exceptions.PlatformUnavailableError(
                 f'{method} {path} failed: {error!r}'
@@ -287,7 +288,7 @@
 
 def _decode_row(row):
     removed = bool(row.get('Removed'))
-    value = None if removed else base64.b64decode(row.get('Value') or '')
+    value = None if removed else _decode_value(row.get('Value') or '')
     return TableRow(
         row.get('Table', ''),
         row.get('part', ''),
@@ -295,3 +296,14 @@
         value,
         row.get('ObjectVersion', 0),
     )
+
+
+def _decode_value(text):
+    """Return the bytes of a value; those of an unreadable one are empty.
+
+    Whoever reads the row refuses it then, and the other rows are used.
+    """
+    try:
+        return base64.b64decode(text)
+    except (TypeError, ValueError):
+        return b''
--- a/persimmonroute/tests/gateway/serving_tests.py
+++ b/persimmonroute/tests/gateway/serving_tests.py
@@ -6,6 +6,7 @@
 import collections
 import time
 import unittest
+from unittest import mock
 
 from persimmonroute import exceptions
 from persimmonroute import http_connection
@@ -403,6 +404,46 @@
         response = await self.deployment.call('/book/x')
         self.assertEqual(response.status, 200)
 
+    async def test_odd_registrations_do_not_hide_the_others(self):
+        """Guards against gateways that stop following the endpoints."""
+        first, second = self.deployment.runners
+        self.deployment.platform.put_row('servers', 'a-nested', b'[' * 60_000)
+        self.deployment.platform.put_row(
+            'servers', 'b-long', b'{"Slots": ' + b'9' * 60_000 + b'}'
+        )
+        for number, changes in enumerate(
+            (
+                {'Address': '127.0.0.1:70000'},
+                {'born': 10**400},
+                {'Slots': -(10**30)},
+                {'Service': '\ud800'},
+                {'Version': 'v' * 50_000},
+            )
+        ):
+            odd = mock.Mock(address=first.address, version='v1', born=1)
+            odd.id = f'odd-{number}'
+            self.deployment.register(odd, **changes)
+        for restart in (False, True):
+            with self.subTest(restart=restart):
+                if restart:
+                    await self.deployment.replace_gateways()
+                self.deployment.register(first, 'draining')
+                await asyncio.sleep(0.8)
+                before = sum(first.runs.values())
+                for number in range(6):
+                    response = await self.deployment.call(
+                        '/book/x', attempt=f'{restart}-{number}'
+                    )
+                    self.assertEqual(response.status, 200)
+                self.assertEqual(sum(first.runs.values()), before)
+                first, second = second, first
+                self.deployment.register(second)
+                first.born += 1
+                second.born += 1
+                self.deployment.register(first)
+                self.deployment.register(second)
+                await asyncio.sleep(0.8)
+
     async def test_newer_configuration_is_applied(self):
         """A removed key is soon rejected; an older version is ignored."""
         changed = deployments.configuration(
