Send a refused attempt again on a new connection only

Callers may see (shown by a test): an order came again under the name of an attempt that an endpoint had refused, the endpoint wrote that refusal once more on a kept connection and ran the order, and the gateway ran it at a second endpoint, too. Cause: an answer is told from copies of earlier answers by the name of the attempt, which says nothing if an attempt of that name was refused before. Ruled out by the same test: copies under another name are skipped, and a connection on which a refusal was read is never used again. The other door opens a connection for each call (test_call_never_reads_bytes_of_an_earlier_one). Change: the names of refused attempts are remembered, 8192 at most, and such a name is sent on a new connection, where nothing earlier can arrive. The same holds for a stream that is sent to an endpoint again as no other has its version.

--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 import re
 
@@ -30,6 +31,8 @@
 # An endpoint that was heard so recently is taken for the same process: none
 # ends and is replaced by another in less time.
 SAME_PROCESS_S = 0.1
+# Refused attempts that are remembered; callers come back within seconds.
+MAX_REFUSED_ATTEMPTS = 8192
 # Late copies of other answers that are skipped before the answer, and their
 # size; more is taken for a fault of the endpoint.
 MAX_SKIPPED_COPIES = 8
@@ -100,6 +103,12 @@
     def _read_head(self, event, headers):
         close = b'close' in headers.get(b'connection', b'').lower()
         self._reusable = not close
+        not_run = (
+            names.NOT_EXECUTED in headers
+            or event.status_code == STATUS_MISDIRECTED
+        )
+        if not_run:
+            self._pool.record_refused(self._attempt)
         match = _KEEP_ALIVE_TIMEOUT.search(headers.get(names.KEEP_ALIVE, b''))
         if match:
             self._conn.idle_limit_s = int(match.group(1)) - IDLE_MARGIN_S
@@ -110,8 +119,7 @@
                 for name, value in event.headers
                 if name not in names.CONNECTION_HEADERS
             ),
-            not_run=names.NOT_EXECUTED in headers
-            or event.status_code == STATUS_MISDIRECTED,
+            not_run=not_run,
             misdirected=event.status_code == STATUS_MISDIRECTED,
             load=_read_load(headers.get(names.RUNNER_LOAD)),
             ends_with_connection=http_connection.ends_with_connection(event),
@@ -146,6 +154,8 @@
         self._idle_connections = {}
         # When each incarnation was last heard on a verified connection.
         self._heard_at = {}
+        # Attempts that an endpoint refused, oldest first.
+        self._refused = collections.OrderedDict()
         self.connections_opened = 0
 
     async def send(
@@ -163,12 +173,16 @@
         EndpointReplacedError if the process that responds there is not the
         incarnation to be verified; nothing was sent in these cases.
         """
-        conn = self._take_idle(runner, repeatable)
+        attempt, conn = request.attempt.encode(), None
+        # An endpoint may write a refusal once more on a connection that was
+        # used before. It would answer an attempt of the same name.
+        if attempt not in self._refused:
+            conn = self._take_idle(runner, repeatable)
         if conn is None:
             conn = await self._open(runner)
         if verify_incarnation and not conn.verified:
             await self._verify(runner, conn)
-        call = RunnerCall(self, runner, conn, request.attempt.encode())
+        call = RunnerCall(self, runner, conn, attempt)
         conn.send_request(
             request.method,
             request.target,
@@ -236,6 +250,13 @@
         if conn.verified:
             self._heard_at[runner.incarnation] = clock.now_s()
 
+    def record_refused(self, attempt):
+        """Record that an endpoint refused an attempt."""
+        self._refused[attempt] = None
+        self._refused.move_to_end(attempt)
+        if len(self._refused) > MAX_REFUSED_ATTEMPTS:
+            self._refused.popitem(last=False)
+
     def release(self, runner, conn):
         """Return a connection to the pool, or close it if the pool is full."""
         conn.idle_since = clock.now_s()
--- a/persimmonroute/tests/gateway/serving_tests.py
+++ b/persimmonroute/tests/gateway/serving_tests.py
@@ -348,6 +348,32 @@
             if response.status == 200:
                 self.assertEqual(response.body, f'answer {attempt}'.encode())
 
+    async def test_earlier_refusal_is_not_the_next_answer(self):
+        """Guards against a refusal that a faulty endpoint writes again.
+
+        Callers name their attempts, so the next may have the same name.
+        """
+        for behaviour in ('refuse_again', 'refuse_again_elsewhere'):
+            for next_attempt in ('next', behaviour):
+                with self.subTest(behaviour=behaviour, attempt=next_attempt):
+                    await self._refuse_and_send(behaviour, next_attempt)
+
+    async def _refuse_and_send(self, behaviour, next_attempt):
+        # Each endpoint has a connection that was used before.
+        await asyncio.gather(
+            *(self.deployment.call('/book/x', attempt=f'w{n}') for n in '1234')
+        )
+        self._script(behaviour, behaviour)
+        refused = await self.deployment.call('/book/x', attempt=behaviour)
+        self.assertEqual(refused.status, 503)
+        # Endpoints that refused are paused for a moment.
+        await asyncio.sleep(0.1)
+        before = self._runs
+        response = await self.deployment.call('/book/x', attempt=next_attempt)
+        self.assertEqual(self._runs, before + 1)
+        self.assertEqual(response.status, 200)
+        self.assertEqual(response.body, f'answer {next_attempt}'.encode())
+
     async def test_unresponsive_endpoint_ends_at_the_timeout(self):
         """A request gets a 504 at its route's timeout, not later."""
         self._script('hang')
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -73,6 +73,12 @@
         self._server = None
         self._tasks = set()
         self._writers = set()
+        # Refusals to be written once more before the next answer, by
+        # connection.
+        self._former_refusals = {}
+        # A refusal to be written once more on the next connection that has
+        # been used before.
+        self._kept_refusal = b''
 
     @property
     def address(self):
@@ -138,10 +144,16 @@
 
     async def _serve(self, reader, writer):
         http = h11.Connection(h11.SERVER)
+        used = False
         while True:
             request, body = await _read_request(http, reader)
             if request is None:
                 return
+            writer.write(self._former_refusals.pop(writer, b''))
+            if used:
+                writer.write(self._kept_refusal)
+                self._kept_refusal = b''
+            used = True
             keep = await self._respond(http, writer, request, body)
             if not keep or http.our_state is not h11.DONE:
                 return
@@ -161,6 +173,18 @@
         if behaviour == 'full':
             await reply.send_complete(503, b'', [(b'not-executed', b'1')])
             return True
+        if behaviour in ('refuse_again', 'refuse_again_elsewhere'):
+            refusal = (
+                b'HTTP/1.1 503 Service Unavailable\r\nattempt-id: '
+                + attempt
+                + b'\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n'
+            )
+            if behaviour == 'refuse_again':
+                self._former_refusals[writer] = refusal
+            else:
+                self._kept_refusal = refusal
+            await reply.send_complete(503, b'', [(b'not-executed', b'1')])
+            return True
         if behaviour == 'closed':
             pause = str(self.pause_s).encode()
             headers = [(b'not-executed', b'1'), (b'retry-after', pause)]
