Date no confirmation by an echo of an earlier start

Cause: a peer's report confirms the configuration as of the send time that it echoes, in the gateway's own clock; an echo of a report of before the loss of power dated it in the future. Change: send times count from an origin that each start draws at random, so only echoes of this start are between 0 and now; others confirm nothing. No confirmation is dated later than now, and ages of rows from peers are bounded. Before: test_echo_of_an_earlier_start_confirms_nothing and 60 of 60 random orders of messages and starts failed, also with the bound of now alone.

--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -171,6 +171,11 @@
     PEER_ROWS_UNAVAILABLE = EventKind(
         733, 'DEBUG', 'rows could not be loaded from a peer'
     )
+    ECHO_IGNORED = EventKind(
+        736,
+        'DEBUG',
+        'report of a peer that answers an earlier start confirms nothing',
+    )
     VERSION_UNCONFIRMED = EventKind(
         735,
         'WARNING',
--- a/persimmonroute/gateway/following.py
+++ b/persimmonroute/gateway/following.py
@@ -253,7 +253,9 @@
         # A store that was restored from an older copy may lack a version
         # that peers have applied, so it confirms nothing older.
         if self._board.version and not self._peers_are_newer():
-            self._board.configuration_freshness.confirm(changes.responded_at)
+            self._board.configuration_freshness.confirm(
+                changes.responded_at, now
+            )
 
 
 class RunnerFollower(Follower):
--- a/persimmonroute/gateway/freshness.py
+++ b/persimmonroute/gateway/freshness.py
@@ -21,9 +21,9 @@
         """Return the time of the latest confirmation, in seconds."""
         return self._confirmed_at
 
-    def confirm(self, at):
-        """Record that the state was current at a time in seconds."""
-        self._confirmed_at = max(self._confirmed_at, at)
+    def confirm(self, at, now):
+        """Record that the state was current at a time, now at the latest."""
+        self._confirmed_at = max(self._confirmed_at, min(at, now))
 
     def age_s(self, now):
         """Return the seconds since the latest confirmation."""
--- a/persimmonroute/gateway/peer_link.py
+++ b/persimmonroute/gateway/peer_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 
 from google.protobuf import message as protobuf
@@ -20,6 +21,9 @@
 
 # Reports due this soon are sent now, to share one encoded message.
 DUE_TOLERANCE_S = 0.001
+# Of the origin of send times: two starts hardly draw origins that are closer
+# than the uptime of a process.
+CLOCK_ORIGIN_BITS = 48
 
 
 class ReportSchedule:
@@ -49,6 +53,10 @@
         self._cores = cores
         self._incarnation = time.time_ns() // 1_000_000
         self._sequence = 0
+        # Send times count from a random origin, so that peers' echoes of an
+        # earlier start are told from those of this one. Its clock may have
+        # shown any time.
+        self._clock_origin_ms = random.getrandbits(CLOCK_ORIGIN_BITS)
         self._transport = None
         self._handle = None
         self._schedules = [ReportSchedule(distance) for distance in Distance]
@@ -90,7 +98,7 @@
             self._board.raise_store_era(message.store_era)
         if self._board.apply_peer_report(_decode_message(message), now):
             self._newest_sent_at_ms[message.name] = message.sent_at_ms
-            self._confirm_configuration(message)
+            self._confirm_configuration(message, now)
             self._dispatcher.dispatch_ready(now)
 
     def error_received(self, error):
@@ -207,7 +215,7 @@
             incarnation=self._incarnation,
             sequence=self._sequence,
             configuration_version=board.version,
-            sent_at_ms=int(now * 1000),
+            sent_at_ms=self._clock_origin_ms + int(now * 1000),
             failure_domain=self._locality.failure_domain,
             store_era=board.store_era or 0,
             cores=self._cores,
@@ -250,7 +258,7 @@
         )
         return report
 
-    def _confirm_configuration(self, message):
+    def _confirm_configuration(self, message, now):
         """Confirm the configuration if a peer reports the same version.
 
         The peer computed the age after it received the report that it
@@ -264,8 +272,12 @@
         if message.store_era < (board.store_era or 0):
             # The peer's confirmation is by a store that has been restored.
             return
+        sent_at = (message.echo_ms - self._clock_origin_ms) / 1000
+        if not 0.0 <= sent_at <= now:
+            log.emit(Event.ECHO_IGNORED, gateway=message.name)
+            return
         age_s = message.configuration_age_ms / 1000
-        board.configuration_freshness.confirm(message.echo_ms / 1000 - age_s)
+        board.configuration_freshness.confirm(sent_at - age_s, now)
 
 
 def decode(data):
--- a/persimmonroute/gateway/peer_rows.py
+++ b/persimmonroute/gateway/peer_rows.py
@@ -83,7 +83,7 @@
 def encode_rows(values, age_s):
     """Encode rows and their age in seconds as a JSON document."""
     return {
-        'age_s': min(age_s, MAX_AGE_S),
+        'age_s': min(max(age_s, 0.0), MAX_AGE_S),
         'rows': {
             key: base64.b64encode(value).decode()
             for key, value in values.items()
@@ -101,7 +101,11 @@
             key: base64.b64decode(value)
             for key, value in document['rows'].items()
         }
-        return PeerRows(values, requested_at - float(document['age_s']))
+        age_s = float(document['age_s'])
+        # Rules out NaN, which compares false with everything.
+        if not 0.0 <= age_s <= MAX_AGE_S:
+            raise ValueError(f'the age of {age_s} s is out of range')
+        return PeerRows(values, requested_at - age_s)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise exceptions.DocumentError(
             f'cannot decode the rows of a peer: {error!r}'
--- a/persimmonroute/tests/gateway/peer_link_tests.py
+++ b/persimmonroute/tests/gateway/peer_link_tests.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import random
 import unittest
+from unittest import mock
 
+from persimmonroute import clock
+from persimmonroute.gateway import freshness
 from persimmonroute.gateway import peer_link
 from standins import gateway_fixtures as fixtures
 
@@ -92,3 +96,110 @@
             board.peers.idle_interval_s(d) for d in peer_link.Distance
         }
         self.assertEqual(len(intervals_s), 1)
+
+
+class ConfirmationTests(unittest.TestCase):
+    """Confirm the configuration of a gateway by a peer with the store.
+
+    Each start has a clock of its own, as after a loss of power.
+    """
+
+    def setUp(self):
+        """Prepare a peer that is in touch with the store."""
+        self.now = 0.0
+        self.origins = {}
+        self.confirmed_at = 0.0
+        self.peer = self._start('peer', 1000.0)
+        patch = mock.patch.object(
+            clock, 'now_s', lambda: self.now + self.origins[self.running]
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def _start(self, name, origin_s):
+        board = fixtures.board(name=name, now=self.now + origin_s)
+        other = 'peer' if name == 'own' else 'own'
+        board.peers.update_peer(other, '127.0.0.1:2', 0.0, NEAR, 1.0)
+        link = peer_link.PeerLink(
+            board,
+            fixtures.scheduler(board),
+            '127.0.0.1:1',
+            fixtures.LOCALITY,
+            mock.Mock(),
+            1.0,
+        )
+        link._transport = RecordingTransport()
+        link._incarnation = len(self.origins) + 1
+        board.configuration_freshness = freshness.Freshness()
+        self.origins[link] = origin_s
+        return link
+
+    def _do(self, link, function, *args):
+        self.running = link
+        return function(*args)
+
+    def _confirm_peer(self):
+        now = self.now + self.origins[self.peer]
+        self.peer._board.configuration_freshness.confirm(now, now)
+        self.confirmed_at = self.now
+
+    def _report(self, link):
+        self._do(link, link.send_stopping)
+        return link._transport.sent[-1][1]
+
+    def _check(self, own):
+        """Check that nothing is dated later than the peer confirmed it."""
+        now = self.now + self.origins[own]
+        age_s = own._board.configuration_freshness.age_s(now)
+        self.assertGreaterEqual(age_s, self.now - self.confirmed_at - 0.002)
+
+    def test_echo_of_an_earlier_start_confirms_nothing(self):
+        """Guards against keys that stay trusted after a loss of power."""
+        former = self._start('own', 500.0)
+        self._confirm_peer()
+        self._do(self.peer, self.peer.datagram_received, *self._to(former))
+        echo = self._report(self.peer)
+        self.now += 30.0
+        own = self._start('own', -25.0)
+        self._do(own, own.datagram_received, echo, None)
+        self._check(own)
+        # Reports with such an age can still be sent.
+        self._report(own)
+
+    def _to(self, link):
+        return self._report(link), None
+
+    def test_any_order_of_messages_and_starts(self):
+        """No confirmation is dated later than it can be known."""
+        confirmed = sum(self._play(seed) for seed in range(60))
+        self.assertGreater(confirmed, 600)
+
+    def _play(self, seed):
+        """Return how often the gateway was confirmed by its peer."""
+        rng = random.Random(seed)
+        own = self._start('own', rng.uniform(0.0, 1000.0))
+        to_peer, to_own, confirmed = [], [], 0
+        for _ in range(200):
+            self.now += rng.expovariate(10.0)
+            step = rng.random()
+            if step < 0.05:
+                own = self._start('own', rng.uniform(-self.now, 1000.0))
+            elif step < 0.15:
+                self._confirm_peer()
+            elif step < 0.4:
+                to_peer.append(self._report(own))
+            elif step < 0.65:
+                to_own.append(self._report(self.peer))
+            elif step < 0.8 and to_peer:
+                # Datagrams come late, in any order, twice or never.
+                data = rng.choice(to_peer[-5:])
+                self._do(self.peer, self.peer.datagram_received, data, None)
+            elif to_own:
+                data = rng.choice(to_own[-5:])
+                self._do(own, own.datagram_received, data, None)
+                self._check(own)
+                age_s = own._board.configuration_freshness.age_s(
+                    self.now + self.origins[own]
+                )
+                confirmed += age_s < 1e6
+        return confirmed
--- a/persimmonroute/tests/gateway/state_tests.py
+++ b/persimmonroute/tests/gateway/state_tests.py
@@ -81,7 +81,7 @@
         rejection = self.admission.check_again(pending, 4.9)
         self.assertEqual(rejection.status, 503)
         self.assertIsNotNone(rejection.retry_after_s)
-        self.board.configuration_freshness.confirm(10.0)
+        self.board.configuration_freshness.confirm(10.0, 10.0)
         rejection = self.admission.check_again(pending, 10.0)
         self.assertEqual(rejection.status, 503)
 
--- a/standins/gateway_fixtures.py
+++ b/standins/gateway_fixtures.py
@@ -104,7 +104,7 @@
     """Return a board with a confirmed configuration and endpoints."""
     built = boards.GatewayBoard(name, BOUNDS, LOCALITY)
     built.adopt_configuration(configuration(**configured), now)
-    built.configuration_freshness.confirm(now)
+    built.configuration_freshness.confirm(now, now)
     records = [
         r if isinstance(r, model.Runner) else runner(r) for r in runners
     ]
