Deduct no more than a bucket for a peer that is heard first

Callers would see: 429 for minutes after a gateway heard a peer for the first time, if both had run for long. Cause: the first report of a peer counts in full, as if it had just started. Change: a full bucket at most; a peer that has just started cannot have used more, and one that was cut off has used its own share.

--- a/persimmonroute/gateway/quotas.py
+++ b/persimmonroute/gateway/quotas.py
@@ -155,10 +155,14 @@
 
         The first report of a peer counts in full if this gateway has run
         for a full window, since the peer must then have just started.
-        Otherwise the usage may be old and is not deducted.
+        Otherwise the usage may be old and is not deducted. A peer that was
+        not heard before may also have run for long, cut off from this
+        gateway: it has used its own share, so no more than a full bucket is
+        deducted.
         """
         previous_used = self._peer_used.get(peer)
-        if previous_used is None:
+        first = previous_used is None
+        if first:
             previous_used = self._peer_used[peer] = {}
             if self._started_recently(now):
                 previous_used.update(used)
@@ -169,7 +173,7 @@
             if bucket is not None and added:
                 # A full bucket discards the refill, so refill first.
                 self._refill(bucket, now)
-                bucket.level -= added
+                bucket.level -= min(added, bucket.capacity) if first else added
             previous_used[name] = units
 
     def _started_recently(self, now):
--- a/persimmonroute/tests/gateway/quotas_tests.py
+++ b/persimmonroute/tests/gateway/quotas_tests.py
@@ -50,6 +50,19 @@
         limiter.apply_peer_usage('peer', {'desk': 60.0}, 100.0)
         self.assertEqual(limiter.report_remaining()['desk'], level - 60.0)
 
+    def test_first_report_of_an_old_peer_refuses_nobody_for_long(self):
+        """Guards against deducting what a peer used in hours past."""
+        limiter = self._limiter()
+        limiter.apply((WORKSPACE,), 100.0)
+        request = fixtures.request()
+        limiter.take(WORKSPACE, request, 100.0)
+        limiter.apply_peer_usage('peer', {'desk': 1e6}, 100.0)
+        wait = limiter.take(WORKSPACE, request, 100.0)
+        self.assertGreater(wait, 0.0)
+        # A bucket is full again after this time at the latest.
+        capacity = quotas.Bucket(QUOTA, TOLERANCE, 0.0).capacity
+        self.assertLessEqual(wait, 2 * capacity / QUOTA.per_s)
+
     def test_usage_of_peers_is_deducted(self):
         """Usage since a peer's first report is deducted."""
         limiter = self._limiter()
