Forget old requests of services without retries

Cause: the times of requests were trimmed only when a retry was asked for, so those of a service without retries piled up for as long as a process runs. Change: each request trims them. Before: test_requests_of_a_service_without_retries_are_forgotten kept 50,000 times; after: those of the window.

--- a/persimmonroute/gateway/retry_budget.py
+++ b/persimmonroute/gateway/retry_budget.py
@@ -33,7 +33,8 @@
 
     def record_request(self, service, now):
         """Count a request of a caller."""
-        self._requests[service].append(now)
+        # Trimmed here, too: a service may never be asked for a retry.
+        self._trim(self._requests[service], now).append(now)
 
     def take(self, service, now):
         """Count a retry and return True if the budget allows it."""
--- a/persimmonroute/tests/gateway/quotas_tests.py
+++ b/persimmonroute/tests/gateway/quotas_tests.py
@@ -200,6 +200,13 @@
         self.assertGreater(allowed, 0)
         self.assertLessEqual(allowed, 0.2 * 100 + 52)
 
+    def test_requests_of_a_service_without_retries_are_forgotten(self):
+        """Guards against times that pile up for as long as a process runs."""
+        budget = retry_budget.RetryBudget(0.2, 10, 10.0)
+        for number in range(50_000):
+            budget.record_request('llm', number * 0.01)
+        self.assertLessEqual(len(budget._requests['llm']), 1001)
+
     def test_window_slides(self):
         """Retries before the window no longer count."""
         budget = retry_budget.RetryBudget(0.0, 10, 10.0)
