Refuse nested JSON with an error that readers expect

Cause: as for rows of the tables, json raises RecursionError for nested brackets. Bodies of callers at the entry got a 500, and settings, declarations, signed revisions and reports of engines an unexpected error. Change: json_text.parse raises ValueError, which all readers expect. Before: test_bad_bodies failed for 60,000 brackets; after: InvalidBodyError.

--- a/persimmonroute/commands/entries.py
+++ b/persimmonroute/commands/entries.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import contextlib
-import json
 import typing
 
 import aiosonic
 from aiosonic import timeout as http_timeout
 
 from persimmonroute import exceptions
+from persimmonroute import json_text
 from persimmonroute.platform import client
 
 TIMEOUTS = http_timeout.Timeouts(
@@ -59,7 +59,7 @@
         url = f'http://{entry["address"]}/admin/v1/status'
         try:
             response = await self._http.get(url, timeouts=TIMEOUTS)
-            report = json.loads(await response.content())
+            report = json_text.parse(await response.content())
         except client.HTTP_ERRORS:
             report = None
         return EntryStatus(entry['name'], report)
--- a/persimmonroute/config/declarations.py
+++ b/persimmonroute/config/declarations.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import json
 import typing
 
 from persimmonroute.config import options
 from persimmonroute import exceptions
+from persimmonroute import json_text
 
 TIERS = 4
 
@@ -183,7 +183,7 @@
 def parse_declarations(data):
     """Parse declarations from JSON or raise DeclarationError."""
     try:
-        document = json.loads(data)
+        document = json_text.parse(data)
     except ValueError as error:
         raise exceptions.DeclarationError(
             f'the declarations are not valid JSON: {error}'
--- a/persimmonroute/config/settings.py
+++ b/persimmonroute/config/settings.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import json
 import typing
 
 from persimmonroute.config import options
 from persimmonroute import exceptions
+from persimmonroute import json_text
 
 SCHEMA = {
     'role': options.Choice(
@@ -220,7 +220,7 @@
     """Load settings from a JSON file or raise SettingsError."""
     try:
         with open(path, encoding='utf-8') as file:
-            document = json.load(file)
+            document = json_text.parse(file.read())
     except (OSError, ValueError) as error:
         raise exceptions.SettingsError(
             f'cannot read the settings file {path}: {error}'
--- a/persimmonroute/entry/intake.py
+++ b/persimmonroute/entry/intake.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import math
 
 import xxhash
@@ -10,6 +9,7 @@
 from persimmonroute.entry import messages
 from persimmonroute.entry import routing
 from persimmonroute import exceptions
+from persimmonroute import json_text
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 # An oversized body is read up to this size so the client sees the error.
@@ -115,7 +115,7 @@
 
 def _parse(body):
     try:
-        document = json.loads(body)
+        document = json_text.parse(body)
     except ValueError as error:
         raise exceptions.InvalidBodyError(
             f'the body is not valid JSON: {error}'
--- a/persimmonroute/gateway/peer_rows.py
+++ b/persimmonroute/gateway/peer_rows.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import base64
-import json
 import typing
 
 import h11
@@ -12,6 +11,7 @@
 from persimmonroute import clock
 from persimmonroute.events import Event
 from persimmonroute import exceptions
+from persimmonroute import json_text
 from persimmonroute import logs
 
 log = logs.EventLog(__name__)
@@ -47,7 +47,7 @@
     async def _read_from(self, address, table):
         requested_at = clock.now_s()
         try:
-            document = json.loads(await self._call(address, table))
+            document = json_text.parse(await self._call(address, table))
             return decode_rows(document, requested_at)
         except (
             exceptions.EndpointUnreachableError,
--- a/persimmonroute/operators.py
+++ b/persimmonroute/operators.py
@@ -17,6 +17,7 @@
 from cryptography.hazmat.primitives import serialization
 
 from persimmonroute import exceptions
+from persimmonroute import json_text
 
 
 class Handover(typing.NamedTuple):
@@ -102,7 +103,7 @@
 def parse_signed_revision(data):
     """Parse a SignedRevision from JSON or raise UntrustedRevisionError."""
     try:
-        fields = json.loads(data)
+        fields = json_text.parse(data)
         chain = tuple(Handover(**item) for item in fields.pop('chain'))
         return SignedRevision(chain=chain, **fields)
     except (ValueError, TypeError, KeyError, AttributeError) as error:
@@ -155,7 +156,7 @@
     def verify(self, number, data):
         """Return the document, extracted if the revision is signed."""
         try:
-            fields = json.loads(data)
+            fields = json_text.parse(data)
         except ValueError:
             return data
         if isinstance(fields, dict) and 'signature' in fields:
--- a/persimmonroute/platform/documents.py
+++ b/persimmonroute/platform/documents.py
@@ -7,13 +7,13 @@
 from __future__ import annotations
 
 import ipaddress
-import json
 import math
 import re
 import typing
 
 from persimmonroute import exceptions
 from persimmonroute.gateway import model
+from persimmonroute import json_text
 
 CONFIGURATION_TABLE = 'op'
 CONFIGURATION_KEY = 'config'
@@ -29,14 +29,12 @@
 )
 LEAVING_BY_STATE = {'ready': False, 'draining': True}
 ROUTE_KINDS = ('idempotent', 'non_idempotent', 'streaming')
-# json raises RecursionError for nested brackets, float() OverflowError for
-# long integers.
+# float() raises OverflowError for long integers.
 MALFORMED_DOCUMENT_ERRORS = (
     KeyError,
     TypeError,
     ValueError,
     AttributeError,
-    RecursionError,
     OverflowError,
 )
 # Larger integers are not exact in JSON, and do not fit into messages between
@@ -65,7 +63,7 @@
 def read_configuration(data):
     """Decode a configuration document or raise DocumentError."""
     try:
-        document = json.loads(data)
+        document = json_text.parse(data)
         return model.Configuration(
             version=_integer(document['Version']),
             routes=tuple(_decode_route(r) for r in document['Routes']),
@@ -84,7 +82,7 @@
     try:
         if not _RUNNER_ID.fullmatch(runner_id):
             raise ValueError('the id has characters that are not allowed')
-        document = json.loads(data)
+        document = json_text.parse(data)
         return model.Runner(
             id=runner_id,
             started_at_ms=_integer(document.get('born', 0), 0),
@@ -103,7 +101,7 @@
 def read_gateway(data):
     """Decode a GatewayDocument or raise DocumentError."""
     try:
-        document = json.loads(data)
+        document = json_text.parse(data)
         cores = _number(document.get('cores', 0.0))
         if not 0.0 <= cores <= MAX_CORES:
             raise ValueError('the cores are out of range')
@@ -120,7 +118,7 @@
 def read_version(data):
     """Decode a service and its version, or raise DocumentError."""
     try:
-        document = json.loads(data)
+        document = json_text.parse(data)
         return _text(document['service']), _text(document['version'])
     except MALFORMED_DOCUMENT_ERRORS as error:
         raise _refuse('the row of a version', error) from error
@@ -136,7 +134,7 @@
 def read_value(data):
     """Decode any JSON document or raise DocumentError."""
     try:
-        return json.loads(data)
+        return json_text.parse(data)
     except MALFORMED_DOCUMENT_ERRORS as error:
         raise _refuse('a row', error) from error
 
@@ -147,7 +145,7 @@
     Returns its fields by name, or raises DocumentError.
     """
     try:
-        document = json.loads(data)
+        document = json_text.parse(data)
         names = INSTANCE_FIELDS
         if document['kind'] == 'endpoint':
             names += ('sidecar',)
@@ -162,7 +160,7 @@
     In Unix milliseconds, as in its registration.
     """
     try:
-        return _integer(json.loads(data)['born'], 0)
+        return _integer(json_text.parse(data)['born'], 0)
     except MALFORMED_DOCUMENT_ERRORS:
         return None
 
--- a/persimmonroute/platform/tables.py
+++ b/persimmonroute/platform/tables.py
@@ -11,6 +11,7 @@
 from persimmonroute import clock
 from persimmonroute import exceptions
 from persimmonroute import http_connection
+from persimmonroute import json_text
 from persimmonroute.platform import names
 
 CONNECT_TIMEOUT_S = 1.0
@@ -217,13 +218,12 @@
                 raise exceptions.PlatformUnavailableError(
                     f'{method} {path} returned status {status}'
                 )
-            return status, json.loads(response) if response else {}
+            return status, json_text.parse(response) if response else {}
         except (
             exceptions.EndpointUnreachableError,
             exceptions.EndpointBrokenError,
             TimeoutError,
             ValueError,
-            RecursionError,
         ) as error:
             raise exceptions.PlatformUnavailableError(
                 f'{method} {path} failed: {error!r}'
--- a/persimmonroute/sidecar/endpoints.py
+++ b/persimmonroute/sidecar/endpoints.py
@@ -4,13 +4,13 @@
 
 import abc
 import contextlib
-import json
 
 import h11
 
 from persimmonroute import event_stream
 from persimmonroute import exceptions
 from persimmonroute import http_connection
+from persimmonroute import json_text
 from persimmonroute import pacing
 from persimmonroute.sidecar import messages
 from persimmonroute.sidecar import responses
@@ -197,7 +197,7 @@
         """Return the stream ids of the engine; none if it does not respond."""
         try:
             response = await self._request('GET', '/v1/streams')
-            listed = json.loads(response.body)
+            listed = json_text.parse(response.body)
         except (*PROBE_ERRORS, ValueError):
             return frozenset()
         return frozenset(listed['streams'])
--- a/persimmonroute/tests/entry/intake_tests.py
+++ b/persimmonroute/tests/entry/intake_tests.py
@@ -42,6 +42,7 @@
         bodies = (
             b'',
             b'{',
+            b'[' * 60_000,
             b'[]',
             b'{}',
             b'{"prompt": ""}',
