Go on with a stop after an error in one of its steps

Cause: the steps of a stop ran one after the other without a guard; the report that tells peers of it could not be encoded, and the error left the process. Background loops of entries and sidecars, and the watch of the settings file, ended silently at their first error, and so did the reports to peers. Change: each step of a stop, of a reload and of reporting logs its error (790) and the rest goes on; loops of all roles begin again (background.run_forever).

--- a/persimmonroute/daemon.py
+++ b/persimmonroute/daemon.py
@@ -19,6 +19,7 @@
 import docopt
 
 import persimmonroute
+from persimmonroute import background
 from persimmonroute.config import settings as settings_module
 from persimmonroute import exceptions
 from persimmonroute import logs
@@ -68,7 +69,7 @@
     process = build_process(settings)
     reloader = reloading.SettingsReloader(path, settings, process)
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
-    watch_task = asyncio.create_task(reloader.watch())
+    watch_task = asyncio.create_task(background.run_forever(reloader.watch))
     await process.run(stop)
     watch_task.cancel()
 
--- a/persimmonroute/draining.py
+++ b/persimmonroute/draining.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import typing
 
+from persimmonroute.events import Event
+from persimmonroute import logs
+
+log = logs.EventLog(__name__)
+
 # Time to write the answer to a request that ends at its deadline.
 ANSWER_MARGIN_S = 0.3
 
@@ -36,3 +42,12 @@
     """
     removed_at = now + removal_s
     return Drain(removed_at, max(now + grace_s, removed_at + drain_s))
+
+
+@contextlib.contextmanager
+def guard(step):
+    """Log an error in a step of a stop, which goes on without it."""
+    try:
+        yield
+    except Exception as error:
+        log.emit(Event.GATEWAY_FAULT, step=step, problem=repr(error))
--- a/persimmonroute/entry/server.py
+++ b/persimmonroute/entry/server.py
@@ -40,11 +40,13 @@
         await stop.wait()
         log.emit(Event.PROCESS_STOPPING)
         drain = begin_drain(time.monotonic(), self._settings.stop_grace_s)
-        self._shell.handle(messages.StopRequested(drain))
+        with draining.guard('announce'):
+            self._shell.handle(messages.StopRequested(drain))
         await asyncio.sleep(BALANCER_NOTICE_S)
         self._server.stop(drain.ends_at - time.monotonic())
         await serving
-        await self._shell.close()
+        with draining.guard('close'):
+            await self._shell.close()
         log.emit(Event.PROCESS_STOPPED)
 
 
--- a/persimmonroute/entry/shell.py
+++ b/persimmonroute/entry/shell.py
@@ -8,6 +8,7 @@
 
 from returns import result
 
+from persimmonroute import background
 from persimmonroute import blackboard
 from persimmonroute.config import declarations
 from persimmonroute import configuration_store
@@ -84,8 +85,8 @@
 
     def start(self):
         """Start polling the instance list and the configuration."""
-        self._spawn(self._poll_instances())
-        self._spawn(self._poll_configuration())
+        self._spawn(background.run_forever(self._poll_instances))
+        self._spawn(background.run_forever(self._poll_configuration))
 
     async def close(self):
         """Stop polling and close all connections."""
--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -185,4 +185,6 @@
     GATEWAY_ROW_REMOVED = EventKind(
         734, 'INFO', 'row of a gateway that is gone removed'
     )
-    GATEWAY_FAULT = EventKind(790, 'ERROR', 'unexpected error; request failed')
+    GATEWAY_FAULT = EventKind(
+        790, 'ERROR', 'unexpected error; the request or step failed'
+    )
--- a/persimmonroute/gateway/peer_link.py
+++ b/persimmonroute/gateway/peer_link.py
@@ -173,8 +173,15 @@
         )
 
     def _send(self):
+        """Send the reports that are due, whatever happens to one of them."""
         self._handle = None
-        now = clock.now_s()
+        try:
+            self._send_due(clock.now_s())
+        except Exception as error:
+            log.emit(Event.GATEWAY_FAULT, problem=repr(error))
+        self._schedule_timer()
+
+    def _send_due(self, now):
         due = [
             s
             for s in self._schedules
@@ -185,7 +192,6 @@
             schedule.changed = False
         if due:
             self._send_report([s.distance for s in due], now)
-        self._schedule_timer()
 
     def _send_report(self, distances, now):
         """Number and encode one report, and send it to all peers there."""
@@ -204,7 +210,13 @@
 
     def _send_datagram(self, peer, data):
         host, _, port = peer.address.rpartition(':')
-        self._transport.sendto(data, (host, int(port)))
+        try:
+            self._transport.sendto(data, (host, int(port)))
+        except (ValueError, OverflowError, OSError) as error:
+            # An address that is none; the other peers get their reports.
+            log.emit(
+                Event.PEER_UNREACHABLE, peer=peer.name, problem=repr(error)
+            )
 
     def encode(self, now):
         """Return the part of the current report that all peers get."""
--- a/persimmonroute/gateway/server.py
+++ b/persimmonroute/gateway/server.py
@@ -62,14 +62,18 @@
         await stop.wait()
         log.emit(Event.PROCESS_STOPPING)
         drain = self._board.drain = self._begin_drain()
-        self._shell.stop_hosting()
+        with draining.guard('hand over'):
+            self._shell.stop_hosting()
+        with draining.guard('announce'):
+            self._shell.announce_stop()
         await asyncio.sleep(BALANCER_REMOVAL_S)
         self._front.stop(drain.ends_at - clock.now_s())
         await serving[0]
         self._ready.should_exit = True
         self._metrics.should_exit = True
         self._peers.should_exit = True
-        await self._shell.close()
+        with draining.guard('close'):
+            await self._shell.close()
         log.emit(Event.PROCESS_STOPPED)
         await asyncio.gather(*serving)
 
--- a/persimmonroute/gateway/shell.py
+++ b/persimmonroute/gateway/shell.py
@@ -6,7 +6,9 @@
 import contextlib
 import functools
 
+from persimmonroute import background
 from persimmonroute import clock
+from persimmonroute import draining
 from persimmonroute.events import Event
 from persimmonroute import exceptions
 from persimmonroute import logs
@@ -25,7 +27,6 @@
 LIST_INTERVAL_S = 20.0
 LIST_INTERVAL_PER_GATEWAY_S = 0.75
 MAX_LIST_INTERVAL_S = 60.0
-RESTART_DELAY_S = 0.5
 
 
 class GatewayShell:
@@ -70,18 +71,22 @@
             functools.partial(self._list_gateways, peer_address),
         ]
         self._tasks = [
-            asyncio.create_task(_run_forever(function))
+            asyncio.create_task(background.run_forever(function))
             for function in functions
         ]
 
     def stop_hosting(self):
-        """Hand over what this gateway hosts, and tell the peers."""
+        """Hand over what this gateway hosts."""
         self._dispatcher.stop_hosting()
+
+    def announce_stop(self):
+        """Tell the peers that this gateway stops."""
         self._link.send_stopping()
 
     async def close(self):
         """Cancel the background tasks and wait for them."""
-        self._link.close()
+        with draining.guard('close the link to peers'):
+            self._link.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -168,13 +173,3 @@
 def _list_interval_s(gateways):
     interval_s = LIST_INTERVAL_PER_GATEWAY_S * gateways
     return min(max(interval_s, LIST_INTERVAL_S), MAX_LIST_INTERVAL_S)
-
-
-async def _run_forever(function):
-    """Run a background task, and restart it after an unexpected error."""
-    while True:
-        try:
-            await function()
-        except Exception as error:
-            log.emit(Event.GATEWAY_FAULT, problem=repr(error))
-        await asyncio.sleep(RESTART_DELAY_S)
--- a/persimmonroute/reloading.py
+++ b/persimmonroute/reloading.py
@@ -6,6 +6,7 @@
 import os
 
 from persimmonroute.config import settings as settings_module
+from persimmonroute import draining
 from persimmonroute.events import Event
 from persimmonroute import exceptions
 from persimmonroute import logs
@@ -43,7 +44,11 @@
             if getattr(loaded, name) != getattr(self._settings, name)
         ]
         apply = getattr(self._process, 'apply_settings', None)
-        applied = apply(loaded) if apply is not None else ()
+        applied = ()
+        if apply is not None:
+            # Whatever fails here, the process goes on with what it has.
+            with draining.guard('apply settings'):
+                applied = apply(loaded)
         self._settings = loaded
         log.emit(
             Event.SETTINGS_RELOADED,
--- a/persimmonroute/sidecar/shell.py
+++ b/persimmonroute/sidecar/shell.py
@@ -8,7 +8,9 @@
 
 import grpc
 
+from persimmonroute import background
 from persimmonroute import blackboard
+from persimmonroute import draining
 from persimmonroute.events import Event
 from persimmonroute.generated import exchange_pb2 as pb
 from persimmonroute.generated import exchange_pb2_grpc
@@ -62,7 +64,7 @@
         self.handle(messages.StreamsListed(streams))
         await server.start()
         log.emit(Event.PROCESS_STARTED, address=self._settings.address)
-        self._spawn(self._probe())
+        self._spawn(background.run_forever(self._probe))
         await stop.wait()
         await self._drain()
         for box in self._outboxes.values():
@@ -115,7 +117,8 @@
 
     async def _drain(self):
         log.emit(Event.PROCESS_STOPPING)
-        self.handle(messages.StopRequested())
+        with draining.guard('refuse what waits'):
+            self.handle(messages.StopRequested())
         deadline = time.monotonic() + self._settings.stop_grace_s
         while not self._core.idle and time.monotonic() < deadline:
             await asyncio.sleep(DRAIN_POLL_S)
--- a/persimmonroute/tests/entry/server_tests.py
+++ b/persimmonroute/tests/entry/server_tests.py
@@ -7,6 +7,7 @@
 import time
 import types
 import unittest
+from unittest import mock
 
 from persimmonroute.entry import board as boards
 from persimmonroute.entry import http_api
@@ -34,7 +35,7 @@
     def __init__(self):
         self.board = boards.EntryBoard('e', boards.Locality('r', 'r-a'))
         self.core = self
-        self.begun_at = []
+        self.events = EVENTS
         self._tasks = []
 
     def validate_call(self, call):
@@ -56,7 +57,6 @@
 
     def submit(self, call):
         """Begin a stream."""
-        self.begun_at.append(time.monotonic())
         queue = asyncio.Queue()
         self._tasks.append(asyncio.create_task(self._fill(queue, call)))
         return queue
@@ -65,14 +65,51 @@
         """Do nothing."""
 
     async def _fill(self, queue, call):
-        for _ in range(EVENTS):
+        for _ in range(self.events):
             queue.put_nowait(messages.ResponseData(call.request_id, EVENT))
             await asyncio.sleep(EVENT_PAUSE_S)
+        queue.put_nowait(
+            messages.ResponseEnded(
+                call.request_id, messages.Outcome.COMPLETED, 200
+            )
+        )
+
+
+class FailingShell(StubShell):
+    """Fail in each step of a stop."""
+
+    def handle(self, event):
+        """Fail."""
+        raise ValueError('a step fails')
+
+    async def close(self):
+        """Fail."""
+        await super().close()
+        raise ValueError('a step fails')
 
 
 class StopTests(unittest.IsolatedAsyncioTestCase):
     """Stop an entry while a stream runs."""
 
+    async def test_error_in_a_step_of_a_stop_cuts_off_nothing(self):
+        """Guards against a stop that ends the process at its first error."""
+        shell = FailingShell()
+        settings = types.SimpleNamespace(
+            address=f'127.0.0.1:{deployments.free_port()}',
+            stop_grace_s=GRACE_S,
+        )
+        app = http_api.HttpApi(shell).build_app()
+        stop = asyncio.Event()
+        process = server.EntryServer(shell, app, settings)
+        running = asyncio.create_task(process.run(stop))
+        await asyncio.sleep(0.3)
+        with mock.patch.object(shell, 'events', 10):
+            call = asyncio.create_task(self._stream(settings.address))
+            await asyncio.sleep(0.2)
+            stop.set()
+            self.assertTrue((await call).complete)
+        await running
+
     async def test_stop_ends_within_the_grace_period(self):
         """Guards against a stop that outlasts its grace period."""
         shell = StubShell()
--- a/persimmonroute/tests/gateway/server_tests.py
+++ b/persimmonroute/tests/gateway/server_tests.py
@@ -6,7 +6,11 @@
 import time
 import typing
 import unittest
+from unittest import mock
 
+from persimmonroute.gateway import dispatcher
+from persimmonroute.gateway import peer_link
+from persimmonroute.gateway import shell
 from persimmonroute import http_connection
 from standins import gateway_deployment as deployments
 
@@ -18,6 +22,12 @@
 # By then callers cannot have learned of the stop.
 EXCUSED_S = 3.0
 STEP_S = 0.02
+STEPS = (
+    (dispatcher.Dispatcher, 'stop_hosting'),
+    (peer_link.PeerLink, 'send_stopping'),
+    (peer_link.PeerLink, 'close'),
+    (shell.GatewayShell, 'close'),
+)
 
 
 class Sent(typing.NamedTuple):
@@ -120,6 +130,28 @@
             self.assertEqual(each.response.headers[b'connection'], b'close')
             self.assertEqual(self._ran(each.attempt), 0)
 
+    async def test_error_in_a_step_of_a_stop_cuts_off_nothing(self):
+        """Guards against a stop that ends the process at its first error."""
+        for number, (owner, step) in enumerate(STEPS):
+            with self.subTest(step=step):
+                if number:
+                    await self.deployment.add_gateway()
+                call = asyncio.create_task(
+                    self.deployment.call(
+                        '/draft/x',
+                        gateway=number,
+                        headers=STREAM,
+                        attempt=f'step-{number}',
+                    )
+                )
+                await asyncio.sleep(0.05)
+                error = ValueError('a step fails')
+                with mock.patch.object(owner, step, side_effect=error):
+                    await self.deployment.stop_gateway(number)
+                response = await call
+                self.assertTrue(response.complete)
+                self.assertEqual(response.status, 200)
+
     async def test_late_request_that_ends_in_time_is_served(self):
         """Guards against refusing all that comes late on kept connections."""
         sent = await self._send_in_turn(2.0, 2.96, '/book/x')
--- a/standins/gateway_deployment.py
+++ b/standins/gateway_deployment.py
@@ -123,6 +123,11 @@
         )
         await wait_ready(self.settings[-1].ready_address)
 
+    async def stop_gateway(self, number):
+        """Stop a gateway as planned; raise the error that ended it."""
+        self.stop_events[number].set()
+        await self._gateway_tasks[number]
+
     async def kill_gateway(self, number):
         """End a gateway at once; the others keep their numbers."""
         task = self._gateway_tasks[number]
