Ask the store for changes that peers have read

Cause: nothing but the timeout of the poll ends it, and the store is asked rarely as calls are paid for. Change: reports tell the version of the newest change of a registration that a gateway has read. A gateway that has not read it 0.5 s after the time in which gateways gather changes asks the store at once (event 737), once for each report. No call is added while no answer is lost; reports grow by some bytes.

--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -171,6 +171,11 @@
     PEER_ROWS_UNAVAILABLE = EventKind(
         733, 'DEBUG', 'rows could not be loaded from a peer'
     )
+    CHANGE_MISSED = EventKind(
+        737,
+        'WARNING',
+        'peers have read changes that are missing here; asking the store',
+    )
     ECHO_IGNORED = EventKind(
         736,
         'DEBUG',
--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -5,6 +5,7 @@
 import typing
 
 from persimmonroute import draining
+from persimmonroute.gateway import change_tracking
 from persimmonroute.gateway import freshness
 from persimmonroute.gateway import peers
 from persimmonroute.gateway import quarantine
@@ -71,6 +72,8 @@
         # When the configuration was last confirmed to be the newest.
         self.configuration_freshness = freshness.Freshness()
         self.runner_registry = runners.RunnerRegistry()
+        # How far the registrations have been read, here and by peers.
+        self.registration_changes = change_tracking.ChangeTracker()
         self.peers = peers.PeerRegistry(name, locality)
         self.quotas = quotas.QuotaLimiter(bounds.quotas)
         self.retries = retry_budget.RetryBudget(
--- a/persimmonroute/gateway/following.py
+++ b/persimmonroute/gateway/following.py
@@ -18,6 +18,9 @@
 # After an outage of the store, endpoints get this long to register again
 # before missing registrations count as removed.
 RECOVERY_S = 2.2
+# Beyond the time that gateways take to read a change, one that peers have read
+# is asked for again.
+MISSED_CHANGE_S = 0.5
 
 
 class Changes(typing.NamedTuple):
@@ -34,6 +37,10 @@
     era: int = 0
     # True when the table was last read in an earlier era.
     restored: bool = False
+    # Version up to which all changes were read, and that of the newest change
+    # among them; 0 if the rows are not from the store.
+    complete_to: int = 0
+    newest_change: int = 0
 
 
 class Source(abc.ABC):
@@ -265,7 +272,20 @@
         super().__init__(board, source, peer_rows, on_change)
         self._on_removed = on_removed
 
+    def check_age(self, now):
+        """Ask the store at once if peers know of more changes."""
+        # Gateways gather changes for a while before they read them.
+        patience_s = self._change_pause_s(False) + MISSED_CHANGE_S
+        changes = self._board.registration_changes
+        if self._available and changes.is_overdue(patience_s, now):
+            log.emit(Event.CHANGE_MISSED, table=self._source.name)
+            self._interrupted.set()
+
     def _apply_changes(self, changes, now):
+        if changes.complete_to:
+            self._board.registration_changes.record_read(
+                changes.era, changes.complete_to, changes.newest_change
+            )
         if changes.restored:
             removed_views = self._board.runner_registry.apply_restored(
                 changes.runners, now
--- a/persimmonroute/gateway/peer_link.py
+++ b/persimmonroute/gateway/peer_link.py
@@ -99,6 +99,9 @@
         if self._board.apply_peer_report(_decode_message(message), now):
             self._newest_sent_at_ms[message.name] = message.sent_at_ms
             self._confirm_configuration(message, now)
+            self._board.registration_changes.record_peer(
+                message.store_era, message.registrations_version, now
+            )
             self._dispatcher.dispatch_ready(now)
 
     def error_received(self, error):
@@ -232,6 +235,9 @@
             store_era=board.store_era or 0,
             cores=self._cores,
             stopping=board.draining,
+            registrations_version=board.registration_changes.newest_change(
+                board.store_era or 0
+            ),
         )
         age_s = board.configuration_freshness.age_s(now)
         report.configuration_age_ms = int(min(age_s, 3600.0) * 1000) + 1
--- a/persimmonroute/platform/sources.py
+++ b/persimmonroute/platform/sources.py
@@ -145,6 +145,8 @@
             complete,
             page.responded_at,
             page.era,
+            complete_to=page.version,
+            newest_change=max((row.version for row in page.rows), default=0),
         )
 
 
--- a/persimmonroute/tests/gateway/following_tests.py
+++ b/persimmonroute/tests/gateway/following_tests.py
@@ -88,9 +88,49 @@
         )
 
 
+class LostAnswerSource(ListedSource):
+    """Lose the answer of the long poll that tells of a leaving endpoint."""
+
+    async def watch(self, long_poll):
+        """Tell of the change only if the store answers at once."""
+        self.watches += 1
+        if long_poll:
+            await asyncio.Event().wait()
+        leaving = fixtures.runner('r1')._replace(leaving=True)
+        return following.Changes(
+            None,
+            (leaving,),
+            (),
+            False,
+            clock.now_s(),
+            complete_to=9,
+            newest_change=9,
+        )
+
+
 class RunnerFollowerTests(unittest.IsolatedAsyncioTestCase):
     """Follow the registrations of endpoints."""
 
+    async def test_change_that_peers_have_read_is_asked_for(self):
+        """Guards against a lost answer that hides a leaving endpoint."""
+        board, source = fixtures.board(), LostAnswerSource()
+        follower = following.RunnerFollower(
+            board, source, None, lambda now: None, lambda r: None
+        )
+        task = asyncio.create_task(follower.run())
+        self.addCleanup(task.cancel)
+        while not source.watches:
+            await asyncio.sleep(0.001)
+        now = clock.now_s()
+        board.registration_changes.record_peer(0, 9, now)
+        follower.check_age(now + 0.5)
+        await asyncio.sleep(0.05)
+        self.assertFalse(board.runner_registry.find('r1').leaving)
+        follower.check_age(now + 1.0)
+        await asyncio.sleep(0.05)
+        self.assertTrue(board.runner_registry.find('r1').leaving)
+        self.assertEqual(source.watches, 2)
+
     async def test_changes_are_watched_at_once_after_the_list(self):
         """An endpoint that leaves right after a start is known to leave."""
         source = ListedSource()
