Compare the names of attempts byte by byte

Callers saw: requests whose Attempt-Id holds bytes above ASCII got no answer, as the name was compared in UTF-8 with the endpoint's echo in Latin-1. Before: test_any_bytes_may_name_an_attempt got 504; after: 200 and the name. Also documents_tests read all kinds of rows with values at random.

--- a/persimmonroute/platform/ingress.py
+++ b/persimmonroute/platform/ingress.py
@@ -44,7 +44,7 @@
             await caller.reject(model.Rejection(413, 'body is too large'))
             return
         request = read_request(scope, body)
-        caller.attempt = request.attempt.encode()
+        caller.attempt = request.attempt.encode('latin-1')
         await self._serve(request, caller, receive)
 
     async def _serve(self, request, caller, receive):
--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -173,7 +173,8 @@
         EndpointReplacedError if the process that responds there is not the
         incarnation to be verified; nothing was sent in these cases.
         """
-        attempt, conn = request.attempt.encode(), None
+        # Ids are forwarded, and echoed, byte by byte.
+        attempt, conn = request.attempt.encode('latin-1'), None
         # An endpoint may write a refusal once more on a connection that was
         # used before. It would answer an attempt of the same name.
         if attempt not in self._refused:
--- a/persimmonroute/tests/gateway/serving_tests.py
+++ b/persimmonroute/tests/gateway/serving_tests.py
@@ -61,6 +61,12 @@
         self.assertTrue(response.complete)
         self.assertEqual(response.headers[b'upstream-signature'], b'signature')
 
+    async def test_any_bytes_may_name_an_attempt(self):
+        """The name is compared with the echo of the endpoint as it is."""
+        response = await self.deployment.call('/book/x', attempt=b'caf\xe9')
+        self.assertEqual(response.status, 200)
+        self.assertEqual(response.headers[b'attempt-id'], b'caf\xe9')
+
     async def test_system_headers_from_callers_are_dropped(self):
         """A caller cannot set the workspace, cache or key headers."""
         forged = (
--- a/persimmonroute/tests/platform/documents_tests.py
+++ b/persimmonroute/tests/platform/documents_tests.py
@@ -57,6 +57,28 @@
     '10.1.0.7\x00:8126',
     '10.1.0.7\r\nx: y:8126',
 )
+# Names in the documents of all tables.
+FIELDS = (
+    'Version',
+    'Routes',
+    'Services',
+    'Limits',
+    'Tenants',
+    'Name',
+    'Kind',
+    'TimeoutMs',
+    'ApiKeys',
+    'RatePerS',
+    'Engine',
+    'address',
+    'failure_domain',
+    'cores',
+    'service',
+    'version',
+    'kind',
+    'name',
+    'born',
+)
 FIELDS_TO_USE = tuple(SOUND.keys() - {'ColdRemainingMs', 'Sequence'})
 
 
@@ -188,6 +210,65 @@
                     documents.read_configuration(data)
 
 
+class OtherReaderTests(unittest.TestCase):
+    """Read rows of gateways, versions, traits and instances."""
+
+    READERS = (
+        documents.read_configuration,
+        documents.read_gateway,
+        documents.read_version,
+        documents.read_instance,
+        documents.read_value,
+    )
+
+    def _read_all(self, data):
+        for reader in self.READERS:
+            with self.subTest(reader=reader.__name__):
+                try:
+                    reader(data)
+                except exceptions.DocumentError as error:
+                    self.assertLess(len(str(error)), 1000)
+        documents.read_start(data)
+
+    def test_bytes_that_are_no_document(self):
+        """Nested brackets and long numbers are refused everywhere."""
+        for data in (b'', NESTED, b'9' * 60_000, b'{"a":' * 10_000):
+            with self.subTest(data=data[:10]):
+                self._read_all(data)
+
+    @hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
+    @hypothesis.given(
+        strategies.dictionaries(
+            strategies.sampled_from(FIELDS),
+            strategies.recursive(
+                strategies.none()
+                | strategies.booleans()
+                | strategies.integers()
+                | strategies.floats()
+                | strategies.text(max_size=20),
+                lambda inner: (
+                    strategies.lists(inner, max_size=3)
+                    | strategies.dictionaries(
+                        strategies.sampled_from(FIELDS), inner, max_size=3
+                    )
+                ),
+                max_leaves=8,
+            ),
+        )
+    )
+    def test_any_document_is_read_or_refused(self, document):
+        """No other error leaves a reader."""
+        self._read_all(json.dumps(document).encode())
+
+    def test_traits(self):
+        """A trait fits into messages between gateways."""
+        self.assertEqual(documents.read_trait('00000000000000ff'), 255)
+        for key in ('', 'ff', 'g' * 16, 'f' * 17, '+' + 'f' * 15):
+            with self.subTest(key=key):
+                with self.assertRaises(exceptions.DocumentError):
+                    documents.read_trait(key)
+
+
 class StartTests(unittest.TestCase):
     """Read when an endpoint started from its report."""
 
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -193,7 +193,7 @@
         if behaviour == 'misdirect':
             await reply.send_complete(421, b'', [])
             return True
-        self.record_run(attempt.decode(), headers)
+        self.record_run(attempt.decode('latin-1'), headers)
         crashes = self.crashes_on(headers.get(b'prompt-prefix', b'').decode())
         if crashes and behaviour != 'reject':
             behaviour = 'crash'
