--- a/tools/soak/mutants.py
+++ b/tools/soak/mutants.py
@@ -148,7 +148,7 @@
         (
             Edit(
                 'gateway/server.py',
-                'self._front.should_exit = True\n',
+                'self._front.stop(drain.ends_at - clock.now_s())\n',
                 'self._front.should_exit = self._front.force_exit = True\n',
             ),
         ),
@@ -158,8 +158,8 @@
         (
             Edit(
                 FORWARDING,
-                '        pending.version = view.record.version\n',
-                '        version = view.record.version\n',
+                '        pending.version = pending.runner.record.version\n',
+                '        version = pending.runner.record.version\n',
             ),
             Edit(
                 FORWARDING,
