Log which side ended a response that broke off, and why

Cause: the logs of LOST did not tell an endpoint that broke off from a gateway that gave up, nor a reset from a limit of TCP. Change: event 704 has ended_by and attempt_problem; a lost connection names its error. No decision changes.

--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -109,6 +109,8 @@
         self.answering_since = None
         # Longest gap between two events of the stream, in seconds.
         self.longest_pause_s = 0.0
+        # How the last attempt failed; None if it did not.
+        self.failed = None
 
     def record_event(self, now):
         """Record that an event of the stream arrived."""
@@ -212,6 +214,7 @@
         call = None
         ran_before = progress.may_have_run
         progress.answering_since = None
+        progress.failed = None
         try:
             call = await self._send(pending, view, progress)
             outcome = await self._relay(pending, call, caller, progress)
@@ -235,6 +238,8 @@
             self._dispatcher.release(pending, ending)
         if isinstance(outcome, Failed) and not outcome.may_have_run:
             progress.may_have_run = ran_before
+        if isinstance(outcome, Failed):
+            progress.failed = outcome
         self._metrics.on_attempt(ending)
         self._record_outcome(pending, view, outcome, progress)
         return outcome
@@ -539,6 +544,8 @@
             resumable=pending.route.resumable,
             last_event_id=progress.last_event_id,
             quiet_s=round(clock.now_s() - progress.last_received_at, 3),
+            ended_by=_find_ended_by(progress),
+            attempt_problem=progress.failed and progress.failed.problem,
         )
         caller.abort()
 
@@ -568,6 +575,14 @@
     return head.content_type.startswith(event_stream.CONTENT_TYPE)
 
 
+def _find_ended_by(progress):
+    """Return what ended the last attempt of a response that broke off."""
+    if progress.failed is None:
+        return 'limit'
+    silent = progress.failed.ending is Ending.SILENT
+    return 'gateway' if silent else 'endpoint'
+
+
 def _find_extension_s(pending):
     """Return for how much longer to wait for the response head."""
     if pending.runner.last_heard_at <= pending.sent_at:
--- a/persimmonroute/http_connection.py
+++ b/persimmonroute/http_connection.py
@@ -44,6 +44,8 @@
         self._waiter = None
         self._end_received = False
         self._lost = False
+        # Why the connection was lost; None if the peer closed it.
+        self._error = None
         self._last_request = None
         self._interim_count = 0
         self.request_count = 0
@@ -86,6 +88,7 @@
     def connection_lost(self, error):
         """Record that the connection is closed."""
         self._lost = True
+        self._error = error
         self._wake_reader()
 
     def send_request(self, method, target, headers, body):
@@ -173,7 +176,9 @@
                 self._end_received = False
                 self._http.receive_data(b'')
             elif self._lost:
-                raise exceptions.EndpointBrokenError('connection lost')
+                raise exceptions.EndpointBrokenError(
+                    f'connection lost: {self._error!r}'
+                )
             else:
                 await self._wait_for_data()
 
