Show that silent endpoints lose their answers

What callers saw: an answer whose endpoint fell silent for two seconds and went on ended as 502, or in the middle of its stream. No logic is changed.

--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -17,6 +17,8 @@
 HANG_S = 30.0
 SIGNATURE = b'signature'
 READ_BYTES = 65_536
+# Interval at which a silent endpoint looks whether its peer has closed.
+SILENCE_STEP_S = 0.002
 # Bytes after which a response without end gives up.
 MAX_ENDLESS_BYTES = 1_073_741_824
 
@@ -35,6 +37,9 @@
     copy_delay_s = 0.02
     # Pause before the answer of the behaviour 'pause', in seconds.
     answer_pause_s = 0.2
+    # Silence in the middle of a stream of the behaviour 'silent', in seconds;
+    # other answers begin after it.
+    silence_s = 2.0
     # Retry-After of the behaviour 'closed', in seconds.
     pause_s = 1.0
     # Bytes after the events of the behaviour 'unframed_whole_stream'.
@@ -65,6 +70,10 @@
         # When each of the requests arrived, by the monotonic clock.
         self.arrivals = []
         self.cancelled = 0
+        # When each attempt last began to run, and when the connection of one
+        # was lost during a silence, by the monotonic clock.
+        self.begun_at = {}
+        self.lost_at = {}
         # Requests for the state of the endpoint.
         self.reports = 0
         self.crashed = False
@@ -72,7 +81,8 @@
         self.endless_bytes = 0
         self._server = None
         self._tasks = set()
-        self._writers = set()
+        # Open connections, as writers with their readers.
+        self._readers = {}
         # Refusals to be written once more before the next answer, by
         # connection.
         self._former_refusals = {}
@@ -105,7 +115,7 @@
         """Reset all connections, and refuse new ones until start()."""
         self.crashed = True
         self._server.close()
-        for writer in self._writers:
+        for writer in self._readers:
             reset(writer)
 
     def choose_behaviour(self):
@@ -125,12 +135,13 @@
     def record_run(self, attempt, headers):
         """Count a run of an attempt."""
         self.runs[attempt] += 1
+        self.begun_at[attempt] = time.monotonic()
 
     async def _accept(self, reader, writer):
         task = asyncio.current_task()
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        self._writers.add(writer)
+        self._readers[writer] = reader
         try:
             await self._serve(reader, writer)
         except asyncio.CancelledError:
@@ -139,7 +150,7 @@
         except (OSError, h11.ProtocolError):
             self.cancelled += 1
         finally:
-            self._writers.discard(writer)
+            self._readers.pop(writer, None)
             writer.close()
 
     async def _serve(self, reader, writer):
@@ -260,6 +271,30 @@
         await asyncio.sleep(self.answer_pause_s)
         return await self._do_answer(reply, headers)
 
+    async def _do_silent(self, reply, headers):
+        """Begin a stream, fall silent for a while, and go on."""
+        if not _wants_stream(headers):
+            await self._be_silent(reply)
+            return await self._do_answer(reply, headers)
+        first = await self._begin_stream(reply, headers)
+        for number in range(first, self.event_count + 1):
+            await reply.send_data(self.make_event(reply.attempt, number))
+            if number == first:
+                await self._be_silent(reply)
+        reply.end()
+        return True
+
+    async def _be_silent(self, reply):
+        """Send nothing for a while, unless the peer closes."""
+        ends_at = time.monotonic() + self.silence_s
+        while time.monotonic() < ends_at:
+            reader = self._readers[reply.writer]
+            if reader.at_eof() or reply.writer.transport.is_closing():
+                attempt = reply.attempt.decode('latin-1')
+                self.lost_at[attempt] = time.monotonic()
+                raise ConnectionResetError
+            await asyncio.sleep(SILENCE_STEP_S)
+
     async def _do_truncate(self, reply, headers):
         await reply.send_head(200, [(b'content-length', b'100')])
         await reply.send_data(b'part')
