End an attempt only once another endpoint is in hand

What callers saw: answers whose endpoint fell silent for a second or two ended in the middle of a stream, or as 502. Cause: a gateway gave an attempt up for silence and asked for another place after that. The retry budget, the host, the check of the key or the connection could each say no, and the answer that was still alive was gone. Change: silence starts a search beside the attempt. The attempt ends by itself, by its caller, at its deadline, or when a place is granted and connected to; the former endpoint is stopped before the next is sent to. An event ends the search and returns what it holds. A refusal after such a handover does not end a response that has begun. Events 706 and 707 tell of silences.

--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -118,6 +118,12 @@
         704, 'WARNING', 'response incomplete; connection to the caller closed'
     )
     CALLER_GONE = EventKind(705, 'INFO', 'caller disconnected')
+    ENDPOINT_SILENT = EventKind(
+        706, 'WARNING', 'endpoint is silent; looking for another one meanwhile'
+    )
+    SILENCE_ENDED = EventKind(
+        707, 'INFO', 'endpoint goes on after a silence; the request stays'
+    )
     RUNNER_CHANGED = EventKind(710, 'INFO', 'endpoint added or changed')
     RUNNER_CLOSED = EventKind(
         712, 'INFO', 'endpoint asked for a pause; nothing is sent to it'
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import abc
-import typing
+import asyncio
 
 from persimmonroute import clock
 from persimmonroute import crash_attribution
@@ -13,8 +13,13 @@
 from persimmonroute.gateway import crash_checks
 from persimmonroute.gateway import model
 from persimmonroute.gateway.model import Ending
+from persimmonroute.gateway.outcomes import Failed
+from persimmonroute.gateway.outcomes import Relayed
+from persimmonroute.gateway.outcomes import Replaced
+from persimmonroute.gateway import places
 from persimmonroute.gateway import quarantine
 from persimmonroute.gateway import scheduler as schedulers
+from persimmonroute.gateway import standby as standbys
 from persimmonroute.gateway import stream_origins
 from persimmonroute import logs
 from persimmonroute import timeouts
@@ -80,20 +85,6 @@
         """End the response so that the caller sees that it is incomplete."""
 
 
-class Relayed(typing.NamedTuple):
-    """Store the status of a response that was relayed completely."""
-
-    status: int
-
-
-class Failed(typing.NamedTuple):
-    """Store how an attempt failed and whether it may have run."""
-
-    ending: Ending
-    may_have_run: bool
-    problem: str
-
-
 class Progress:
     """Track how much of the response the caller has received."""
 
@@ -111,6 +102,8 @@
         self.longest_pause_s = 0.0
         # How the last attempt failed; None if it did not.
         self.failed = None
+        # True once a silent endpoint was left for another one.
+        self.handed_over = False
 
     def record_event(self, now):
         """Record that an event of the stream arrived."""
@@ -138,11 +131,18 @@
         self._dispatcher = dispatcher
         self._client = client
         self._metrics = metrics
-        # Makes the store know a version, before a stream begins there.
-        self._confirm_version = confirm_version
         self._crash_checker = crash_checks.CrashChecker(
             board.quarantine, client
         )
+        self._finder = places.PlaceFinder(
+            board,
+            admission,
+            dispatcher,
+            client,
+            metrics,
+            self._crash_checker,
+            confirm_version,
+        )
 
     async def serve(self, request, caller):
         """Respond to a request; to be cancelled if the caller disconnects."""
@@ -189,46 +189,64 @@
         return None
 
     async def _serve_pending(self, pending, caller, progress):
-        while True:
-            granted = await self._dispatcher.wait_for_grant(pending)
-            if isinstance(granted, model.Rejection):
-                await self._finish_rejected(pending, caller, progress, granted)
-                return
-            rejection = self._admission.check_again(pending, clock.now_s())
-            if rejection is not None:
-                self._dispatcher.release(pending, Ending.ABANDONED)
-                await self._finish_rejected(
-                    pending, caller, progress, rejection
-                )
-                return
-            failed = await self._attempt(pending, caller, progress)
-            if isinstance(failed, Relayed):
+        place = await self._finder.find(pending)
+        while isinstance(place, places.Place):
+            pending = place.pending
+            outcome = await self._attempt(place, caller, progress)
+            if isinstance(outcome, Relayed):
                 return
-            if not self._may_retry(pending, failed, progress):
-                await self._fail(pending, caller, progress, failed)
+            if isinstance(outcome, Replaced):
+                place = outcome.place
+                place.pending.current_id = None
+                progress.handed_over = True
+                continue
+            place = await self._find_next(pending, outcome, progress)
+            if place is None:
+                await self._fail(pending, caller, progress, outcome)
                 return
+        await self._finish_rejected(pending, caller, progress, place)
+
+    async def _find_next(self, pending, failed, progress):
+        """Return the Place for another attempt, or a Rejection.
 
-    async def _attempt(self, pending, caller, progress):
+        None if there must not be another one.
+        """
+        while True:
+            place = None
+            if self._may_retry(pending, failed, progress):
+                place = await self._finder.find(pending)
+            if isinstance(place, places.Place):
+                return place
+            if not self._must_go_on(pending, place, progress):
+                return place
+            await asyncio.sleep(places.SEARCH_PAUSE_S)
+
+    def _must_go_on(self, pending, rejection, progress):
+        """Return whether a response goes on though there is no place now.
+
+        A sound endpoint may have been left for one that then refused.
+        """
+        if not (progress.handed_over and progress.begun):
+            return False
+        if rejection is not None and rejection.status != 503:
+            return False
+        return self._has_attempts_left(pending)
+
+    async def _attempt(self, place, caller, progress):
+        pending = place.pending
         view = pending.runner
         ending = Ending.ABANDONED
-        call = None
         ran_before = progress.may_have_run
         progress.answering_since = None
         progress.failed = None
+        call = None
         try:
-            call = await self._send(pending, view, progress)
-            outcome = await self._relay(pending, call, caller, progress)
+            call = self._send(place, progress)
+            with self._stand_by(pending, progress) as standby:
+                outcome = await self._relay(
+                    pending, call, caller, progress, standby
+                )
             ending = _ending_of(outcome)
-        except exceptions.EndpointRefusedError as error:
-            ending = Ending.UNREACHABLE
-            outcome = Failed(ending, False, error.problem)
-            self._crash_checker.record_crash(view)
-        except exceptions.EndpointReplacedError as error:
-            ending = Ending.MISDIRECTED
-            outcome = Failed(ending, False, error.problem)
-        except exceptions.EndpointUnreachableError as error:
-            ending = Ending.UNREACHABLE
-            outcome = Failed(ending, False, error.problem)
         except exceptions.EndpointBrokenError as error:
             ending = Ending.BROKEN
             outcome = Failed(ending, True, error.problem)
@@ -238,32 +256,51 @@
             self._dispatcher.release(pending, ending)
         if isinstance(outcome, Failed) and not outcome.may_have_run:
             progress.may_have_run = ran_before
-        if isinstance(outcome, Failed):
-            progress.failed = outcome
         self._metrics.on_attempt(ending)
         self._record_outcome(pending, view, outcome, progress)
         return outcome
 
-    async def _send(self, pending, view, progress):
-        if pending.route.resumable and pending.version is None:
-            await self._confirm_version(
-                view.record.service, view.record.version
+    def _stand_by(self, pending, progress):
+        return standbys.stand_by(
+            lambda: self._finder.search(pending),
+            self._finder.discard,
+            lambda: self._record_silence(pending, progress),
+        )
+
+    def _record_silence(self, pending, progress):
+        now = clock.now_s()
+        view = pending.runner
+        view.record_silence(now, pending.sent_at)
+        log.emit(
+            Event.ENDPOINT_SILENT,
+            request=pending.attempt,
+            runner=view.id,
+            event_relayed=progress.event_relayed,
+            sent_s=round(now - pending.sent_at, 3),
+        )
+
+    def _end_silence(self, pending, standby):
+        """Stay with an endpoint that goes on after a silence."""
+        if standby.searching:
+            standby.stop()
+            log.emit(
+                Event.SILENCE_ENDED,
+                request=pending.attempt,
+                runner=pending.runner.id,
             )
+
+    def _send(self, place, progress):
+        pending, view = place.pending, place.pending.runner
         now = clock.now_s()
         request = pending.request
         if progress.last_event_id is not None:
             request = request._replace(last_event_id=progress.last_event_id)
-        call = await self._client.send(
+        call = self._client.send(
             view.record,
+            place.connection,
             request,
             pending.workspace,
             pending.deadline_at - now,
-            pending.route.repeatable,
-            # The version of the process that answers has to be known: only
-            # that version may go on with the stream.
-            verify_incarnation=(
-                pending.route.resumable or pending.version is not None
-            ),
         )
         pending.sends += 1
         progress.may_have_run = True
@@ -284,33 +321,36 @@
         )
         return call
 
-    async def _relay(self, pending, call, caller, progress):
-        try:
-            async with timeouts.timeout(
-                self._start_timeout_s(pending),
-                lambda: _find_extension_s(pending),
-            ):
-                head = await call.head()
-        except TimeoutError:
-            return Failed(Ending.SILENT, True, 'no answer in time')
+    async def _relay(self, pending, call, caller, progress, standby):
+        head = await standby.read(
+            call.head,
+            self._start_timeout_s(pending),
+            lambda: _find_extension_s(pending),
+        )
+        if isinstance(head, places.Place):
+            return Replaced(head, 'no answer in time')
+        self._end_silence(pending, standby)
         if head.misdirected:
             # The intended endpoint did not receive the request.
             pending.sends -= 1
             return Failed(Ending.MISDIRECTED, False, 'another endpoint')
         self._record_head(pending, head)
         if head.not_run:
+            if progress.handed_over:
+                # The endpoint that was left for this one may be sound.
+                pending.sends -= 1
             return Failed(
                 Ending.REFUSED, False, f'refused with status {head.status}'
             )
-        retry = head.status >= 500 and self._has_attempts_left(pending)
-        if retry and pending.route.repeatable:
-            return Failed(Ending.FAILED, True, f'status {head.status}')
         if _is_stream(pending.route, head):
             return await self._relay_stream(
-                pending, head, call, caller, progress
+                pending, head, call, caller, progress, standby
             )
         if progress.begun:
             return Failed(Ending.FAILED, True, f'status {head.status}')
+        retry = head.status >= 500 and self._has_attempts_left(pending)
+        if retry and pending.route.repeatable:
+            return Failed(Ending.FAILED, True, f'status {head.status}')
         return await self._relay_whole(pending, head, call, caller, progress)
 
     def _record_head(self, pending, head):
@@ -374,19 +414,20 @@
             progress.begun = True
             await caller.begin(head.status, head.headers)
 
-    async def _relay_stream(self, pending, head, call, caller, progress):
+    async def _relay_stream(
+        self, pending, head, call, caller, progress, standby
+    ):
         splitter = event_stream.EventSplitter()
         # Bytes that complete no event are no progress.
         idle_since = clock.now_s()
         received = 0
         while True:
-            try:
-                async with timeouts.timeout(
-                    self._stream_timeout_s(pending, progress, idle_since)
-                ):
-                    data = await call.next_data()
-            except TimeoutError:
-                return Failed(Ending.SILENT, True, 'the stream stands still')
+            data = await standby.read(
+                call.next_data,
+                self._stream_timeout_s(pending, progress, idle_since),
+            )
+            if isinstance(data, places.Place):
+                return Replaced(data, 'the stream stands still')
             if data is None:
                 break
             events = splitter.feed(data)
@@ -394,6 +435,7 @@
             if events:
                 idle_since = clock.now_s()
                 progress.record_event(idle_since)
+                self._end_silence(pending, standby)
             for event in events:
                 last_id = progress.last_event_id
                 if event.id is not None and last_id is not None:
@@ -450,8 +492,6 @@
             return False
         if failed.may_have_run and not pending.route.repeatable:
             return False
-        if failed.ending is Ending.UNREACHABLE:
-            return True
         if not self._has_attempts_left(pending):
             return False
         return self._board.retries.take(pending.service, clock.now_s())
@@ -477,12 +517,13 @@
                 longest_pause_s=round(progress.longest_pause_s, 4),
             )
             return
+        progress.failed = outcome
         pending.excluded.add(view.id)
         now = clock.now_s()
         answered = progress.has_answered_for(
             crash_attribution.HARMLESS_RESPONSE_S, now
         )
-        if outcome.ending is Ending.BROKEN:
+        if _ending_of(outcome) is Ending.BROKEN:
             if not answered:
                 self._board.quarantine.record_broken(
                     quarantine.read_traits(pending.request), view.record, now
@@ -493,7 +534,7 @@
             Event.GATEWAY_ATTEMPT_FAILED,
             request=pending.attempt,
             runner=view.id,
-            ending=outcome.ending.value,
+            ending=_ending_of(outcome).value,
             problem=outcome.problem,
             # What a crash of the endpoint may be due to.
             event_relayed=progress.event_relayed,
@@ -579,8 +620,7 @@
     """Return what ended the last attempt of a response that broke off."""
     if progress.failed is None:
         return 'limit'
-    silent = progress.failed.ending is Ending.SILENT
-    return 'gateway' if silent else 'endpoint'
+    return 'gateway' if progress.handed_over else 'endpoint'
 
 
 def _find_extension_s(pending):
@@ -599,4 +639,6 @@
     if isinstance(outcome, Relayed):
         failed = outcome.status >= 500
         return Ending.FAILED if failed else Ending.ANSWERED
+    if isinstance(outcome, Replaced):
+        return Ending.SILENT
     return outcome.ending
--- a/persimmonroute/gateway/messages.py
+++ b/persimmonroute/gateway/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import typing
 
 from persimmonroute.gateway import model
@@ -56,6 +57,9 @@
         self.host = None
         # Ids of endpoints that are not tried again.
         self.excluded = set()
+        # Id of the endpoint that may still respond to the request; another one
+        # is looked for. None if there is no such endpoint.
+        self.current_id = None
         # Software version that began the stream, and that alone may go on
         # with it; None for a request that has no event yet.
         self.version = None
@@ -71,6 +75,21 @@
         """Return the id of the caller's request."""
         return self.request.attempt
 
+    def build_successor(self):
+        """Return a copy that can be granted another endpoint meanwhile."""
+        successor = copy.copy(self)
+        successor.current_id = self.runner.id
+        successor.excluded = self.excluded | {successor.current_id}
+        successor.runner = successor.host = successor.offer_id = None
+        successor.sent_at = None
+        return successor
+
+    def readmit(self, runner_ids):
+        """Try endpoints again, but not the one that may still respond."""
+        self.excluded.difference_update(runner_ids)
+        if self.current_id is not None:
+            self.excluded.add(self.current_id)
+
 
 def accepts(pending, view):
     """Return whether a request may be sent to an endpoint."""
--- a/persimmonroute/gateway/offers.py
+++ b/persimmonroute/gateway/offers.py
@@ -130,7 +130,7 @@
             if view.record.version == pending.version and not view.leaving
         ]
         if not any(messages.accepts(pending, view) for view in views):
-            pending.excluded.difference_update(view.id for view in views)
+            pending.readmit(view.id for view in views)
         regions = {
             self._locality.region_of(view.record.failure_domain)
             for view in views
--- /dev/null
+++ b/persimmonroute/gateway/outcomes.py
@@ -0,0 +1,29 @@
+"""Define how attempts at endpoints end."""
+
+from __future__ import annotations
+
+import typing
+
+from persimmonroute.gateway.model import Ending
+from persimmonroute.gateway import places
+
+
+class Relayed(typing.NamedTuple):
+    """Store the status of a response that was relayed completely."""
+
+    status: int
+
+
+class Failed(typing.NamedTuple):
+    """Store how an attempt failed and whether it may have run."""
+
+    ending: Ending
+    may_have_run: bool
+    problem: str
+
+
+class Replaced(typing.NamedTuple):
+    """Store the place that is used instead of a silent endpoint."""
+
+    place: places.Place
+    problem: str
--- /dev/null
+++ b/persimmonroute/gateway/places.py
@@ -0,0 +1,147 @@
+"""Find endpoints for requests and connect to them."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from persimmonroute import clock
+from persimmonroute.events import Event
+from persimmonroute import exceptions
+from persimmonroute.gateway import messages
+from persimmonroute.gateway import model
+from persimmonroute.gateway.model import Ending
+from persimmonroute import logs
+
+log = logs.EventLog(__name__)
+
+# Pause after a search for another endpoint that found none.
+SEARCH_PAUSE_S = 0.2
+
+
+class Place(typing.NamedTuple):
+    """Store a granted endpoint with an open connection to it."""
+
+    pending: messages.PendingRequest
+    connection: object
+
+
+class PlaceFinder:
+    """Have endpoints granted, and connect to them."""
+
+    def __init__(
+        self,
+        board,
+        admission,
+        dispatcher,
+        client,
+        metrics,
+        crash_checker,
+        confirm_version,
+    ):
+        self._board = board
+        self._admission = admission
+        self._dispatcher = dispatcher
+        self._client = client
+        self._metrics = metrics
+        self._crash_checker = crash_checker
+        # Makes the store know a version, before a stream begins there.
+        self._confirm_version = confirm_version
+
+    async def find(self, pending):
+        """Return a Place, or the Rejection of a request."""
+        while True:
+            granted = await self._dispatcher.wait_for_grant(pending)
+            if isinstance(granted, model.Rejection):
+                return granted
+            try:
+                rejection = self._admission.check_again(pending, clock.now_s())
+                if rejection is None:
+                    return Place(pending, await self._connect(pending))
+            except exceptions.EndpointUnreachableError as error:
+                self._record_unreachable(pending, error)
+                continue
+            except BaseException:
+                self._dispatcher.release(pending, Ending.ABANDONED)
+                raise
+            self._dispatcher.release(pending, Ending.ABANDONED)
+            return rejection
+
+    async def search(self, pending):
+        """Return a Place at another endpoint than that of a request.
+
+        It takes however long it takes: to be cancelled if that endpoint
+        responds.
+        """
+        while True:
+            try:
+                place = await self._find_other(pending)
+            except Exception as error:
+                # The endpoint that is used may still respond.
+                log.emit(
+                    Event.GATEWAY_FAULT,
+                    request=pending.attempt,
+                    problem=repr(error),
+                )
+                place = None
+            if place is not None:
+                return place
+            await asyncio.sleep(SEARCH_PAUSE_S)
+
+    def discard(self, place):
+        """Return a place that is not needed any more."""
+        record = place.pending.runner.record
+        self._dispatcher.release(place.pending, Ending.ABANDONED)
+        self._client.release(record, place.connection)
+        self._board.retries.give_back(place.pending.service)
+
+    async def _find_other(self, pending):
+        """Return a Place, or None if there is none now."""
+        retries = self._board.retries
+        if not retries.take(pending.service, clock.now_s()):
+            return None
+        place = None
+        try:
+            found = await self.find(pending.build_successor())
+            if isinstance(found, Place):
+                place = found
+        finally:
+            if place is None:
+                retries.give_back(pending.service)
+        return place
+
+    async def _connect(self, pending):
+        record = pending.runner.record
+        if pending.route.resumable and pending.version is None:
+            await self._confirm_version(record.service, record.version)
+        return await self._client.connect(
+            record,
+            pending.request,
+            pending.route.repeatable,
+            # The version of the process that answers has to be known: only
+            # that version may go on with the stream.
+            verify_incarnation=(
+                pending.route.resumable or pending.version is not None
+            ),
+        )
+
+    def _record_unreachable(self, pending, error):
+        """Record that nothing could be sent to the granted endpoint."""
+        view = pending.runner
+        ending = Ending.UNREACHABLE
+        if isinstance(error, exceptions.EndpointReplacedError):
+            ending = Ending.MISDIRECTED
+        elif isinstance(error, exceptions.EndpointRefusedError):
+            self._crash_checker.record_crash(view)
+        self._dispatcher.release(pending, ending)
+        pending.excluded.add(view.id)
+        self._metrics.on_attempt(ending)
+        log.emit(
+            Event.GATEWAY_ATTEMPT_FAILED,
+            request=pending.attempt,
+            runner=view.id,
+            ending=ending.value,
+            problem=error.problem,
+            event_relayed=pending.version is not None,
+            prompt=[part.id for part in pending.request.prompt],
+        )
--- a/persimmonroute/gateway/retry_budget.py
+++ b/persimmonroute/gateway/retry_budget.py
@@ -46,6 +46,12 @@
         retries.append(now)
         return True
 
+    def give_back(self, service):
+        """Take back the count of a retry that was not sent."""
+        retries = self._retries[service]
+        if retries:
+            retries.pop()
+
     def report_used(self, now):
         """Return the retries in the window by service."""
         return {
--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -56,14 +56,18 @@
         self._reused = conn.request_count > 0
         self._reusable = True
         self._ended = False
+        self._skipping = False
         self._skipped_bytes = 0
 
     async def head(self):
         """Return the status and headers of the response to this attempt.
 
-        Raises EndpointBrokenError if the connection ends before they arrive.
+        It may be cancelled and called again. Raises EndpointBrokenError if the
+        connection ends before they arrive.
         """
         for _ in range(MAX_SKIPPED_COPIES + 1):
+            if self._skipping:
+                await self._skip_body()
             event = await self._next_event()
             headers = dict(event.headers)
             echoed_attempt = headers.get(names.ATTEMPT_ID)
@@ -75,8 +79,7 @@
                         'the answer names no request'
                     )
                 return self._read_head(event, headers)
-            await self._skip_body()
-            self._conn.skip_duplicate_response()
+            self._skipping = True
         raise exceptions.EndpointBrokenError('too many copies of answers')
 
     async def next_data(self):
@@ -133,6 +136,8 @@
         while self._skipped_bytes <= MAX_SKIPPED_BYTES:
             event = await self._conn.next_event()
             if isinstance(event, h11.EndOfMessage):
+                self._conn.skip_duplicate_response()
+                self._skipping = False
                 return
             self._skipped_bytes += len(event.data)
         raise exceptions.EndpointBrokenError(
@@ -158,32 +163,29 @@
         self._refused = collections.OrderedDict()
         self.connections_opened = 0
 
-    async def send(
-        self,
-        runner,
-        request,
-        workspace,
-        remaining_s,
-        repeatable,
-        verify_incarnation=False,
+    async def connect(
+        self, runner, request, repeatable, verify_incarnation=False
     ):
-        """Send a request and return its RunnerCall.
+        """Return a connection for one request.
 
         Raises EndpointUnreachableError if no connection could be opened, and
         EndpointReplacedError if the process that responds there is not the
-        incarnation to be verified; nothing was sent in these cases.
+        incarnation to be verified.
         """
-        # Ids are forwarded, and echoed, byte by byte.
-        attempt, conn = request.attempt.encode('latin-1'), None
+        conn = None
         # An endpoint may write a refusal once more on a connection that was
         # used before. It would answer an attempt of the same name.
-        if attempt not in self._refused:
+        if _encode_attempt(request) not in self._refused:
             conn = self._take_idle(runner, repeatable)
         if conn is None:
             conn = await self._open(runner)
         if verify_incarnation and not conn.verified:
             await self._verify(runner, conn)
-        call = RunnerCall(self, runner, conn, attempt)
+        return conn
+
+    def send(self, runner, conn, request, workspace, remaining_s):
+        """Send a request on a connection and return its RunnerCall."""
+        call = RunnerCall(self, runner, conn, _encode_attempt(request))
         conn.send_request(
             request.method,
             request.target,
@@ -239,7 +241,7 @@
     async def check(self, runner, verify_incarnation=False):
         """Connect to an endpoint and keep the connection for a request.
 
-        Raises the same errors as send().
+        Raises the same errors as connect().
         """
         conn = await self._open(runner)
         if verify_incarnation:
@@ -299,6 +301,11 @@
         return None
 
 
+def _encode_attempt(request):
+    """Return the name of an attempt; it is echoed byte by byte."""
+    return request.attempt.encode('latin-1')
+
+
 def _remaining_idle_s(conn, now):
     limit = conn.idle_limit_s
     if limit is None:
