Deliver an endpoint's error if no other endpoint is left

What callers saw: a 500 of an endpoint to a request that may repeat became a 502 "no usable endpoint" or "overloaded", up to a latency objective later. Cause: as for silent endpoints, the answer in hand was dropped before another attempt was granted. Change: the error is read, kept, and delivered if nothing better comes until the search is refused or the deadline is reached.

--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -14,6 +14,7 @@
 from persimmonroute.gateway import model
 from persimmonroute.gateway.model import Ending
 from persimmonroute.gateway.outcomes import Failed
+from persimmonroute.gateway.outcomes import KeptResponse
 from persimmonroute.gateway.outcomes import Relayed
 from persimmonroute.gateway.outcomes import Replaced
 from persimmonroute.gateway import places
@@ -104,6 +105,8 @@
         self.failed = None
         # True once a silent endpoint was left for another one.
         self.handed_over = False
+        # KeptResponse that the caller gets if there is nothing better.
+        self.kept = None
 
     def record_event(self, now):
         """Record that an event of the stream arrived."""
@@ -350,7 +353,7 @@
             return Failed(Ending.FAILED, True, f'status {head.status}')
         retry = head.status >= 500 and self._has_attempts_left(pending)
         if retry and pending.route.repeatable:
-            return Failed(Ending.FAILED, True, f'status {head.status}')
+            return await self._keep_error(pending, head, call, progress)
         return await self._relay_whole(pending, head, call, caller, progress)
 
     def _record_head(self, pending, head):
@@ -409,6 +412,17 @@
         await caller.finish()
         return Relayed(head.status)
 
+    async def _keep_error(self, pending, head, call, progress):
+        """Read an error response, to try another endpoint first."""
+        try:
+            async with timeouts.timeout(self._start_timeout_s(pending)):
+                body = await _read_buffered(call)
+        except (exceptions.EndpointBrokenError, TimeoutError):
+            body = None
+        if body is not None:
+            progress.kept = KeptResponse(head, body)
+        return Failed(Ending.FAILED, True, f'status {head.status}')
+
     async def _begin(self, head, caller, progress):
         if not progress.begun:
             progress.begun = True
@@ -541,6 +555,27 @@
             prompt=[part.id for part in pending.request.prompt],
         )
 
+    async def _relay_kept(self, pending, caller, progress):
+        """Deliver an endpoint's error response; return if there is one."""
+        kept = progress.kept
+        if kept is None or progress.begun:
+            return False
+        await self._begin(kept.head, caller, progress)
+        if kept.body:
+            await caller.send(kept.body)
+        await caller.finish()
+        self._metrics.on_ended(
+            pending.route.name, str(kept.head.status), 'endpoint'
+        )
+        log.emit(
+            Event.GATEWAY_ANSWERED,
+            request=pending.attempt,
+            status=kept.head.status,
+            kept=True,
+            took_s=round(clock.now_s() - pending.arrived_at, 4),
+        )
+        return True
+
     async def _finish_rejected(self, pending, caller, progress, rejection):
         if progress.begun or progress.may_have_run:
             failed = Failed(Ending.FAILED, True, rejection.reason)
@@ -553,6 +588,8 @@
         if progress.begun:
             self._abort_response(pending, caller, progress, failed.problem)
             return
+        if await self._relay_kept(pending, caller, progress):
+            return
         if progress.may_have_run:
             rejection = model.Rejection(502, failed.problem)
         else:
@@ -566,6 +603,8 @@
         if progress.begun:
             self._abort_response(pending, caller, progress, 'timeout')
             return
+        if await self._relay_kept(pending, caller, progress):
+            return
         if progress.may_have_run:
             rejection = model.Rejection(504, 'timeout at the endpoint')
         else:
@@ -608,6 +647,17 @@
         )
 
 
+async def _read_buffered(call):
+    """Return a whole body, or None if it is too large to be buffered."""
+    parts, size = [], 0
+    while (data := await call.next_data()) is not None:
+        parts.append(data)
+        size += len(data)
+        if size > BUFFERED_RESPONSE_BYTES:
+            return None
+    return b''.join(parts)
+
+
 def _is_stream(route, head):
     if head.status != 200:
         return False
--- a/persimmonroute/gateway/outcomes.py
+++ b/persimmonroute/gateway/outcomes.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from persimmonroute.gateway import model
 from persimmonroute.gateway.model import Ending
 from persimmonroute.gateway import places
 
@@ -27,3 +28,10 @@
 
     place: places.Place
     problem: str
+
+
+class KeptResponse(typing.NamedTuple):
+    """Store an error response of an endpoint, for want of a better one."""
+
+    head: model.ResponseHead
+    body: bytes
--- a/persimmonroute/tests/gateway/silent_endpoint_tests.py
+++ b/persimmonroute/tests/gateway/silent_endpoint_tests.py
@@ -198,3 +198,11 @@
         other.born += 1
         self.deployment.register(other)
         self._check_whole(await call)
+
+    async def test_error_of_an_endpoint_is_not_replaced_by_the_gateways(self):
+        """Without another endpoint the caller gets the endpoint's answer."""
+        first = await self._leave_one()
+        first.script.append('fail')
+        response = await self._call('find')
+        self.assertEqual((response.status, response.body), (500, b'failed'))
+        self.assertIn(b'upstream-signature', response.headers)
