Offer retries where an endpoint is left

What callers saw: a request that may repeat waited for its latency objective and failed as "no usable endpoint", though another region had endpoints. Cause: retries were offered to the nearest group even if every endpoint there was excluded; only the versions of streams were looked at. Change: a request that excludes endpoints goes to the nearest group with one that it may use, and is not redirected from there to a group without any.

--- a/persimmonroute/gateway/offers.py
+++ b/persimmonroute/gateway/offers.py
@@ -105,36 +105,40 @@
         """Offer a request to the host of the nearest group."""
         known_groups = self.find_groups(pending.service)
         pending.offer_id = next(self._offer_ids)
-        if pending.version is not None:
-            known_groups = self._find_version_groups(pending)
-            if not known_groups:
-                rejection = model.VERSION_GONE
-                self.put(messages.Rejected(pending, rejection))
-                return
+        usable_groups = known_groups
+        if pending.version is not None or pending.excluded:
+            usable_groups = self._find_usable_groups(pending)
+        if pending.version is not None and not usable_groups:
+            self.put(messages.Rejected(pending, model.VERSION_GONE))
+            return
         if not known_groups:
             self._leave_undecided(pending)
             return
-        state = OfferState(pending, known_groups[0])
+        state = OfferState(pending, (usable_groups or known_groups)[0])
+        # Another region may have no endpoint that the request may use.
+        state.redirected = len(usable_groups) < len(known_groups)
         self._offers[pending.offer_id] = state
         self._send_to_next_host(state, now)
 
-    def _find_version_groups(self, pending):
-        """Return the groups that have the version that began a stream.
+    def _find_usable_groups(self, pending):
+        """Return the groups with an endpoint that a request may be sent to.
 
-        If no endpoint of the version is left to try, those that failed are
-        tried again: no other one can go on.
+        If no endpoint of the version that began a stream is left to try, those
+        that failed are tried again: no other one can go on.
         """
         views = [
             view
             for view in self._runner_registry.of_service(pending.service)
-            if view.record.version == pending.version and not view.leaving
+            if pending.version in (None, view.record.version)
+            and not view.leaving
         ]
-        if not any(messages.accepts(pending, view) for view in views):
+        left = [view for view in views if messages.accepts(pending, view)]
+        if not left and pending.version is not None:
             pending.readmit(view.id for view in views)
+            left = [view for view in views if messages.accepts(pending, view)]
         regions = {
             self._locality.region_of(view.record.failure_domain)
-            for view in views
-            if messages.accepts(pending, view)
+            for view in left
         }
         return [
             group
@@ -282,8 +286,7 @@
             age_s=now - pending.first_arrived_at,
             prompt=pending.request.prompt,
             excluded=tuple(self._find_excluded(pending, now)),
-            # Another region may have no endpoint of the version.
-            redirected=state.redirected or pending.version is not None,
+            redirected=state.redirected,
             version=pending.version,
             limits=self._report_limits(state.group, now),
         )
--- a/persimmonroute/tests/gateway/admission_host_tests.py
+++ b/persimmonroute/tests/gateway/admission_host_tests.py
@@ -285,6 +285,24 @@
         self.assertEqual(send.peer, 'host')
         return pending, send.message
 
+    def test_retry_is_offered_where_an_endpoint_is_left(self):
+        """Guards against retries that only their own region may serve."""
+        far = fixtures.runner('r2', failure_domain='frankfurt-a')
+        self.registry.apply([far], (), False, 0.0)
+        pending = fixtures.pending_request(1.0)
+        for excluded, region in (
+            ({'r1'}, 'frankfurt'),
+            ({'r2'}, 'riga'),
+            ({'r1', 'r2'}, 'riga'),
+        ):
+            pending.excluded = excluded
+            self.client.submit(pending, 1.0)
+            (send,) = self.client.take_effects()
+            self.assertEqual(send.message.region, region)
+            self.assertTrue(send.message.redirected)
+            self.client.withdraw(pending)
+            self.client.take_effects()
+
     def _grant(self, offer, now, started_at_ms=1):
         grant = messages.Grant(offer.offer_id, 'r1', started_at_ms)
         self.client.receive('host', grant, now)
