Suspend no endpoint for silence alone

Cause: an endpoint whose silence is not over counts its waiting request as in flight, so a suspension lasted until it responded, and others were refused. Change: an endpoint is suspended as before when it is left for another one.

--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -273,7 +273,6 @@
     def _record_silence(self, pending, progress):
         now = clock.now_s()
         view = pending.runner
-        view.record_silence(now, pending.sent_at)
         log.emit(
             Event.ENDPOINT_SILENT,
             request=pending.attempt,
--- a/persimmonroute/gateway/runners.py
+++ b/persimmonroute/gateway/runners.py
@@ -60,8 +60,6 @@
         self.consecutive_breaks = 0
         self.suspension_s = 0.0
         self.suspended_until = 0.0
-        # True if it is suspended for its silence.
-        self._silent = False
         self.lapsed_at = None
         # The endpoint said in a response that it is leaving.
         self.announced_leaving = False
@@ -141,23 +139,10 @@
     def record_response(self, now):
         """Record that the endpoint began to respond to a request."""
         self.last_heard_at = now
-        if self._silent:
-            self._silent = False
-            self.suspension_s = 0.0
-            self.suspended_until = now
         if now >= self.closed_until:
             self._probe_needed = False
             self._probe = None
 
-    def record_silence(self, now, sent_at):
-        """Suspend an endpoint that has been silent since a request was sent.
-
-        It is used again as soon as it responds.
-        """
-        if self.last_heard_at <= sent_at:
-            self.suspend(now)
-            self._silent = True
-
     def record_ending(self, ending, now, sent_at=math.inf):
         """Update the failure statistics after an attempt.
 
