Refuse tunnel requests, which stopped the whole gateway

One CONNECT request to any route whose endpoint answered with 2xx ended all service of the gateway: h11 tells of a connection that left HTTP as PAUSED, and next_data() asked for the next event without ever waiting. The door refuses CONNECT with 501, and a connection to an endpoint that leaves HTTP counts as broken.

--- a/persimmonroute/http_connection.py
+++ b/persimmonroute/http_connection.py
@@ -166,6 +166,10 @@
                 raise exceptions.EndpointBrokenError(
                     f'the answer is not valid HTTP: {error}'
                 ) from error
+            if event is h11.PAUSED:
+                raise exceptions.EndpointBrokenError(
+                    'the connection has left HTTP'
+                )
             if event is not h11.NEED_DATA:
                 if isinstance(event, h11.ConnectionClosed):
                     raise exceptions.EndpointBrokenError('connection closed')
--- a/persimmonroute/platform/ingress.py
+++ b/persimmonroute/platform/ingress.py
@@ -33,7 +33,7 @@
         limits = model.Limits()
         if self._board.route_table is not None:
             limits = self._board.route_table.configuration.limits
-        rejection = _check_headers(scope['headers'], limits)
+        rejection = _check_head(scope, limits)
         if rejection is not None:
             await caller.reject(rejection)
             return
@@ -176,7 +176,10 @@
     )
 
 
-def _check_headers(headers, limits):
+def _check_head(scope, limits):
+    if scope['method'] == 'CONNECT':
+        return model.Rejection(501, 'tunnels are not supported')
+    headers = scope['headers']
     header_names = [name for name, _ in headers]
     if (
         b'content-length' in header_names
--- a/persimmonroute/tests/gateway/request_ending_tests.py
+++ b/persimmonroute/tests/gateway/request_ending_tests.py
@@ -3,12 +3,73 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import unittest
 
 from standins import gateway_deployment as deployments
+from standins import platform_runner
 
 # Requests that share the slot of an endpoint; the last ones wait for it.
 WAITING = 4
+# Time within which each request here has ended, in seconds.
+ENDING_S = 4.0
+
+
+class RawRunner(platform_runner.RunnerStandIn):
+    """Answer with bytes that a test chooses.
+
+    $ATTEMPT stands for the id of the attempt.
+    """
+
+    raw = b''
+
+    async def _do_raw(self, reply, headers):
+        reply.writer.write(self.raw.replace(b'$ATTEMPT', reply.attempt))
+        await reply.writer.drain()
+        return False
+
+
+class RequestEndingTests(unittest.IsolatedAsyncioTestCase):
+    """Send requests through one gateway to two endpoints."""
+
+    async def asyncSetUp(self):
+        """Start a gateway, a store and two endpoints."""
+        self.deployment = deployments.GatewayDeployment()
+        self.deployment.runners = [RawRunner('r0'), RawRunner('r1')]
+        self.addAsyncCleanup(self.deployment.stop)
+        await self.deployment.start()
+
+    def _answer_with(self, *behaviours, raw=b''):
+        """Script the next responses, whichever endpoint is used."""
+        script = self.deployment.runners[0].script
+        script.extend(behaviours)
+        for runner in self.deployment.runners:
+            runner.script = script
+            runner.raw = raw
+
+    async def _send_raw(self, data):
+        """Return what a caller receives, and whether that ended in time."""
+        host, _, port = self.deployment.settings[0].address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        received, ended = b'', False
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ENDING_S):
+                while data := await reader.read(65_536):
+                    received += data
+                ended = True
+        writer.close()
+        return received, ended
+
+    async def test_connect_request_does_not_stop_the_gateway(self):
+        """Guards against a tunnel request after which nothing is served."""
+        received, _ = await self._send_raw(
+            b'CONNECT /open/x HTTP/1.1\r\nhost: api.example\r\n'
+            b'connection: close\r\n\r\n'
+        )
+        self.assertEqual(received.split(b'\r\n')[0].split(b' ')[1], b'501')
+        response = await self.deployment.call('/book/x')
+        self.assertEqual(response.status, 200)
 
 
 class KeyChangeTests(unittest.IsolatedAsyncioTestCase):
--- a/persimmonroute/tests/http_connection_tests.py
+++ b/persimmonroute/tests/http_connection_tests.py
@@ -17,7 +17,7 @@
 class ReadResponseTests(unittest.IsolatedAsyncioTestCase):
     """Read responses of a server that sends given bytes."""
 
-    async def _send(self, head, block, repeats):
+    async def _send(self, head, block, repeats, method='GET'):
         """Return a connection whose server repeats a block after a head."""
         self.sent = 0
 
@@ -37,7 +37,7 @@
         host, port = server.sockets[0].getsockname()
         conn = await http_connection.open_connection(f'{host}:{port}', 1.0)
         self.addCleanup(conn.abort)
-        conn.send_request('GET', '/', [('host', 'x')], b'')
+        conn.send_request(method, '/', [('host', 'x')], b'')
         return conn
 
     async def test_response_without_a_length_is_read_to_its_end(self):
@@ -60,3 +60,10 @@
                 self.assertLess(
                     self.sent, 4 * http_connection.MAX_WHOLE_RESPONSE_BYTES
                 )
+
+    async def test_answer_that_opens_a_tunnel_is_no_response(self):
+        """Guards against a reader that waits in a loop without end."""
+        conn = await self._send(HEAD, b'', 0, 'CONNECT')
+        await conn.next_event()
+        with self.assertRaises(exceptions.EndpointBrokenError):
+            await conn.next_event()
