Take a status above 599 for a fault of the endpoint

A caller's connection was closed without any answer when an endpoint answered with a status from 600 to 999: the server knows no such status, and failed after the response counted as started (790, KeyError).

--- a/persimmonroute/http_connection.py
+++ b/persimmonroute/http_connection.py
@@ -28,6 +28,8 @@
 MAX_HEADER_BYTES = 65_536
 # Interim (1xx) responses to one request; more are taken for a fault.
 MAX_INTERIM_RESPONSES = 64
+# Higher ones are not defined, and servers cannot pass them on.
+MAX_STATUS = 599
 # Largest response that is read into memory. The table service sends pages of
 # 1 MB, which base64 and the other fields of the rows enlarge.
 MAX_WHOLE_RESPONSE_BYTES = 8_388_608
@@ -112,6 +114,7 @@
         while True:
             event = await self._next_any_event()
             if not isinstance(event, h11.InformationalResponse):
+                _check_status(event)
                 return event
             self._interim_count += 1
             if self._interim_count > MAX_INTERIM_RESPONSES:
@@ -205,6 +208,13 @@
             self._waiter.set_result(None)
 
 
+def _check_status(event):
+    if isinstance(event, h11.Response) and event.status_code > MAX_STATUS:
+        raise exceptions.EndpointBrokenError(
+            f'the answer is not valid HTTP: status {event.status_code}'
+        )
+
+
 def ends_with_connection(head):
     """Return whether a response has neither a length nor chunks."""
     header_names = [name for name, _ in head.headers]
--- a/persimmonroute/tests/gateway/request_ending_tests.py
+++ b/persimmonroute/tests/gateway/request_ending_tests.py
@@ -29,6 +29,19 @@
         return False
 
 
+def head(status=b'200 OK', *lines):
+    """Return the head of a raw answer."""
+    return b'\r\n'.join(
+        (
+            b'HTTP/1.1 ' + status,
+            b'attempt-id: $ATTEMPT',
+            b'upstream-signature: signature',
+            *lines,
+            b'\r\n',
+        )
+    )
+
+
 class RequestEndingTests(unittest.IsolatedAsyncioTestCase):
     """Send requests through one gateway to two endpoints."""
 
@@ -71,6 +84,15 @@
         response = await self.deployment.call('/book/x')
         self.assertEqual(response.status, 200)
 
+    async def test_status_out_of_range_is_answered(self):
+        """Guards against a connection that is closed without any answer."""
+        self._answer_with(
+            'raw', raw=head(b'600 Odd', b'content-length: 2') + b'ok'
+        )
+        response = await self.deployment.call('/book/x')
+        self.assertEqual(response.status, 502)
+        self.assertTrue(response.complete)
+
 
 class KeyChangeTests(unittest.IsolatedAsyncioTestCase):
     """Change what callers need while their requests wait."""
