Close the connection after an unexpected error in a response

A caller that had received a part of a response waited without end when the last step failed: the server counts a response as complete before it finds that the declared length was not reached, and left the connection open. The door passes the error on after it is logged, and the server closes. test_fault_after_the_head_closes_the_connection failed before the change (the connection was still open after 4 s) and passes now.

--- a/persimmonroute/platform/ingress.py
+++ b/persimmonroute/platform/ingress.py
@@ -68,8 +68,10 @@
         log.emit(
             Event.GATEWAY_FAULT, request=request.attempt, problem=repr(error)
         )
-        if not caller.response_started:
-            await caller.reject(model.Rejection(502, 'unexpected error'))
+        if caller.response_started:
+            # The server closes the connection only after an error.
+            raise error
+        await caller.reject(model.Rejection(502, 'unexpected error'))
 
 
 class AsgiCaller(forwarding.Caller):
--- a/persimmonroute/tests/gateway/request_ending_tests.py
+++ b/persimmonroute/tests/gateway/request_ending_tests.py
@@ -6,7 +6,10 @@
 import contextlib
 import unittest
 
+from persimmonroute import http_server
+from persimmonroute.platform import ingress
 from standins import gateway_deployment as deployments
+from standins import gateway_fixtures as fixtures
 from standins import platform_runner
 
 # Requests that share the slot of an endpoint; the last ones wait for it.
@@ -42,6 +45,21 @@
     )
 
 
+async def exchange(address, data):
+    """Return what a caller receives, and whether that ended in time."""
+    host, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    received, ended = b'', False
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(ENDING_S):
+            while data := await reader.read(65_536):
+                received += data
+            ended = True
+    writer.close()
+    return received, ended
+
+
 class RequestEndingTests(unittest.IsolatedAsyncioTestCase):
     """Send requests through one gateway to two endpoints."""
 
@@ -60,25 +78,12 @@
             runner.script = script
             runner.raw = raw
 
-    async def _send_raw(self, data):
-        """Return what a caller receives, and whether that ended in time."""
-        host, _, port = self.deployment.settings[0].address.rpartition(':')
-        reader, writer = await asyncio.open_connection(host, int(port))
-        writer.write(data)
-        received, ended = b'', False
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(ENDING_S):
-                while data := await reader.read(65_536):
-                    received += data
-                ended = True
-        writer.close()
-        return received, ended
-
     async def test_connect_request_does_not_stop_the_gateway(self):
         """Guards against a tunnel request after which nothing is served."""
-        received, _ = await self._send_raw(
+        received, _ = await exchange(
+            self.deployment.settings[0].address,
             b'CONNECT /open/x HTTP/1.1\r\nhost: api.example\r\n'
-            b'connection: close\r\n\r\n'
+            b'connection: close\r\n\r\n',
         )
         self.assertEqual(received.split(b'\r\n')[0].split(b' ')[1], b'501')
         response = await self.deployment.call('/book/x')
@@ -94,6 +99,36 @@
         self.assertTrue(response.complete)
 
 
+class FaultyForwarder:
+    """Send less of a response than its head declares."""
+
+    async def serve(self, request, caller):
+        """Respond to a request."""
+        await caller.begin(200, [(b'content-length', b'9')])
+        await caller.send(b'part')
+        await caller.finish()
+
+
+class FaultTests(unittest.IsolatedAsyncioTestCase):
+    """Serve requests with a forwarder that fails."""
+
+    async def test_fault_after_the_head_closes_the_connection(self):
+        """Guards against a caller that waits for the rest without end."""
+        address = f'127.0.0.1:{deployments.free_port()}'
+        app = ingress.IngressApp(fixtures.board(), FaultyForwarder())
+        server = http_server.build_server(app, address, 1.0, 0.0)
+        serving = asyncio.create_task(server.serve())
+        self.addAsyncCleanup(asyncio.wait, (serving,))
+        self.addCleanup(setattr, server, 'should_exit', True)
+        while not server.started:
+            await asyncio.sleep(0.01)
+        received, ended = await exchange(
+            address, b'GET /draft/x HTTP/1.1\r\nhost: api.example\r\n\r\n'
+        )
+        self.assertEqual(received[-8:], b'\r\n\r\npart')
+        self.assertTrue(ended)
+
+
 class KeyChangeTests(unittest.IsolatedAsyncioTestCase):
     """Change what callers need while their requests wait."""
 
