--- a/persimmonroute/platform/ingress.py
+++ b/persimmonroute/platform/ingress.py
@@ -6,6 +6,7 @@
 import json
 import uuid
 
+from persimmonroute import event_stream
 from persimmonroute.events import Event
 from persimmonroute.gateway import forwarding
 from persimmonroute.gateway import model
@@ -89,6 +90,9 @@
         """Send the status and headers of the response."""
         self.response_started = True
         headers = list(headers)
+        if _is_event_stream(headers):
+            # Another endpoint may go on with the stream, at another length.
+            headers = [h for h in headers if h[0] != b'content-length']
         if self._board.draining:
             headers.append((b'connection', b'close'))
         await self._send(
@@ -220,6 +224,14 @@
             return
 
 
+def _is_event_stream(headers):
+    return any(
+        name == b'content-type'
+        and value.strip().lower().startswith(event_stream.CONTENT_TYPE)
+        for name, value in headers
+    )
+
+
 def _read_host(value):
     host = value.decode('latin-1').lower()
     name, colon, port = host.rpartition(':')
--- a/persimmonroute/tests/gateway/request_ending_tests.py
+++ b/persimmonroute/tests/gateway/request_ending_tests.py
@@ -12,6 +12,10 @@
 from standins import gateway_fixtures as fixtures
 from standins import platform_runner
 
+STREAM = (('accept', 'text/event-stream'),)
+COMPLETE_STREAM = b''.join(
+    f'id: {n}\ndata: piece {n}\n\n'.encode() for n in range(1, 5)
+)
 # Requests that share the slot of an endpoint; the last ones wait for it.
 WAITING = 4
 # Time within which each request here has ended, in seconds.
@@ -98,6 +102,21 @@
         self.assertEqual(response.status, 502)
         self.assertTrue(response.complete)
 
+    async def test_resumed_stream_of_another_length_is_complete(self):
+        """Guards against the length of the stream that broke off."""
+        self._answer_with(
+            'raw',
+            raw=head(
+                b'200 OK',
+                b'content-type: text/event-stream',
+                b'content-length: 500',
+            )
+            + b'id: 1\ndata: piece 1\n\n',
+        )
+        response = await self.deployment.call('/resume/x', headers=STREAM)
+        self.assertEqual(response.body, COMPLETE_STREAM)
+        self.assertTrue(response.complete)
+
 
 class FaultyForwarder:
     """Send less of a response than its head declares."""
