--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -117,11 +117,7 @@
             self._conn.idle_limit_s = int(match.group(1)) - IDLE_MARGIN_S
         return model.ResponseHead(
             status=event.status_code,
-            headers=tuple(
-                (name, value)
-                for name, value in event.headers
-                if name not in names.CONNECTION_HEADERS
-            ),
+            headers=_read_end_headers(event.headers),
             not_run=not_run,
             misdirected=event.status_code == STATUS_MISDIRECTED,
             load=_read_load(headers.get(names.RUNNER_LOAD)),
@@ -306,6 +302,15 @@
     return request.attempt.encode('latin-1')
 
 
+def _read_end_headers(headers):
+    """Return the headers that concern more than one connection."""
+    omitted = names.CONNECTION_HEADERS
+    if any(name == b'transfer-encoding' for name, _ in headers):
+        # Chunks override a length, which may be that of something else.
+        omitted = omitted | {b'content-length'}
+    return tuple((n, v) for n, v in headers if n not in omitted)
+
+
 def _remaining_idle_s(conn, now):
     limit = conn.idle_limit_s
     if limit is None:
