Read a Keep-Alive time of many digits

An answer that was ready was dropped, and the caller got 502, when its Keep-Alive named a time of more digits than int() accepts (790, ValueError).

--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -41,7 +41,7 @@
 STATUS_UNAVAILABLE = 503
 # Longer pauses are likely errors of the endpoint.
 MAX_RETRY_AFTER_S = 300.0
-_KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d+)')
+_KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d{1,9})')
 
 
 class RunnerCall(forwarding.EndpointCall):
