--- a/persimmonroute/event_stream.py
+++ b/persimmonroute/event_stream.py
@@ -14,6 +14,8 @@
 COMMENT = b':'
 # A longer event is taken for bytes without end.
 MAX_EVENT_BYTES = 1_048_576
+# A longer id is not compared with others; int() refuses many digits.
+MAX_ID_DIGITS = 18
 CONTENT_TYPE = b'text/event-stream'
 
 
@@ -74,5 +76,6 @@
     for line in event.splitlines():
         if line.startswith(ID_FIELD):
             value = line[len(ID_FIELD) :].strip()
-            return int(value) if value.isdigit() else None
+            numeric = value.isdigit() and len(value) <= MAX_ID_DIGITS
+            return int(value) if numeric else None
     return None
--- a/persimmonroute/tests/gateway/request_ending_tests.py
+++ b/persimmonroute/tests/gateway/request_ending_tests.py
@@ -144,6 +144,17 @@
         self.assertEqual(response.status, 200)
         self.assertEqual(response.body, b'ok')
 
+    async def test_endless_event_id_does_not_cut_off_a_stream(self):
+        """Guards against a stream that ends at an id of many digits."""
+        event = f'id: {MANY_DIGITS}\ndata: piece 1\n\n'.encode()
+        self._answer_with(
+            'raw',
+            raw=head(b'200 OK', b'content-type: text/event-stream') + event,
+        )
+        response = await self.deployment.call('/draft/x', headers=STREAM)
+        self.assertEqual(response.body, event)
+        self.assertTrue(response.complete)
+
 
 class FaultyForwarder:
     """Send less of a response than its head declares."""
