Bound the numbers that callers name

One request whose prompt has a part of more than 2**32 tokens, or with a deadline that is infinite or very long, made the gateway lose all messages to other gateways of that moment: it could not encode the offer. The host then counted as silent. A long deadline did so with all later requests of the route. Larger numbers got 502, and a Last-Event-Id of many digits 500. The door bounds tokens and deadlines, and takes such an id for none.

--- a/persimmonroute/platform/ingress.py
+++ b/persimmonroute/platform/ingress.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import uuid
 
 from persimmonroute import event_stream
@@ -19,6 +20,12 @@
 # read the response only after they have sent the complete body.
 MAX_DISCARDED_BYTES = 1_048_576
 TOO_LARGE = object()
+# Larger values of callers are taken for these, so that they fit into messages
+# between gateways.
+MAX_TOKENS = 1_000_000_000
+MAX_REMAINING_S = 86_400.0
+# int() refuses texts of many digits.
+MAX_DIGITS = 18
 
 
 class IngressApp:
@@ -177,7 +184,7 @@
         output_tokens=output,
         states_tokens=states_tokens,
         prompt=_read_prompt(header_values.get(names.PROMPT_PREFIX, b'')),
-        last_event_id=int(last_event_id) if last_event_id.isdigit() else None,
+        last_event_id=_read_digits(last_event_id),
         resumes=None if resumes is None else resumes.decode('latin-1'),
     )
 
@@ -245,9 +252,12 @@
 
 def _read_deadline(value):
     try:
-        return max(float(value), 0.0) / 1000
+        remaining_s = float(value) / 1000
     except (TypeError, ValueError):
         return None
+    if math.isnan(remaining_s):
+        return None
+    return min(max(remaining_s, 0.0), MAX_REMAINING_S)
 
 
 def _read_usage(value):
@@ -255,7 +265,7 @@
         prompt, output = (int(part) for part in value.split(b','))
     except (AttributeError, ValueError):
         return 0, 0, False
-    return max(prompt, 0), max(output, 0), True
+    return _bound_tokens(prompt), _bound_tokens(output), True
 
 
 def _read_prompt(value):
@@ -263,5 +273,17 @@
     for entry in value.split(b','):
         name, _, tokens = entry.strip().partition(b':')
         if name and tokens.isdigit():
-            parts.append(model.PromptPart(name.decode('latin-1'), int(tokens)))
+            count = _bound_tokens(int(tokens[:MAX_DIGITS]))
+            parts.append(model.PromptPart(name.decode('latin-1'), count))
     return tuple(parts)
+
+
+def _read_digits(value):
+    """Return a number of not too many digits, or None."""
+    if not value.isdigit() or len(value) > MAX_DIGITS:
+        return None
+    return int(value)
+
+
+def _bound_tokens(count):
+    return min(max(count, 0), MAX_TOKENS)
--- a/persimmonroute/tests/gateway/request_ending_tests.py
+++ b/persimmonroute/tests/gateway/request_ending_tests.py
@@ -155,6 +155,23 @@
         self.assertEqual(response.body, event)
         self.assertTrue(response.complete)
 
+    async def test_last_event_id_of_many_digits_is_answered(self):
+        """Guards against an error of the server in place of an answer."""
+        document = deployments.configuration(2)
+        document['Limits']['MaxHeaderBytes'] = 16_384
+        self.deployment.platform.put_row('op', 'config', document)
+        await asyncio.sleep(0.3)
+        response = await self.deployment.call(
+            '/book/x', headers=(('last-event-id', MANY_DIGITS),)
+        )
+        self.assertEqual(response.status, 200)
+
+    async def test_endless_prompt_part_is_served(self):
+        """Guards against a failure for a part of too many tokens."""
+        part = ('prompt-prefix', 'ab:' + '9' * 3000)
+        response = await self.deployment.call('/book/x', headers=(part,))
+        self.assertEqual(response.status, 200)
+
 
 class FaultyForwarder:
     """Send less of a response than its head declares."""
@@ -244,3 +261,43 @@
         responses = await self._call_beside(document)
         statuses = {response.status for response in responses}
         self.assertEqual(statuses, {200, 401})
+
+
+class AdmissionMessageTests(unittest.IsolatedAsyncioTestCase):
+    """Send requests through gateways that host one another's requests."""
+
+    async def asyncSetUp(self):
+        """Start two gateways and collect the errors of callbacks."""
+        self.deployment = deployments.GatewayDeployment(gateways=2)
+        self.addAsyncCleanup(self.deployment.stop)
+        await self.deployment.start()
+        self._errors = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: self._errors.append(context)
+        )
+        await asyncio.sleep(0.5)
+
+    async def _call_both(self, **options):
+        for gateway in range(2):
+            response = await self.deployment.call(
+                '/find/x', gateway=gateway, **options
+            )
+            self.assertEqual(response.status, 200)
+
+    async def test_prompt_of_any_size_is_offered(self):
+        """Guards against messages lost with one that cannot be encoded."""
+        part = ('prompt-prefix', 'ab:1099511627776')
+        await self._call_both(headers=(part,))
+        self.assertEqual(self._errors, [])
+
+    async def test_requests_after_an_endless_deadline_are_offered(self):
+        """Guards against a route whose requests all count as retries."""
+        await self._call_both(remaining_ms='inf')
+        await self._call_both()
+        self.assertEqual(self._errors, [])
+
+    async def test_requests_after_a_long_deadline_are_offered(self):
+        """Guards against an age that no message can hold."""
+        await self._call_both(remaining_ms=10**15)
+        await self._call_both()
+        self.assertEqual(self._errors, [])
