Let a sound endpoint read a long request body late

A request with a body of 1 MB or more got 502 after 2.3 s when its endpoint read nothing for longer than that: what fills the endpoint's receive window counts as unacknowledged, and TCP_USER_TIMEOUT of 2 s ended the connection though the endpoint's TCP answered all probes (ETIMEDOUT, 702). Requests of more than 64 KB, which a receiver takes unread, are sent without that limit; the deadline of the request bounds them. test_body_that_is_read_late_is_answered failed before the change (502) and passes.

--- a/persimmonroute/http_connection.py
+++ b/persimmonroute/http_connection.py
@@ -22,6 +22,9 @@
 MAX_READ_AHEAD_BYTES = 262_144
 # TCP_USER_TIMEOUT: a peer that acknowledges no data for this long is lost.
 USER_TIMEOUT_MS = 2000
+# Receivers take this much unread. More may wait in the socket of a sound peer
+# that reads nothing for a while, which TCP_USER_TIMEOUT takes for a loss.
+MAX_TIMED_BYTES = 65_536
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -50,6 +53,7 @@
         self._error = None
         self._last_request = None
         self._interim_count = 0
+        self._user_timeout_ms = USER_TIMEOUT_MS
         self.request_count = 0
         # True if the other end is known to be the process that was meant.
         self.verified = False
@@ -103,6 +107,8 @@
         if body:
             data += self._http.send(h11.Data(body))
         data += self._http.send(h11.EndOfMessage())
+        timed = len(data) <= MAX_TIMED_BYTES
+        self._set_user_timeout(USER_TIMEOUT_MS if timed else 0)
         self._transport.write(data)
 
     async def next_event(self):
@@ -122,6 +128,15 @@
                     'too many interim responses'
                 )
 
+    def _set_user_timeout(self, timeout_ms):
+        if timeout_ms == self._user_timeout_ms or self._lost:
+            return
+        self._user_timeout_ms = timeout_ms
+        sock = self._transport.get_extra_info('socket')
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
+        )
+
     def finish(self):
         """Prepare for the next request and return whether that is possible."""
         if self._http.states != {
