--- a/persimmonroute/gateway/places.py
+++ b/persimmonroute/gateway/places.py
@@ -58,7 +58,10 @@
                 rejection = self._admission.check_again(pending, clock.now_s())
                 if rejection is None:
                     return Place(pending, await self._connect(pending))
-            except exceptions.EndpointUnreachableError as error:
+            except (
+                exceptions.EndpointUnreachableError,
+                exceptions.EndpointReplacedError,
+            ) as error:
                 self._record_unreachable(pending, error)
                 continue
             except BaseException:
--- a/persimmonroute/tests/gateway/request_ending_tests.py
+++ b/persimmonroute/tests/gateway/request_ending_tests.py
@@ -159,6 +159,15 @@
         self.assertEqual(response.body, event)
         self.assertTrue(response.complete)
 
+    async def test_replaced_endpoint_fails_no_request(self):
+        """Guards against 502 when an endpoint started again."""
+        self.deployment.runners[0].born = 2
+        for number in range(8):
+            response = await self.deployment.call(
+                '/resume/x', headers=STREAM, attempt=f'a{number}'
+            )
+            self.assertEqual(response.status, 200)
+
     async def test_last_event_id_of_many_digits_is_answered(self):
         """Guards against an error of the server in place of an answer."""
         document = deployments.configuration(2)
