Refund no quota to a workspace that had none

A configuration that gives a workspace a quota while its requests wait made each that then ended without a send fail with 790 (AttributeError), and one that states tokens got units that it never paid: the refund went to the new bucket. The response had been sent by then, so no caller lost it.

--- a/persimmonroute/gateway/quotas.py
+++ b/persimmonroute/gateway/quotas.py
@@ -133,7 +133,8 @@
     def refund(self, workspace, request):
         """Refund the units of a request that never ran."""
         bucket = self._buckets.get(workspace.name)
-        if bucket is not None:
+        # A workspace that had no quota at its admission was not charged.
+        if bucket is not None and workspace.quota is not None:
             units = self.units(workspace, request)
             bucket.level += units
             bucket.used -= units
--- a/persimmonroute/tests/gateway/request_ending_tests.py
+++ b/persimmonroute/tests/gateway/request_ending_tests.py
@@ -6,6 +6,8 @@
 import contextlib
 import unittest
 
+from persimmonroute.gateway import model
+from persimmonroute.gateway import quotas
 from persimmonroute import http_server
 from persimmonroute.platform import ingress
 from standins import gateway_deployment as deployments
@@ -22,6 +24,7 @@
 LONG_BODY_BYTES = 4_000_000
 # Longer than TCP_USER_TIMEOUT, in seconds.
 UNREAD_S = 3.0
+QUOTA = model.Quota(10.0, 5.0, 1.0)
 # Requests that share the slot of an endpoint; the last ones wait for it.
 WAITING = 4
 # Time within which each request here has ended, in seconds.
@@ -247,6 +250,19 @@
         self.assertEqual(response.status, 200)
 
 
+class QuotaChangeTests(unittest.TestCase):
+    """Change the quota of a workspace while its requests wait."""
+
+    def test_request_without_a_quota_is_not_refunded(self):
+        """Guards against an error when a workspace gets a quota."""
+        request = fixtures.request(states_tokens=False)
+        limiter = quotas.QuotaLimiter()
+        limiter.apply([fixtures.workspace(quota=QUOTA)], 0.0)
+        before = limiter.report_remaining()
+        limiter.refund(fixtures.workspace(), request)
+        self.assertEqual(limiter.report_remaining(), before)
+
+
 class KeyChangeTests(unittest.IsolatedAsyncioTestCase):
     """Change what callers need while their requests wait."""
 
