Look on when an endpoint refuses what a silent one had

The search now goes on for all requests that were handed over and have no kept error response, and tries the endpoints that were left or full again. test_refusal_after_a_silence_is_not_the_end failed on (502) and passes.

--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -222,6 +222,8 @@
                 return place
             if not self._must_go_on(pending, place, progress):
                 return place
+            # Those that were silent or full may have recovered.
+            pending.excluded.clear()
             await asyncio.sleep(places.SEARCH_PAUSE_S)
 
     def _must_go_on(self, pending, rejection, progress):
@@ -229,7 +231,7 @@
 
         A sound endpoint may have been left for one that then refused.
         """
-        if not (progress.handed_over and progress.begun):
+        if not progress.handed_over or progress.kept is not None:
             return False
         if rejection is not None and rejection.status != 503:
             return False
--- a/persimmonroute/tests/gateway/request_ending_tests.py
+++ b/persimmonroute/tests/gateway/request_ending_tests.py
@@ -250,6 +250,27 @@
         self.assertEqual(response.status, 200)
 
 
+class HandOverTests(unittest.IsolatedAsyncioTestCase):
+    """Let an endpoint refuse what was taken from a silent one."""
+
+    async def test_refusal_after_a_silence_is_not_the_end(self):
+        """Guards against 502 when all endpoints are sound."""
+        deployment = deployments.GatewayDeployment()
+        self.addAsyncCleanup(deployment.stop)
+        await deployment.start()
+        document = deployments.configuration(2)
+        for route in document['Routes']:
+            route['TimeoutMs'] = 6000
+            route['MaxAttempts'] = 4
+        deployment.platform.put_row('op', 'config', document)
+        await asyncio.sleep(0.3)
+        script = deployment.runners[0].script
+        script.extend(('silent', 'full'))
+        deployment.runners[1].script = script
+        response = await deployment.call('/find/x', remaining_ms=6000)
+        self.assertEqual(response.status, 200)
+
+
 class QuotaChangeTests(unittest.TestCase):
     """Change the quota of a workspace while its requests wait."""
 
