Give tests ports that are free for TCP and UDP

Tests failed once in a while with a TimeoutError after 10 s in asyncSetUp and without any line of a log: the port for reports between gateways is a UDP port, and only TCP was tried. Test processes whose ids are equal modulo 40 begin at the same ports, so another process may hold it, and the gateway ends at once. Ports are given out that both can bind.

--- a/standins/gateway_deployment.py
+++ b/standins/gateway_deployment.py
@@ -286,8 +286,20 @@
     first = os.getpid() * PORTS_PER_PROCESS
     for _ in range(PORT_COUNT):
         port = FIRST_PORT + (first + next(_port_numbers)) % PORT_COUNT
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            sock.bind(('127.0.0.1', port))
+        if _is_free(port):
             return port
     raise AssertionError('no free port')
+
+
+def _is_free(port):
+    """Return whether a port can be bound, as gateways do, for TCP and UDP."""
+    with (
+        socket.socket() as tcp,
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+        contextlib.suppress(OSError),
+    ):
+        tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        tcp.bind(('127.0.0.1', port))
+        udp.bind(('127.0.0.1', port))
+        return True
+    return False
