End the store of a test deployment without waiting for its readers

Each test of a deployment took 1.5 s to stop: the stand-in store waited for long polls of gateways that had been cancelled, and for connections that might just have been accepted. It ends at once now.

--- a/standins/gateway_deployment.py
+++ b/standins/gateway_deployment.py
@@ -105,7 +105,7 @@
         """Start all processes and wait until the gateways are ready."""
         store = f'127.0.0.1:{free_port()}'
         self._store_server = http_server.build_server(
-            self.platform.build_app(), store, 1
+            self.platform.build_app(), store, 1, 0.0
         )
         self._tasks.append(asyncio.create_task(self._store_server.serve()))
         for runner in self.runners:
@@ -159,7 +159,8 @@
             stop.set()
         for task in self._gateway_tasks:
             task.cancel()
-        self._store_server.should_exit = True
+        # Gateways that were cancelled may still watch the tables.
+        self._store_server.should_exit = self._store_server.force_exit = True
         for runner in self.runners:
             await runner.stop()
         await asyncio.gather(
