--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -5,10 +5,12 @@
 import asyncio
 import collections
 import contextlib
+import enum
 import json
 import socket
 import struct
 import time
+import typing
 
 import h11
 
@@ -58,6 +60,8 @@
     # Requests per second that all responses name as the limit, as text; None
     # for no limit.
     request_limit = None
+    # Answer of the behaviour 'raw'.
+    raw_answer = None
 
     def __init__(self, runner_id):
         self.id = runner_id
@@ -460,6 +464,34 @@
         reset(reply.writer)
         return False
 
+    async def _do_raw(self, reply, headers):
+        """Write the bytes of raw_answer, whatever they are."""
+        answer = self.raw_answer
+        reply.writer.write(answer.data.replace(b'ATTEMPT', reply.attempt))
+        await reply.writer.drain()
+        if answer.end is RawEnd.KEEP:
+            await asyncio.sleep(self.hang_s)
+        if answer.end is RawEnd.RESET:
+            # The bytes arrive before the reset.
+            await asyncio.sleep(EVENT_PAUSE_S)
+            reset(reply.writer)
+        return False
+
+
+class RawEnd(enum.Enum):
+    """Define what becomes of a connection after a RawAnswer."""
+
+    CLOSE = 'close'
+    RESET = 'reset'
+    KEEP = 'keep'
+
+
+class RawAnswer(typing.NamedTuple):
+    """Store the bytes of a response; ATTEMPT stands for the attempt."""
+
+    data: bytes
+    end: RawEnd = RawEnd.CLOSE
+
 
 class Reply:
     """Write the response to one request."""
