Drop a length beside chunks from relayed responses

Callers got 200 with an empty or short body, framed as whole, or a body that broke off: an endpoint's response had both Content-Length and chunks. The chunks frame it, so the gateway read the whole body, but it passed the length on, and its own framing then followed that length.

The length is dropped, as RFC 9112 6.3 asks of a proxy. Before the change test_length_beside_chunks_frames_nothing failed with an empty body at length 0 in place of 12 bytes; it passes now.

--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -117,11 +117,7 @@
             self._conn.idle_limit_s = int(match.group(1)) - IDLE_MARGIN_S
         return model.ResponseHead(
             status=event.status_code,
-            headers=tuple(
-                (name, value)
-                for name, value in event.headers
-                if name not in names.CONNECTION_HEADERS
-            ),
+            headers=_select_forwarded(event.headers),
             not_run=not_run,
             misdirected=event.status_code == STATUS_MISDIRECTED,
             load=_read_load(headers.get(names.RUNNER_LOAD)),
@@ -331,6 +327,20 @@
     return headers
 
 
+def _select_forwarded(headers):
+    """Return the headers of a response that do not concern its connection.
+
+    A length beside chunks does not hold, so the caller must not get it.
+    """
+    chunked = any(name == b'transfer-encoding' for name, _ in headers)
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name not in names.CONNECTION_HEADERS
+        and not (chunked and name == b'content-length')
+    )
+
+
 def _read_retry_after(status, headers):
     """Return the pause in seconds that a 503 asks for, or None."""
     if status != STATUS_UNAVAILABLE or names.RETRY_AFTER not in headers:
--- a/persimmonroute/tests/gateway/partial_head_tests.py
+++ b/persimmonroute/tests/gateway/partial_head_tests.py
@@ -154,6 +154,18 @@
 class FramingTests(RawAnswerTestCase):
     """Frame responses in ways that contradict each other."""
 
+    async def test_length_beside_chunks_frames_nothing(self):
+        """Guards against a body cut to a length that does not hold."""
+        for length in (b'0', b'5', b'12', b'100'):
+            head = START + b'content-length: ' + length
+            chunks = CHUNKED.removeprefix(START)
+            answer = RawAnswer(head + b'\r\n' + chunks)
+            for route in ('book', 'find'):
+                response = await self.play(route, answer)
+                self.assertEqual(response.status, 200)
+                self.assertEqual(response.body, BODY, answer)
+                self.assertTrue(response.complete)
+
     async def test_framing_that_is_ambiguous_gives_no_success(self):
         """Two lengths, or codings that the gateway does not know."""
         for fields in AMBIGUOUS_FIELDS:
