Do not frame a resumed stream by its first endpoint's length

Callers got a stream that lacked its last events and looked complete, or one that hung: the first endpoint had sent its stream with a Content-Length, which the gateway passed on. After the stream had broken off another endpoint wrote the rest, and the bytes of two responses hardly add up to that length; uvicorn then refuses the surplus, or leaves the connection open if bytes are missing (event 790, and the caller waits).

Streams that may resume are passed on in chunks. Before the change test_length_of_the_first_response_does_not_frame_the_rest got two of four events; it passes now.

--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -437,6 +437,8 @@
     async def _relay_stream(
         self, pending, head, call, caller, progress, standby
     ):
+        if pending.route.resumable:
+            head = _without_length(head)
         splitter = event_stream.EventSplitter()
         goes_on = continuation.Continuation(progress.last_event_id)
         # Bytes that complete no event are no progress.
@@ -664,6 +666,15 @@
     return b''.join(parts)
 
 
+def _without_length(head):
+    """Return a head without the length of its body.
+
+    The rest of a stream may come from another endpoint, with another length.
+    """
+    headers = [h for h in head.headers if h[0] != b'content-length']
+    return head._replace(headers=tuple(headers))
+
+
 def _is_stream(route, head, progress):
     """Return whether a response is a stream, or the rest of one."""
     if head.status != 200:
--- a/persimmonroute/tests/gateway/error_in_stream_tests.py
+++ b/persimmonroute/tests/gateway/error_in_stream_tests.py
@@ -124,3 +124,12 @@
             for framing in ('length', 'close'):
                 error = frame(START + STREAM_TYPE, events, framing)
                 await self._assert_sound(self._begin(), RawAnswer(error))
+
+    async def test_length_of_the_first_response_does_not_frame_the_rest(self):
+        """Guards against a stream that ends at the length of another."""
+        for size in (len(EVENT_1 * 2), len(EVENT_1 * 3), len(EVENTS) + 20):
+            head = START + STREAM_TYPE + b'content-length: %d\r\n\r\n' % size
+            answer = RawAnswer(head + EVENT_1 + b'id: 2', RawEnd.RESET)
+            response = await self.play('resume', answer)
+            self.assertEqual(response.body, EVENTS)
+            self.assertTrue(response.complete)
