Give callers that take a stream up only the rest of it

A caller that took a broken stream up with Last-Event-Id got the text of an error with status 200, or pieces twice: the gateway judged only the rest of streams that broke off within its own response. What the caller named as its last event was passed to the endpoint and not compared with what came back.

The caller's last event now counts as the last event of the response, and a 200 that is no stream is no rest: another endpoint is asked, or the caller gets 502. Errors with their own status are relayed as before. Before the change test_caller_that_takes_a_stream_up_gets_its_rest_only failed with 200 and {"error": "overloaded"}; it passes now.

--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -90,12 +90,13 @@
 class Progress:
     """Track how much of the response the caller has received."""
 
-    def __init__(self):
+    def __init__(self, last_event_id=None):
         self.begun = False
         # True if the response that began had a content type.
         self.content_type_known = False
         self.event_relayed = False
-        self.last_event_id = None
+        # That the caller has, of this response or an earlier one.
+        self.last_event_id = last_event_id
         # True while an attempt may be running or may have run.
         self.may_have_run = False
         # When an endpoint last completed an event of the stream, in seconds.
@@ -159,7 +160,9 @@
             await caller.reject(decision)
             return
         pending = decision
-        progress = Progress()
+        progress = Progress(
+            request.last_event_id if pending.route.resumable else None
+        )
         try:
             async with timeouts.timeout(max(pending.deadline_at - now, 0)):
                 rejection = await self._find_version(pending)
@@ -356,6 +359,8 @@
                 return Failed(Ending.FAILED, True, error.problem)
         if progress.begun:
             return Failed(Ending.FAILED, True, f'status {head.status}')
+        if head.status == 200 and progress.last_event_id is not None:
+            return Failed(Ending.FAILED, True, 'the rest is no stream')
         retry = head.status >= 500 and self._has_attempts_left(pending)
         if retry and pending.route.repeatable:
             return await self._keep_error(pending, head, call, progress)
--- a/persimmonroute/tests/gateway/error_in_stream_tests.py
+++ b/persimmonroute/tests/gateway/error_in_stream_tests.py
@@ -133,3 +133,20 @@
             response = await self.play('resume', answer)
             self.assertEqual(response.body, EVENTS)
             self.assertTrue(response.complete)
+
+    async def test_caller_that_takes_a_stream_up_gets_its_rest_only(self):
+        """Guards against an error with status 200, and pieces twice."""
+        await self.play('resume', self._begin())
+        taken_up = (('last-event-id', '1'), ('resumes', f'a{self._sent}'))
+        errors = [
+            frame(START + content_type, body)
+            for content_type in (JSON_TYPE, TEXT_TYPE, b'', STREAM_TYPE)
+            for body in (JSON, JSON + b'\n\n')
+        ]
+        errors += [frame(START + STREAM_TYPE, e) for e in NO_CONTINUATIONS]
+        errors.append(frame(START + STREAM_TYPE, EVENTS))
+        errors += [frame(start(s) + JSON_TYPE, JSON) for s in FAILED_STATUSES]
+        for error in errors:
+            answers = [RawAnswer(error)] * 2
+            await self._assert_sound(*answers, headers=taken_up)
+            await self._assert_sound(answers[0], headers=taken_up)
