Do not begin a stream again whose events have no ids

Callers got the begin of a stream twice in one response: an endpoint wrote events without ids on a route whose streams may resume, and broke off. No Last-Event-Id could be sent, so the next endpoint began from the start, and all of its events were passed on. After events without ids that followed others, those without came twice.

Once the caller has such an event, the stream is not sent elsewhere. Comments are no part of a stream and change nothing. Before the change test_stream_without_ids_does_not_begin_again got 'piece 0' and then the whole stream of the second endpoint; it passes now.

--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -97,6 +97,9 @@
         self.event_relayed = False
         # That the caller has, of this response or an earlier one.
         self.last_event_id = last_event_id
+        # True once the caller has an event that has no id: no endpoint can be
+        # told where to go on.
+        self.has_unnumbered = False
         # True while an attempt may be running or may have run.
         self.may_have_run = False
         # When an endpoint last completed an event of the stream, in seconds.
@@ -473,6 +476,8 @@
                 progress.event_relayed = True
                 if event.id is not None:
                     progress.last_event_id = event.id
+                elif not event.is_comment:
+                    progress.has_unnumbered = True
                 self._record_first_byte(pending)
         if splitter.in_event:
             return Failed(Ending.BROKEN, True, 'the stream ends in an event')
@@ -504,7 +509,9 @@
 
     def _stream_timeout_s(self, pending, progress, idle_since):
         """Return how long to wait for data; None for no limit."""
-        if not pending.route.resumable or not self._has_attempts_left(pending):
+        if not _can_go_on(pending.route, progress):
+            return None
+        if not self._has_attempts_left(pending):
             return None
         limit_s = START_TIMEOUT_OBJECTIVES * pending.route.objective_s
         if progress.begun:
@@ -515,7 +522,7 @@
         return max(idle_since + limit_s - clock.now_s(), 0.0)
 
     def _may_retry(self, pending, failed, progress):
-        if progress.begun and not pending.route.resumable:
+        if progress.begun and not _can_go_on(pending.route, progress):
             return False
         if failed.may_have_run and not pending.route.repeatable:
             return False
@@ -671,6 +678,11 @@
     return b''.join(parts)
 
 
+def _can_go_on(route, progress):
+    """Return whether another endpoint may write the rest of a stream."""
+    return route.resumable and not progress.has_unnumbered
+
+
 def _without_length(head):
     """Return a head without the length of its body.
 
--- a/persimmonroute/tests/gateway/error_in_stream_tests.py
+++ b/persimmonroute/tests/gateway/error_in_stream_tests.py
@@ -125,6 +125,20 @@
                 error = frame(START + STREAM_TYPE, events, framing)
                 await self._assert_sound(self._begin(), RawAnswer(error))
 
+    async def test_stream_without_ids_does_not_begin_again(self):
+        """Guards against pieces that come twice."""
+        head = frame(START + STREAM_TYPE, b'', 'close')
+        for begin in (b'data: piece 0\n\n', EVENT_1 + b'data: piece 0\n\n'):
+            answer = RawAnswer(head + begin, RawEnd.RESET)
+            response = await self.play('resume', answer)
+            self.assertEqual(response.body, begin)
+            self.assertFalse(response.complete)
+        # Comments are no part of a stream.
+        answer = RawAnswer(head + b': hello\n\n', RawEnd.RESET)
+        response = await self.play('resume', answer)
+        self.assertEqual(response.body, b': hello\n\n' + EVENTS)
+        self.assertTrue(response.complete)
+
     async def test_length_of_the_first_response_does_not_frame_the_rest(self):
         """Guards against a stream that ends at the length of another."""
         for size in (len(EVENT_1 * 2), len(EVENT_1 * 3), len(EVENTS) + 20):
