Break a stream off where another response begins inside it

Callers got the whole head of an error in the middle of their stream: an endpoint without a length had written some events, or a part of one, and then an HTTP response on the same connection. Without a length these bytes belong to the body, and the blank line after the head completes an "event".

A status line followed by a header that is no field of an event is taken for another response: the stream broke off before it, and may go on elsewhere. Text about HTTP in data lines is passed on. A bare status line inside a data line, without headers, cannot be told from text.

--- a/persimmonroute/event_stream.py
+++ b/persimmonroute/event_stream.py
@@ -10,8 +10,14 @@
 SEPARATOR = b'\n\n'
 # Two line endings in a row, of any of the three kinds that streams may use.
 _BLANK_LINE = re.compile(rb'(?:\r\n|\n|\r(?!\n)){2}')
+# A status line, and a header that is no field of an event.
+_RESPONSE_HEAD = re.compile(
+    rb'HTTP/1\.[01] [1-5]\d\d[^\r\n]*\r?\n'
+    rb'(?!data:|id:|event:|retry:)[\w-]+:'
+)
 ID_FIELD = b'id:'
 COMMENT = b':'
+HTTP_VERSION = b'HTTP/1.'
 # A longer event is taken for bytes without end.
 MAX_EVENT_BYTES = 1_048_576
 CONTENT_TYPE = b'text/event-stream'
@@ -23,6 +29,18 @@
     data: bytes
     id: int | None
 
+    @property
+    def holds_response_head(self):
+        """Return whether another HTTP response begins inside the event.
+
+        In a body without a length nothing else tells it from the stream.
+        """
+        if self.data.startswith(HTTP_VERSION):
+            return True
+        return bool(
+            HTTP_VERSION in self.data and _RESPONSE_HEAD.search(self.data)
+        )
+
     @property
     def is_comment(self):
         """Return whether the event has no field, so that readers skip it."""
--- a/persimmonroute/gateway/continuation.py
+++ b/persimmonroute/gateway/continuation.py
@@ -24,6 +24,10 @@
 
         Raises StreamMismatchError if the event is no part of the stream.
         """
+        if event.holds_response_head:
+            raise exceptions.StreamMismatchError(
+                'another response begins inside the stream'
+            )
         if event.is_comment:
             return True
         if event.id is None:
--- a/persimmonroute/tests/gateway/error_in_stream_tests.py
+++ b/persimmonroute/tests/gateway/error_in_stream_tests.py
@@ -148,6 +148,24 @@
             self.assertEqual(response.body, EVENTS)
             self.assertTrue(response.complete)
 
+    async def test_head_inside_a_stream_is_no_event(self):
+        """Guards against an error's head in a stream without a length."""
+        error = start(502) + b'content-length: 9\r\n\r\nno server'
+        begin = frame(START + STREAM_TYPE, EVENT_1, 'close')
+        for rest in (b'', b'id: 2\ndata: pie'):
+            for route in ('draft', 'resume'):
+                answer = RawAnswer(begin + rest + error)
+                await self._assert_sound(answer, route=route)
+            answer = RawAnswer(frame(START + STREAM_TYPE, rest + error))
+            await self._assert_sound(self._begin(), answer)
+
+        # Text about HTTP is text.
+        text = b'id: 1\ndata: HTTP/1.1 200 OK\ndata: x-own: y\n\n'
+        answer = RawAnswer(frame(START + STREAM_TYPE, text))
+        response = await self.play('draft', answer)
+        self.assertEqual(response.body, text)
+        self.assertTrue(response.complete)
+
     async def test_caller_that_takes_a_stream_up_gets_its_rest_only(self):
         """Guards against an error with status 200, and pieces twice."""
         await self.play('resume', self._begin())
