Take only answered requests for a sign of life of a process

Callers got one answer, status 200 and whole, with events of two software versions: their gateway stood still (SIGSTOP) while an endpoint crashed and started again under its id and address with another version. When the gateway went on it read the bytes that the old process had sent before, took them for a sign of life of this moment, and so opened a connection to the new process without the question for its start. The same holds for bytes that the network or a slow caller had held up. A monotonic clock does not help: the age of received bytes is not known at all.

A request that was sent on a verified connection and answered shows that the process lived after it was sent; only that counts now, for 0.1 s as before. New connections whose endpoint has answered nothing that was sent within 0.1 s ask one more question.

--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -28,8 +28,8 @@
 # run twice: if a stale connection is reset, its outcome is unknown.
 MAX_UNREPEATABLE_IDLE_S = 0.5
 MAX_IDLE_PER_RUNNER = 24
-# An endpoint that was heard so recently is taken for the same process: none
-# ends and is replaced by another in less time.
+# An endpoint that answered a request which was sent so recently is taken for
+# the same process: none ends and is replaced by another in less time.
 SAME_PROCESS_S = 0.1
 # Refused attempts that are remembered; callers come back within seconds.
 MAX_REFUSED_ATTEMPTS = 8192
@@ -52,6 +52,7 @@
         self._runner = runner
         self._conn = conn
         self._attempt = attempt
+        self._sent_at = clock.now_s()
         # A reused connection may carry a late copy of an earlier response.
         self._reused = conn.request_count > 0
         self._reusable = True
@@ -68,7 +69,7 @@
         for _ in range(MAX_SKIPPED_COPIES + 1):
             if self._skipping:
                 await self._skip_body()
-            event = await self._next_event()
+            event = await self._conn.next_event()
             headers = dict(event.headers)
             echoed_attempt = headers.get(names.ATTEMPT_ID)
             if echoed_attempt == self._attempt:
@@ -85,7 +86,7 @@
     async def next_data(self):
         """Return the next chunk of the body, or None at its end."""
         while True:
-            event = await self._next_event()
+            event = await self._conn.next_event()
             if isinstance(event, h11.Data):
                 return bytes(event.data)
             if isinstance(event, h11.EndOfMessage):
@@ -98,12 +99,8 @@
             self._ended = True
             self._conn.abort()
 
-    async def _next_event(self):
-        event = await self._conn.next_event()
-        self._pool.record_heard(self._runner, self._conn)
-        return event
-
     def _read_head(self, event, headers):
+        self._pool.record_answered(self._runner, self._conn, self._sent_at)
         close = b'close' in headers.get(b'connection', b'').lower()
         self._reusable = not close
         not_run = (
@@ -153,8 +150,10 @@
 
     def __init__(self):
         self._idle_connections = {}
-        # When each incarnation was last heard on a verified connection.
-        self._heard_at = {}
+        # When each incarnation was last sent a request that it answered, on a
+        # verified connection. Received bytes alone do not tell when they were
+        # sent: this process or the network may have held them up.
+        self._answered_since = {}
         # Attempts that an endpoint refused, oldest first.
         self._refused = collections.OrderedDict()
         self.connections_opened = 0
@@ -195,8 +194,8 @@
         conn = await http_connection.open_connection(
             runner.address, CONNECT_TIMEOUT_S
         )
-        heard_at = self._heard_at.get(runner.incarnation, -math.inf)
-        conn.verified = clock.now_s() - heard_at < SAME_PROCESS_S
+        since = self._answered_since.get(runner.incarnation, -math.inf)
+        conn.verified = clock.now_s() - since < SAME_PROCESS_S
         return conn
 
     async def _verify(self, runner, conn):
@@ -205,6 +204,7 @@
         Whatever answers on a connection is one process, so what it says of
         its start holds for the next request, too.
         """
+        sent_at = clock.now_s()
         conn.send_request('GET', REPORT_PATH, [('host', runner.address)], b'')
         try:
             report = await http_connection.read_response(
@@ -232,7 +232,7 @@
                 'the endpoint closes after its report'
             )
         conn.verified = True
-        self.record_heard(runner, conn)
+        self.record_answered(runner, conn, sent_at)
 
     async def check(self, runner, verify_incarnation=False):
         """Connect to an endpoint and keep the connection for a request.
@@ -244,10 +244,11 @@
             await self._verify(runner, conn)
         self.release(runner, conn)
 
-    def record_heard(self, runner, conn):
-        """Record that an endpoint sent something on a connection."""
+    def record_answered(self, runner, conn, sent_at):
+        """Record that an endpoint answered a request on a connection."""
         if conn.verified:
-            self._heard_at[runner.incarnation] = clock.now_s()
+            since = self._answered_since.get(runner.incarnation, sent_at)
+            self._answered_since[runner.incarnation] = max(since, sent_at)
 
     def record_refused(self, attempt):
         """Record that an endpoint refused an attempt."""
@@ -267,7 +268,7 @@
 
     def close_idle_connections(self, runner):
         """Close the idle connections to an endpoint that was removed."""
-        self._heard_at.pop(runner.incarnation, None)
+        self._answered_since.pop(runner.incarnation, None)
         for conn in self._idle_connections.pop(runner.incarnation, ()):
             conn.close()
 
--- a/standins/gateway_deployment.py
+++ b/standins/gateway_deployment.py
@@ -183,10 +183,21 @@
             'servers', runner.id, {**registration, **changes}
         )
 
-    async def call(self, path, gateway=0, body=b'body', headers=(), **options):
-        """Return the Response to one request on a new connection."""
+    async def call(
+        self,
+        path,
+        gateway=0,
+        body=b'body',
+        headers=(),
+        address=None,
+        **options,
+    ):
+        """Return the Response to one request on a new connection.
+
+        address is that of a gateway which is not of this deployment.
+        """
         conn = await http_connection.open_connection(
-            self.settings[gateway].address, 1.0
+            address or self.settings[gateway].address, 1.0
         )
         try:
             return await self.call_on(conn, path, body, headers, **options)
