Conclude no origin of a stream whose route was moved

Callers got a stream whose rest another service had written: the stream began and broke off, a new configuration moved its route to another service, and the caller took it up without a name that a gateway knew. The gateway then concluded from the versions of the new service who had begun it.

A gateway remembers the route tables of the last minute (the life of a stream), and concludes nothing if the path led to more services in that time. Before the change test_stream_of_a_moved_route_does_not_go_on_elsewhere got 200 with events of the other service; now it gets 503, come back. A gateway that started after the move does not know of it: this remains.

--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import typing
 
 from persimmonroute import draining
@@ -13,11 +14,14 @@
 from persimmonroute.gateway import retry_budget
 from persimmonroute.gateway import routes
 from persimmonroute.gateway import runners
+from persimmonroute.gateway import stream_origins
 
 
 # The store notifies all gateways of a configuration within milliseconds. One
 # that peers have had for longer is missing in a store that was restored.
 MISSED_CONFIGURATION_S = 0.5
+# Earlier route tables that are remembered, for the life of a stream.
+MAX_FORMER_TABLES = 256
 
 
 class Bounds(typing.NamedTuple):
@@ -69,6 +73,8 @@
         self.name = name
         self.bounds = bounds
         self.route_table: routes.RouteTable | None = None
+        # Earlier tables, with the time at which each was replaced.
+        self._former_tables = collections.deque(maxlen=MAX_FORMER_TABLES)
         # When the configuration was last confirmed to be the newest.
         self.configuration_freshness = freshness.Freshness()
         self.runner_registry = runners.RunnerRegistry()
@@ -124,10 +130,27 @@
         """Apply a configuration and return True if it is newer."""
         if configuration.version <= self.version:
             return False
+        if self.route_table is not None:
+            self._former_tables.append((self.route_table, now))
         self.route_table = routes.RouteTable(configuration)
         self.quotas.apply(configuration.workspaces, now)
         return True
 
+    def find_stream_services(self, host, path, now):
+        """Return the services that can have begun a stream of a path."""
+        tables = [
+            table
+            for table, replaced_at in self._former_tables
+            if now - replaced_at <= stream_origins.STREAM_LIFE_S
+        ]
+        found = [t.find_route(host, path) for t in (*tables, self.route_table)]
+        return {
+            destination.service
+            for route in found
+            if route is not None
+            for destination in route.destinations
+        }
+
     def missed_configuration(self, now):
         """Return whether peers' newer configuration is overdue here.
 
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -190,10 +190,14 @@
         if not pending.route.streaming or request.last_event_id is None:
             return None
         services = [d.service for d in pending.route.destinations]
+        # The route may have led to another service when the stream began.
+        began_at = self._board.find_stream_services(
+            request.host, request.path, clock.now_s()
+        )
         origin = await self._dispatcher.find_origin(
             pending.workspace,
             request.resumes,
-            services[0] if len(services) == 1 else None,
+            services[0] if began_at == {services[0]} else None,
         )
         if origin is None or origin.service not in services:
             return model.STREAM_UNKNOWN
--- a/persimmonroute/tests/gateway/out_of_step_tests.py
+++ b/persimmonroute/tests/gateway/out_of_step_tests.py
@@ -277,3 +277,49 @@
         self.cuts.clear()
         self.cuts.update(cuts)
         self.link.set_mode(mode)
+
+
+class MovedRouteTests(unittest.IsolatedAsyncioTestCase):
+    """Move a route to another service while streams are open."""
+
+    async def test_stream_of_a_moved_route_does_not_go_on_elsewhere(self):
+        """Guards against a conclusion from the versions of the new service."""
+        deployment = deployments.GatewayDeployment(2)
+        self.addAsyncCleanup(deployment.stop)
+        former, current = deployment.runners
+        former.version, current.version = 'v1', 'v7'
+        await deployment.start()
+        deployment.register(current, Service='other')
+        with mock.patch.object(runners, 'VERSION_HISTORY_S', 0.2):
+            self._move(deployment, 2, deployments.SERVICE)
+            await asyncio.sleep(SETTLE_S)
+            former.script.append('break_stream')
+            begun = await deployment.call('/moved/x', headers=(STREAM,))
+            self.assertIn(b'v1 ', begun.body)
+            self._move(deployment, 3, 'other')
+            await asyncio.sleep(SETTLE_S)
+            for named in ((), (('resumes', 'a1'),)):
+                rest = await deployment.call(
+                    '/moved/x',
+                    headers=(STREAM, ('last-event-id', '1'), *named),
+                    attempt='a2',
+                )
+                self.assertEqual(rest.status, 503)
+                self.assertNotIn(b'v7 ', rest.body)
+            # New streams begin there.
+            fresh = await deployment.call('/moved/x', headers=(STREAM,))
+            self.assertIn(b'v7 ', fresh.body)
+
+    def _move(self, deployment, version, service):
+        document = deployments.configuration(version)
+        document['Services'].append({'Name': 'other', 'MaxConnections': 50})
+        document['Routes'].append(
+            deployments.route(
+                'moved',
+                Kind='streaming',
+                StreamResume=True,
+                MaxAttempts=1,
+                Service=service,
+            )
+        )
+        deployment.platform.put_row('op', 'config', document)
