Keep the row of a version that came back elsewhere

A gateway that had seen a version come and go more than a minute ago, and had not heard yet that endpoints of it registered again, removed the row which another gateway had written before it began streams there: it read the row, but kept the old time at which the version was last seen. Callers could then be told by exclusion that only the other version had served, if no gateway that knew better was asked. The gateway that wrote the row does not look again.

A row that was written since the last read counts as seen now. Before the change test_version_that_came_back_elsewhere_keeps_its_row found no row of v2; it passes now.

--- a/persimmonroute/gateway/runners.py
+++ b/persimmonroute/gateway/runners.py
@@ -393,10 +393,15 @@
         """Return the services and versions of the known endpoints."""
         return {(v.record.service, v.record.version) for v in self}
 
-    def apply_stored_versions(self, stored, now):
-        """Apply the services and versions that gateways saw before."""
+    def apply_stored_versions(self, stored, rewritten, now):
+        """Apply the services and versions that gateways saw before.
+
+        Another gateway has seen those of the rewritten rows of late.
+        """
         for key in stored:
             self._former_versions.setdefault(key, now)
+        for key in rewritten:
+            self._former_versions[key] = now
         self._stored_services = {service for service, _ in stored}
 
     def _record_former(self, record, now):
--- a/persimmonroute/gateway/version_keeping.py
+++ b/persimmonroute/gateway/version_keeping.py
@@ -150,8 +150,11 @@
     async def _synchronize(self):
         registry = self._board.runner_registry
         if self._must_read or self._restored:
-            self._stored = await self._rows.read()
-            registry.apply_stored_versions(self._stored, clock.now_s())
+            former, self._stored = self._stored, await self._rows.read()
+            rewritten = self._stored.items() - former.items()
+            registry.apply_stored_versions(
+                self._stored, {key for key, _ in rewritten}, clock.now_s()
+            )
             self._must_read = self._restored = False
         # The row of a version that comes back may have been removed.
         self._confirmed &= registry.list_current_versions()
--- a/persimmonroute/tests/gateway/version_keeping_tests.py
+++ b/persimmonroute/tests/gateway/version_keeping_tests.py
@@ -94,6 +94,26 @@
             await self._run(self.board)
         self.assertEqual(self.rows.rows.keys(), {KEY})
 
+    async def test_version_that_came_back_elsewhere_keeps_its_row(self):
+        """Guards against a gateway that has not heard of it yet."""
+        late = fixtures.runner('r2', version='v2')
+        newer = fixtures.runner('r3', version='v3')
+        registry = self.board.runner_registry
+        with mock.patch.object(runners, 'VERSION_HISTORY_S', 0.2):
+            registry.apply([late], (), False, clock.now_s())
+            registry.apply((), ['r2'], False, clock.now_s())
+            await asyncio.sleep(0.25)
+            keeper = version_keeping.VersionKeeper(self.board, self.rows)
+            task = asyncio.create_task(keeper.run())
+            await asyncio.sleep(0.02)
+            # Another gateway begins streams at the version that came back.
+            await self.rows.add(fixtures.SERVICE, 'v2')
+            # A row of its own makes this one read the others.
+            registry.apply([newer], (), False, clock.now_s())
+            await asyncio.sleep(0.1)
+            task.cancel()
+        self.assertIn((fixtures.SERVICE, 'v2'), self.rows.rows)
+
     async def test_one_gateway_writes(self):
         """Calls do not grow with the fleet."""
         boards = [self._build(f'gateway-{n}') for n in range(10)]
