--- a/tools/soak/mutants.py
+++ b/tools/soak/mutants.py
@@ -29,6 +29,7 @@
 
 
 FORWARDING = 'gateway/forwarding.py'
+CONTINUATION = 'gateway/continuation.py'
 MUTANTS = (
     Mutant(
         'repeats what may have run',
@@ -54,7 +55,11 @@
         'resumes streams from their beginning',
         # Either check alone is enough to keep the events in order.
         (
-            Edit(FORWARDING, 'if event.id <= last_id:', 'if False:'),
+            Edit(
+                CONTINUATION,
+                'if last_id is not None and event.id <= last_id:',
+                'if False:',
+            ),
             Edit(
                 FORWARDING,
                 'if progress.last_event_id is not None:\n            request',
