--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -10,6 +10,7 @@
 from persimmonroute import event_stream
 from persimmonroute.events import Event
 from persimmonroute import exceptions
+from persimmonroute.gateway import continuation
 from persimmonroute.gateway import crash_checks
 from persimmonroute.gateway import model
 from persimmonroute.gateway.model import Ending
@@ -89,10 +90,16 @@
 class Progress:
     """Track how much of the response the caller has received."""
 
-    def __init__(self):
+    def __init__(self, last_event_id=None):
         self.begun = False
+        # True if the response that began had a content type.
+        self.content_type_known = False
         self.event_relayed = False
-        self.last_event_id = None
+        # That the caller has, of this response or an earlier one.
+        self.last_event_id = last_event_id
+        # True once the caller has an event that has no id: no endpoint can be
+        # told where to go on.
+        self.has_unnumbered = False
         # True while an attempt may be running or may have run.
         self.may_have_run = False
         # When an endpoint last completed an event of the stream, in seconds.
@@ -156,7 +163,9 @@
             await caller.reject(decision)
             return
         pending = decision
-        progress = Progress()
+        progress = Progress(
+            request.last_event_id if pending.route.resumable else None
+        )
         try:
             async with timeouts.timeout(max(pending.deadline_at - now, 0)):
                 rejection = await self._find_version(pending)
@@ -181,10 +190,14 @@
         if not pending.route.streaming or request.last_event_id is None:
             return None
         services = [d.service for d in pending.route.destinations]
+        # The route may have led to another service when the stream began.
+        began_at = self._board.find_stream_services(
+            request.host, request.path, clock.now_s()
+        )
         origin = await self._dispatcher.find_origin(
             pending.workspace,
             request.resumes,
-            services[0] if len(services) == 1 else None,
+            services[0] if began_at == {services[0]} else None,
         )
         if origin is None or origin.service not in services:
             return model.STREAM_UNKNOWN
@@ -346,12 +359,17 @@
             return Failed(
                 Ending.REFUSED, False, f'refused with status {head.status}'
             )
-        if _is_stream(pending.route, head):
-            return await self._relay_stream(
-                pending, head, call, caller, progress, standby
-            )
+        if _is_stream(pending.route, head, progress):
+            try:
+                return await self._relay_stream(
+                    pending, head, call, caller, progress, standby
+                )
+            except exceptions.StreamMismatchError as error:
+                return Failed(Ending.FAILED, True, error.problem)
         if progress.begun:
             return Failed(Ending.FAILED, True, f'status {head.status}')
+        if head.status == 200 and progress.last_event_id is not None:
+            return Failed(Ending.FAILED, True, 'the rest is no stream')
         retry = head.status >= 500 and self._has_attempts_left(pending)
         if retry and pending.route.repeatable:
             return await self._keep_error(pending, head, call, progress)
@@ -427,12 +445,16 @@
     async def _begin(self, head, caller, progress):
         if not progress.begun:
             progress.begun = True
+            progress.content_type_known = head.content_type is not None
             await caller.begin(head.status, head.headers)
 
     async def _relay_stream(
         self, pending, head, call, caller, progress, standby
     ):
+        if pending.route.resumable:
+            head = _without_length(head)
         splitter = event_stream.EventSplitter()
+        goes_on = continuation.Continuation(progress.last_event_id)
         # Bytes that complete no event are no progress.
         idle_since = clock.now_s()
         received = 0
@@ -452,21 +474,22 @@
                 progress.record_event(idle_since)
                 self._end_silence(pending, standby)
             for event in events:
-                last_id = progress.last_event_id
-                if event.id is not None and last_id is not None:
-                    if event.id <= last_id:
-                        continue
+                if not goes_on.is_new(event):
+                    continue
                 await self._begin(head, caller, progress)
                 self._record_begun(pending, progress)
                 await caller.send(event.data)
                 progress.event_relayed = True
                 if event.id is not None:
                     progress.last_event_id = event.id
+                elif not event.is_comment:
+                    progress.has_unnumbered = True
                 self._record_first_byte(pending)
         if splitter.in_event:
             return Failed(Ending.BROKEN, True, 'the stream ends in an event')
         if head.ends_with_connection and not received:
             return Failed(Ending.BROKEN, True, 'the stream has no event')
+        goes_on.check_end()
         await self._begin(head, caller, progress)
         if splitter.rest:
             await caller.send(splitter.rest)
@@ -492,7 +515,9 @@
 
     def _stream_timeout_s(self, pending, progress, idle_since):
         """Return how long to wait for data; None for no limit."""
-        if not pending.route.resumable or not self._has_attempts_left(pending):
+        if not _can_go_on(pending.route, progress):
+            return None
+        if not self._has_attempts_left(pending):
             return None
         limit_s = START_TIMEOUT_OBJECTIVES * pending.route.objective_s
         if progress.begun:
@@ -503,7 +528,7 @@
         return max(idle_since + limit_s - clock.now_s(), 0.0)
 
     def _may_retry(self, pending, failed, progress):
-        if progress.begun and not pending.route.resumable:
+        if progress.begun and not _can_go_on(pending.route, progress):
             return False
         if failed.may_have_run and not pending.route.repeatable:
             return False
@@ -659,11 +684,26 @@
     return b''.join(parts)
 
 
-def _is_stream(route, head):
+def _can_go_on(route, progress):
+    """Return whether another endpoint may write the rest of a stream."""
+    return route.resumable and not progress.has_unnumbered
+
+
+def _without_length(head):
+    """Return a head without the length of its body.
+
+    The rest of a stream may come from another endpoint, with another length.
+    """
+    headers = [h for h in head.headers if h[0] != b'content-length']
+    return head._replace(headers=tuple(headers))
+
+
+def _is_stream(route, head, progress):
+    """Return whether a response is a stream, or the rest of one."""
     if head.status != 200:
         return False
     if head.content_type is None:
-        return route.streaming
+        return route.streaming and not progress.content_type_known
     return head.content_type.startswith(event_stream.CONTENT_TYPE)
 
 
