Resume a broken answer only by the rest of its stream

Callers got a 200 with the text of an engine's error, or a stream that ended early, both with the outcome "completed"; callers of whole completions got a stream, or half a JSON body and half a stream. A sidecar asks its engine once for the rest of an answer that broke off. It checked the status of what came only if a part had arrived before, and never the content type, nor that the offset was reached, nor that the answer had been a stream at all.

Only a 200 with an event stream that reaches the offset goes on now, and only after an answer that was a stream itself. The tests play cut heads, errors, other content and short streams through an entry and a sidecar.

--- a/persimmonroute/sidecar/endpoints.py
+++ b/persimmonroute/sidecar/endpoints.py
@@ -31,6 +31,29 @@
 )
 
 
+class _Call:
+    """Track one request about an attempt.
+
+    The offset is that of a resumed stream, or None for the request itself.
+    """
+
+    def __init__(self, attempt_id, stream, offset=None):
+        self.attempt_id = attempt_id
+        self.offset = offset
+        # Whether the rest of the response can be read as a stream.
+        self.resumable = stream
+
+    def check_head(self, status, content_type):
+        """Raise EndpointBrokenError if a response resumes no stream."""
+        if status == STATUS_OK and _is_stream(content_type):
+            return
+        self.resumable = False
+        if self.offset is not None:
+            raise exceptions.EndpointBrokenError(
+                'the engine no longer has the stream'
+            )
+
+
 class _Body:
     """Check that the body of a response is complete."""
 
@@ -39,7 +62,7 @@
         self._splitter = None
         self._events = 0
         self._size = 0
-        if content_type.lower().startswith(event_stream.CONTENT_TYPE.decode()):
+        if _is_stream(content_type):
             self._splitter = event_stream.EventSplitter()
 
     def add(self, data):
@@ -77,9 +100,8 @@
             'Content-Type': 'application/json',
             'X-Request-Id': attempt_id,
         }
-        await self._call(
-            attempt_id, offer.method, offer.path, headers, offer.body
-        )
+        call = _Call(attempt_id, offer.stream)
+        await self._call(call, offer.method, offer.path, headers, offer.body)
 
     async def probe(self):
         """Return whether the endpoint responds to a health check."""
@@ -110,19 +132,19 @@
         finally:
             conn.abort()
 
-    async def _call(self, attempt_id, method, path, headers, body, skip=0):
+    async def _call(self, call, method, path, headers, body):
         try:
             # A new connection for each call: one that was left open may drop
             # while the request is sent, and whether it ran is then unknown.
             conn = await self._open()
         except exceptions.EndpointUnreachableError as error:
-            await self._fail(attempt_id, False, error.problem)
+            await self._fail(call, False, error.problem)
             return
         try:
             self._send(conn, method, path, headers, body)
-            await self._forward(attempt_id, conn, skip)
+            await self._forward(call, conn)
         except exceptions.EndpointBrokenError as error:
-            await self._fail(attempt_id, True, error.problem)
+            await self._fail(call, True, error.problem)
         finally:
             conn.abort()
 
@@ -142,18 +164,17 @@
                 f'the request is not valid HTTP: {error}'
             ) from error
 
-    async def _forward(self, attempt_id, conn, skip):
-        """Report a response as events, without the first bytes of its body."""
+    async def _forward(self, call, conn):
+        """Report a response as events, from the offset of the call on."""
+        attempt_id = call.attempt_id
         head = await conn.next_event()
-        if skip and head.status_code != STATUS_OK:
-            raise exceptions.EndpointBrokenError(
-                'the engine no longer has the stream'
-            )
         headers = dict(head.headers)
         self._sink(
             messages.EndpointNamedLimit(attempt_id, _read_limit(headers))
         )
         content_type = headers.get(b'content-type', b'').decode('latin-1')
+        call.check_head(head.status_code, content_type)
+        skip = call.offset or 0
         body = _Body(head, content_type)
         while isinstance(event := await conn.next_event(), h11.Data):
             data = bytes(event.data)
@@ -163,13 +184,21 @@
                 tokens = body.count_tokens(added)
                 self._sink(messages.EndpointData(attempt_id, added, tokens))
         body.check_complete()
+        if skip:
+            raise exceptions.EndpointBrokenError(
+                'the resumed stream ends before its offset'
+            )
         self._sink(
             messages.EndpointEnded(attempt_id, head.status_code, content_type)
         )
 
-    async def _fail(self, attempt_id, sent, problem):
+    async def _fail(self, call, sent, problem):
         self._sink(messages.EndpointProbed(await self.probe()))
-        self._sink(messages.EndpointFailed(attempt_id, sent, problem))
+        self._sink(
+            messages.EndpointFailed(
+                call.attempt_id, sent, problem, call.resumable
+            )
+        )
 
 
 def _read_limit(headers):
@@ -179,13 +208,18 @@
     return pacing.read_rate(headers[REQUEST_LIMIT])
 
 
+def _is_stream(content_type):
+    return content_type.lower().startswith(event_stream.CONTENT_TYPE.decode())
+
+
 class ModelEngineClient(EndpointClient):
     """Call a model engine, which can resume and cancel streams."""
 
     async def resume(self, attempt_id, offset):
         """Read a retained stream from its start and skip to the offset."""
         path = f'/v1/streams/{attempt_id}'
-        await self._call(attempt_id, 'GET', path, {}, b'', skip=offset)
+        call = _Call(attempt_id, True, offset)
+        await self._call(call, 'GET', path, {}, b'')
 
     async def cancel(self, attempt_id):
         """Cancel a stream; errors are ignored."""
@@ -209,7 +243,7 @@
     async def resume(self, attempt_id, offset):
         """Report the call as failed."""
         await self._fail(
-            attempt_id,
+            _Call(attempt_id, False),
             True,
             'the call failed and a plain service cannot resume it',
         )
--- a/persimmonroute/sidecar/execution.py
+++ b/persimmonroute/sidecar/execution.py
@@ -112,7 +112,7 @@
         # connection that resumes it was refused.
         if not event.sent and not attempt.resumed:
             self._revert_start(attempt, now)
-        elif not (attempt.resumed or attempt.cancelled):
+        elif event.resumable and not (attempt.resumed or attempt.cancelled):
             attempt.resumed = True
             offset = len(attempt.response)
             self._board.put(messages.ResumeCall(attempt.attempt_id, offset))
--- a/persimmonroute/sidecar/messages.py
+++ b/persimmonroute/sidecar/messages.py
@@ -47,11 +47,13 @@
     """Report a call that failed.
 
     sent: whether the endpoint may have received the request.
+    resumable: whether the rest of the response may be read as a stream.
     """
 
     attempt_id: str
     sent: bool
     problem: str
+    resumable: bool = True
 
 
 class EndpointNamedLimit(typing.NamedTuple):
