Answer with the status of an engine's error, not with a stream

Callers of streams got a 200 with an event stream that held the text of an engine's error and ended with the outcome "completed". Cause: the status and the content type of an answer followed its last part (Finished), when the entry had sent its own head long before. Change: parts tell whether the answer is an event stream with status 200; if not, the entry collects it and answers with its status and type. An entry that reads parts of an older sidecar goes on as before.

--- a/persimmonroute/entry/dispatch.py
+++ b/persimmonroute/entry/dispatch.py
@@ -7,6 +7,7 @@
 from persimmonroute.entry import board as boards
 from persimmonroute.entry.call_states import advance
 from persimmonroute.entry import messages
+from persimmonroute import event_stream
 from persimmonroute.events import Event
 from persimmonroute import exceptions
 from persimmonroute.generated import exchange_pb2 as pb
@@ -180,7 +181,10 @@
     def replay(self, record, status, content_type, body):
         """Replay the response that was recorded for the same key."""
         self._board.send(record, withdraw=pb.Withdraw())
-        self._board.put(messages.ResponseData(record.request_id, body))
+        streamed = event_stream.is_stream(status, content_type)
+        self._board.put(
+            messages.ResponseData(record.request_id, body, streamed)
+        )
         self._finalizer.end_completed(record, status, content_type)
 
     def reject_key(self, record):
@@ -241,7 +245,11 @@
         if data:
             record.received_bytes += len(data)
             self._claims.buffer_response(record, data)
-            self._board.put(messages.ResponseData(record.request_id, data))
+            self._board.put(
+                messages.ResponseData(
+                    record.request_id, data, not chunk.not_streamed
+                )
+            )
 
     def _on_finished(self, record, finished, now):
         if record.state not in ('granted', 'attached'):
--- a/persimmonroute/entry/http_api.py
+++ b/persimmonroute/entry/http_api.py
@@ -131,12 +131,11 @@
 
     async def _serve(self, request, call):
         queue = self._shell.submit(call)
-        if call.stream:
-            first = await self._wait_first(request, call, queue)
-            if isinstance(first, messages.ResponseData):
+        first = await self._wait_first(request, call, queue)
+        if call.stream and isinstance(first, messages.ResponseData):
+            if first.streamed:
                 return self._stream_response(call, first, queue)
-            return self._final_response(call, first, b'')
-        return await self._collect_response(request, call, queue)
+        return await self._collect_response(call, first, queue)
 
     async def _wait_first(self, request, call, queue):
         disconnect = asyncio.create_task(_wait_disconnect(request))
@@ -153,9 +152,9 @@
             disconnect.cancel()
             first.cancel()
 
-    async def _collect_response(self, request, call, queue):
+    async def _collect_response(self, call, first, queue):
         parts = []
-        item = await self._wait_first(request, call, queue)
+        item = first
         while isinstance(item, messages.ResponseData):
             parts.append(item.data)
             item = await queue.get()
--- a/persimmonroute/entry/messages.py
+++ b/persimmonroute/entry/messages.py
@@ -129,10 +129,15 @@
 
 
 class ResponseData(typing.NamedTuple):
-    """Forward a chunk of the response to the caller."""
+    """Forward a chunk of the response to the caller.
+
+    streamed: whether it belongs to an event stream; if not, the status and
+    the content type are known only when the response has ended.
+    """
 
     request_id: str
     data: bytes
+    streamed: bool = True
 
 
 class ResponseEnded(typing.NamedTuple):
--- a/persimmonroute/event_stream.py
+++ b/persimmonroute/event_stream.py
@@ -15,6 +15,17 @@
 # A longer event is taken for bytes without end.
 MAX_EVENT_BYTES = 1_048_576
 CONTENT_TYPE = b'text/event-stream'
+STATUS_OK = 200
+
+
+def is_stream_type(content_type):
+    """Return whether a content type, as text, is that of event streams."""
+    return content_type.lower().startswith(CONTENT_TYPE.decode())
+
+
+def is_stream(status, content_type):
+    """Return whether a response is an event stream and no error."""
+    return status == STATUS_OK and is_stream_type(content_type)
 
 
 class StreamEvent(typing.NamedTuple):
--- a/persimmonroute/sidecar/board.py
+++ b/persimmonroute/sidecar/board.py
@@ -35,6 +35,7 @@
         self.prefill_tokens = offer.prompt_tokens
         self.subscribers = {owner} if owner else set()
         self.response = bytearray()
+        self.streamed = True
         self.started_at = None
         self.first_token_at = None
         self.last_token_at = None
--- a/persimmonroute/sidecar/endpoints.py
+++ b/persimmonroute/sidecar/endpoints.py
@@ -17,7 +17,6 @@
 
 CONNECT_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 2.0
-STATUS_OK = 200
 # Longest response that is forwarded, as much as the sidecar keeps in memory.
 MAX_RESPONSE_BYTES = responses.MAX_RETAINED_BYTES
 # Requests per second that the endpoint takes.
@@ -42,10 +41,16 @@
         self.offset = offset
         # Whether the rest of the response can be read as a stream.
         self.resumable = stream
+        # Whether the response is an event stream without an error.
+        self.streamed = False
 
     def check_head(self, status, content_type):
-        """Raise EndpointBrokenError if a response resumes no stream."""
-        if status == STATUS_OK and _is_stream(content_type):
+        """Check whether a response is a stream.
+
+        Raises EndpointBrokenError if it should resume one and does not.
+        """
+        self.streamed = event_stream.is_stream(status, content_type)
+        if self.streamed:
             return
         self.resumable = False
         if self.offset is not None:
@@ -62,7 +67,7 @@
         self._splitter = None
         self._events = 0
         self._size = 0
-        if _is_stream(content_type):
+        if event_stream.is_stream_type(content_type):
             self._splitter = event_stream.EventSplitter()
 
     def add(self, data):
@@ -182,7 +187,11 @@
             added, skip = data[skip:], max(skip - len(data), 0)
             if added:
                 tokens = body.count_tokens(added)
-                self._sink(messages.EndpointData(attempt_id, added, tokens))
+                self._sink(
+                    messages.EndpointData(
+                        attempt_id, added, tokens, call.streamed
+                    )
+                )
         body.check_complete()
         if skip:
             raise exceptions.EndpointBrokenError(
@@ -208,10 +217,6 @@
     return pacing.read_rate(headers[REQUEST_LIMIT])
 
 
-def _is_stream(content_type):
-    return content_type.lower().startswith(event_stream.CONTENT_TYPE.decode())
-
-
 class ModelEngineClient(EndpointClient):
     """Call a model engine, which can resume and cancel streams."""
 
--- a/persimmonroute/sidecar/execution.py
+++ b/persimmonroute/sidecar/execution.py
@@ -84,6 +84,7 @@
                 attempt, self._board.running, event.tokens, now
             )
             attempt.last_token_at = now
+        attempt.streamed = event.streamed
         self._responses.append(attempt, event.data, event.tokens)
         self.request_grants(now)
 
--- a/persimmonroute/sidecar/messages.py
+++ b/persimmonroute/sidecar/messages.py
@@ -27,11 +27,15 @@
 
 
 class EndpointData(typing.NamedTuple):
-    """Report a chunk of a response; tokens is 0 for plain services."""
+    """Report a chunk of a response; tokens is 0 for plain services.
+
+    streamed: whether the response is an event stream without an error.
+    """
 
     attempt_id: str
     data: bytes
     tokens: int
+    streamed: bool = True
 
 
 class EndpointEnded(typing.NamedTuple):
--- a/persimmonroute/sidecar/responses.py
+++ b/persimmonroute/sidecar/responses.py
@@ -22,7 +22,12 @@
         offset = len(attempt.response)
         attempt.response += data
         self._retained_bytes += len(data)
-        chunk = pb.Chunk(offset=offset, data=data, tokens=tokens)
+        chunk = pb.Chunk(
+            offset=offset,
+            data=data,
+            tokens=tokens,
+            not_streamed=not attempt.streamed,
+        )
         for link in sorted(attempt.subscribers):
             self._board.send(link, attempt.attempt_id, chunk=chunk)
 
@@ -45,7 +50,9 @@
         attempt.subscribers.add(link)
         data = bytes(attempt.response[offset:])
         if data:
-            chunk = pb.Chunk(offset=offset, data=data)
+            chunk = pb.Chunk(
+                offset=offset, data=data, not_streamed=not attempt.streamed
+            )
             self._board.send(link, attempt.attempt_id, chunk=chunk)
         if attempt.finished is not None:
             self._board.send(
--- a/persimmonroute/tests/sidecar/broken_answers_tests.py
+++ b/persimmonroute/tests/sidecar/broken_answers_tests.py
@@ -168,3 +168,29 @@
             answer = await self.entry.order(f'reset-{len(body)}')
             with self.subTest(body=body):
                 self.assertEqual(answer.outcome, 'unknown')
+
+    async def test_error_of_an_engine_keeps_its_status(self):
+        """Guards against an error that is framed as a whole stream."""
+        bodies = (
+            (raw_endpoint.JSON, ERROR),
+            (raw_endpoint.EVENT_STREAM, b'data: ' + ERROR + b'\n\n'),
+            (b'', ERROR),
+        )
+        for status in (400, 404, 429, 500, 503):
+            for content_type, body in bodies:
+                self.engine.calls = [
+                    (raw_endpoint.whole(status, content_type, body),)
+                ]
+                answer = await self.entry.complete()
+                with self.subTest(status=status, content_type=content_type):
+                    self.assertEqual(answer.status, status)
+                    self.assertEqual(answer.body, body)
+
+    async def test_other_content_than_a_stream_keeps_its_type(self):
+        """Guards against other content that is framed as a stream."""
+        self.engine.calls = [
+            (raw_endpoint.whole(200, raw_endpoint.JSON, ERROR),)
+        ]
+        answer = await self.entry.complete()
+        self.assertEqual(answer.headers[b'content-type'], b'application/json')
+        self.assertEqual(answer.body, ERROR)
