End a cancelled stream as incomplete

A caller got the first part of its stream, with the outcome "completed". Cause: a sidecar cancels a stream whose entry has been gone for 30 s. The engine ends it as it ends any stream, and the sidecar kept it as complete. An entry that had stood still meanwhile read it on and believed the end. Change: what a cancelled call ends with is incomplete, so its outcome is unknown. Measured: a play with an entry that stands still for 32 s, cut off from the sidecar, ended "completed" before the change and "unknown" with it.

--- a/persimmonroute/sidecar/execution.py
+++ b/persimmonroute/sidecar/execution.py
@@ -93,6 +93,10 @@
         attempt = self._board.attempts.get(event.attempt_id)
         if attempt is None or attempt.state != 'started':
             return
+        if attempt.cancelled:
+            # Engines end a cancelled response as they end a complete one.
+            self._finish_incomplete(attempt, 'the call was cancelled', now)
+            return
         self._limit.on_end(attempt, self._board.running, now)
         self._quarantine.on_completed(attempt)
         finished = pb.Finished(
--- /dev/null
+++ b/persimmonroute/tests/faults/given_up_tests.py
@@ -0,0 +1,53 @@
+"""Test that what still works is not given up beside faults."""
+
+from __future__ import annotations
+
+import unittest
+
+from standins import endpoint_nodes
+from standins import small_simulation
+
+MODEL = small_simulation.MODEL
+# Longer than any time for which entries and sidecars keep a lost link's work.
+LONG_S = 32.0
+# Tokens of a stream that runs longer than that.
+LONG_TOKENS = 4000
+
+
+class GivenUpTests(unittest.TestCase):
+    """Cut off or suspend processes while requests run."""
+
+    def setUp(self):
+        """Start two entries and one endpoint of each service."""
+        self.simulation = small_simulation.build_simulation(endpoints=1)
+
+    def _run(self, seconds):
+        self.simulation.run_until(self.simulation.now + seconds)
+
+    def _draft(self, tokens, entry='entry-1'):
+        call = small_simulation.draft('d', tokens=tokens)
+        return self.simulation.submit(call, entry)
+
+    def _order(self, name, entry):
+        call = small_simulation.order(name, key='k')
+        return self.simulation.submit(call, entry)
+
+    def _assert_whole(self, view):
+        expected = endpoint_nodes.expected_response(view.call)
+        self.assertEqual(view.outcome, 'completed')
+        self.assertEqual(bytes(view.data), expected)
+
+    def test_cancelled_stream_does_not_end_as_complete(self):
+        """Guards against a stream of a suspended entry that ends early."""
+        view = self._draft(LONG_TOKENS)
+        self._run(1.0)
+        entry = self.simulation.entries['entry-1']
+        entry.freeze()
+        self.simulation.partition('entry-1', f'{MODEL}-1')
+        self._run(LONG_S)
+        self.simulation.heal()
+        entry.unfreeze()
+        self._run(LONG_S)
+        expected = endpoint_nodes.expected_response(view.call)
+        self.assertTrue(expected.startswith(bytes(view.data)))
+        self.assertEqual(view.outcome, 'unknown')
