Keep the link to a sidecar while requests wait for it

A stream ended as "unknown" although its engine and its sidecar still had it. Cause: an entry that was cut off from a sidecar stopped to connect to it as soon as a list of the platform left it out, before anything had taken the place of the stream that it wanted to resume there. Change: a sidecar that a request waits for keeps its link, listed or not. The stand-in of the entry now stops to connect when told to, as the shell does. Measured: with a list without the endpoint during a cut of 2 s the stream was lost before the change and arrives whole with it.

--- a/persimmonroute/entry/membership.py
+++ b/persimmonroute/entry/membership.py
@@ -20,8 +20,10 @@
         """Open and close connections to match the platform's list."""
         board = self._board
         listed = {i.name: i for i in self._select_subsets(event.instances)}
+        awaited = {record.sidecar for record in board.calls.values()}
         for name in list(board.sidecars):
-            if name not in listed and not board.sidecars[name].linked:
+            gone = name not in listed and name not in awaited
+            if gone and not board.sidecars[name].linked:
                 del board.sidecars[name]
                 board.put(messages.CloseLink(name))
         for name, instance in listed.items():
--- a/persimmonroute/tests/faults/given_up_tests.py
+++ b/persimmonroute/tests/faults/given_up_tests.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from persimmonroute.entry import messages as entry_messages
 from standins import endpoint_nodes
 from standins import small_simulation
 
@@ -77,3 +78,21 @@
         self._run(10.0)
         self._assert_whole(first)
         self._assert_whole(view)
+
+    def test_stream_outlives_a_list_without_its_endpoint(self):
+        """Guards against a link that is closed while a stream needs it."""
+        view = self._draft(800)
+        self._run(1.0)
+        self.simulation.partition('entry-1', f'{MODEL}-1')
+        self._run(1.0)
+        listed = self.simulation.instances()
+        entry = self.simulation.entries['entry-1']
+        entry.handle(
+            entry_messages.InstancesListed(
+                tuple(i for i in listed if i.service != MODEL)
+            )
+        )
+        self._run(1.0)
+        self.simulation.heal()
+        self._run(LONG_S)
+        self._assert_whole(view)
--- a/standins/process_nodes.py
+++ b/standins/process_nodes.py
@@ -100,6 +100,8 @@
         self.locality = locality
         # Overrides the default routing policy; takes the board.
         self.make_routing: typing.Callable | None = None
+        # Sidecars that the entry is connected to or connects to.
+        self.linked_sidecars: set[str] = set()
         self._handlers = {
             entry_messages.SendFrame: self._send_frame,
             entry_messages.OpenLink: self._open_link,
@@ -120,6 +122,7 @@
         )
         self.alive, self.frozen = True, False
         self._timer_at, self._backlog, self._frames = None, [], {}
+        self.linked_sidecars.clear()
         self.list_instances()
         self.handle(self.simulation.configuration)
 
@@ -155,9 +158,11 @@
         self.simulation.send_to_sidecar(self.name, target, envelope)
 
     def _open_link(self, effect):
+        self.linked_sidecars.add(effect.sidecar)
         self.simulation.connect(self.name, effect.sidecar)
 
     def _close_link(self, effect):
+        self.linked_sidecars.discard(effect.sidecar)
         self.simulation.close_link(self.name, effect.sidecar)
 
     def _response_data(self, effect):
--- a/standins/simulation.py
+++ b/standins/simulation.py
@@ -170,6 +170,8 @@
         """Connect an entry to a sidecar, retrying until it succeeds."""
         if not self.entries[entry].alive or (entry, sidecar) in self._links:
             return
+        if sidecar not in self.entries[entry].linked_sidecars:
+            return
         node = self.sidecars[sidecar]
         blocked = (entry, sidecar) in self._partitions
         if not node.alive or node.frozen or blocked:
