Offer a request again to the only sidecar after a silence

Callers got a 503 because the one sidecar of a service was silent for 0.6 s, or a grant came late, with most of their target time left. Cause: a sidecar that missed a time limit was excluded for the rest of the request, also if there was no other one: the place was given up before a search for the next had found any. Change: while the target time lasts, excluded sidecars are asked again before a request is refused. Each offer is still an attempt of its own, withdrawn before the next, so nothing runs twice.

--- a/persimmonroute/entry/offering.py
+++ b/persimmonroute/entry/offering.py
@@ -36,6 +36,10 @@
         """Offer a request, or shed it when no sidecar would admit it."""
         board = self._board
         candidates = self._find_candidates(record, now)
+        if not candidates and _remaining_target_s(record, now) > 0:
+            # A sidecar that was silent for a while is better than a refusal.
+            record.excluded.clear()
+            candidates = self._find_candidates(record, now)
         decision = self._policy.choose(record, candidates, board.locality)
         if decision.chosen is None or record.offers >= MAX_OFFERS:
             self._notify_shed(record, now)
--- a/persimmonroute/tests/faults/given_up_tests.py
+++ b/persimmonroute/tests/faults/given_up_tests.py
@@ -96,3 +96,23 @@
         self.simulation.heal()
         self._run(LONG_S)
         self._assert_whole(view)
+
+    def test_offer_to_the_only_sidecar_outlives_its_silence(self):
+        """Guards against refusals because the only sidecar is silent."""
+        node = self.simulation.sidecars[f'{MODEL}-1']
+        for silence_s in (0.3, 0.6, 0.8):
+            with self.subTest(silence_s=silence_s):
+                node.freeze()
+                call = small_simulation.draft(f'd-{silence_s}')
+                view = self.simulation.submit(call, 'entry-1')
+                self._run(silence_s)
+                node.unfreeze()
+                self._run(5.0)
+                self._assert_whole(view)
+
+    def test_grant_outlives_a_silent_entry(self):
+        """Guards against refusals because a grant was late."""
+        order = self._order('a', 'entry-1')
+        self.simulation.stall('entry-1', f'{PLAIN}-1', 'to_sidecar', 1.5)
+        self._run(10.0)
+        self._assert_whole(order)
