Test that changes of the configuration end no request

Cause: one of the reports is of a request that got neither an answer nor a refusal beside a change of the configuration. Change: a play with ten revisions, half of them without any class or workspace, while a stream and an order run. Measured: it passes without a change of the code: requests keep the class with which they arrived.

--- a/persimmonroute/tests/faults/given_up_tests.py
+++ b/persimmonroute/tests/faults/given_up_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import unittest
 
 from persimmonroute.entry import messages as entry_messages
@@ -97,6 +98,24 @@
         self._run(LONG_S)
         self._assert_whole(view)
 
+    def test_stream_outlives_changes_of_the_configuration(self):
+        """Guards against changes that end what runs or waits."""
+        views = [self._draft(400)]
+        order = self._order('a', 'entry-2')
+        for revision in range(2, 12):
+            self._run(0.3)
+            changed = dict(small_simulation.DECLARATIONS)
+            if revision % 2:
+                changed.update(classes=[], workspaces=['other'])
+            document = json.dumps(changed).encode()
+            for entry in self.simulation.entries.values():
+                entry.handle(
+                    entry_messages.ConfigurationReceived(revision, document)
+                )
+        self._run(20.0)
+        for view in (*views, order):
+            self._assert_whole(view)
+
     def test_offer_to_the_only_sidecar_outlives_its_silence(self):
         """Guards against refusals because the only sidecar is silent."""
         node = self.simulation.sidecars[f'{MODEL}-1']
