Test that the silence of an endpoint ends no answer of a sidecar

Cause: a sound endpoint may fall silent for a second or so and go on; gateways gave up answers for that.

--- a/standins/entry_fixtures.py
+++ b/standins/entry_fixtures.py
@@ -161,9 +161,12 @@
             while self.shell.core.board.sidecars[name].linked != linked:
                 await asyncio.sleep(POLL_S)
 
-    async def complete(self, stream=True):
-        """Send a completion with a prompt of its own; return its Answer."""
-        prompt = f'prompt {next(self._numbers)}'
+    async def complete(self, stream=True, size=0):
+        """Send a completion with a prompt of its own; return its Answer.
+
+        The prompt has size further characters.
+        """
+        prompt = f'prompt {next(self._numbers)}' + 'x' * size
         body = {'prompt': prompt, 'stream': stream, 'max_tokens': 5}
         return await self.send('/v1/completions', 'counter-offer', body)
 
--- a/standins/raw_endpoint.py
+++ b/standins/raw_endpoint.py
@@ -56,6 +56,8 @@
         self.calls = [(whole(200, JSON, b'{}'),)]
         self.resumed = [(whole(404, JSON, b'{"error": "no such stream"}'),)]
         self.health = [(HEALTHY,)]
+        # Seconds before the body of a request is read.
+        self.reading_pause_s = 0.0
         self.requests = []
         self._server = None
 
@@ -73,13 +75,17 @@
         """Refuse further connections."""
         self._server.close()
 
+    def fall_silent_once(self, seconds):
+        """Answer the next health check late."""
+        self.health = [(seconds, HEALTHY), (HEALTHY,)]
+
     def count_calls(self):
         """Return how many requests ran, without those about streams."""
         return sum(1 for _, target in self.requests if _is_call(target))
 
     async def _serve(self, reader, writer):
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            method, target = await _read_request(reader)
+            method, target = await _read_request(reader, self.reading_pause_s)
             self.requests.append((method, target))
             await _play(self._next_script(target), writer)
         writer.close()
@@ -116,7 +122,7 @@
             await asyncio.sleep(step)
 
 
-async def _read_request(reader):
+async def _read_request(reader, pause_s):
     http = h11.Connection(h11.SERVER)
     request = None
     while True:
@@ -125,6 +131,8 @@
             http.receive_data(await reader.read(65_536))
         elif isinstance(event, h11.Request):
             request = event
+            if request.method == b'POST':
+                await asyncio.sleep(pause_s)
         elif isinstance(event, h11.EndOfMessage):
             return request.method.decode(), request.target.decode()
         elif isinstance(event, h11.ConnectionClosed):
