Let links carry the largest requests

Callers of requests near the allowed 4 MB, and of several of 1.5 MB at the same time, got a 503, and all that used the same links was interrupted. Cause: sidecars received messages of 4 MB at most, the default of gRPC, and an envelope holds up to 512 frames. The error closed the link, the request went on to the next sidecar and closed that link too. Change: both ends take 64 MB, as entries did, and an envelope above 8 MB holds one frame.

--- a/persimmonroute/entry/links.py
+++ b/persimmonroute/entry/links.py
@@ -21,8 +21,7 @@
     ('grpc.enable_http_proxy', 0),
     ('grpc.initial_reconnect_backoff_ms', 100),
     ('grpc.max_reconnect_backoff_ms', 1000),
-    ('grpc.max_receive_message_length', 64 * 1024 * 1024),
-    ('grpc.max_send_message_length', 64 * 1024 * 1024),
+    *outbox.MESSAGE_OPTIONS,
 )
 
 
--- a/persimmonroute/outbox.py
+++ b/persimmonroute/outbox.py
@@ -7,6 +7,14 @@
 
 FLUSH_INTERVAL_S = 0.004
 MAX_FRAMES_PER_ENVELOPE = 512
+# An envelope has one frame above this size at most. The largest frames hold a
+# whole response that is sent again.
+MAX_ENVELOPE_BYTES = 8 * 1024 * 1024
+MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+MESSAGE_OPTIONS = (
+    ('grpc.max_receive_message_length', MAX_MESSAGE_BYTES),
+    ('grpc.max_send_message_length', MAX_MESSAGE_BYTES),
+)
 
 
 class FrameOutbox:
@@ -62,8 +70,17 @@
                 await asyncio.wait_for(self._flush_now.wait(), delay_s)
         self._flush_now.clear()
         self._flushed_at = loop.time()
-        frames = self._frames[:MAX_FRAMES_PER_ENVELOPE]
-        self._frames = self._frames[MAX_FRAMES_PER_ENVELOPE:]
+        count = self._count_fitting()
+        frames, self._frames = self._frames[:count], self._frames[count:]
         if not self._frames and not self._closed:
             self._flush_requested.clear()
         return frames
+
+    def _count_fitting(self):
+        """Return how many frames the next envelope holds."""
+        size = 0
+        for count, frame in enumerate(self._frames[:MAX_FRAMES_PER_ENVELOPE]):
+            size += frame.ByteSize()
+            if count and size > MAX_ENVELOPE_BYTES:
+                return count
+        return min(len(self._frames), MAX_FRAMES_PER_ENVELOPE)
--- a/persimmonroute/sidecar/shell.py
+++ b/persimmonroute/sidecar/shell.py
@@ -57,7 +57,7 @@
 
     async def run(self, stop):
         """Serve until stop is set, then drain running attempts."""
-        server = grpc.aio.server()
+        server = grpc.aio.server(options=outbox.MESSAGE_OPTIONS)
         exchange_pb2_grpc.add_ExchangeServicer_to_server(self, server)
         self._listen(server)
         streams = await self._endpoint.list_streams()
--- a/persimmonroute/tests/sidecar/silence_tests.py
+++ b/persimmonroute/tests/sidecar/silence_tests.py
@@ -6,6 +6,7 @@
 import contextlib
 import unittest
 
+from persimmonroute.entry import intake
 from standins import entry_fixtures
 from standins import raw_endpoint
 from standins import small_simulation
@@ -91,3 +92,19 @@
                     answer = await self.entry.order(key, class_name)
                     self.assertEqual(answer.status, 201)
                     self.assertEqual(answer.body, b'{"id": 1}')
+
+    async def test_largest_request_ends_no_link(self):
+        """Guards against a request that ends the links of its entry."""
+        self.engine.calls = [(chunked(STREAM),)]
+        answer = await self.entry.complete(size=intake.MAX_BODY_BYTES - 100)
+        self.assertEqual(answer.outcome, 'completed')
+
+    async def test_large_requests_at_once_end_no_link(self):
+        """Guards against requests that end a link together."""
+        self.engine.calls = [(chunked(STREAM),)]
+        answers = await asyncio.gather(
+            *(self.entry.complete(size=1_500_000) for _ in range(4))
+        )
+        outcomes = [answer.outcome for answer in answers]
+        self.assertNotIn('unknown', outcomes)
+        self.assertIn('completed', outcomes)
