Resume a stream as long as each reading brings more

Callers got "unknown" for a stream whose engine still had all of it. Cause: a sidecar resumed each stream once in its life, so the second lost connection gave it up, however much had arrived in between. Change: a stream is resumed if it has grown since it was last resumed. A reading that brings nothing still ends it.

--- a/persimmonroute/sidecar/board.py
+++ b/persimmonroute/sidecar/board.py
@@ -39,7 +39,8 @@
         self.started_at = None
         self.first_token_at = None
         self.last_token_at = None
-        self.resumed = False
+        # Offset from which the response was last resumed.
+        self.resumed_from: int | None = None
         self.cancelled = False
         self.crash_recorded = False
         self.finished: pb.Finished | None = None
@@ -49,6 +50,16 @@
         """Return whether the attempt has not started."""
         return self.state in ('held', 'queued', 'ready')
 
+    @property
+    def resumed(self):
+        """Return whether the response was read again."""
+        return self.resumed_from is not None
+
+    @property
+    def advanced(self):
+        """Return whether the response grew since it was last resumed."""
+        return not self.resumed or len(self.response) > self.resumed_from
+
     @property
     def tier(self):
         """Return the tier; 1 is the highest."""
--- a/persimmonroute/sidecar/execution.py
+++ b/persimmonroute/sidecar/execution.py
@@ -109,7 +109,10 @@
         self._finish(attempt, finished, now)
 
     def on_failed(self, event, now):
-        """Revert an unsent attempt; resume a broken one once, or finish it."""
+        """Revert an unsent attempt; resume a broken one or finish it.
+
+        A stream is resumed as long as each reading of it brings more.
+        """
         attempt = self._board.attempts.get(event.attempt_id)
         if attempt is None or attempt.state != 'started':
             return
@@ -117,9 +120,9 @@
         # connection that resumes it was refused.
         if not event.sent and not attempt.resumed:
             self._revert_start(attempt, now)
-        elif event.resumable and not (attempt.resumed or attempt.cancelled):
-            attempt.resumed = True
+        elif event.resumable and attempt.advanced and not attempt.cancelled:
             offset = len(attempt.response)
+            attempt.resumed_from = offset
             self._board.put(messages.ResumeCall(attempt.attempt_id, offset))
         else:
             self._record_crash(now)
@@ -340,7 +343,7 @@
         attempt = boards.Attempt(attempt_id, offer, link, now)
         attempt.state = 'started'
         attempt.started_at = now
-        attempt.resumed = True
+        attempt.resumed_from = 0
         board = self._board
         board.attempts[attempt_id] = attempt
         board.running[attempt_id] = attempt
--- a/persimmonroute/tests/sidecar/silence_tests.py
+++ b/persimmonroute/tests/sidecar/silence_tests.py
@@ -19,6 +19,7 @@
 )
 RECEIPT = raw_endpoint.whole(201, raw_endpoint.JSON, b'{"id": 1}')
 SILENCES_S = (0.5, 1.2, 1.9)
+RESET = raw_endpoint.Ending.RESET
 
 
 def chunked(body):
@@ -108,3 +109,16 @@
         outcomes = [answer.outcome for answer in answers]
         self.assertNotIn('unknown', outcomes)
         self.assertIn('completed', outcomes)
+
+    async def test_stream_that_breaks_off_twice_arrives_whole(self):
+        """Guards against a stream that is given up at its second break."""
+        begun = STREAM_HEAD + raw_endpoint.chunk(EVENT)
+        self.engine.calls = [(begun, RESET)]
+        self.engine.resumed = [
+            (STREAM_HEAD + raw_endpoint.chunk(EVENT * 2), RESET),
+            (STREAM_HEAD + raw_endpoint.chunk(EVENT * 4), RESET),
+            (chunked(STREAM),),
+        ]
+        answer = await self.entry.complete()
+        self.assertEqual(answer.events, STREAM)
+        self.assertEqual(answer.outcome, 'completed')
