End a call of an endpoint after an unexpected error

A caller got neither an answer nor a refusal, and the place of its request at the endpoint stayed taken. Cause: an error that the call of an endpoint does not expect ended its task; nobody told the core of the sidecar, which waits for the end of each attempt. An event with an id of 5000 digits caused such an error. Change: any error fails the attempt, and event 790 is logged.

--- a/persimmonroute/sidecar/endpoints.py
+++ b/persimmonroute/sidecar/endpoints.py
@@ -8,13 +8,17 @@
 import h11
 
 from persimmonroute import event_stream
+from persimmonroute.events import Event
 from persimmonroute import exceptions
 from persimmonroute import http_connection
 from persimmonroute import json_text
+from persimmonroute import logs
 from persimmonroute import pacing
 from persimmonroute.sidecar import messages
 from persimmonroute.sidecar import responses
 
+log = logs.EventLog(__name__)
+
 CONNECT_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 2.0
 # Longest response that is forwarded, as much as the sidecar keeps in memory.
@@ -150,6 +154,14 @@
             await self._forward(call, conn)
         except exceptions.EndpointBrokenError as error:
             await self._fail(call, True, error.problem)
+        except Exception as error:
+            # Without an end, the attempt would run forever.
+            log.emit(
+                Event.GATEWAY_FAULT,
+                step='call of an endpoint',
+                problem=repr(error),
+            )
+            await self._fail(call, True, repr(error))
         finally:
             conn.abort()
 
--- a/persimmonroute/tests/sidecar/silence_tests.py
+++ b/persimmonroute/tests/sidecar/silence_tests.py
@@ -5,8 +5,10 @@
 import asyncio
 import contextlib
 import unittest
+from unittest import mock
 
 from persimmonroute.entry import intake
+from persimmonroute import pacing
 from standins import entry_fixtures
 from standins import raw_endpoint
 from standins import small_simulation
@@ -122,3 +124,13 @@
         answer = await self.entry.complete()
         self.assertEqual(answer.events, STREAM)
         self.assertEqual(answer.outcome, 'completed')
+
+    async def test_unexpected_error_ends_its_call(self):
+        """Guards against a call that never ends after an unexpected error."""
+        with mock.patch.object(pacing, 'read_rate', side_effect=KeyError):
+            self.engine.calls = [
+                (raw_endpoint.head(200, b'Request-Limit: 1\r\n'),)
+            ]
+            async with asyncio.timeout(10.0):
+                answer = await self.entry.complete()
+        self.assertEqual(answer.outcome, 'unknown')
