Take an id of too many digits for no number

A stream with an event whose id has more than 4300 digits broke off. Cause: Python refuses to read such a number, with an error that nothing expects. Change: an id of more than 20 digits is no number of an event. Measured: such a stream ended as "unknown" before the change and arrives whole with it.

--- a/persimmonroute/event_stream.py
+++ b/persimmonroute/event_stream.py
@@ -11,6 +11,8 @@
 # Two line endings in a row, of any of the three kinds that streams may use.
 _BLANK_LINE = re.compile(rb'(?:\r\n|\n|\r(?!\n)){2}')
 ID_FIELD = b'id:'
+# A longer id is no number of an event.
+MAX_ID_DIGITS = 20
 COMMENT = b':'
 # A longer event is taken for bytes without end.
 MAX_EVENT_BYTES = 1_048_576
@@ -85,5 +87,6 @@
     for line in event.splitlines():
         if line.startswith(ID_FIELD):
             value = line[len(ID_FIELD) :].strip()
-            return int(value) if value.isdigit() else None
+            known = value.isdigit() and len(value) <= MAX_ID_DIGITS
+            return int(value) if known else None
     return None
--- a/persimmonroute/tests/sidecar/silence_tests.py
+++ b/persimmonroute/tests/sidecar/silence_tests.py
@@ -134,3 +134,11 @@
             async with asyncio.timeout(10.0):
                 answer = await self.entry.complete()
         self.assertEqual(answer.outcome, 'unknown')
+
+    async def test_event_with_an_endless_id_arrives(self):
+        """Guards against an id with more digits than Python reads."""
+        stream = b'id: ' + b'9' * 5000 + b'\n' + STREAM
+        self.engine.calls = [(chunked(stream),)]
+        answer = await self.entry.complete()
+        self.assertEqual(answer.outcome, 'completed')
+        self.assertEqual(answer.events, stream)
