Give endpoints that read late more time than dead ones

A caller with a large request got "unknown" because the endpoint did not read for 4 s, and the endpoint counted as crashed. No other endpoint can go on with a call of a sidecar. Change: calls of a sidecar have a limit of 15 s; health checks keep theirs. Gateways keep 2 s. Measured: a request of 3.5 MB whose body is read after 4 s ended as "unknown" before the change and is answered with it; 0.5, 1.2 and 1.9 s passed before.

--- a/persimmonroute/http_connection.py
+++ b/persimmonroute/http_connection.py
@@ -36,7 +36,8 @@
 class Connection(asyncio.Protocol):
     """Send requests and receive their responses sequentially."""
 
-    def __init__(self):
+    def __init__(self, user_timeout_ms=USER_TIMEOUT_MS):
+        self._user_timeout_ms = user_timeout_ms
         self._http = h11.Connection(h11.CLIENT, MAX_HEADER_BYTES)
         self._transport = None
         self._unread = collections.deque()
@@ -69,7 +70,7 @@
         """Configure the socket to detect a lost peer."""
         self._transport = transport
         sock = transport.get_extra_info('socket')
-        set_socket_options(sock)
+        set_socket_options(sock, self._user_timeout_ms)
 
     def data_received(self, data):
         """Buffer received bytes until the reader takes them."""
@@ -210,7 +211,7 @@
     )
 
 
-def set_socket_options(sock):
+def set_socket_options(sock, user_timeout_ms=USER_TIMEOUT_MS):
     """Set socket options that detect an unresponsive peer in seconds."""
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
@@ -218,10 +219,10 @@
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, user_timeout_ms)
 
 
-async def open_connection(address, timeout_s):
+async def open_connection(address, timeout_s, user_timeout_ms=USER_TIMEOUT_MS):
     """Open a connection or raise EndpointUnreachableError.
 
     Raises its subclass EndpointRefusedError if nothing listens there.
@@ -231,7 +232,7 @@
     try:
         async with timeouts.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                Connection, host, int(port)
+                lambda: Connection(user_timeout_ms), host, int(port)
             )
     except ConnectionRefusedError as error:
         raise exceptions.EndpointRefusedError(
--- a/persimmonroute/sidecar/endpoints.py
+++ b/persimmonroute/sidecar/endpoints.py
@@ -21,6 +21,9 @@
 
 CONNECT_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 2.0
+# TCP_USER_TIMEOUT of calls. It also ends a connection whose other end reads
+# nothing, and no other endpoint can go on with a call.
+CALL_USER_TIMEOUT_MS = 15_000
 # Longest response that is forwarded, as much as the sidecar keeps in memory.
 MAX_RESPONSE_BYTES = responses.MAX_RETAINED_BYTES
 # Requests per second that the endpoint takes.
@@ -145,7 +148,7 @@
         try:
             # A new connection for each call: one that was left open may drop
             # while the request is sent, and whether it ran is then unknown.
-            conn = await self._open()
+            conn = await self._open(CALL_USER_TIMEOUT_MS)
         except exceptions.EndpointUnreachableError as error:
             await self._fail(call, False, error.problem)
             return
@@ -165,9 +168,9 @@
         finally:
             conn.abort()
 
-    async def _open(self):
+    async def _open(self, user_timeout_ms=http_connection.USER_TIMEOUT_MS):
         return await http_connection.open_connection(
-            self._address, CONNECT_TIMEOUT_S
+            self._address, CONNECT_TIMEOUT_S, user_timeout_ms
         )
 
     def _send(self, conn, method, path, headers, body):
--- a/persimmonroute/tests/sidecar/silence_tests.py
+++ b/persimmonroute/tests/sidecar/silence_tests.py
@@ -96,6 +96,15 @@
                     self.assertEqual(answer.status, 201)
                     self.assertEqual(answer.body, b'{"id": 1}')
 
+    async def test_endpoint_may_read_a_large_request_late(self):
+        """Guards against a limit of TCP that ends a request still sent."""
+        self.engine.calls = [(chunked(STREAM),)]
+        for silence_s in (*SILENCES_S, 4.0):
+            self.engine.reading_pause_s = silence_s
+            answer = await self.entry.complete(size=3_500_000)
+            self.assertEqual(answer.outcome, 'completed')
+            self.assertEqual(answer.events, STREAM)
+
     async def test_largest_request_ends_no_link(self):
         """Guards against a request that ends the links of its entry."""
         self.engine.calls = [(chunked(STREAM),)]
