Ask a silent engine for the streams of an earlier sidecar

A stream ended as "unknown" although its engine still had it. Cause: a sidecar that starts asks its engine once which streams it keeps. No answer within 2 s counted as an empty list, for the life of the sidecar; a list of another form ended the sidecar. Change: without a list, a stream of an earlier incarnation is read at the engine as if it were listed. Retained streams that turn out to be gone no longer count as a crash of the endpoint. Measured: with an engine that lists its streams after 3 s the stream ended after its first event before the change and arrives whole with it.

--- a/persimmonroute/sidecar/board.py
+++ b/persimmonroute/sidecar/board.py
@@ -94,7 +94,8 @@
         self.started_ids = collections.OrderedDict()
         # Set once started ids were evicted: any unknown attempt may have run.
         self.started_ids_dropped = False
-        self.engine_streams: frozenset[str] = frozenset()
+        # None if the engine did not list them.
+        self.engine_streams: frozenset[str] | None = frozenset()
         self.links: set[str] = set()
         self.admitted_tier = LOWEST_TIER
         self.leaving = False
--- a/persimmonroute/sidecar/endpoints.py
+++ b/persimmonroute/sidecar/endpoints.py
@@ -133,7 +133,10 @@
 
     @abc.abstractmethod
     async def list_streams(self):
-        """Return the attempt ids whose streams the endpoint retains."""
+        """Return the attempt ids whose streams the endpoint retains.
+
+        None if that is not known.
+        """
 
     async def _request(self, method, path, body=b''):
         """Return the WholeResponse to a request that is not an attempt."""
@@ -248,13 +251,13 @@
             await self._request('POST', path, b'{}')
 
     async def list_streams(self):
-        """Return the stream ids of the engine; none if it does not respond."""
+        """Return the stream ids of the engine, or None without a list."""
         try:
             response = await self._request('GET', '/v1/streams')
             listed = json_text.parse(response.body)
-        except (*PROBE_ERRORS, ValueError):
-            return frozenset()
-        return frozenset(listed['streams'])
+            return frozenset(listed['streams'])
+        except (*PROBE_ERRORS, ValueError, KeyError, TypeError):
+            return None
 
 
 class PlainServiceClient(EndpointClient):
--- a/persimmonroute/sidecar/execution.py
+++ b/persimmonroute/sidecar/execution.py
@@ -125,7 +125,9 @@
             attempt.resumed_from = offset
             self._board.put(messages.ResumeCall(attempt.attempt_id, offset))
         else:
-            self._record_crash(now)
+            # The offer of a retained stream is not known, nor how it broke.
+            if attempt.offer.fingerprint:
+                self._record_crash(now)
             self._finish_incomplete(attempt, event.problem, now)
 
     def on_limit(self, event, now):
@@ -314,13 +316,19 @@
         attempt = board.attempts.get(attempt_id)
         if attempt is not None:
             self._responses.subscribe(attempt, link, resume.offset)
-        elif attempt_id in board.engine_streams:
+        elif self._may_be_retained(attempt_id, resume):
             self._resume_retained_stream(link, attempt_id, now)
         elif resume.incarnation != board.incarnation:
             board.send(link, attempt_id, lost=pb.Lost())
         else:
             self._reply_to_unknown_attempt(link, attempt_id)
 
+    def _may_be_retained(self, attempt_id, resume):
+        streams = self._board.engine_streams
+        if streams is None:
+            return resume.incarnation != self._board.incarnation
+        return attempt_id in streams
+
     def _reply_to_unknown_attempt(self, link, attempt_id):
         # NeverStarts lets the entry run the request elsewhere, so it may be
         # sent only if the attempt certainly never ran here.
--- a/persimmonroute/sidecar/messages.py
+++ b/persimmonroute/sidecar/messages.py
@@ -77,9 +77,12 @@
 
 
 class StreamsListed(typing.NamedTuple):
-    """Report the streams that the engine retained for a restarted sidecar."""
+    """Report the streams that the engine retained for a restarted sidecar.
 
-    attempt_ids: frozenset[str]
+    None if the engine did not list them.
+    """
+
+    attempt_ids: frozenset[str] | None
 
 
 class TimePassed(typing.NamedTuple):
--- /dev/null
+++ b/persimmonroute/tests/sidecar/stop_tests.py
@@ -0,0 +1,68 @@
+"""Test that stops and starts of sidecars and entries lose no answer."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import unittest
+
+from standins import entry_fixtures
+from standins import raw_endpoint
+from standins import small_simulation
+
+EVENT = b'data: {"choices": [{"index": 0, "text": "a"}]}\n\n'
+DONE = b'data: [DONE]\n\n'
+STREAM = EVENT * 6 + DONE
+STREAM_HEAD = raw_endpoint.head(
+    200, raw_endpoint.EVENT_STREAM, raw_endpoint.CHUNKED
+)
+RESET = raw_endpoint.Ending.RESET
+ENGINE = f'{small_simulation.MODEL}-1'
+
+
+class StopTests(unittest.IsolatedAsyncioTestCase):
+    """Stop and start a sidecar while a stream runs."""
+
+    async def asyncSetUp(self):
+        """Start an entry with one engine."""
+        stack = contextlib.AsyncExitStack()
+        await stack.__aenter__()
+        self.addAsyncCleanup(stack.aclose)
+        self.entry = entry_fixtures.EntryFixture(stack)
+        await self.entry.start()
+        self.engine = await self.entry.add_endpoint(small_simulation.MODEL)
+
+    async def _restart_mid_stream(self):
+        """Kill a sidecar after the first event and start it again."""
+        first = STREAM_HEAD + raw_endpoint.chunk(EVENT)
+        self.engine.calls = [(first, 20.0)]
+        rest = raw_endpoint.chunk(STREAM) + raw_endpoint.chunk(b'')
+        self.engine.resumed = [(STREAM_HEAD + rest,)]
+        call = asyncio.create_task(self.entry.complete())
+        await asyncio.sleep(0.3)
+        await self.entry.kill_sidecar(ENGINE)
+        await self.entry.wait_linked(ENGINE, False)
+        self.engine.listed = [self.engine.attempts[-1]]
+        self.entry.start_sidecar(ENGINE)
+        return await call
+
+    async def test_restarted_sidecar_goes_on_with_a_stream(self):
+        """A stream goes on although its sidecar was killed."""
+        answer = await self._restart_mid_stream()
+        self.assertEqual(answer.events, STREAM)
+
+    async def test_restarted_sidecar_outlives_a_silent_engine(self):
+        """Guards against streams that a silent engine fails to list."""
+        self.engine.listing_delays_s = [3.0, 0.0]
+        answer = await self._restart_mid_stream()
+        self.assertEqual(answer.events, STREAM)
+
+    async def test_replaced_engine_goes_on_with_no_stream(self):
+        """Guards against a stream that an engine begins and another ends."""
+        self.engine.calls = [
+            (STREAM_HEAD + raw_endpoint.chunk(EVENT), 0.5, RESET)
+        ]
+        answer = await self.entry.complete()
+        self.assertEqual(answer.events, EVENT)
+        self.assertEqual(answer.outcome, 'unknown')
+        self.assertFalse(answer.complete)
--- a/standins/raw_endpoint.py
+++ b/standins/raw_endpoint.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import enum
+import json
 
 import h11
 
@@ -56,6 +57,11 @@
         self.calls = [(whole(200, JSON, b'{}'),)]
         self.resumed = [(whole(404, JSON, b'{"error": "no such stream"}'),)]
         self.health = [(HEALTHY,)]
+        # Attempts that are listed as retained, and how late each list is.
+        self.listed = []
+        self.listing_delays_s = [0.0]
+        # Attempts that were sent here.
+        self.attempts = []
         # Seconds before the body of a request is read.
         self.reading_pause_s = 0.0
         self.requests = []
@@ -85,8 +91,12 @@
 
     async def _serve(self, reader, writer):
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            method, target = await _read_request(reader, self.reading_pause_s)
-            self.requests.append((method, target))
+            request = await _read_request(reader, self.reading_pause_s)
+            target = request.target.decode()
+            self.requests.append((request.method.decode(), target))
+            if _is_call(target):
+                attempt = dict(request.headers)[b'x-request-id']
+                self.attempts.append(attempt.decode())
             await _play(self._next_script(target), writer)
         writer.close()
 
@@ -94,12 +104,19 @@
         if target == '/health':
             scripts = self.health
         elif target == '/v1/streams':
-            return (whole(200, JSON, b'{"streams": []}'),)
+            delay_s = _next(self.listing_delays_s)
+            listed = json.dumps({'streams': self.listed}).encode()
+            return (delay_s, whole(200, JSON, listed))
         elif _is_call(target):
             scripts = self.calls
         else:
             scripts = self.resumed
-        return scripts.pop(0) if len(scripts) > 1 else scripts[0]
+        return _next(scripts)
+
+
+def _next(items):
+    """Remove and return the first item, or return the last one."""
+    return items.pop(0) if len(items) > 1 else items[0]
 
 
 def _is_call(target):
@@ -134,6 +151,6 @@
             if request.method == b'POST':
                 await asyncio.sleep(pause_s)
         elif isinstance(event, h11.EndOfMessage):
-            return request.method.decode(), request.target.decode()
+            return request
         elif isinstance(event, h11.ConnectionClosed):
             raise asyncio.IncompleteReadError(b'', None)
