Answer no whole completion with a stream after a restart

A caller that had asked for a whole completion got an event stream, with the outcome "completed". Cause: a restarted sidecar reads on what its engine kept as a stream, and does not know what the caller had asked for. Change: entries say so when they ask for the rest of an answer (Resume.whole), and such an answer ends as "unknown". Measured: a completion whose sidecar is killed and started again ended as "completed" with the stream before the change and as "unknown" with it.

--- a/persimmonroute/entry/dispatch.py
+++ b/persimmonroute/entry/dispatch.py
@@ -297,6 +297,8 @@
 
     def _request_resume(self, record):
         resume = pb.Resume(
-            offset=record.received_bytes, incarnation=record.incarnation
+            offset=record.received_bytes,
+            incarnation=record.incarnation,
+            whole=not record.call.stream,
         )
         self._board.send_attempt(record, resume=resume)
--- a/persimmonroute/sidecar/execution.py
+++ b/persimmonroute/sidecar/execution.py
@@ -325,6 +325,8 @@
 
     def _may_be_retained(self, attempt_id, resume):
         streams = self._board.engine_streams
+        if resume.whole:
+            return False
         if streams is None:
             return resume.incarnation != self._board.incarnation
         return attempt_id in streams
--- a/persimmonroute/tests/sidecar/stop_tests.py
+++ b/persimmonroute/tests/sidecar/stop_tests.py
@@ -32,13 +32,13 @@
         await self.entry.start()
         self.engine = await self.entry.add_endpoint(small_simulation.MODEL)
 
-    async def _restart_mid_stream(self):
+    async def _restart_mid_stream(self, whole=False):
         """Kill a sidecar after the first event and start it again."""
         first = STREAM_HEAD + raw_endpoint.chunk(EVENT)
         self.engine.calls = [(first, 20.0)]
         rest = raw_endpoint.chunk(STREAM) + raw_endpoint.chunk(b'')
         self.engine.resumed = [(STREAM_HEAD + rest,)]
-        call = asyncio.create_task(self.entry.complete())
+        call = asyncio.create_task(self.entry.complete(stream=not whole))
         await asyncio.sleep(0.3)
         await self.entry.kill_sidecar(ENGINE)
         await self.entry.wait_linked(ENGINE, False)
@@ -57,6 +57,12 @@
         answer = await self._restart_mid_stream()
         self.assertEqual(answer.events, STREAM)
 
+    async def test_restarted_sidecar_resumes_no_whole_completion(self):
+        """Guards against a stream in place of a whole completion."""
+        answer = await self._restart_mid_stream(whole=True)
+        self.assertEqual(answer.outcome, 'unknown')
+        self.assertNotIn(b'data:', answer.body)
+
     async def test_replaced_engine_goes_on_with_no_stream(self):
         """Guards against a stream that an engine begins and another ends."""
         self.engine.calls = [
