Wait with a stop for answers whose entry lost its link

A caller got "unknown" for an answer that was whole at the sidecar. Cause: a sidecar that stops waits for what waits or runs. An answer that ended while the link of its entry was down was neither, so the process ended before the entry could ask for it, long before the grace period did. Cancelled calls are not waited for.

--- a/persimmonroute/sidecar/core.py
+++ b/persimmonroute/sidecar/core.py
@@ -60,6 +60,10 @@
             attempt.waiting for attempt in board.attempts.values()
         )
 
+    def is_drained(self, now):
+        """Return whether nothing is left that a stop has to wait for."""
+        return self.idle and not self._responses.has_unread(now)
+
     def handle(self, event, now):
         """Return the effects of an event handled at time now, in seconds."""
         for timer in self._board.timers.pop_due(now):
--- a/persimmonroute/sidecar/responses.py
+++ b/persimmonroute/sidecar/responses.py
@@ -16,6 +16,12 @@
     def __init__(self, board):
         self._board = board
         self._retained_bytes = 0
+        # When a stop no longer waits for the readers of finished attempts.
+        self._unread_until: dict[str, float] = {}
+
+    def has_unread(self, now):
+        """Return whether a response waits for an entry that lost its link."""
+        return any(until > now for until in self._unread_until.values())
 
     def append(self, attempt, data, tokens):
         """Append a chunk and send it to the subscribers."""
@@ -34,6 +40,8 @@
     def finish(self, attempt, finished, now):
         """Finish a response and notify its subscribers."""
         attempt.finished = finished
+        if not (attempt.subscribers or attempt.cancelled):
+            self._unread_until[attempt.attempt_id] = now + ORPHAN_GRACE_S
         for link in sorted(attempt.subscribers):
             self._board.send(link, attempt.attempt_id, finished=finished)
         retention = (
@@ -48,6 +56,7 @@
     def subscribe(self, attempt, link, offset):
         """Subscribe an entry and send the response from an offset on."""
         attempt.subscribers.add(link)
+        self._unread_until.pop(attempt.attempt_id, None)
         data = bytes(attempt.response[offset:])
         if data:
             chunk = pb.Chunk(
@@ -89,6 +98,7 @@
 
     def _discard(self, attempt):
         del self._board.attempts[attempt.attempt_id]
+        self._unread_until.pop(attempt.attempt_id, None)
         self._retained_bytes -= len(attempt.response)
 
     def _discard_oldest(self):
--- a/persimmonroute/sidecar/shell.py
+++ b/persimmonroute/sidecar/shell.py
@@ -120,7 +120,9 @@
         with draining.guard('refuse what waits'):
             self.handle(messages.StopRequested())
         deadline = time.monotonic() + self._settings.stop_grace_s
-        while not self._core.idle and time.monotonic() < deadline:
+        while time.monotonic() < deadline:
+            if self._core.is_drained(time.monotonic()):
+                break
             await asyncio.sleep(DRAIN_POLL_S)
         # Lets entries receive the ends of the last responses.
         await asyncio.sleep(BUSY_REPORT_INTERVAL_S)
--- a/persimmonroute/tests/sidecar/stop_tests.py
+++ b/persimmonroute/tests/sidecar/stop_tests.py
@@ -72,3 +72,18 @@
         self.assertEqual(answer.events, EVENT)
         self.assertEqual(answer.outcome, 'unknown')
         self.assertFalse(answer.complete)
+
+    async def test_stopping_sidecar_keeps_an_answer_for_a_lost_link(self):
+        """Guards against a stop that drops an answer nobody has read yet."""
+        rest = raw_endpoint.chunk(STREAM) + raw_endpoint.chunk(b'')
+        self.engine.calls = [(0.5, STREAM_HEAD + rest)]
+        call = asyncio.create_task(self.entry.complete())
+        await asyncio.sleep(0.3)
+        self.entry.cut(ENGINE)
+        await asyncio.sleep(0.3)
+        stopping = asyncio.create_task(self.entry.stop_sidecar(ENGINE))
+        await asyncio.sleep(0.6)
+        self.entry.heal(ENGINE)
+        answer = await call
+        self.assertEqual(answer.events, STREAM)
+        await stopping
--- a/standins/entry_fixtures.py
+++ b/standins/entry_fixtures.py
@@ -28,6 +28,7 @@
 ANSWER_TIMEOUT_S = 30.0
 POLL_S = 0.02
 GRACE_S = 1
+SIDECAR_GRACE_S = 10
 
 
 class Answer(typing.NamedTuple):
@@ -155,6 +156,17 @@
             await task
         self._stops[name] = (asyncio.Event(), asyncio.create_task(_nothing()))
 
+    def cut(self, name):
+        """Close the link to a sidecar until heal() is called."""
+        self.shell._links.pop(name).close()
+
+    def heal(self, name):
+        """Open the link to a sidecar again."""
+        for instance in self.instances:
+            if instance.name == name:
+                opened = messages.OpenLink(name, instance.sidecar)
+                self.shell._open_link(opened)
+
     async def wait_linked(self, name, linked=True):
         """Wait until the entry has or has lost its link to a sidecar."""
         async with asyncio.timeout(READY_TIMEOUT_S):
@@ -208,7 +220,7 @@
         endpoint_kind=kinds[instance.service]['kind'],
         endpoint=endpoint.address,
         address=instance.sidecar,
-        stop_grace_s=GRACE_S,
+        stop_grace_s=SIDECAR_GRACE_S,
         tls_certificate=None,
     )
     shell: sidecar_shells.SidecarShell = composition.build_sidecar(settings)
