Keep the links of an entry that stood still

An entry that had stood still for 3.5 s lost all of its links at once: what waited through it was refused by one sidecar after the other ("link closed"), and its streams were interrupted. Cause: after a standstill all timers are due before the data is read that arrived meanwhile, and links used a plain limit of 3 s. Change: links use timeouts.timeout, which lets such data arrive first.

--- a/persimmonroute/entry/links.py
+++ b/persimmonroute/entry/links.py
@@ -11,6 +11,7 @@
 from persimmonroute.generated import exchange_pb2 as pb
 from persimmonroute.generated import exchange_pb2_grpc
 from persimmonroute import outbox
+from persimmonroute import timeouts
 from persimmonroute import tls
 
 RECONNECT_DELAY_S = 0.2
@@ -95,9 +96,8 @@
 
     async def _read(self, call, outgoing):
         while True:
-            envelope = await asyncio.wait_for(
-                call.read(), UNRESPONSIVE_AFTER_S
-            )
+            async with timeouts.timeout(UNRESPONSIVE_AFTER_S):
+                envelope = await call.read()
             if envelope is grpc.aio.EOF:
                 return
             if self._outbox is None:
--- a/persimmonroute/tests/processes/faults_tests.py
+++ b/persimmonroute/tests/processes/faults_tests.py
@@ -9,6 +9,7 @@
 import tempfile
 import unittest
 
+from persimmonroute.events import Event
 from standins import callers
 from standins import small_simulation
 from tools import demo
@@ -16,6 +17,8 @@
 from tools import small_deployment
 
 TIMEOUT_S = 30.0
+# Longer than an entry waits for a sidecar that sends nothing.
+SUSPENSION_S = 3.5
 
 
 def order(number, key):
@@ -55,8 +58,8 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         small_deployment.write_deployment(folder.name)
-        logs = pathlib.Path(folder.name) / 'logs'
-        self.deployment = deployments.Deployment(folder.name, logs)
+        self.logs = pathlib.Path(folder.name) / 'logs'
+        self.deployment = deployments.Deployment(folder.name, self.logs)
         self.addAsyncCleanup(self.deployment.stop)
         self.deployment.start_all()
         await asyncio.to_thread(demo.apply_declarations, self.deployment)
@@ -171,6 +174,19 @@
         self.assertEqual((await response).outcome, 'completed')
         self.assertEqual(await self._count_runs('k'), 1)
 
+    async def test_suspended_entry_keeps_its_links(self):
+        """Guards against links that close because their entry stood still."""
+        log = self.logs / 'entry-1.log'
+        for _ in range(3):
+            self.deployment.send_signal('entry-1', signal.SIGSTOP)
+            await asyncio.sleep(SUSPENSION_S)
+            self.deployment.send_signal('entry-1', signal.SIGCONT)
+            await asyncio.sleep(0.5)
+        unlinked = Event.SIDECAR_UNLINKED.value.summary
+        self.assertNotIn(unlinked, log.read_text())
+        result = await self.caller.send(self.deployment.entries[0], draft('a'))
+        self.assertEqual(result.outcome, 'completed')
+
     async def test_bad_requests_get_typed_errors(self):
         """Reject each kind of bad request with its status and error type."""
         good = draft('a')
