Open a link again after an unexpected error

An entry lost a sidecar for good, with a refusal for each later request if there was no other. Cause: an error in the handling of one message ended the task that keeps the link to a sidecar.

--- a/persimmonroute/entry/links.py
+++ b/persimmonroute/entry/links.py
@@ -8,12 +8,16 @@
 import grpc
 
 from persimmonroute.entry import messages
+from persimmonroute.events import Event
 from persimmonroute.generated import exchange_pb2 as pb
 from persimmonroute.generated import exchange_pb2_grpc
+from persimmonroute import logs
 from persimmonroute import outbox
 from persimmonroute import timeouts
 from persimmonroute import tls
 
+log = logs.EventLog(__name__)
+
 RECONNECT_DELAY_S = 0.2
 HEARTBEAT_INTERVAL_S = 1.0
 # A sidecar that sends nothing for this long counts as disconnected.
@@ -59,6 +63,13 @@
                 await self._connect()
             except (grpc.RpcError, TimeoutError, OSError):
                 pass
+            except Exception as error:
+                # Without the task, the sidecar would stay disconnected.
+                log.emit(
+                    Event.GATEWAY_FAULT,
+                    step='link to a sidecar',
+                    problem=repr(error),
+                )
             finally:
                 self._mark_closed()
             await asyncio.sleep(RECONNECT_DELAY_S)
--- a/persimmonroute/tests/sidecar/stop_tests.py
+++ b/persimmonroute/tests/sidecar/stop_tests.py
@@ -5,7 +5,9 @@
 import asyncio
 import contextlib
 import unittest
+from unittest import mock
 
+from persimmonroute.entry import dispatch
 from standins import entry_fixtures
 from standins import raw_endpoint
 from standins import small_simulation
@@ -87,3 +89,14 @@
         answer = await call
         self.assertEqual(answer.events, STREAM)
         await stopping
+
+    async def test_link_comes_back_after_an_unexpected_error(self):
+        """Guards against a sidecar that an entry loses for good."""
+        failure = mock.patch.object(
+            dispatch.Dispatcher, 'on_frame', side_effect=KeyError
+        )
+        with failure:
+            call = asyncio.create_task(self.entry.complete())
+            await self.entry.wait_linked(ENGINE, False)
+        await self.entry.wait_linked(ENGINE)
+        self.assertEqual((await call).outcome, 'not-run')
