Let the stand-ins of endpoints fall silent and go on

Cause: no stand-in of the own entries could be silent and go on, so no test showed what a silence ends. Change: {"silent": seconds} lets an engine or a service stand still with its connections open; endpoints of the simulation have the same, as a fault of the matrix. Process tests play silences of 0.5, 1.0 and 1.7 s of the engine, the service and the only sidecar of a service.

--- a/persimmonroute/tests/processes/faults_tests.py
+++ b/persimmonroute/tests/processes/faults_tests.py
@@ -17,6 +17,7 @@
 from tools import small_deployment
 
 TIMEOUT_S = 30.0
+SILENCES_S = (0.5, 1.0, 1.7)
 # Longer than an entry waits for a sidecar that sends nothing.
 SUSPENSION_S = 3.5
 
@@ -187,6 +188,57 @@
         result = await self.caller.send(self.deployment.entries[0], draft('a'))
         self.assertEqual(result.outcome, 'completed')
 
+    async def _fall_silent(self, endpoint, seconds):
+        address = self.deployment.endpoints[endpoint]['address']
+        url = f'http://{address}/control'
+        await self.deployment.post_json(url, {'silent': seconds})
+
+    async def test_silent_engine_completes_its_stream(self):
+        """Guards against a stream that is given up for a silence."""
+        for number, silence_s in enumerate(SILENCES_S):
+
+            async def fall_silent(endpoint):
+                await self._fall_silent(endpoint, silence_s)
+
+            result = await self._send_draft(f's{number}', fall_silent)
+            self.assertEqual(result.outcome, 'completed', result)
+            self.assertEqual(await self._count_runs(f's{number}'), 1)
+
+    async def test_silent_service_completes_its_order(self):
+        """Guards against an order that is given up for a silence."""
+        entry = self.deployment.entries[0]
+        for number, silence_s in enumerate(SILENCES_S):
+            key = f'k{number}'
+            response = asyncio.create_task(
+                self.caller.send(entry, order(number, key))
+            )
+            await self._wait_until_run(key)
+            await self._fall_silent('trade-desk-1', silence_s)
+            result = await response
+            self.assertEqual(result.outcome, 'completed', result)
+            self.assertEqual(await self._count_runs(key), 1)
+
+    async def test_suspended_sidecar_completes_its_order(self):
+        """Guards against an order that is given up with a suspended sidecar.
+
+        Its entry has no other sidecar of the service.
+        """
+        entry = self.deployment.entries[0]
+        name = 'sidecar-trade-desk-1'
+        for number, silence_s in enumerate(SILENCES_S):
+            for delay_s in (0.0, 0.01, 0.2):
+                key = f'k{number}-{delay_s}'
+                response = asyncio.create_task(
+                    self.caller.send(entry, order(number, key))
+                )
+                await asyncio.sleep(delay_s)
+                self.deployment.send_signal(name, signal.SIGSTOP)
+                await asyncio.sleep(silence_s)
+                self.deployment.send_signal(name, signal.SIGCONT)
+                result = await response
+                self.assertEqual(result.outcome, 'completed', result)
+                self.assertEqual(await self._count_runs(key), 1)
+
     async def test_bad_requests_get_typed_errors(self):
         """Reject each kind of bad request with its status and error type."""
         good = draft('a')
--- a/standins/endpoint_nodes.py
+++ b/standins/endpoint_nodes.py
@@ -42,6 +42,9 @@
         self.limit_per_s = pacing.UNLIMITED
         # When each request arrived.
         self.arrivals = []
+        self.silent = False
+        # Events of a silent endpoint, until it goes on.
+        self._delayed = []
 
     def start(self, attempt, offer):
         """Run an attempt, or fail it while the endpoint is down."""
@@ -61,9 +64,15 @@
         """Crash, fail all attempts in progress and schedule a restart."""
         if not self.alive:
             return
-        self.alive = False
+        self.alive = self.silent = False
         self.crashes += 1
-        interrupted = self._drop_all()
+        unsent = {
+            event.attempt_id
+            for event in self._delayed
+            if isinstance(event, messages.EndpointEnded)
+        }
+        self._delayed.clear()
+        interrupted = sorted(unsent.union(self._drop_all()))
         self._emit(messages.EndpointProbed(False))
         for attempt in interrupted:
             self._fail(attempt, True)
@@ -72,8 +81,21 @@
     def _restart(self):
         self.alive = True
 
+    def fall_silent(self, seconds):
+        """Send nothing for a while, then go on."""
+        self.silent = True
+        self._simulation.schedule(seconds, self._go_on)
+
+    def _go_on(self):
+        self.silent = False
+        delayed, self._delayed = self._delayed, []
+        for event in delayed:
+            self._emit(event)
+
     def _emit(self, event):
-        if self.listener is not None:
+        if self.silent:
+            self._delayed.append(event)
+        elif self.listener is not None:
             self.listener(event)
 
     def _fail(self, attempt, sent):
@@ -149,6 +171,8 @@
         self.model = engine_model.EngineModel(speed)
         self._streams: dict[str, bytearray] = {}
         self._words: dict[str, list[bytes]] = {}
+        # Precedes each word of the streams that begin from now on.
+        self.version = b''
         self._done: set[str] = set()
         # Prompt tokens prefilled here that any engine had prefilled before.
         self.repeated_tokens = 0
@@ -195,7 +219,7 @@
         self._streams[attempt] = bytearray()
         text = offer.body.decode()
         words = engine_model.response_words(text, offer.output_tokens)
-        self._words[attempt] = [word.encode() for word in words]
+        self._words[attempt] = [self.version + w.encode() for w in words]
         self._count_repeated_prefill(offer)
         self.model.submit(
             attempt,
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -193,6 +193,7 @@
         self.model.slowdown = change.get('slowdown', self.model.slowdown)
         self._frozen = change.get('frozen', self._frozen)
         self._named_limit.apply(change)
+        serving.fall_silent(change)
         self._work_available.set()
         return responses.JSONResponse({})
 
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -82,6 +82,11 @@
     trial.simulation.sidecars[name].handle(stop)
 
 
+def silence_endpoint(trial):
+    """Let the endpoint fall silent and go on."""
+    trial.simulation.endpoints[trial.sidecar].fall_silent(STALL_S)
+
+
 def leave_endpoint(trial):
     """Mark the endpoint as leaving; entries see it after the list's lag."""
     name = trial.sidecar
@@ -165,6 +170,7 @@
     Fault('freeze entry, send again', freeze_entry, COMPLETED),
     Fault('freeze sidecar', freeze_sidecar, COMPLETED),
     Fault('freeze endpoint', freeze_endpoint, COMPLETED, ('draft',)),
+    Fault('silent endpoint', silence_endpoint, COMPLETED),
     Fault('stop entry', stop_entry, COMPLETED),
     Fault('stop sidecar', stop_sidecar, COMPLETED),
     Fault('endpoint leaves', leave_endpoint, COMPLETED),
--- a/standins/process_nodes.py
+++ b/standins/process_nodes.py
@@ -259,7 +259,9 @@
     def _probe(self, core):
         if core is not self.core or not self.alive:
             return
-        self.handle(sidecar_messages.EndpointProbed(self.endpoint.alive))
+        # A silent endpoint answers health checks later.
+        if not self.endpoint.silent:
+            self.handle(sidecar_messages.EndpointProbed(self.endpoint.alive))
         self.simulation.schedule(PROBE_INTERVAL_S, self._probe, core)
 
     def _send_frame(self, effect):
--- a/standins/service.py
+++ b/standins/service.py
@@ -66,6 +66,7 @@
         change = await request.json()
         self._service_time_s = change.get('seconds', self._service_time_s)
         self._named_limit.apply(change)
+        serving.fall_silent(change)
         return responses.JSONResponse({})
 
     async def _counts(self, request):
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -4,10 +4,23 @@
 
 import asyncio
 import signal
+import time
 
 from persimmonroute import http_server
 
 STOP_GRACE_S = 60
+# Time to answer the request for a silence.
+NOTICE_S = 0.02
+
+
+def fall_silent(change):
+    """Stand still for as long as a change by a test says, then go on.
+
+    All connections stay open, and new ones are accepted by the system.
+    """
+    loop = asyncio.get_running_loop()
+    if 'silent' in change:
+        loop.call_later(NOTICE_S, time.sleep, change['silent'])
 
 
 def serve(app, address, background=()):
