Test that no stream goes on at another version of its endpoint

Cause: one of the reports is of streams that begin at one version and go on at another, with an instance out of step during a release. Plays suspend or cut off an entry while both engines are replaced, with and without their sidecars.

--- a/persimmonroute/tests/faults/given_up_tests.py
+++ b/persimmonroute/tests/faults/given_up_tests.py
@@ -135,3 +135,84 @@
         self.simulation.stall('entry-1', f'{PLAIN}-1', 'to_sidecar', 1.5)
         self._run(10.0)
         self._assert_whole(order)
+
+
+class ReleaseTests(unittest.TestCase):
+    """Replace endpoints by another version while an entry is out of step."""
+
+    def setUp(self):
+        """Start three entries and two endpoints of each service."""
+        self.simulation = small_simulation.build_simulation(entries=3)
+        self.views = []
+
+    def _run(self, seconds):
+        self.simulation.run_until(self.simulation.now + seconds)
+
+    def _submit(self, count):
+        for number in range(count):
+            call = small_simulation.draft(f'd-{len(self.views)}', tokens=150)
+            entry = f'entry-{number % 3 + 1}'
+            self.views.append(self.simulation.submit(call, entry))
+
+    def _replace(self, name, restart_sidecar):
+        endpoint = self.simulation.endpoints[name]
+        endpoint.version = b'v2-'
+        endpoint.crash()
+        if restart_sidecar:
+            node = self.simulation.sidecars[name]
+            node.kill()
+            self.simulation.schedule(0.5, node.start)
+
+    def _play(self, out_of_step, restart_sidecar):
+        self._submit(12)
+        self._run(0.3)
+        entry = self.simulation.entries['entry-1']
+        if out_of_step == 'suspended':
+            entry.freeze()
+        else:
+            for name in self.simulation.sidecars:
+                self.simulation.partition('entry-1', name)
+        for number in (1, 2):
+            self._replace(f'{MODEL}-{number}', restart_sidecar)
+            self._run(1.5)
+            self._submit(6)
+        entry.unfreeze()
+        self.simulation.heal()
+        self._run(3.0)
+        self._submit(6)
+        self._run(60.0)
+
+    def _find_mixed(self):
+        """Return the streams that hold words of two versions."""
+        mixed = []
+        for view in self.views:
+            expected = endpoint_nodes.expected_response(view.call)
+            words = expected.split()
+            replaced = b''.join(b'v2-' + word + b' ' for word in words)
+            data = bytes(view.data)
+            if not any(v.startswith(data) for v in (expected, replaced)):
+                mixed.append(view)
+            elif view.outcome == 'completed':
+                if data not in (expected, replaced):
+                    mixed.append(view)
+        return mixed
+
+    def test_no_stream_goes_on_at_another_version(self):
+        """Guards against a stream that two versions of an engine write."""
+        for out_of_step in ('suspended', 'cut off'):
+            for restart_sidecar in (False, True):
+                with self.subTest(
+                    out_of_step=out_of_step, restart_sidecar=restart_sidecar
+                ):
+                    self.setUp()
+                    self._play(out_of_step, restart_sidecar)
+                    self.assertEqual(self._find_mixed(), [])
+                    outcomes = {view.outcome for view in self.views}
+                    self.assertNotIn('lost', outcomes)
+                    self.assertIn('unknown', outcomes)
+                    self.assertIn('completed', outcomes)
+                    self.assertTrue(
+                        any(
+                            view.data.startswith(b'v2-') for view in self.views
+                        )
+                    )
