End an answer that is shorter than what was sent of it as unknown

Cause: an entry took the end of an answer for complete if it had received at least as much as the end names; more than that counted as well, as after a stream that a sidecar read again and that another one had taken the place of. Change: an end before what was received is no end, and the outcome is unknown. Measured: a test of the core that receives 10 bytes and an end after 5 got "completed" before the change and gets "unknown" with it.

--- a/persimmonroute/entry/dispatch.py
+++ b/persimmonroute/entry/dispatch.py
@@ -264,6 +264,11 @@
         if record.received_bytes < finished.length:
             self._request_resume(record)
             return
+        if record.received_bytes > finished.length:
+            self._finalizer.end_unknown(
+                record, 'the response ended before what was received of it'
+            )
+            return
         self._board.quarantine.clear(record.call, now)
         self._claims.record_outcome(record, finished, now)
         self._finalizer.end_completed(
--- a/persimmonroute/tests/entry/dispatch_tests.py
+++ b/persimmonroute/tests/entry/dispatch_tests.py
@@ -144,6 +144,19 @@
         kinds = [f.WhichOneof('body') for _, f in self._frames(effects)]
         self.assertEqual(kinds, ['withdraw'])
 
+    def test_end_before_what_was_received_is_not_complete(self):
+        """Guards against a stream that ends as complete with another's end."""
+        sidecar, frame = self._submit()
+        attempt = frame.request_id
+        self._reply(sidecar, attempt, 0.0, accepted=pb.Accepted())
+        self._reply(sidecar, attempt, 0.0, ready=pb.Ready())
+        chunk = pb.Chunk(offset=0, data=b'0123456789')
+        self._reply(sidecar, attempt, 0.1, chunk=chunk)
+        finished = pb.Finished(status=200, length=5, complete=True)
+        effects = self._reply(sidecar, attempt, 0.2, finished=finished)
+        ended = [e for e in effects if isinstance(e, messages.ResponseEnded)]
+        self.assertEqual(ended[0].outcome, messages.Outcome.UNKNOWN)
+
     def test_late_call_of_a_stopping_entry_is_not_run(self):
         """Guards against calls that a stop accepts late and then cuts off."""
         stop = messages.StopRequested(server.begin_drain(0.0, 8.0))
