Keep the link to a moved sidecar while requests wait for it

Cause: a list that names another address for a sidecar closed the link to the former one at once, with the streams that came over it, although the former sidecar may still be at work on them during its planned stop. Change: the link to the new address is opened when the former one closes or no request waits for the sidecar any more. Measured: the test of the core failed before the change (link opened for all three sidecars, one of them with a stream) and passes with it.

--- a/persimmonroute/entry/board.py
+++ b/persimmonroute/entry/board.py
@@ -25,6 +25,8 @@
     def __init__(self, instance):
         self.instance = instance
         self.linked = False
+        # Whether the link is to an address that is no longer listed.
+        self.moved = False
         self.incarnation = ''
         self.load = pb.Load()
         # Plain copies of load fields, since each routing decision reads them.
--- a/persimmonroute/entry/membership.py
+++ b/persimmonroute/entry/membership.py
@@ -27,7 +27,7 @@
                 del board.sidecars[name]
                 board.put(messages.CloseLink(name))
         for name, instance in listed.items():
-            self._update_view(name, instance)
+            self._update_view(name, instance, name in awaited)
 
     def on_link_opened(self, event, now):
         """Mark a sidecar as connected."""
@@ -49,6 +49,8 @@
             return
         view.linked = False
         view.clear_outstanding()
+        if view.moved:
+            self._move(view)
         self._board.log(Event.SIDECAR_UNLINKED, sidecar=event.sidecar)
 
     def on_envelope(self, event, now):
@@ -78,7 +80,7 @@
             )
         ]
 
-    def _update_view(self, name, instance):
+    def _update_view(self, name, instance, awaited):
         board = self._board
         view = board.sidecars.get(name)
         if view is None:
@@ -86,5 +88,13 @@
             board.put(messages.OpenLink(name, instance.sidecar))
             return
         if view.instance.sidecar != instance.sidecar:
-            board.put(messages.OpenLink(name, instance.sidecar))
+            view.moved = True
         view.instance = instance
+        # Requests may still get their responses over a former link.
+        if view.moved and not (view.linked and awaited):
+            self._move(view)
+
+    def _move(self, view):
+        view.moved = False
+        instance = view.instance
+        self._board.put(messages.OpenLink(instance.name, instance.sidecar))
--- a/persimmonroute/tests/entry/dispatch_tests.py
+++ b/persimmonroute/tests/entry/dispatch_tests.py
@@ -157,6 +157,26 @@
         ended = [e for e in effects if isinstance(e, messages.ResponseEnded)]
         self.assertEqual(ended[0].outcome, messages.Outcome.UNKNOWN)
 
+    def test_moved_sidecar_keeps_its_link_while_a_stream_uses_it(self):
+        """Guards against a link that is closed before its stream has ended."""
+        sidecar, frame = self._submit()
+        attempt = frame.request_id
+        self._reply(sidecar, attempt, 0.0, accepted=pb.Accepted())
+        self._reply(sidecar, attempt, 0.0, ready=pb.Ready())
+        listed = tuple(
+            messages.Instance(
+                name, small_simulation.MODEL, 'riga', 'riga-a', 'b', False
+            )
+            for name in SIDECARS
+        )
+        effects = self._handle(messages.InstancesListed(listed), 0.1)
+        opened = [
+            e.sidecar for e in effects if isinstance(e, messages.OpenLink)
+        ]
+        self.assertEqual(set(opened), set(SIDECARS) - {sidecar})
+        effects = self._handle(messages.LinkClosed(sidecar), 0.2)
+        self.assertIn(messages.OpenLink(sidecar, 'b'), effects)
+
     def test_late_call_of_a_stopping_entry_is_not_run(self):
         """Guards against calls that a stop accepts late and then cuts off."""
         stop = messages.StopRequested(server.begin_drain(0.0, 8.0))
