Tell callers the outcome before a stop cuts them off

Callers whose requests outlasted the grace period of an entry got a 500 of the HTTP server, without an outcome, or a stream that just broke off. Cause: at the end of the period the server cancels what is open; the core still waited for it. Measured: three orders that outlast the period of 4 s got 500 before the change and 502 with the outcome "unknown" with it.

--- a/persimmonroute/entry/core.py
+++ b/persimmonroute/entry/core.py
@@ -53,6 +53,7 @@
             messages.ConfigurationReceived: [self._configuration.on_received],
             messages.TimePassed: [self._on_time],
             messages.StopRequested: [self._on_stop],
+            messages.StopExpired: [self._dispatcher.on_stop_expired],
         }
 
     @property
--- a/persimmonroute/entry/dispatch.py
+++ b/persimmonroute/entry/dispatch.py
@@ -15,6 +15,7 @@
 RESUME_TIMEOUT_S = 20.0
 ATTACH_TIMEOUT_S = 5.0
 STOPPING = 'the entry is stopping'
+STOPPED = 'the entry stopped before the response was complete'
 # Other entries may serve the caller at once.
 STOPPING_RETRY_S = 0.1
 
@@ -86,6 +87,14 @@
         else:
             self._finalizer.end_not_run(record, problem)
 
+    def on_stop_expired(self, event, now):
+        """End the requests that the end of the process would cut off."""
+        for record in list(self._board.calls.values()):
+            if record.state in ('granted', 'interrupted', 'attached'):
+                self._finalizer.end_unknown(record, STOPPED)
+            else:
+                self.fail_unstarted(record, STOPPING, STOPPING_RETRY_S)
+
     def on_frame(self, sidecar, frame, now):
         """Handle one frame from a sidecar."""
         kind = frame.WhichOneof('body')
--- a/persimmonroute/entry/messages.py
+++ b/persimmonroute/entry/messages.py
@@ -108,6 +108,10 @@
     drain: draining.Drain
 
 
+class StopExpired(typing.NamedTuple):
+    """Report that a graceful shutdown is about to cut off what is open."""
+
+
 class SendFrame(typing.NamedTuple):
     """Send a frame to a sidecar."""
 
--- a/persimmonroute/entry/server.py
+++ b/persimmonroute/entry/server.py
@@ -44,11 +44,20 @@
             self._shell.handle(messages.StopRequested(drain))
         await asyncio.sleep(BALANCER_NOTICE_S)
         self._server.stop(drain.ends_at - time.monotonic())
+        ending = asyncio.create_task(self._end_calls(drain))
         await serving
+        ending.cancel()
         with draining.guard('close'):
             await self._shell.close()
         log.emit(Event.PROCESS_STOPPED)
 
+    async def _end_calls(self, drain):
+        """Tell the outcome of open requests before they are cancelled."""
+        end_at = drain.ends_at - draining.ANSWER_MARGIN_S
+        await asyncio.sleep(end_at - time.monotonic())
+        with draining.guard('end requests'):
+            self._shell.handle(messages.StopExpired())
+
 
 def begin_drain(now, stop_grace_s):
     """Return the Drain of an entry that is asked to stop."""
--- a/persimmonroute/tests/entry/server_tests.py
+++ b/persimmonroute/tests/entry/server_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import time
 import types
@@ -14,7 +15,9 @@
 from persimmonroute.entry import messages
 from persimmonroute.entry import server
 from persimmonroute import http_connection
+from standins import entry_fixtures
 from standins import gateway_deployment as deployments
+from standins import small_simulation
 
 GRACE_S = 4
 # A stream lasts longer than the grace period.
@@ -117,6 +120,30 @@
         self.assertNotIn(b'connection', (await before).headers)
         self.assertEqual((await during).headers[b'connection'], b'close')
 
+    async def test_calls_that_outlast_a_stop_get_their_outcomes(self):
+        """Guards against calls that a stop ends without an answer."""
+        stack = contextlib.AsyncExitStack()
+        await stack.__aenter__()
+        self.addAsyncCleanup(stack.aclose)
+        entry = entry_fixtures.EntryFixture(stack)
+        entry.configure(1)
+        endpoint = await entry.add_endpoint(small_simulation.PLAIN)
+        endpoint.calls = [(4 * GRACE_S,)]
+        with mock.patch.object(entry.shell, 'start'):
+            stop, running, entry.address = await self._start(entry.shell)
+        calls = [
+            asyncio.create_task(entry.order(f'k{number}'))
+            for number in range(3)
+        ]
+        await asyncio.sleep(0.2)
+        stop.set()
+        await running
+        for call in calls:
+            answer = await call
+            self.assertEqual(answer.status, 502)
+            self.assertEqual(answer.outcome, 'unknown')
+            self.assertTrue(answer.complete)
+
     async def _start(self, shell):
         """Return what stops an entry, its task and its address."""
         settings = types.SimpleNamespace(
