--- a/standins/endpoint_nodes.py
+++ b/standins/endpoint_nodes.py
@@ -81,6 +81,11 @@
     def _restart(self):
         self.alive = True
 
+    def disconnect(self):
+        """Close all connections; what they had not delivered is lost."""
+        self.listener = None
+        self._delayed.clear()
+
     def fall_silent(self, seconds):
         """Send nothing for a while, then go on."""
         self.silent = True
@@ -93,9 +98,11 @@
             self._emit(event)
 
     def _emit(self, event):
+        if self.listener is None:
+            return
         if self.silent:
             self._delayed.append(event)
-        elif self.listener is not None:
+        else:
             self.listener(event)
 
     def _fail(self, attempt, sent):
--- a/standins/process_nodes.py
+++ b/standins/process_nodes.py
@@ -220,7 +220,7 @@
     def kill(self):
         """Kill the process without a graceful stop."""
         self.alive = False
-        self.endpoint.listener = None
+        self.endpoint.disconnect()
         self.simulation.drop_links(self.name)
 
     def envelope(self, frames=()):
