Test a moved sidecar from the caller's side

Cause: the test of the core does not show what callers see. Change: a sidecar starts at a new address while the former one stops as planned, with a stream.

--- a/persimmonroute/tests/sidecar/stop_tests.py
+++ b/persimmonroute/tests/sidecar/stop_tests.py
@@ -100,3 +100,20 @@
             await self.entry.wait_linked(ENGINE, False)
         await self.entry.wait_linked(ENGINE)
         self.assertEqual((await call).outcome, 'not-run')
+
+    async def test_moved_sidecar_serves_its_stream_and_then_moves(self):
+        """A stream ends over the former address; the next uses the new."""
+        rest = raw_endpoint.chunk(STREAM[len(EVENT) :])
+        script = (
+            STREAM_HEAD + raw_endpoint.chunk(EVENT),
+            0.5,
+            rest + raw_endpoint.chunk(b''),
+        )
+        self.engine.calls = [script]
+        call = asyncio.create_task(self.entry.complete())
+        await asyncio.sleep(0.3)
+        await self.entry.move_sidecar(ENGINE)
+        self.assertEqual((await call).events, STREAM)
+        await self.entry.wait_linked(ENGINE, False)
+        await self.entry.wait_linked(ENGINE)
+        self.assertEqual((await self.entry.complete()).events, STREAM)
--- a/standins/entry_fixtures.py
+++ b/standins/entry_fixtures.py
@@ -119,11 +119,10 @@
         await endpoint.start()
         self._stack.push_async_callback(endpoint.stop)
         name = f'{service}-{number}'
-        address = f'127.0.0.1:{gateway_deployment.free_port()}'
         instance = messages.Instance(
-            name, service, 'riga', 'riga-a', address, False
+            name, service, 'riga', 'riga-a', '', False
         )
-        self._sidecars.append((instance, endpoint))
+        self._sidecars.append((_at_new_address(instance), endpoint))
         self.start_sidecar(name)
         self.shell.handle(messages.InstancesListed(self.instances))
         await self.wait_linked(name)
@@ -142,6 +141,19 @@
                 self._stops[name] = (stop, task)
                 self._stack.push_async_callback(self.stop_sidecar, name)
 
+    async def move_sidecar(self, name):
+        """Start a sidecar at a new address; the former stops as planned."""
+        stop, _ = self._stops[name]
+        self._sidecars = [
+            (_at_new_address(instance), endpoint)
+            if instance.name == name
+            else (instance, endpoint)
+            for instance, endpoint in self._sidecars
+        ]
+        self.start_sidecar(name)
+        self.shell.handle(messages.InstancesListed(self.instances))
+        stop.set()
+
     async def stop_sidecar(self, name):
         """Stop a sidecar as planned."""
         stop, task = self._stops[name]
@@ -207,6 +219,12 @@
             conn.abort()
 
 
+def _at_new_address(instance):
+    """Return an instance with a free address for its sidecar."""
+    address = f'127.0.0.1:{gateway_deployment.free_port()}'
+    return instance._replace(sidecar=address)
+
+
 async def _nothing():
     """Do nothing."""
 
