--- a/persimmonroute/entry/dispatch.py
+++ b/persimmonroute/entry/dispatch.py
@@ -7,6 +7,7 @@
 from persimmonroute.entry import board as boards
 from persimmonroute.entry.call_states import advance
 from persimmonroute.entry import messages
+from persimmonroute import event_stream
 from persimmonroute.events import Event
 from persimmonroute import exceptions
 from persimmonroute.generated import exchange_pb2 as pb
@@ -14,6 +15,7 @@
 RESUME_TIMEOUT_S = 20.0
 ATTACH_TIMEOUT_S = 5.0
 STOPPING = 'the entry is stopping'
+STOPPED = 'the entry stopped before the response was complete'
 # Other entries may serve the caller at once.
 STOPPING_RETRY_S = 0.1
 
@@ -85,6 +87,14 @@
         else:
             self._finalizer.end_not_run(record, problem)
 
+    def on_stop_expired(self, event, now):
+        """End the requests that the end of the process would cut off."""
+        for record in list(self._board.calls.values()):
+            if record.state in ('granted', 'interrupted', 'attached'):
+                self._finalizer.end_unknown(record, STOPPED)
+            else:
+                self.fail_unstarted(record, STOPPING, STOPPING_RETRY_S)
+
     def on_frame(self, sidecar, frame, now):
         """Handle one frame from a sidecar."""
         kind = frame.WhichOneof('body')
@@ -122,6 +132,10 @@
                 self._offer_sender.reroute(record, 'link closed', now)
             elif record.state == 'granted':
                 self._interrupt(record, now)
+            elif record.state == 'attached':
+                self._board.set_deadline(
+                    record, 'attach', now + RESUME_TIMEOUT_S
+                )
 
     def on_timer(self, timer, now):
         """Handle an expired offer, resume or attach deadline."""
@@ -180,7 +194,10 @@
     def replay(self, record, status, content_type, body):
         """Replay the response that was recorded for the same key."""
         self._board.send(record, withdraw=pb.Withdraw())
-        self._board.put(messages.ResponseData(record.request_id, body))
+        streamed = event_stream.is_stream(status, content_type)
+        self._board.put(
+            messages.ResponseData(record.request_id, body, streamed)
+        )
         self._finalizer.end_completed(record, status, content_type)
 
     def reject_key(self, record):
@@ -241,7 +258,11 @@
         if data:
             record.received_bytes += len(data)
             self._claims.buffer_response(record, data)
-            self._board.put(messages.ResponseData(record.request_id, data))
+            self._board.put(
+                messages.ResponseData(
+                    record.request_id, data, not chunk.not_streamed
+                )
+            )
 
     def _on_finished(self, record, finished, now):
         if record.state not in ('granted', 'attached'):
@@ -252,6 +273,11 @@
         if record.received_bytes < finished.length:
             self._request_resume(record)
             return
+        if record.received_bytes > finished.length:
+            self._finalizer.end_unknown(
+                record, 'the response ended before what was received of it'
+            )
+            return
         self._board.quarantine.clear(record.call, now)
         self._claims.record_outcome(record, finished, now)
         self._finalizer.end_completed(
@@ -285,6 +311,8 @@
 
     def _request_resume(self, record):
         resume = pb.Resume(
-            offset=record.received_bytes, incarnation=record.incarnation
+            offset=record.received_bytes,
+            incarnation=record.incarnation,
+            whole=not record.call.stream,
         )
         self._board.send_attempt(record, resume=resume)
--- a/persimmonroute/entry/links.py
+++ b/persimmonroute/entry/links.py
@@ -8,11 +8,16 @@
 import grpc
 
 from persimmonroute.entry import messages
+from persimmonroute.events import Event
 from persimmonroute.generated import exchange_pb2 as pb
 from persimmonroute.generated import exchange_pb2_grpc
+from persimmonroute import logs
 from persimmonroute import outbox
+from persimmonroute import timeouts
 from persimmonroute import tls
 
+log = logs.EventLog(__name__)
+
 RECONNECT_DELAY_S = 0.2
 HEARTBEAT_INTERVAL_S = 1.0
 # A sidecar that sends nothing for this long counts as disconnected.
@@ -21,8 +26,7 @@
     ('grpc.enable_http_proxy', 0),
     ('grpc.initial_reconnect_backoff_ms', 100),
     ('grpc.max_reconnect_backoff_ms', 1000),
-    ('grpc.max_receive_message_length', 64 * 1024 * 1024),
-    ('grpc.max_send_message_length', 64 * 1024 * 1024),
+    *outbox.MESSAGE_OPTIONS,
 )
 
 
@@ -59,6 +63,13 @@
                 await self._connect()
             except (grpc.RpcError, TimeoutError, OSError):
                 pass
+            except Exception as error:
+                # Without the task, the sidecar would stay disconnected.
+                log.emit(
+                    Event.GATEWAY_FAULT,
+                    step='link to a sidecar',
+                    problem=repr(error),
+                )
             finally:
                 self._mark_closed()
             await asyncio.sleep(RECONNECT_DELAY_S)
@@ -96,9 +107,8 @@
 
     async def _read(self, call, outgoing):
         while True:
-            envelope = await asyncio.wait_for(
-                call.read(), UNRESPONSIVE_AFTER_S
-            )
+            async with timeouts.timeout(UNRESPONSIVE_AFTER_S):
+                envelope = await call.read()
             if envelope is grpc.aio.EOF:
                 return
             if self._outbox is None:
--- a/persimmonroute/entry/messages.py
+++ b/persimmonroute/entry/messages.py
@@ -108,6 +108,10 @@
     drain: draining.Drain
 
 
+class StopExpired(typing.NamedTuple):
+    """Report that a graceful shutdown is about to cut off what is open."""
+
+
 class SendFrame(typing.NamedTuple):
     """Send a frame to a sidecar."""
 
@@ -129,10 +133,15 @@
 
 
 class ResponseData(typing.NamedTuple):
-    """Forward a chunk of the response to the caller."""
+    """Forward a chunk of the response to the caller.
+
+    streamed: whether it belongs to an event stream; if not, the status and
+    the content type are known only when the response has ended.
+    """
 
     request_id: str
     data: bytes
+    streamed: bool = True
 
 
 class ResponseEnded(typing.NamedTuple):
--- a/persimmonroute/event_stream.py
+++ b/persimmonroute/event_stream.py
@@ -16,13 +16,24 @@
     rb'(?!data:|id:|event:|retry:)[\w-]+:'
 )
 ID_FIELD = b'id:'
+# A longer id is no number of an event.
+MAX_ID_DIGITS = 20
 COMMENT = b':'
 HTTP_VERSION = b'HTTP/1.'
 # A longer event is taken for bytes without end.
 MAX_EVENT_BYTES = 1_048_576
-# A longer id is not compared with others; int() refuses many digits.
-MAX_ID_DIGITS = 18
 CONTENT_TYPE = b'text/event-stream'
+STATUS_OK = 200
+
+
+def is_stream_type(content_type):
+    """Return whether a content type, as text, is that of event streams."""
+    return content_type.lower().startswith(CONTENT_TYPE.decode())
+
+
+def is_stream(status, content_type):
+    """Return whether a response is an event stream and no error."""
+    return status == STATUS_OK and is_stream_type(content_type)
 
 
 class StreamEvent(typing.NamedTuple):
--- a/persimmonroute/sidecar/board.py
+++ b/persimmonroute/sidecar/board.py
@@ -35,10 +35,12 @@
         self.prefill_tokens = offer.prompt_tokens
         self.subscribers = {owner} if owner else set()
         self.response = bytearray()
+        self.streamed = True
         self.started_at = None
         self.first_token_at = None
         self.last_token_at = None
-        self.resumed = False
+        # Offset from which the response was last resumed.
+        self.resumed_from: int | None = None
         self.cancelled = False
         self.crash_recorded = False
         self.finished: pb.Finished | None = None
@@ -48,6 +50,16 @@
         """Return whether the attempt has not started."""
         return self.state in ('held', 'queued', 'ready')
 
+    @property
+    def resumed(self):
+        """Return whether the response was read again."""
+        return self.resumed_from is not None
+
+    @property
+    def advanced(self):
+        """Return whether the response grew since it was last resumed."""
+        return not self.resumed or len(self.response) > self.resumed_from
+
     @property
     def tier(self):
         """Return the tier; 1 is the highest."""
@@ -82,7 +94,8 @@
         self.started_ids = collections.OrderedDict()
         # Set once started ids were evicted: any unknown attempt may have run.
         self.started_ids_dropped = False
-        self.engine_streams: frozenset[str] = frozenset()
+        # None if the engine did not list them.
+        self.engine_streams: frozenset[str] | None = frozenset()
         self.links: set[str] = set()
         self.admitted_tier = LOWEST_TIER
         self.leaving = False
--- a/persimmonroute/sidecar/endpoints.py
+++ b/persimmonroute/sidecar/endpoints.py
@@ -8,16 +8,19 @@
 import h11
 
 from persimmonroute import event_stream
+from persimmonroute.events import Event
 from persimmonroute import exceptions
 from persimmonroute import http_connection
 from persimmonroute import json_text
+from persimmonroute import logs
 from persimmonroute import pacing
 from persimmonroute.sidecar import messages
 from persimmonroute.sidecar import responses
 
+log = logs.EventLog(__name__)
+
 CONNECT_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 2.0
-STATUS_OK = 200
 # Longest response that is forwarded, as much as the sidecar keeps in memory.
 MAX_RESPONSE_BYTES = responses.MAX_RETAINED_BYTES
 # Requests per second that the endpoint takes.
@@ -31,6 +34,35 @@
 )
 
 
+class _Call:
+    """Track one request about an attempt.
+
+    The offset is that of a resumed stream, or None for the request itself.
+    """
+
+    def __init__(self, attempt_id, stream, offset=None):
+        self.attempt_id = attempt_id
+        self.offset = offset
+        # Whether the rest of the response can be read as a stream.
+        self.resumable = stream
+        # Whether the response is an event stream without an error.
+        self.streamed = False
+
+    def check_head(self, status, content_type):
+        """Check whether a response is a stream.
+
+        Raises EndpointBrokenError if it should resume one and does not.
+        """
+        self.streamed = event_stream.is_stream(status, content_type)
+        if self.streamed:
+            return
+        self.resumable = False
+        if self.offset is not None:
+            raise exceptions.EndpointBrokenError(
+                'the engine no longer has the stream'
+            )
+
+
 class _Body:
     """Check that the body of a response is complete."""
 
@@ -39,7 +71,7 @@
         self._splitter = None
         self._events = 0
         self._size = 0
-        if content_type.lower().startswith(event_stream.CONTENT_TYPE.decode()):
+        if event_stream.is_stream_type(content_type):
             self._splitter = event_stream.EventSplitter()
 
     def add(self, data):
@@ -77,9 +109,8 @@
             'Content-Type': 'application/json',
             'X-Request-Id': attempt_id,
         }
-        await self._call(
-            attempt_id, offer.method, offer.path, headers, offer.body
-        )
+        call = _Call(attempt_id, offer.stream)
+        await self._call(call, offer.method, offer.path, headers, offer.body)
 
     async def probe(self):
         """Return whether the endpoint responds to a health check."""
@@ -99,7 +130,10 @@
 
     @abc.abstractmethod
     async def list_streams(self):
-        """Return the attempt ids whose streams the endpoint retains."""
+        """Return the attempt ids whose streams the endpoint retains.
+
+        None if that is not known.
+        """
 
     async def _request(self, method, path, body=b''):
         """Return the WholeResponse to a request that is not an attempt."""
@@ -110,19 +144,27 @@
         finally:
             conn.abort()
 
-    async def _call(self, attempt_id, method, path, headers, body, skip=0):
+    async def _call(self, call, method, path, headers, body):
         try:
             # A new connection for each call: one that was left open may drop
             # while the request is sent, and whether it ran is then unknown.
             conn = await self._open()
         except exceptions.EndpointUnreachableError as error:
-            await self._fail(attempt_id, False, error.problem)
+            await self._fail(call, False, error.problem)
             return
         try:
             self._send(conn, method, path, headers, body)
-            await self._forward(attempt_id, conn, skip)
+            await self._forward(call, conn)
         except exceptions.EndpointBrokenError as error:
-            await self._fail(attempt_id, True, error.problem)
+            await self._fail(call, True, error.problem)
+        except Exception as error:
+            # Without an end, the attempt would run forever.
+            log.emit(
+                Event.GATEWAY_FAULT,
+                step='call of an endpoint',
+                problem=repr(error),
+            )
+            await self._fail(call, True, repr(error))
         finally:
             conn.abort()
 
@@ -142,18 +184,17 @@
                 f'the request is not valid HTTP: {error}'
             ) from error
 
-    async def _forward(self, attempt_id, conn, skip):
-        """Report a response as events, without the first bytes of its body."""
+    async def _forward(self, call, conn):
+        """Report a response as events, from the offset of the call on."""
+        attempt_id = call.attempt_id
         head = await conn.next_event()
-        if skip and head.status_code != STATUS_OK:
-            raise exceptions.EndpointBrokenError(
-                'the engine no longer has the stream'
-            )
         headers = dict(head.headers)
         self._sink(
             messages.EndpointNamedLimit(attempt_id, _read_limit(headers))
         )
         content_type = headers.get(b'content-type', b'').decode('latin-1')
+        call.check_head(head.status_code, content_type)
+        skip = call.offset or 0
         body = _Body(head, content_type)
         while isinstance(event := await conn.next_event(), h11.Data):
             data = bytes(event.data)
@@ -161,15 +202,27 @@
             added, skip = data[skip:], max(skip - len(data), 0)
             if added:
                 tokens = body.count_tokens(added)
-                self._sink(messages.EndpointData(attempt_id, added, tokens))
+                self._sink(
+                    messages.EndpointData(
+                        attempt_id, added, tokens, call.streamed
+                    )
+                )
         body.check_complete()
+        if skip:
+            raise exceptions.EndpointBrokenError(
+                'the resumed stream ends before its offset'
+            )
         self._sink(
             messages.EndpointEnded(attempt_id, head.status_code, content_type)
         )
 
-    async def _fail(self, attempt_id, sent, problem):
+    async def _fail(self, call, sent, problem):
         self._sink(messages.EndpointProbed(await self.probe()))
-        self._sink(messages.EndpointFailed(attempt_id, sent, problem))
+        self._sink(
+            messages.EndpointFailed(
+                call.attempt_id, sent, problem, call.resumable
+            )
+        )
 
 
 def _read_limit(headers):
@@ -185,7 +238,8 @@
     async def resume(self, attempt_id, offset):
         """Read a retained stream from its start and skip to the offset."""
         path = f'/v1/streams/{attempt_id}'
-        await self._call(attempt_id, 'GET', path, {}, b'', skip=offset)
+        call = _Call(attempt_id, True, offset)
+        await self._call(call, 'GET', path, {}, b'')
 
     async def cancel(self, attempt_id):
         """Cancel a stream; errors are ignored."""
@@ -194,13 +248,13 @@
             await self._request('POST', path, b'{}')
 
     async def list_streams(self):
-        """Return the stream ids of the engine; none if it does not respond."""
+        """Return the stream ids of the engine, or None without a list."""
         try:
             response = await self._request('GET', '/v1/streams')
             listed = json_text.parse(response.body)
-        except (*PROBE_ERRORS, ValueError):
-            return frozenset()
-        return frozenset(listed['streams'])
+            return frozenset(listed['streams'])
+        except (*PROBE_ERRORS, ValueError, KeyError, TypeError):
+            return None
 
 
 class PlainServiceClient(EndpointClient):
@@ -209,7 +263,7 @@
     async def resume(self, attempt_id, offset):
         """Report the call as failed."""
         await self._fail(
-            attempt_id,
+            _Call(attempt_id, False),
             True,
             'the call failed and a plain service cannot resume it',
         )
--- a/persimmonroute/sidecar/execution.py
+++ b/persimmonroute/sidecar/execution.py
@@ -84,6 +84,7 @@
                 attempt, self._board.running, event.tokens, now
             )
             attempt.last_token_at = now
+        attempt.streamed = event.streamed
         self._responses.append(attempt, event.data, event.tokens)
         self.request_grants(now)
 
@@ -92,6 +93,10 @@
         attempt = self._board.attempts.get(event.attempt_id)
         if attempt is None or attempt.state != 'started':
             return
+        if attempt.cancelled:
+            # Engines end a cancelled response as they end a complete one.
+            self._finish_incomplete(attempt, 'the call was cancelled', now)
+            return
         self._limit.on_end(attempt, self._board.running, now)
         self._quarantine.on_completed(attempt)
         finished = pb.Finished(
@@ -104,7 +109,10 @@
         self._finish(attempt, finished, now)
 
     def on_failed(self, event, now):
-        """Revert an unsent attempt; resume a broken one once, or finish it."""
+        """Revert an unsent attempt; resume a broken one or finish it.
+
+        A stream is resumed as long as each reading of it brings more.
+        """
         attempt = self._board.attempts.get(event.attempt_id)
         if attempt is None or attempt.state != 'started':
             return
@@ -112,12 +120,14 @@
         # connection that resumes it was refused.
         if not event.sent and not attempt.resumed:
             self._revert_start(attempt, now)
-        elif not (attempt.resumed or attempt.cancelled):
-            attempt.resumed = True
+        elif event.resumable and attempt.advanced and not attempt.cancelled:
             offset = len(attempt.response)
+            attempt.resumed_from = offset
             self._board.put(messages.ResumeCall(attempt.attempt_id, offset))
         else:
-            self._record_crash(now)
+            # The offer of a retained stream is not known, nor how it broke.
+            if attempt.offer.fingerprint:
+                self._record_crash(now)
             self._finish_incomplete(attempt, event.problem, now)
 
     def on_limit(self, event, now):
@@ -306,13 +316,21 @@
         attempt = board.attempts.get(attempt_id)
         if attempt is not None:
             self._responses.subscribe(attempt, link, resume.offset)
-        elif attempt_id in board.engine_streams:
+        elif self._may_be_retained(attempt_id, resume):
             self._resume_retained_stream(link, attempt_id, now)
         elif resume.incarnation != board.incarnation:
             board.send(link, attempt_id, lost=pb.Lost())
         else:
             self._reply_to_unknown_attempt(link, attempt_id)
 
+    def _may_be_retained(self, attempt_id, resume):
+        streams = self._board.engine_streams
+        if resume.whole:
+            return False
+        if streams is None:
+            return resume.incarnation != self._board.incarnation
+        return attempt_id in streams
+
     def _reply_to_unknown_attempt(self, link, attempt_id):
         # NeverStarts lets the entry run the request elsewhere, so it may be
         # sent only if the attempt certainly never ran here.
@@ -335,7 +353,7 @@
         attempt = boards.Attempt(attempt_id, offer, link, now)
         attempt.state = 'started'
         attempt.started_at = now
-        attempt.resumed = True
+        attempt.resumed_from = 0
         board = self._board
         board.attempts[attempt_id] = attempt
         board.running[attempt_id] = attempt
--- a/persimmonroute/sidecar/messages.py
+++ b/persimmonroute/sidecar/messages.py
@@ -27,11 +27,15 @@
 
 
 class EndpointData(typing.NamedTuple):
-    """Report a chunk of a response; tokens is 0 for plain services."""
+    """Report a chunk of a response; tokens is 0 for plain services.
+
+    streamed: whether the response is an event stream without an error.
+    """
 
     attempt_id: str
     data: bytes
     tokens: int
+    streamed: bool = True
 
 
 class EndpointEnded(typing.NamedTuple):
@@ -47,11 +51,13 @@
     """Report a call that failed.
 
     sent: whether the endpoint may have received the request.
+    resumable: whether the rest of the response may be read as a stream.
     """
 
     attempt_id: str
     sent: bool
     problem: str
+    resumable: bool = True
 
 
 class EndpointNamedLimit(typing.NamedTuple):
@@ -71,9 +77,12 @@
 
 
 class StreamsListed(typing.NamedTuple):
-    """Report the streams that the engine retained for a restarted sidecar."""
+    """Report the streams that the engine retained for a restarted sidecar.
+
+    None if the engine did not list them.
+    """
 
-    attempt_ids: frozenset[str]
+    attempt_ids: frozenset[str] | None
 
 
 class TimePassed(typing.NamedTuple):
--- a/persimmonroute/tests/processes/faults_tests.py
+++ b/persimmonroute/tests/processes/faults_tests.py
@@ -9,6 +9,7 @@
 import tempfile
 import unittest
 
+from persimmonroute.events import Event
 from standins import callers
 from standins import small_simulation
 from tools import demo
@@ -16,6 +17,9 @@
 from tools import small_deployment
 
 TIMEOUT_S = 30.0
+SILENCES_S = (0.5, 1.0, 1.7)
+# Longer than an entry waits for a sidecar that sends nothing.
+SUSPENSION_S = 3.5
 
 
 def order(number, key):
@@ -55,8 +59,8 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         small_deployment.write_deployment(folder.name)
-        logs = pathlib.Path(folder.name) / 'logs'
-        self.deployment = deployments.Deployment(folder.name, logs)
+        self.logs = pathlib.Path(folder.name) / 'logs'
+        self.deployment = deployments.Deployment(folder.name, self.logs)
         self.addAsyncCleanup(self.deployment.stop)
         self.deployment.start_all()
         await asyncio.to_thread(demo.apply_declarations, self.deployment)
@@ -171,6 +175,70 @@
         self.assertEqual((await response).outcome, 'completed')
         self.assertEqual(await self._count_runs('k'), 1)
 
+    async def test_suspended_entry_keeps_its_links(self):
+        """Guards against links that close because their entry stood still."""
+        log = self.logs / 'entry-1.log'
+        for _ in range(3):
+            self.deployment.send_signal('entry-1', signal.SIGSTOP)
+            await asyncio.sleep(SUSPENSION_S)
+            self.deployment.send_signal('entry-1', signal.SIGCONT)
+            await asyncio.sleep(0.5)
+        unlinked = Event.SIDECAR_UNLINKED.value.summary
+        self.assertNotIn(unlinked, log.read_text())
+        result = await self.caller.send(self.deployment.entries[0], draft('a'))
+        self.assertEqual(result.outcome, 'completed')
+
+    async def _fall_silent(self, endpoint, seconds):
+        address = self.deployment.endpoints[endpoint]['address']
+        url = f'http://{address}/control'
+        await self.deployment.post_json(url, {'silent': seconds})
+
+    async def test_silent_engine_completes_its_stream(self):
+        """Guards against a stream that is given up for a silence."""
+        for number, silence_s in enumerate(SILENCES_S):
+
+            async def fall_silent(endpoint):
+                await self._fall_silent(endpoint, silence_s)
+
+            result = await self._send_draft(f's{number}', fall_silent)
+            self.assertEqual(result.outcome, 'completed', result)
+            self.assertEqual(await self._count_runs(f's{number}'), 1)
+
+    async def test_silent_service_completes_its_order(self):
+        """Guards against an order that is given up for a silence."""
+        entry = self.deployment.entries[0]
+        for number, silence_s in enumerate(SILENCES_S):
+            key = f'k{number}'
+            response = asyncio.create_task(
+                self.caller.send(entry, order(number, key))
+            )
+            await self._wait_until_run(key)
+            await self._fall_silent('trade-desk-1', silence_s)
+            result = await response
+            self.assertEqual(result.outcome, 'completed', result)
+            self.assertEqual(await self._count_runs(key), 1)
+
+    async def test_suspended_sidecar_completes_its_order(self):
+        """Guards against an order that is given up with a suspended sidecar.
+
+        Its entry has no other sidecar of the service.
+        """
+        entry = self.deployment.entries[0]
+        name = 'sidecar-trade-desk-1'
+        for number, silence_s in enumerate(SILENCES_S):
+            for delay_s in (0.0, 0.01, 0.2):
+                key = f'k{number}-{delay_s}'
+                response = asyncio.create_task(
+                    self.caller.send(entry, order(number, key))
+                )
+                await asyncio.sleep(delay_s)
+                self.deployment.send_signal(name, signal.SIGSTOP)
+                await asyncio.sleep(silence_s)
+                self.deployment.send_signal(name, signal.SIGCONT)
+                result = await response
+                self.assertEqual(result.outcome, 'completed', result)
+                self.assertEqual(await self._count_runs(key), 1)
+
     async def test_bad_requests_get_typed_errors(self):
         """Reject each kind of bad request with its status and error type."""
         good = draft('a')
