Play silent endpoints and storms of changes in the soak

The soak had no endpoint that falls silent and goes on, no series of configurations, and never asked what ended a request that got neither an answer nor a refusal.

Endpoints hold their writes for 0.5 to 2.2 s, one, some or all at a time, in series; storms add and remove keys, add, move and remove routes and change timeouts. Endpoints record how each request ended for them, and what ended without an answer or a refusal is attributed to what callers and endpoints saw; two endpoints may share a request for 0.4 s at most. Two routes have 4 s, so that an answer can go on after a silence.

--- a/persimmonroute/tests/soak_tests.py
+++ b/persimmonroute/tests/soak_tests.py
@@ -2,15 +2,25 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
 import pathlib
 import random
 import tempfile
+import time
 import unittest
 
+from persimmonroute import http_connection
+from standins import gateway_deployment as deployments
+from standins import platform
 from tools.soak import __main__ as soak
+from tools.soak import attribution
+from tools.soak import callers
 from tools.soak import checks
 from tools.soak import endpoints
+from tools.soak import gateways
 from tools.soak import mutants
+from tools.soak import operators
 from tools.soak import records
 from tools.soak import schedule
 
@@ -41,13 +51,45 @@
     return served._replace(**changes)
 
 
-class CheckerTests(unittest.TestCase):
-    """Check that broken promises in the records become findings."""
+def cut(**changes):
+    """Return the outcome of a stream that was cut off after an event."""
+    body = endpoints.event(b'a', 1)
+    fields = {'route': 'resume', 'body': body, 'complete': False, **changes}
+    return outcome(**fields)
+
+
+class JournalTestCase(unittest.TestCase):
+    """Check the records of a journal."""
 
     def setUp(self):
         """Start with an empty journal."""
         self.journal = records.Journal()
 
+    def _visit(
+        self,
+        ending,
+        attempt='a',
+        endpoint='r0',
+        begin=10.05,
+        end=10.1,
+        behaviour='answer',
+        executed=True,
+    ):
+        self.journal.visits.append(
+            records.Visit(
+                attempt, endpoint, begin, end, behaviour, ending, executed
+            )
+        )
+
+    def _disturb(self, component, kind, begin=10.0, end=10.2):
+        self.journal.disturbances.append(
+            records.Disturbance(component, begin, end, kind)
+        )
+
+
+class CheckerTests(JournalTestCase):
+    """Check that broken promises in the records become findings."""
+
     def _execute(
         self, attempt='a', started_at=10.05, endpoint='r0', workspace='desk-0'
     ):
@@ -172,6 +214,7 @@
 
     def test_stream_of_two_versions(self):
         """One version writes a stream, over all tries of its caller."""
+        self._visit(records.Ending.BROKE_OFF)
         self._execute('a')
         self._execute('b')
         first = outcome(
@@ -206,6 +249,7 @@
         for number in range(checks.LEAST_TAKEN_UP):
             name = f'a{number}'
             self._execute(name)
+            self._visit(records.Ending.BROKE_OFF, name)
             first = outcome(
                 name,
                 route='single',
@@ -226,11 +270,14 @@
     def test_stop_that_breaks_off_a_request(self):
         """A planned stop does not break off a response."""
         self._execute()
+        self._visit(records.Ending.CLOSED)
         self.journal.stops.append(
             records.Stop('gateway-0', 10.0, 13.0, in_time=True)
         )
-        cut = outcome(complete=False)
-        self.assertEqual(self._check(cut), {'graceful stop'})
+        self.assertEqual(
+            self._check(outcome(complete=False)),
+            {'graceful stop', 'answer or refusal'},
+        )
 
     def test_stop_that_exceeds_its_grace_period(self):
         """An undisturbed gateway exits within its grace period."""
@@ -239,6 +286,248 @@
         )
         self.assertEqual(self._check(), {'graceful stop'})
 
+    def test_answer_that_is_ended_in_a_silence(self):
+        """Neither a cut nor an error of the gateway ends a silent answer."""
+        self.journal.silences.append(records.Silence('r0', 10.06, 11.0))
+        for ended in (cut(), outcome(status=502), outcome(status=504)):
+            with self.subTest(ended=ended):
+                self.journal.findings.clear()
+                self.journal.outcomes.clear()
+                self._visit(records.Ending.CLOSED)
+                self.assertEqual(
+                    self._check(ended), {'silence ends no answer'}
+                )
+
+    def test_request_that_is_ended_without_an_answer(self):
+        """An answer that a sound endpoint makes is not ended."""
+        self._visit(records.Ending.CLOSED)
+        self.assertEqual(self._check(cut()), {'answer or refusal'})
+
+    def test_refusal_and_error_of_an_endpoint(self):
+        """A refusal ends a request, as does an error that is passed on."""
+        self._visit(records.Ending.BROKE_OFF, behaviour='fail')
+        refused = outcome(status=503, body=b'')
+        failed = outcome(status=500, headers={b'upstream-signature': b'x'})
+        self.assertEqual(self._check(refused, failed), set())
+
+    def test_two_endpoints_at_work(self):
+        """An endpoint stops within 0.4 s when another one goes on."""
+        for end, expected in (
+            (10.44, set()),
+            (10.47, {'one endpoint at a time'}),
+        ):
+            with self.subTest(end=end):
+                self.setUp()
+                self._visit(records.Ending.CLOSED, end=end)
+                self._visit(records.Ending.WHOLE, endpoint='r1', end=10.9)
+                self.assertEqual(self._check(outcome()), expected)
+
+    def test_endpoint_that_is_not_reached_works_on(self):
+        """An endpoint behind a link that holds the close is excused."""
+        self._visit(records.Ending.CLOSED, end=10.9)
+        self._visit(records.Ending.WHOLE, endpoint='r1', end=10.9)
+        self._disturb('r0', 'endpoint_link_cut_up')
+        self.assertEqual(self._check(outcome()), set())
+
+
+class AttributionTests(JournalTestCase):
+    """Check what excuses a request without an answer or a refusal."""
+
+    def _find_cause(self, ended):
+        return attribution.Attributor(self.journal).find_cause(ended)
+
+    def test_deadline(self):
+        """The deadline is that of the route, or a timeout it has had."""
+        self._visit(records.Ending.CLOSED)
+        late = cut(ended_at=13.2)
+        self.assertIs(self._find_cause(late), attribution.Cause.DEADLINE)
+        long = cut(route='long', ended_at=13.2)
+        self.assertIsNone(self._find_cause(long))
+        self.journal.timeouts.append(records.TimeoutChange(12.0, 3.0))
+        self.assertIs(self._find_cause(long), attribution.Cause.DEADLINE)
+
+    def test_killed_gateway(self):
+        """A kill excuses requests of its gateway only."""
+        self._visit(records.Ending.CLOSED)
+        self._disturb('gateway-1', 'kill')
+        self.assertIsNone(self._find_cause(cut()))
+        self._disturb('gateway-0', 'kill')
+        self.assertIs(self._find_cause(cut()), attribution.Cause.KILLED)
+
+    def test_disturbances_that_excuse_nothing(self):
+        """Pauses, reloads, the store and slow links end no answer."""
+        self._visit(records.Ending.CLOSED)
+        self._disturb('gateway-0', 'pause')
+        self._disturb('gateway-0', 'caller_link_delay')
+        self._disturb('r0', 'endpoint_link_delay')
+        self._disturb('*', 'store_down')
+        self.assertIsNone(self._find_cause(cut()))
+
+    def test_end_of_a_grace_period(self):
+        """A stop may end what is unfinished late in its grace period."""
+        self._visit(records.Ending.CLOSED)
+        late = gateways.STOP_GRACE_S * (1 - attribution.LAST_GRACE_SHARE)
+        for begin, expected in (
+            (10.1 - late, attribution.Cause.GRACE),
+            (10.2 - late, None),
+        ):
+            with self.subTest(begin=begin):
+                self.journal.stops[:] = [
+                    records.Stop('gateway-0', begin, 10.2, True)
+                ]
+                self.assertIs(self._find_cause(cut()), expected)
+
+    def test_reset_of_the_caller(self):
+        """A caller whose link was reset gets no answer."""
+        self._visit(records.Ending.CLOSED)
+        self._disturb('gateway-0', 'caller_link_reset')
+        self.assertIs(self._find_cause(cut()), attribution.Cause.CALLER_LINK)
+
+    def test_endpoint_that_broke_off(self):
+        """What an endpoint ended is excused, unless a sound one went on."""
+        for ending in (records.Ending.BROKE_OFF, records.Ending.STOPPED):
+            with self.subTest(ending=ending):
+                self.setUp()
+                self._visit(ending)
+                self.assertIs(
+                    self._find_cause(cut()), attribution.Cause.ENDPOINT
+                )
+                self._visit(records.Ending.CLOSED, endpoint='r1', begin=10.06)
+                self.assertIsNone(self._find_cause(cut()))
+
+    def test_refusal_of_an_endpoint_that_was_to_go_on(self):
+        """A refusal does not excuse that a sound endpoint was closed."""
+        self._visit(records.Ending.CLOSED)
+        self._visit(
+            records.Ending.REFUSED,
+            endpoint='r1',
+            begin=10.06,
+            behaviour='full',
+            executed=False,
+        )
+        self.assertIsNone(self._find_cause(cut()))
+
+    def test_links_to_endpoints(self):
+        """A link that broke while its endpoint was at work is excused."""
+        self._visit(records.Ending.CLOSED)
+        self._disturb('r0', 'endpoint_link_reset', 9.0, 9.1)
+        self.assertIsNone(self._find_cause(cut()))
+        self._disturb('r0', 'endpoint_link_reset', 10.06, 10.06)
+        self.assertIs(self._find_cause(cut()), attribution.Cause.ENDPOINT_LINK)
+
+    def test_endpoint_that_does_not_listen(self):
+        """An endpoint that was to go on may be gone, but not before."""
+        self._visit(records.Ending.CLOSED)
+        self._visit(records.Ending.WHOLE, 'b', endpoint='r1')
+        for at, expected in (
+            (10.05, None),
+            (10.11, attribution.Cause.ENDPOINT_LINK),
+        ):
+            with self.subTest(at=at):
+                self.journal.refusals[:] = [records.Refusal('r1', at)]
+                ended = cut(ended_at=10.12)
+                self.assertIs(self._find_cause(ended), expected)
+
+    def test_gateway_that_does_not_listen(self):
+        """A process that is not there has not read the request."""
+        ended = cut(status=None, ended_at=10.5)
+        self.assertIsNone(self._find_cause(ended))
+        self.journal.refusals.append(records.Refusal('gateway-0', 10.2))
+        self.assertIs(self._find_cause(ended), attribution.Cause.DOWN)
+
+    def test_request_that_no_endpoint_saw(self):
+        """Only a closed connection may cross a request."""
+        for ended, expected in (
+            (cut(status=None), attribution.Cause.CROSSING),
+            (cut(status=None, ended_at=10.3), None),
+            (outcome(status=502), None),
+        ):
+            with self.subTest(ended=ended):
+                self.assertIs(self._find_cause(ended), expected)
+
+
+class SilentEndpointTests(unittest.IsolatedAsyncioTestCase):
+    """Let an endpoint fall silent while it has a request."""
+
+    async def asyncSetUp(self):
+        """Start an endpoint and send it a request for a stream."""
+        self.journal = records.Journal()
+        self.endpoint = endpoints.SoakEndpoint(
+            'r0', 1, random.Random(1), self.journal, time.monotonic
+        )
+        self.endpoint.long_share = 0.0
+        await self.endpoint.start()
+        self.addAsyncCleanup(self.endpoint.stop)
+        self.conn = await http_connection.open_connection(
+            self.endpoint.address, 1.0
+        )
+        self.addCleanup(self.conn.abort)
+        headers = [
+            ('host', 'x'),
+            ('attempt-id', 'a'),
+            ('expect-instance', 'r0'),
+            ('accept', 'text/event-stream'),
+        ]
+        self.conn.send_request('POST', '/', headers, b'')
+
+    async def test_silent_endpoint_goes_on(self):
+        """The stream stands still for the silence and is whole after it."""
+        answer = asyncio.create_task(deployments.read_response(self.conn))
+        with self.endpoint.fall_silent():
+            await asyncio.sleep(1.0)
+            self.assertFalse(answer.done())
+        response = await answer
+        self.assertTrue(response.complete)
+        self.assertEqual(
+            response.body, endpoints.expected_bodies('a', 'v1').stream
+        )
+        await asyncio.sleep(2 * endpoints.WATCH_S)
+        (visit,) = self.journal.visits
+        self.assertIs(visit.ending, records.Ending.WHOLE)
+        (silence,) = self.journal.silences
+        self.assertGreaterEqual(silence.end - silence.begin, 1.0)
+
+    async def test_silent_endpoint_notices_that_it_is_closed(self):
+        """The work ends when the connection does, also in a silence."""
+        with self.endpoint.fall_silent():
+            await asyncio.sleep(0.3)
+            closed_at = time.monotonic()
+            self.conn.abort()
+            await asyncio.sleep(0.3)
+        (visit,) = self.journal.visits
+        self.assertIs(visit.ending, records.Ending.CLOSED)
+        self.assertLess(visit.end - closed_at, 0.2)
+
+
+class OperatorTests(unittest.TestCase):
+    """Change the configuration many times."""
+
+    def test_storm_leaves_lasting_parts_alone(self):
+        """Versions rise; the first routes and keys stay."""
+        journal = records.Journal()
+        store = platform.PlatformStandIn([], 0.0)
+        operator = operators.Operator(
+            store, journal, random.Random(3), time.monotonic
+        )
+        operator.write()
+        lasting_keys = set(operator.workspaces)
+        versions, names = [], set()
+        for _ in range(200):
+            operator.change_at_random()
+            (row,) = store.tables.list_rows('op', '')
+            document = json.loads(row.value)
+            versions.append(document['Version'])
+            routes = {route['Name'] for route in document['Routes']}
+            names |= routes
+            keys = {k for t in document['Tenants'] for k in t['ApiKeys']}
+            self.assertLessEqual(set(callers.ROUTES), routes)
+            self.assertLessEqual(lasting_keys, keys)
+        self.assertEqual(versions, sorted(versions))
+        self.assertGreater(len(names), len(callers.ROUTES) + 10)
+        revoked = {change.name for change in journal.changes}
+        self.assertEqual(keys & revoked, set())
+        self.assertTrue(revoked)
+
 
 class MutantTests(unittest.TestCase):
     """Apply the mutants to the current sources."""
@@ -261,6 +550,22 @@
         )
         self.assertEqual(first, second)
 
+    def test_silences_last_about_a_second(self):
+        """Many schedules have series of silences, of one to all endpoints."""
+        silences, schedules = [], 0
+        for seed in range(100):
+            faults = schedule.draw_faults(random.Random(seed), 3, 3)
+            drawn = [f for f in faults if f.kind in schedule.SILENT_KINDS]
+            silences += drawn
+            schedules += len(drawn) > 1
+        self.assertGreater(schedules, 40)
+        self.assertEqual(
+            {fault.kind for fault in silences}, set(schedule.SILENT_KINDS)
+        )
+        durations_s = [fault.duration_s for fault in silences]
+        self.assertGreaterEqual(min(durations_s), 0.5)
+        self.assertLessEqual(max(durations_s), 2.2)
+
     def test_regression_seeds_keep_the_promises(self):
         """Seeds that had a finding in the past have none now."""
         for result in soak.run_seeds(REGRESSION_SEEDS, JOBS):
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -43,6 +43,8 @@
     executions: int
     faults: list[str]
     findings: list
+    # Requests that got neither an answer nor a refusal, by what excuses it.
+    excused: dict[str, int]
 
 
 def run_seed(seed, keep_folder=None, tree=seed_run.ROOT):
@@ -62,6 +64,7 @@
             len(run.journal.executions),
             [fault.kind for fault in run.faults],
             findings,
+            dict(run.journal.excused),
         )
     finally:
         shutil.rmtree(folder, ignore_errors=True)
@@ -87,6 +90,8 @@
         f'{len(result.findings)} findings',
         flush=True,
     )
+    if result.excused:
+        print('  neither answered nor refused:', result.excused)
     if verbose or result.findings:
         print('  faults:', ', '.join(result.faults))
     for finding in result.findings[:10]:
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -12,13 +12,16 @@
 
 CONNECT_S = 1.0
 DEADLINE_S = 2.0
+# Long enough for an answer that goes on after a silence.
+LONG_DEADLINE_S = 4.0
 # How long a caller waits for a response after its deadline.
 RESPONSE_GRACE_S = 1.5
-# A stream of the last route is sent to one endpoint only, so that callers take
-# it up when it breaks off.
-ROUTES = ('book', 'find', 'draft', 'resume', 'single')
-STREAM_ROUTES = ('draft', 'resume', 'single')
-RESUMABLE_ROUTES = ('resume', 'single')
+# A stream of the route 'single' is sent to one endpoint only, so that callers
+# take it up when it breaks off.
+ROUTES = ('book', 'find', 'draft', 'resume', 'single', 'seek', 'long')
+STREAM_ROUTES = ('draft', 'resume', 'single', 'long')
+RESUMABLE_ROUTES = ('resume', 'single', 'long')
+LONG_ROUTES = ('seek', 'long')
 # Requests of these routes must not be repeated.
 AT_MOST_ONCE_ROUTES = ('book', 'draft')
 # Share of requests that may reuse an open connection.
@@ -27,6 +30,18 @@
 FORGED_WORKSPACE = 'somebody-else'
 
 
+def kind_of(route):
+    """Return the route of ROUTES that a route of a storm is like."""
+    return route.partition('-')[0]
+
+
+def deadline_s(route):
+    """Return the deadline of requests to a route."""
+    if kind_of(route) in LONG_ROUTES:
+        return LONG_DEADLINE_S
+    return DEADLINE_S
+
+
 class Target(typing.NamedTuple):
     """Hold the route, key and gateway of one request."""
 
@@ -101,15 +116,16 @@
             conn.abort()
 
     async def _exchange(self, conn, target, attempt, place):
+        time_s = deadline_s(target.route)
         headers = [
             ('host', deployments.HOST),
             ('attempt-id', attempt),
             ('authorization', f'Bearer {target.key}'),
             ('tenant', FORGED_WORKSPACE),
-            ('deadline-remaining-ms', str(int(DEADLINE_S * 1000))),
+            ('deadline-remaining-ms', str(int(time_s * 1000))),
             ('content-length', '4'),
         ]
-        if target.route in STREAM_ROUTES:
+        if kind_of(target.route) in STREAM_ROUTES:
             headers.append(('accept', 'text/event-stream'))
         if place is not None:
             headers.append(('resumes', place.first_attempt))
@@ -118,7 +134,7 @@
         try:
             conn.send_request('POST', path, headers, b'body')
             return await asyncio.wait_for(
-                deployments.read_response(conn), DEADLINE_S + RESPONSE_GRACE_S
+                deployments.read_response(conn), time_s + RESPONSE_GRACE_S
             )
         except (TimeoutError, exceptions.EndpointBrokenError):
             return deployments.Response()
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import collections
+import itertools
 
 from standins import windows
+from tools.soak import attribution
 from tools.soak import callers
 from tools.soak import endpoints
 
@@ -19,6 +21,8 @@
 DEADLINE_TOLERANCE_S = 0.5
 # A request that was sent to an endpoint arrives within this time.
 DELIVERY_S = 0.3
+# An endpoint may work on for this long beside the next one.
+HANDOVER_S = 0.4
 # A limit that an endpoint names is in force at all gateways after this time.
 LIMIT_NOTICE_S = 1.0
 # What may exceed it in a window: a share of the limit, and some requests.
@@ -44,6 +48,7 @@
         self._executions = collections.defaultdict(list)
         for execution in journal.executions:
             self._executions[execution.attempt].append(execution)
+        self._attributor = attribution.Attributor(journal)
 
     def check(self):
         """Add a finding for each violation of a promise."""
@@ -57,6 +62,8 @@
             self._check_executions(outcome)
             self._check_response(outcome)
             self._check_deadline(outcome)
+            self._check_unanswered(outcome)
+            self._check_handover(outcome)
         for stop in self._journal.stops:
             self._check_stop(stop)
         self._check_streams()
@@ -79,7 +86,8 @@
 
     def _check_executions(self, outcome):
         executions = self._executions[outcome.attempt]
-        at_most_once = outcome.route in callers.AT_MOST_ONCE_ROUTES
+        kind = callers.kind_of(outcome.route)
+        at_most_once = kind in callers.AT_MOST_ONCE_ROUTES
         if at_most_once and len(executions) > 1:
             used = [execution.endpoint for execution in executions]
             self._add_finding(
@@ -101,7 +109,7 @@
             outcome.attempt, version, outcome.last_event_id
         )
         expected = bodies.plain
-        if outcome.route in callers.STREAM_ROUTES:
+        if callers.kind_of(outcome.route) in callers.STREAM_ROUTES:
             expected = bodies.stream
         if received_id != outcome.attempt or outcome.body != expected:
             self._add_finding(
@@ -114,7 +122,7 @@
         """Check that one version wrote each stream, over all tries."""
         versions = collections.defaultdict(set)
         for outcome in self._journal.outcomes:
-            if outcome.route in callers.STREAM_ROUTES:
+            if callers.kind_of(outcome.route) in callers.STREAM_ROUTES:
                 first = outcome.resumes or outcome.attempt
                 versions[first] |= endpoints.versions_of(outcome.body)
         for attempt, wrote in versions.items():
@@ -128,7 +136,8 @@
         first_by_attempt = {o.attempt: o for o in self._journal.outcomes}
         counts = {True: [0, 0], False: [0, 0]}
         for outcome in self._journal.outcomes:
-            if outcome.route not in callers.RESUMABLE_ROUTES:
+            kind = callers.kind_of(outcome.route)
+            if kind not in callers.RESUMABLE_ROUTES:
                 continue
             resumed = outcome.resumes is not None
             first = first_by_attempt[outcome.resumes or outcome.attempt]
@@ -169,13 +178,51 @@
         ):
             return
         duration_s = outcome.ended_at - outcome.sent_at
-        if duration_s > callers.DEADLINE_S + DEADLINE_TOLERANCE_S:
+        limit_s = callers.deadline_s(outcome.route) + DEADLINE_TOLERANCE_S
+        if duration_s > limit_s:
             self._add_finding(
                 'answered at the deadline',
                 f'{outcome.attempt} on {outcome.route} took '
                 f'{duration_s:.2f} s',
             )
 
+    def _check_unanswered(self, outcome):
+        """Check what ended a request without an answer or a refusal."""
+        own_error = (
+            outcome.status is not None
+            and outcome.status >= 500
+            and outcome.status not in NOT_EXECUTED_STATUSES
+            and b'upstream-signature' not in outcome.headers
+        )
+        if outcome.complete and not own_error:
+            return
+        cause = self._attributor.find_cause(outcome)
+        if cause is not None:
+            self._journal.excused[cause.value] += 1
+            return
+        silent = self._attributor.fell_silent(outcome)
+        self._add_finding(
+            'silence ends no answer' if silent else 'answer or refusal',
+            self._attributor.describe(outcome),
+        )
+
+    def _check_handover(self, outcome):
+        """Check that no two endpoints worked on a request at a time."""
+        ran = [
+            visit
+            for visit in self._attributor.visits_of(outcome.attempt)
+            if visit.executed
+        ]
+        for first, second in itertools.combinations(ran, 2):
+            both_s = min(first.end, second.end) - second.begin
+            if both_s > HANDOVER_S and not self._link_disturbed(
+                first.endpoint, first.begin, first.end
+            ):
+                self._add_finding(
+                    'one endpoint at a time',
+                    f'{both_s:.2f} s: {self._attributor.describe(outcome)}',
+                )
+
     def _check_stop(self, stop):
         """Check that a planned stop was in time and broke off no request."""
         if not self._gateway_undisturbed(
@@ -189,6 +236,8 @@
         for outcome in self._journal.outcomes:
             if outcome.gateway != stop.gateway or outcome.complete:
                 continue
+            if self._attributor.reached_deadline(outcome):
+                continue
             overlaps = (
                 outcome.sent_at < stop.end and outcome.ended_at > stop.begin
             )
--- a/tools/soak/endpoints.py
+++ b/tools/soak/endpoints.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import typing
 
 from standins import platform_runner
 from tools.soak import records
+from tools.soak import silence
 
 EVENTS = 6
 EVENT_PAUSE_S = 0.03
@@ -14,8 +16,11 @@
 # Some requests take longer than a gateway process takes to exit.
 LONG_SERVICE_S = (0.4, 1.0)
 LONG_SHARE = 0.2
-# Longer than the deadline of callers.
+# Longer than the deadline of most callers.
 HANG_S = 4.0
+# Interval at which an endpoint looks whether its peer has closed.
+WATCH_S = 0.01
+WHOLE_BEHAVIOURS = ('answer', 'unframed_whole_stream')
 
 
 class SoakEndpoint(platform_runner.RunnerStandIn):
@@ -36,17 +41,37 @@
         self._rng = rng
         self._journal = journal
         self._now = now
+        self._gate = silence.WriteGate(rng, asyncio.Event())
+        # What is known of the visits in progress, by their task.
+        self._behaviours = {}
+        self._executing = set()
+
+    @contextlib.contextmanager
+    def fall_silent(self):
+        """Write nothing for a while, keep the connections, and go on."""
+        begin = self._now()
+        try:
+            with self._gate.close():
+                yield
+        finally:
+            self._journal.silences.append(
+                records.Silence(self.id, begin, self._now())
+            )
 
     def choose_behaviour(self):
         """Return a random misbehaviour or the default behaviour."""
+        chosen = self.default_behaviour
         for behaviour, share in self.misbehaviour_shares.items():
             if self._rng.random() < share:
-                return behaviour
-        return self.default_behaviour
+                chosen = behaviour
+                break
+        self._behaviours[asyncio.current_task()] = chosen
+        return chosen
 
     def record_run(self, attempt, headers):
         """Record that the execution of an attempt started."""
         super().record_run(attempt, headers)
+        self._executing.add(asyncio.current_task())
         workspace = headers.get(b'tenant', b'').decode()
         self._journal.executions.append(
             records.Execution(attempt, self._now(), self.id, workspace)
@@ -56,6 +81,49 @@
         """Return one event of the stream for an attempt."""
         return event(attempt, number, self.version)
 
+    async def _accept(self, reader, writer):
+        await super()._accept(
+            reader, silence.GatedWriter(reader, writer, self._gate)
+        )
+
+    async def _respond(self, http, writer, request, body):
+        """Respond to a request, and record how that ended."""
+        attempt = dict(request.headers).get(b'attempt-id')
+        if attempt is None:
+            return await super()._respond(http, writer, request, body)
+        begin, ending = self._now(), records.Ending.STOPPED
+        work = asyncio.create_task(
+            super()._respond(http, writer, request, body)
+        )
+        try:
+            keep = await _watch(work, writer)
+            ending = self._find_ending(work)
+            return keep
+        except OSError:
+            ending = records.Ending.CLOSED
+            raise
+        finally:
+            work.cancel()
+            self._journal.visits.append(
+                records.Visit(
+                    attempt.decode('latin-1'),
+                    self.id,
+                    begin,
+                    self._now(),
+                    self._behaviours.pop(work, ''),
+                    ending,
+                    work in self._executing,
+                )
+            )
+            self._executing.discard(work)
+
+    def _find_ending(self, work):
+        if work not in self._executing:
+            return records.Ending.REFUSED
+        if self._behaviours.get(work) in WHOLE_BEHAVIOURS:
+            return records.Ending.WHOLE
+        return records.Ending.BROKE_OFF
+
     async def _do_answer(self, reply, headers):
         is_long = self._rng.random() < self.long_share
         service_s = LONG_SERVICE_S if is_long else SERVICE_S
@@ -63,6 +131,20 @@
         return await super()._do_answer(reply, headers)
 
 
+async def _watch(work, writer):
+    """Return the result of a task; end it when the peer closes."""
+    while not work.done():
+        await asyncio.wait([work], timeout=WATCH_S)
+        if not work.done() and writer.peer_closed:
+            raise ConnectionResetError
+    keep = work.result()
+    while keep and writer.holding:
+        await asyncio.sleep(WATCH_S)
+        if writer.peer_closed:
+            raise ConnectionResetError
+    return keep
+
+
 def event(attempt, number, version='v1'):
     """Return one event of the stream for an attempt."""
     text = f'{attempt.decode()} {number} {version}'
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -30,6 +30,8 @@
         self.delay_s = 0.0
         self.target = None
         self.address = None
+        # Called when a connection is reset because the target does not listen.
+        self.on_refused = _ignore
         self._mode_changed = asyncio.Event()
         self._server = None
         self._tasks = set()
@@ -73,6 +75,7 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 upstream = await asyncio.open_connection(host, int(port))
         except (OSError, TimeoutError):
+            self.on_refused()
             platform_runner.reset(writer)
             return
         self._writers |= {writer, upstream[1]}
@@ -106,3 +109,7 @@
                 return
             writer.write(data)
             await writer.drain()
+
+
+def _ignore():
+    pass
--- a/tools/soak/records.py
+++ b/tools/soak/records.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+import enum
 import math
 import typing
 
@@ -18,6 +20,50 @@
     workspace: str
 
 
+class Ending(enum.Enum):
+    """Define how the work of an endpoint on a request ended."""
+
+    WHOLE = 'gave the whole answer'
+    BROKE_OFF = 'failed or broke off by itself'
+    REFUSED = 'refused'
+    CLOSED = 'was closed by its peer'
+    STOPPED = 'was stopped'
+
+
+class Visit(typing.NamedTuple):
+    """Record what an endpoint did with a request that reached it."""
+
+    attempt: str
+    endpoint: str
+    begin: float
+    end: float
+    behaviour: str
+    ending: Ending
+    executed: bool = True
+
+
+class Silence(typing.NamedTuple):
+    """Record that a sound endpoint wrote nothing in an interval."""
+
+    endpoint: str
+    begin: float
+    end: float
+
+
+class Refusal(typing.NamedTuple):
+    """Record that no process listened at a gateway or an endpoint."""
+
+    component: str
+    at: float
+
+
+class TimeoutChange(typing.NamedTuple):
+    """Record from when on requests of long routes have a timeout."""
+
+    at: float
+    timeout_s: float
+
+
 class Outcome(typing.NamedTuple):
     """Record what a caller received for one attempt; times in seconds."""
 
@@ -105,6 +151,12 @@
         self.disturbances = []
         self.stops = []
         self.limits = []
+        self.visits = []
+        self.silences = []
+        self.timeouts = []
+        self.refusals = []
+        # Requests that got neither an answer nor a refusal, by cause.
+        self.excused = collections.Counter()
         # Versions of endpoints by id, with the times at which they served.
         self.services = {}
         self.findings = []
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -83,7 +83,18 @@
         Kind('endpoint_limit_all', 7.0, 0),
     ),
     (Kind('endpoint_break_all', 6.0, 0.7),),
+    # The strength is the pause between two changes, in seconds.
+    (Kind('storm', 6.0, 0.4),),
 )
+# Silences of one endpoint, of all but one and of all, drawn as a series.
+SILENT_KINDS = (
+    'endpoint_silent',
+    'endpoint_silent_some',
+    'endpoint_silent_all',
+)
+SILENCE_S = (0.5, 2.2)
+SILENCES = (2, 8)
+SILENT_SHARE = 0.6
 # First group whose draws do not depend on the groups before it.
 SALTED_GROUP = 2
 # Share of the schedules that contain one kind of a group.
@@ -111,9 +122,27 @@
         if later.random() < LATER_SHARE:
             kind = later.choice(group)
             faults.append(_draw_fault(later, kind, gateways, endpoints))
+    later = random.Random(repr(faults) + 'silences')
+    if later.random() < SILENT_SHARE:
+        faults += _draw_silences(later, endpoints)
     return sorted(faults)
 
 
+def _draw_silences(rng, endpoints):
+    """Return a series of silences, some of which overlap."""
+    kinds = rng.choices(SILENT_KINDS, k=rng.randint(*SILENCES))
+    return [
+        Fault(
+            at=round(WARM_UP_S + rng.uniform(0, FAULT_WINDOW_S), 3),
+            kind=kind,
+            target=rng.randrange(endpoints),
+            duration_s=round(rng.uniform(*SILENCE_S), 3),
+            strength=0.0,
+        )
+        for kind in kinds
+    ]
+
+
 def _draw_fault(rng, kind, gateways, endpoints):
     index = rng.randrange(
         endpoints if kind.name.startswith('endpoint') else gateways
--- a/tools/soak/seed_run.py
+++ b/tools/soak/seed_run.py
@@ -17,6 +17,7 @@
 from tools.soak import checks
 from tools.soak import endpoints as endpoint_module
 from tools.soak import gateways as gateway_module
+from tools.soak import operators
 from tools.soak import proxy
 from tools.soak import records
 from tools.soak import schedule
@@ -25,10 +26,10 @@
 CALLERS = 8
 # Mean pause between two requests of a caller.
 MEAN_PAUSE_S = 0.12
-# Share of requests to the route that the newest version added.
+# Share of requests to the route that the newest version added, and of the
+# others to routes that a storm added.
 PROBE_SHARE = 0.15
-# Callers continue to use a key for this long after its revocation.
-REVOKED_KEY_USE_S = 6.0
+STORM_SHARE = 0.3
 # The platform removes a registration three heartbeats after a crash.
 REGISTRATION_EXPIRY_S = 1.0
 # Outage around the restoration of the store, and the time until what was lost
@@ -85,10 +86,9 @@
         self._platform = platform.PlatformStandIn([], 0.0)
         self._server = None
         self._started_at = time.monotonic()
-        self._version = 1
-        self._probe_routes = []
-        self._workspaces = {f'key-{n}': f'desk-{n}' for n in range(4)}
-        self._revoked_at = {}
+        self._operator = operators.Operator(
+            self._platform, self.journal, self._rng, self.now
+        )
         self._endpoint_starts = 0
         self._finished = False
 
@@ -129,7 +129,9 @@
                 self._finished = True
             run_end = self.now()
             self._check_processes()
-        checks.Checker(self.journal, self._workspaces, run_end).check()
+        checks.Checker(
+            self.journal, self._operator.workspaces, run_end
+        ).check()
         return self.journal.findings
 
     def now(self):
@@ -145,7 +147,7 @@
         )
         serving = asyncio.create_task(self._server.serve())
         try:
-            self._write_configuration()
+            self._operator.write()
             for index in range(self._counts[1]):
                 self._links.append(proxy.Proxy())
                 self._endpoints.append(None)
@@ -172,6 +174,7 @@
             settings['instance'], settings, self._folder, self._tree
         )
         self._gateways.append(gateway)
+        self._record_refusals(gateway.caller_link, gateway.name)
         await gateway.open_links(store)
         gateway.start()
 
@@ -190,6 +193,7 @@
         if link.address is not None:
             await link.stop()
         link.target = endpoint.address
+        self._record_refusals(link, endpoint.id)
         await link.start()
         self._endpoints[index] = endpoint
         self.journal.services[endpoint.id] = records.Service(
@@ -197,6 +201,17 @@
         )
         self._write_endpoint(index, 'ready')
 
+    def _record_refusals(self, link, component):
+        link.on_refused = lambda: self._record_refusal(component)
+
+    def _record_refusal(self, component):
+        self.journal.refusals.append(records.Refusal(component, self.now()))
+
+    async def _stop_endpoint(self, endpoint):
+        await endpoint.stop()
+        # Also refuses what had reached it only in part.
+        self._record_refusal(endpoint.id)
+
     def _end_service(self, endpoint):
         service = self.journal.services[endpoint.id]
         self.journal.services[endpoint.id] = service._replace(end=self.now())
@@ -216,28 +231,6 @@
         }
         self._platform.put_row('servers', endpoint.id, registration)
 
-    def _write_configuration(self):
-        routes = deployments.configuration()['Routes']
-        routes.append(
-            deployments.route(
-                'single', Kind='streaming', StreamResume=True, MaxAttempts=1
-            )
-        )
-        # Each version keeps the probe routes of the previous one.
-        probe_routes = [
-            deployments.route(name, Kind='idempotent')
-            for name in self._probe_routes
-        ]
-        tenants = [
-            {'Name': workspace, 'ApiKeys': [key], 'Priority': 1}
-            for key, workspace in self._workspaces.items()
-            if key not in self._revoked_at
-        ]
-        document = deployments.configuration(
-            self._version, Routes=routes + probe_routes, Tenants=tenants
-        )
-        self._platform.put_row('op', 'config', document)
-
     async def _run_caller(self, number):
         caller = callers.Caller(f'c{number}', self.journal, self.now)
         try:
@@ -247,7 +240,9 @@
                 outcome = await caller.send_request(target, reuse)
                 if outcome is None:
                     await asyncio.sleep(MEAN_PAUSE_S)
-                elif outcome.route in callers.RESUMABLE_ROUTES:
+                elif (
+                    callers.kind_of(outcome.route) in callers.RESUMABLE_ROUTES
+                ):
                     await self._take_up(caller, target, outcome)
                 await asyncio.sleep(self._rng.expovariate(1 / MEAN_PAUSE_S))
         finally:
@@ -272,16 +267,15 @@
                 return
 
     def _choose_target(self):
-        route = self._rng.choice(callers.ROUTES)
-        if self._probe_routes and self._rng.random() < PROBE_SHARE:
-            route = self._probe_routes[-1]
-        keys = [
-            key
-            for key in self._workspaces
-            if self.now() < self._revoked_at.get(key, 1e9) + REVOKED_KEY_USE_S
-        ]
+        operator, route = self._operator, self._rng.choice(callers.ROUTES)
+        if operator.probe_routes and self._rng.random() < PROBE_SHARE:
+            route = operator.probe_routes[-1]
+        elif operator.storm_routes and self._rng.random() < STORM_SHARE:
+            route = self._rng.choice(operator.storm_routes)
         return callers.Target(
-            route, self._rng.choice(keys), self._rng.choice(self._gateways)
+            route,
+            self._rng.choice(operator.used_keys),
+            self._rng.choice(self._gateways),
         )
 
     async def _run_fault(self, fault):
@@ -296,7 +290,10 @@
 
     def _find_component(self, fault):
         kind = fault.kind
-        if kind in ('version', 'revoke', 'endpoint_leave', 'reload'):
+        if kind in ('version', 'revoke', 'storm', 'endpoint_leave', 'reload'):
+            return None
+        if kind in schedule.SILENT_KINDS:
+            # Silence excuses nothing.
             return None
         if kind.startswith('endpoint_limit') or kind == 'endpoint_break_all':
             return None
@@ -354,7 +351,7 @@
         self._platform.restore(copied)
         self._platform.fault = 'none'
         await asyncio.sleep(RESTORE_S)
-        self._write_configuration()
+        self._operator.write()
         for index, endpoint in enumerate(self._endpoints):
             state = 'draining' if endpoint.leaving else 'ready'
             self._write_endpoint(index, state)
@@ -454,7 +451,7 @@
             return
         endpoint.leaving = True
         self._end_service(endpoint)
-        await endpoint.stop()
+        await self._stop_endpoint(endpoint)
         self._links[fault.target].reset_all()
         await asyncio.sleep(fault.duration_s)
         await self._start_endpoint(fault.target)
@@ -473,29 +470,40 @@
         )
         await asyncio.sleep(checks.LEAVING_S + fault.duration_s)
         self._platform.remove_row('servers', endpoint.id)
-        await endpoint.stop()
+        await self._stop_endpoint(endpoint)
         await self._start_endpoint(fault.target)
 
     async def _do_version(self, fault):
-        self._version += self._rng.randint(1, 5)
-        name = f'v{self._version}'
-        self._probe_routes.append(name)
-        self._write_configuration()
-        self.journal.changes.append(
-            records.Change('version', name, self.now())
-        )
+        self._operator.add_version()
 
     async def _do_revoke(self, fault):
-        active = [
-            key for key in self._workspaces if key not in self._revoked_at
-        ]
-        if len(active) < 2:
-            return
-        key = self._rng.choice(active)
-        self._revoked_at[key] = self.now()
-        self._version += 1
-        self._write_configuration()
-        self.journal.changes.append(records.Change('revoked', key, self.now()))
+        self._operator.revoke_key()
+
+    async def _do_storm(self, fault):
+        """Change the configuration in quick succession."""
+        ends_at = self.now() + fault.duration_s
+        while self.now() < ends_at:
+            self._operator.change_at_random()
+            await asyncio.sleep(fault.strength)
+
+    async def _do_endpoint_silent(self, fault):
+        await self._silence([self._endpoints[fault.target]], fault)
+
+    async def _do_endpoint_silent_some(self, fault):
+        spared = self._endpoints[fault.target]
+        await self._silence(
+            [e for e in self._endpoints if e is not spared], fault
+        )
+
+    async def _do_endpoint_silent_all(self, fault):
+        await self._silence(self._endpoints, fault)
+
+    async def _silence(self, endpoints, fault):
+        """Let endpoints fall silent at the same time, and go on."""
+        with contextlib.ExitStack() as stack:
+            for endpoint in endpoints:
+                stack.enter_context(endpoint.fall_silent())
+            await asyncio.sleep(fault.duration_s)
 
     def _check_processes(self):
         for gateway in self._gateways:
