Measure when the machine did not run the processes of the soak

The kernel's count of the time that each process was ready and not run is sampled; exactly that is deducted where the soak judges a time, and each seed prints it. A late answer beyond it stays a finding.

The test with 1.5 s of waits has a finding, the one with 1.6 s has none.

--- a/persimmonroute/tests/soak_tests.py
+++ b/persimmonroute/tests/soak_tests.py
@@ -152,6 +152,25 @@
         )
         self.assertEqual(self._check(), set())
 
+    def test_late_response_of_a_process_that_was_not_run(self):
+        """What the machine did not run is measured and deducted, no more."""
+        self._execute()
+        for end, expected in (
+            (12.5, {'answered at the deadline'}),
+            (12.6, set()),
+        ):
+            with self.subTest(end=end):
+                self.journal.findings.clear()
+                self.journal.outcomes.clear()
+                self.journal.starvations[:] = [
+                    records.Starvation('gateway-0', 11.0, end),
+                    records.Starvation('soak', 11.0, 11.5),
+                    records.Starvation('gateway-1', 10.0, 13.0),
+                ]
+                self.assertEqual(
+                    self._check(outcome(ended_at=14.05)), expected
+                )
+
     def test_revoked_key(self):
         """A revoked key is refused even during a disturbance."""
         self._execute()
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -30,6 +30,7 @@
 
 from tools.soak import mutants
 from tools.soak import seed_run
+from tools.soak import starvation
 
 RANDOM_SEED_LIMIT = 10**9
 
@@ -45,6 +46,8 @@
     findings: list
     # Requests that got neither an answer nor a refusal, by what excuses it.
     excused: dict[str, int]
+    # Seconds for which processes were ready and not run, by process.
+    starved: dict[str, float]
 
 
 def run_seed(seed, keep_folder=None, tree=seed_run.ROOT):
@@ -65,6 +68,7 @@
             [fault.kind for fault in run.faults],
             findings,
             dict(run.journal.excused),
+            starvation.sum_s(run.journal),
         )
     finally:
         shutil.rmtree(folder, ignore_errors=True)
@@ -92,6 +96,8 @@
     )
     if result.excused:
         print('  neither answered nor refused:', result.excused)
+    if result.starved:
+        print('  not run, in seconds:', result.starved)
     if verbose or result.findings:
         print('  faults:', ', '.join(result.faults))
     for finding in result.findings[:10]:
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -9,6 +9,7 @@
 from tools.soak import attribution
 from tools.soak import callers
 from tools.soak import endpoints
+from tools.soak import starvation
 
 # Time bounds from the settings of the gateways.
 REVOCATION_S = 3.0
@@ -179,12 +180,22 @@
             return
         duration_s = outcome.ended_at - outcome.sent_at
         limit_s = callers.deadline_s(outcome.route) + DEADLINE_TOLERANCE_S
-        if duration_s > limit_s:
-            self._add_finding(
-                'answered at the deadline',
-                f'{outcome.attempt} on {outcome.route} took '
-                f'{duration_s:.2f} s',
-            )
+        if duration_s <= limit_s:
+            return
+        starved_s = starvation.measure_s(
+            self._journal,
+            (outcome.gateway, starvation.SOAK),
+            outcome.sent_at,
+            outcome.ended_at,
+        )
+        if duration_s - starved_s <= limit_s:
+            self._journal.excused['late, processes were not run'] += 1
+            return
+        self._add_finding(
+            'answered at the deadline',
+            f'{outcome.attempt} on {outcome.route} took '
+            f'{duration_s:.2f} s, {starved_s:.2f} s of them not run',
+        )
 
     def _check_unanswered(self, outcome):
         """Check what ended a request without an answer or a refusal."""
@@ -214,7 +225,14 @@
             if visit.executed
         ]
         for first, second in itertools.combinations(ran, 2):
-            both_s = min(first.end, second.end) - second.begin
+            end = min(first.end, second.end)
+            both_s = (
+                end
+                - second.begin
+                - starvation.measure_s(
+                    self._journal, (starvation.SOAK,), second.begin, end
+                )
+            )
             if both_s > HANDOVER_S and not self._link_disturbed(
                 first.endpoint, first.begin, first.end
             ):
--- a/tools/soak/gateways.py
+++ b/tools/soak/gateways.py
@@ -41,6 +41,11 @@
         """Return whether the process is running."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def pid(self):
+        """Return the id of the last process, or None before the first."""
+        return self._process and self._process.pid
+
     @property
     def exit_status(self):
         """Return the exit status of the last process."""
--- a/tools/soak/records.py
+++ b/tools/soak/records.py
@@ -57,6 +57,14 @@
     at: float
 
 
+class Starvation(typing.NamedTuple):
+    """Record that a process was ready but was not run in an interval."""
+
+    component: str
+    begin: float
+    end: float
+
+
 class TimeoutChange(typing.NamedTuple):
     """Record from when on requests of long routes have a timeout."""
 
@@ -155,6 +163,7 @@
         self.silences = []
         self.timeouts = []
         self.refusals = []
+        self.starvations = []
         # Requests that got neither an answer nor a refusal, by cause.
         self.excused = collections.Counter()
         # Versions of endpoints by id, with the times at which they served.
--- a/tools/soak/seed_run.py
+++ b/tools/soak/seed_run.py
@@ -21,6 +21,7 @@
 from tools.soak import proxy
 from tools.soak import records
 from tools.soak import schedule
+from tools.soak import starvation
 
 ROOT = pathlib.Path(__file__).parents[2]
 CALLERS = 8
@@ -119,6 +120,9 @@
         async with self.deployment():
             self._started_at = time.monotonic()
             self.faults = schedule.draw_faults(self._rng, *self._counts)
+            watching = asyncio.create_task(
+                starvation.watch(self._gateways, self.journal, self.now)
+            )
             async with asyncio.TaskGroup() as group:
                 for number in range(CALLERS):
                     group.create_task(self._run_caller(number))
@@ -128,6 +132,7 @@
                 await asyncio.sleep(schedule.FAULT_FREE_S)
                 self._finished = True
             run_end = self.now()
+            watching.cancel()
             self._check_processes()
         checks.Checker(
             self.journal, self._operator.workspaces, run_end
