Give out only ports that are free for datagrams too

Only the TCP port was tried; processes whose ids are 40 apart share a block.

A port is bound for both protocols before it is given out.

--- a/standins/gateway_deployment.py
+++ b/standins/gateway_deployment.py
@@ -277,7 +277,7 @@
 
 
 def free_port():
-    """Return a free loopback port that is not given out again soon.
+    """Return a loopback port, free for both protocols, not given again soon.
 
     The ports lie below those of outgoing connections, and processes that
     run at the same time begin at different ones.
@@ -286,8 +286,11 @@
     first = os.getpid() * PORTS_PER_PROCESS
     for _ in range(PORT_COUNT):
         port = FIRST_PORT + (first + next(_port_numbers)) % PORT_COUNT
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            sock.bind(('127.0.0.1', port))
-            return port
+        datagrams = socket.socket(type=socket.SOCK_DGRAM)
+        with socket.socket() as sock, datagrams:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                sock.bind(('127.0.0.1', port))
+                datagrams.bind(('127.0.0.1', port))
+                return port
     raise AssertionError('no free port')
