--- a/tools/soak/operators.py
+++ b/tools/soak/operators.py
@@ -6,8 +6,10 @@
 from tools.soak import callers
 from tools.soak import records
 
-# Callers continue to use a key for this long after its revocation.
+# A share of the requests continues to use keys for a while after their
+# revocation.
 REVOKED_KEY_USE_S = 6.0
+REVOKED_KEY_SHARE = 0.4
 WORKSPACES = 4
 # A service without endpoints, to which storms move routes.
 SPARE_SERVICE = 'spare'
@@ -45,14 +47,18 @@
         """Return the names of the routes that a storm added and kept."""
         return list(self._storm_services)
 
-    @property
-    def used_keys(self):
-        """Return the keys that callers use."""
-        return [
+    def choose_key(self):
+        """Return the key of a request; some were revoked lately."""
+        revoked = [
             key
-            for key in self.workspaces
-            if self._now() < self._revoked_at.get(key, 1e9) + REVOKED_KEY_USE_S
+            for key, since in self._revoked_at.items()
+            if self._now() < since + REVOKED_KEY_USE_S
         ]
+        if revoked and self._rng.random() < REVOKED_KEY_SHARE:
+            return self._rng.choice(revoked)
+        return self._rng.choice(
+            [key for key in self.workspaces if key not in self._revoked_at]
+        )
 
     def write(self):
         """Write the configuration to the store."""
--- a/tools/soak/seed_run.py
+++ b/tools/soak/seed_run.py
@@ -279,7 +279,7 @@
             route = self._rng.choice(operator.storm_routes)
         return callers.Target(
             route,
-            self._rng.choice(operator.used_keys),
+            operator.choose_key(),
             self._rng.choice(self._gateways),
         )
 
