Add mutants of what silence may do

The soak had no mutant of silent endpoints.

Three are added: silence ends an attempt before another place is found, a refusal of a search ends the response, an endpoint that is left works on.

--- a/tools/soak/mutants.py
+++ b/tools/soak/mutants.py
@@ -208,6 +208,35 @@
             ),
         ),
     ),
+    Mutant(
+        'silence ends an attempt before another place is found',
+        (
+            Edit(
+                'gateway/standby.py',
+                'from persimmonroute import timeouts',
+                'from persimmonroute import exceptions, timeouts',
+            ),
+            Edit(
+                'gateway/standby.py',
+                'self._on_silent()',
+                "raise exceptions.EndpointBrokenError('silent')",
+            ),
+        ),
+    ),
+    Mutant(
+        'a refusal of a search ends the response',
+        (
+            Edit(
+                'gateway/places.py',
+                'await asyncio.sleep(SEARCH_PAUSE_S)',
+                "raise exceptions.EndpointBrokenError('no other place')",
+            ),
+        ),
+    ),
+    Mutant(
+        'lets an endpoint that it leaves work on',
+        (Edit(FORWARDING, 'call.abandon()', 'pass'),),
+    ),
     Mutant(
         'ends when it is told to read its settings again',
         (
