--- a/tools/soak/seed_run.py
+++ b/tools/soak/seed_run.py
@@ -131,7 +131,7 @@
                 )
                 await asyncio.sleep(schedule.FAULT_FREE_S)
                 self._finished = True
-            run_end = self.now()
+                run_end = self.now()
             watching.cancel()
             self._check_processes()
         checks.Checker(
