Reserve a block of ports for each process that runs gateways

Processes whose ids are 40 apart used the same block, and a free port was taken by another process before its gateway had bound it.

A process keeps a datagram socket on the first port of its block.

--- a/standins/gateway_deployment.py
+++ b/standins/gateway_deployment.py
@@ -24,9 +24,11 @@
 READY_TIMEOUT_S = 10.0
 # Below the range of outgoing connections, which begins at 32768.
 FIRST_PORT = 12_000
-PORT_COUNT = 16_000
-PORTS_PER_PROCESS = 400
+PORT_BLOCKS = 40
+PORTS_PER_BLOCK = 400
 _port_numbers = itertools.count()
+# Sockets on the first port of the block that each process has reserved.
+_reservations = {}
 
 
 def route(name, **fields):
@@ -280,12 +282,11 @@
     """Return a loopback port, free for both protocols, not given again soon.
 
     The ports lie below those of outgoing connections, and processes that
-    run at the same time begin at different ones.
+    run at the same time have different ones.
     """
-    # A forked process continues with the numbers of its parent.
-    first = os.getpid() * PORTS_PER_PROCESS
-    for _ in range(PORT_COUNT):
-        port = FIRST_PORT + (first + next(_port_numbers)) % PORT_COUNT
+    first = _reserve_ports()
+    for _ in range(PORTS_PER_BLOCK):
+        port = first + 1 + next(_port_numbers) % (PORTS_PER_BLOCK - 1)
         datagrams = socket.socket(type=socket.SOCK_DGRAM)
         with socket.socket() as sock, datagrams:
             with contextlib.suppress(OSError):
@@ -294,3 +295,22 @@
                 datagrams.bind(('127.0.0.1', port))
                 return port
     raise AssertionError('no free port')
+
+
+def _reserve_ports():
+    """Return the first port of the block of this process."""
+    pid = os.getpid()
+    for number in range(PORT_BLOCKS):
+        if pid in _reservations:
+            break
+        block = (pid + number) % PORT_BLOCKS
+        sock = socket.socket(type=socket.SOCK_DGRAM)
+        try:
+            sock.bind(('127.0.0.1', FIRST_PORT + block * PORTS_PER_BLOCK))
+        except OSError:
+            sock.close()
+        else:
+            _reservations[pid] = sock
+    if pid not in _reservations:
+        raise AssertionError('no free block of ports')
+    return _reservations[pid].getsockname()[1]
