--- a/persimmonroute/tests/soak_tests.py
+++ b/persimmonroute/tests/soak_tests.py
@@ -27,8 +27,10 @@
 # Seeds that had a finding in the past, with its cause:
 # 108: the recovery check covered a planned stop that began late;
 # 7: the recovery check required five requests when only four were sent;
-# 14: a leaving endpoint, detected by the mutant that ignores this state.
-REGRESSION_SEEDS = (7, 14, 108)
+# 14: a leaving endpoint, detected by the mutant that ignores this state;
+# 2: answers ended while endpoints were silent;
+# 24: silences beside a storm of changes, and an endpoint that crashes.
+REGRESSION_SEEDS = (2, 7, 14, 24, 108)
 JOBS = 3
 KEYS = {'key-0': 'desk-0', 'key-1': 'desk-1'}
 
