--- a/standins/gateway_deployment.py
+++ b/standins/gateway_deployment.py
@@ -24,9 +24,11 @@
 READY_TIMEOUT_S = 10.0
 # Below the range of outgoing connections, which begins at 32768.
 FIRST_PORT = 12_000
-PORT_COUNT = 16_000
-PORTS_PER_PROCESS = 400
+PORT_BLOCKS = 40
+PORTS_PER_BLOCK = 400
 _port_numbers = itertools.count()
+# Sockets on the first port of the block that each process has reserved.
+_reservations = {}
 
 
 def route(name, **fields):
@@ -289,29 +291,38 @@
 
 
 def free_port():
-    """Return a free loopback port that is not given out again soon.
+    """Return a loopback port, free for both protocols, not given again soon.
 
     The ports lie below those of outgoing connections, and processes that
-    run at the same time begin at different ones.
+    run at the same time have different ones.
     """
-    # A forked process continues with the numbers of its parent.
-    first = os.getpid() * PORTS_PER_PROCESS
-    for _ in range(PORT_COUNT):
-        port = FIRST_PORT + (first + next(_port_numbers)) % PORT_COUNT
-        if _is_free(port):
-            return port
+    first = _reserve_ports()
+    for _ in range(PORTS_PER_BLOCK):
+        port = first + 1 + next(_port_numbers) % (PORTS_PER_BLOCK - 1)
+        datagrams = socket.socket(type=socket.SOCK_DGRAM)
+        with socket.socket() as sock, datagrams:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                sock.bind(('127.0.0.1', port))
+                datagrams.bind(('127.0.0.1', port))
+                return port
     raise AssertionError('no free port')
 
 
-def _is_free(port):
-    """Return whether a port can be bound, as gateways do, for TCP and UDP."""
-    with (
-        socket.socket() as tcp,
-        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
-        contextlib.suppress(OSError),
-    ):
-        tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        tcp.bind(('127.0.0.1', port))
-        udp.bind(('127.0.0.1', port))
-        return True
-    return False
+def _reserve_ports():
+    """Return the first port of the block of this process."""
+    pid = os.getpid()
+    for number in range(PORT_BLOCKS):
+        if pid in _reservations:
+            break
+        block = (pid + number) % PORT_BLOCKS
+        sock = socket.socket(type=socket.SOCK_DGRAM)
+        try:
+            sock.bind(('127.0.0.1', FIRST_PORT + block * PORTS_PER_BLOCK))
+        except OSError:
+            sock.close()
+        else:
+            _reservations[pid] = sock
+    if pid not in _reservations:
+        raise AssertionError('no free block of ports')
+    return _reservations[pid].getsockname()[1]
