Free slots that no gateway lists, and return second grants

Seen in a new driver of lost, doubled, late and reordered datagrams between gateways: hosts count slots that no request uses. A host freed the slot of a lost OfferEnd only with the next list for that group, and gateways without requests there send none; the silence of a gateway frees its slots, but one that works for other groups is never silent. A list that came after the last empty one, or a late copy of an offer, held a slot for good. A second grant of one request, by another host or for another endpoint, was taken for a repeated one, so its slot stayed taken as long as the request ran. Change: a host drops leases that are not listed for LEASE_TIMEOUT_S, and those that are listed at another endpoint; requests are listed to each host that granted them; a gateway returns each grant but the one in use, and names the endpoint, so that no other slot of the request is freed (a new field of OfferEnd, which older gateways pass over).

--- a/persimmonroute/gateway/admission_codec.py
+++ b/persimmonroute/gateway/admission_codec.py
@@ -21,6 +21,7 @@
                 offer_id=message.offer_id,
                 ending=message.ending.value,
                 first_byte_ms_plus_one=_plus_one(message.first_byte_s),
+                endpoint=message.runner_id,
             )
         elif isinstance(message, messages.LeaseList):
             _add_lease_list(encoded, message)
@@ -48,6 +49,7 @@
                 end.offer_id,
                 model.Ending(end.ending),
                 _minus_one(end.first_byte_ms_plus_one),
+                end.endpoint,
             )
             for end in encoded.ends
         ),
--- a/persimmonroute/gateway/admission_host.py
+++ b/persimmonroute/gateway/admission_host.py
@@ -88,6 +88,8 @@
         self.heard_at = now
         self.runner = None
         self.sent_at = None
+        # When its gateway last listed the request in flight.
+        self.listed_at = -math.inf
         self.first_byte_at = None
 
     @property
@@ -96,6 +98,14 @@
         return self.gateway, self.offer.offer_id
 
 
+class LearnedLease:
+    """Track a lease that was granted elsewhere."""
+
+    def __init__(self, view, now):
+        self.view = view
+        self.listed_at = now
+
+
 class HostedGroup:
     """Queue the requests for one group and track who uses its endpoints."""
 
@@ -112,7 +122,7 @@
         self.generation = -1
         self.offered_at = now
         self.requests = {}
-        # Leases granted elsewhere, by key, with their endpoint.
+        # Leases granted elsewhere, by key.
         self.learned = {}
         self._final_replies = collections.OrderedDict()
         # Gateways that failed to reach an endpoint, and when.
@@ -151,13 +161,18 @@
     def end(self, gateway, message, now):
         """Withdraw an offer or free the slot that it was granted."""
         key = (gateway, message.offer_id)
-        view = self.learned.pop(key, None)
-        if view is not None:
-            view.in_flight.pop(key, None)
+        given_up = message.runner_id
+        lease = self.learned.get(key)
+        if lease is not None and given_up in ('', lease.view.id):
+            self._forget(key)
             self.scheduler.dispatch_ready(self.group.service, now)
-        hosted = self.requests.pop(key, None)
+        hosted = self.requests.get(key)
         if hosted is None:
             return
+        if hosted.runner is not None:
+            if given_up not in ('', hosted.runner.id):
+                return
+        del self.requests[key]
         if hosted.runner is None:
             self.scheduler.withdraw(hosted)
             return
@@ -171,37 +186,60 @@
 
     def apply_leases(self, gateway, leases, now):
         """Replace what is known about the requests of a gateway."""
-        listed = {(gateway, lease.offer_id) for lease in leases}
+        listed = {(gateway, lease.offer_id): lease for lease in leases}
         for key in [k for k in self.learned if k[0] == gateway]:
-            if key not in listed:
-                self.learned.pop(key).in_flight.pop(key, None)
+            lease = listed.get(key)
+            if lease is None or lease.runner_id != self.learned[key].view.id:
+                self._forget(key)
         for hosted in self._of_gateway(gateway):
-            if hosted.runner is None or hosted.attempt in listed:
+            if hosted.runner is None:
                 continue
-            if now - hosted.sent_at > LIST_CROSSING_S:
+            lease = listed.get(hosted.attempt)
+            if lease is not None and lease.runner_id == hosted.runner.id:
+                hosted.listed_at = now
+            elif now - hosted.sent_at > LIST_CROSSING_S:
                 self._drop(hosted, now)
-        for lease in leases:
-            key = (gateway, lease.offer_id)
-            view = self.runner_registry.find(lease.runner_id)
-            if view is None or key in view.in_flight:
-                continue
-            view.in_flight[key] = None
-            self.learned[key] = view
-            self.scheduler.record_foreign(view, now)
+        for key, lease in listed.items():
+            self._learn(key, lease, now)
         self.scheduler.dispatch_ready(self.group.service, now)
 
+    def _learn(self, key, lease, now):
+        """Count a listed request unless it was granted here."""
+        if key in self.learned:
+            self.learned[key].listed_at = now
+            return
+        view = self.runner_registry.find(lease.runner_id)
+        if view is None or key in view.in_flight:
+            return
+        view.in_flight[key] = None
+        self.learned[key] = LearnedLease(view, now)
+        self.scheduler.record_foreign(view, now)
+
+    def _forget(self, key):
+        self.learned.pop(key).view.in_flight.pop(key, None)
+
     def drop_gateway(self, gateway, now):
         """Free the slots of a gateway that is gone."""
         self.apply_leases(gateway, (), now + LIST_CROSSING_S)
         for hosted in self._of_gateway(gateway):
             self._drop(hosted, now)
 
-    def expire_offers(self, now):
-        """Withdraw the queued offers that are not repeated any more."""
+    def expire(self, now):
+        """Drop the offers that are not repeated and leases not listed.
+
+        A gateway may be in touch without knowing of them any more.
+        """
+        for key, lease in list(self.learned.items()):
+            if now - lease.listed_at > LEASE_TIMEOUT_S:
+                self._forget(key)
         for hosted in list(self.requests.values()):
             if hosted.runner is None:
-                if now - hosted.heard_at > OFFER_TIMEOUT_S:
-                    self._drop(hosted, now)
+                expired = now - hosted.heard_at > OFFER_TIMEOUT_S
+            else:
+                listed_at = max(hosted.sent_at, hosted.listed_at)
+                expired = now - listed_at > LEASE_TIMEOUT_S
+            if expired:
+                self._drop(hosted, now)
 
     def take_replies(self):
         """Return the scheduler's decisions as (gateway, reply) pairs."""
@@ -334,7 +372,7 @@
             self._update_runners(hosted_group, now)
             for gateway in silent:
                 hosted_group.drop_gateway(gateway, now)
-            hosted_group.expire_offers(now)
+            hosted_group.expire(now)
             hosted_group.scheduler.dispatch_all_ready(now)
             idle = now - hosted_group.offered_at > IDLE_GROUP_S
             if idle and not hosted_group.requests and not hosted_group.learned:
--- a/persimmonroute/gateway/admission_messages.py
+++ b/persimmonroute/gateway/admission_messages.py
@@ -85,6 +85,9 @@
     # Time from the sending to the first byte of the response, if there was
     # one.
     first_byte_s: float | None = None
+    # The only endpoint that is given up, of a grant that is returned; empty
+    # if the request occupies none any more.
+    runner_id: str = ''
 
 
 class Lease(typing.NamedTuple):
--- a/persimmonroute/gateway/offers.py
+++ b/persimmonroute/gateway/offers.py
@@ -69,7 +69,7 @@
 
 
 class LeaseListState:
-    """Track what was last listed to the host of a group."""
+    """Track what was last listed to one host of a group."""
 
     def __init__(self):
         self.sent_at = -math.inf
@@ -87,6 +87,7 @@
         self._offers = {}
         # Requests in flight, by offer id.
         self._leases = {}
+        # By group and host.
         self._lists = {}
         # A random start keeps the ids of two incarnations apart.
         self._offer_ids = itertools.count(random.getrandbits(48) << 14)
@@ -157,10 +158,9 @@
         self._directory.record_response(host)
         state = self._offers.get(reply.offer_id)
         if state is None or state.host != host:
-            # A repeated grant may cross the offer that it answers.
-            used = reply.offer_id in self._leases
-            if isinstance(reply, admission_messages.Grant) and not used:
-                self._return_grant(host, reply)
+            if isinstance(reply, admission_messages.Grant):
+                if not self._is_used(host, reply):
+                    self._return_grant(host, reply)
             return
         state.heard_at = now
         state.unanswered = 0
@@ -177,6 +177,13 @@
         else:
             self._replace_host(state, now)
 
+    def _is_used(self, host, grant):
+        """Return whether a repeated grant is the one in use."""
+        pending = self._leases.get(grant.offer_id)
+        if pending is None or pending.host != host:
+            return False
+        return pending.runner.id == grant.runner_id
+
     def record_local_grant(self, pending):
         """Record that the gateway itself granted an undecided request."""
         self._leases[pending.offer_id] = pending
@@ -355,12 +362,14 @@
         self._send_to_next_host(state, now)
 
     def _return_grant(self, host, grant):
-        self._end(host, grant.offer_id, Ending.ABANDONED)
+        self._end(
+            host, grant.offer_id, Ending.ABANDONED, runner_id=grant.runner_id
+        )
 
-    def _end(self, host, offer_id, ending, first_byte_s=None):
+    def _end(self, host, offer_id, ending, first_byte_s=None, runner_id=''):
         if host is not None:
             message = admission_messages.OfferEnd(
-                offer_id, ending, first_byte_s
+                offer_id, ending, first_byte_s, runner_id
             )
             self.put(Send(host, message))
 
@@ -373,10 +382,19 @@
         heapq.heappush(self._wakeups, (at, state.pending.offer_id))
 
     def _send_lists(self, now):
-        """List the requests in flight to the host of each group."""
+        """List the requests in flight to the hosts of each group."""
         if now - self._lists_at < LEASE_LIST_INTERVAL_S / 4:
             return
         self._lists_at = now
+        leases = self._list_leases()
+        targets = self._find_list_targets(leases, now)
+        for target in sorted(targets | self._lists.keys()):
+            group, _ = target
+            listed = leases[group] if target in targets else ()
+            self._send_list(target, listed, now)
+
+    def _list_leases(self):
+        """Return the requests in flight by the group of their endpoint."""
         leases = {}
         for pending in self._leases.values():
             if pending.runner is None:
@@ -385,28 +403,39 @@
                 pending.runner.record.failure_domain
             )
             group = groups.Group(pending.service, region)
-            leases.setdefault(group, []).append(
-                admission_messages.Lease(pending.offer_id, pending.runner.id)
-            )
-        for group in leases.keys() | self._lists.keys():
-            self._send_list(group, leases.get(group, ()), now)
+            leases.setdefault(group, []).append(pending)
+        return leases
 
-    def _send_list(self, group, leases, now):
-        state = self._lists.setdefault(group, LeaseListState())
+    def _find_list_targets(self, leases, now):
+        """Return the groups with the hosts that count their requests.
+
+        These are the present host and all that granted a request.
+        """
+        targets = set()
+        for group, in_flight in leases.items():
+            hosts = {pending.host for pending in in_flight}
+            hosts.add(self._directory.find_host(group, (), now))
+            targets |= {(group, host) for host in hosts - {None}}
+        return targets
+
+    def _send_list(self, target, in_flight, now):
+        state = self._lists.setdefault(target, LeaseListState())
         if now - state.sent_at < LEASE_LIST_INTERVAL_S:
             return
-        if leases:
+        if in_flight:
             state.empty_lists = 0
         elif state.empty_lists >= EMPTY_LISTS:
-            del self._lists[group]
+            del self._lists[target]
             return
         else:
             state.empty_lists += 1
-        host = self._directory.find_host(group, (), now)
-        if host is not None:
-            state.sent_at = now
-            message = admission_messages.LeaseList(*group, tuple(leases))
-            self.put(Send(host, message))
+        state.sent_at = now
+        group, host = target
+        leases = tuple(
+            admission_messages.Lease(pending.offer_id, pending.runner.id)
+            for pending in in_flight
+        )
+        self.put(Send(host, admission_messages.LeaseList(*group, leases)))
 
     def find_groups(self, service):
         """Return the groups of a service, nearest first."""
--- a/persimmonroute/gateway/stream_origins.py
+++ b/persimmonroute/gateway/stream_origins.py
@@ -236,7 +236,7 @@
         message = admission_messages.StreamQuestion(
             question.key, question.service or ''
         )
-        for peer in question.unanswered:
+        for peer in sorted(question.unanswered):
             self._send(peer, message)
 
     def _send(self, peer, message):
--- a/persimmonroute/tests/gateway/admission_host_tests.py
+++ b/persimmonroute/tests/gateway/admission_host_tests.py
@@ -544,6 +544,7 @@
             messages.NotHost(6),
             messages.OfferEnd(7, model.Ending.ANSWERED, 0.0),
             messages.OfferEnd(8, model.Ending.SILENT),
+            messages.OfferEnd(9, model.Ending.ABANDONED, None, 'r1'),
             messages.LeaseList('llm', 'riga', (messages.Lease(9, 'r1'),)),
             messages.GroupSummary('llm', 'riga', {0: 0.5, 2: 1.0}),
             messages.StreamBegun(2**63, 'llm', 'v1'),
--- /dev/null
+++ b/tools/datagrams.py
@@ -0,0 +1,36 @@
+"""Play gateways whose datagrams are lost, doubled, late or out of order.
+
+Usage: datagrams [options]
+
+Options:
+  --seeds N  Number of seeds [default: 50].
+  --first N  First seed [default: 0].
+"""
+
+from __future__ import annotations
+
+import sys
+
+import docopt
+
+from standins import datagram_simulation
+
+
+def main(argv=None):
+    """Play the seeds; return 1 if any of them shows a violation."""
+    arguments = docopt.docopt(__doc__, argv)
+    first, count = int(arguments['--first']), int(arguments['--seeds'])
+    failed = 0
+    for seed in range(first, first + count):
+        play = datagram_simulation.play(seed)
+        granted = play.counts['granted'] + play.counts['granted alone']
+        print(f'{seed}: {granted} granted, {len(play.violations)} violations')
+        for violation in play.violations:
+            print('  {0.rule} at {0.at:.2f} s: {0.detail}'.format(violation))
+        failed += bool(play.violations)
+    print(f'{count - failed} of {count} seeds without a violation')
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
