Credit no share of a quota twice

A peer that stops is no member any more, so the others are credited its share; when it came back they were also credited its share of the whole time of its absence, at once: a full bucket after each restart of a peer. 2. A workspace that a configuration drops and a later one lists again got a new bucket, 0.4 full, and its usage counted from zero, which peers took for usage that shrank: they credited all that it had used before. Change: a peer that leaves is credited nothing until it reports again; buckets of dropped workspaces are kept and go on where they were.

--- a/persimmonroute/gateway/quotas.py
+++ b/persimmonroute/gateway/quotas.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import typing
 
 # Share of the tolerated excess that a bucket may hold. The rest covers what
@@ -13,6 +14,8 @@
 INITIAL_FILL_SHARE = 0.4
 # Fill of a bucket below which its use is reported to peers at once.
 PRESSURE_SHARE = 0.8
+# Buckets kept of workspaces that the configuration does not list any more.
+MAX_FORMER_BUCKETS = 4096
 
 
 class Tolerance(typing.NamedTuple):
@@ -63,6 +66,9 @@
         # Time of the first configuration; peer reports arrive from then on.
         self._started_at = None
         self._buckets = {}
+        # Buckets of workspaces that may be listed again: their usage goes on,
+        # as peers count from what was reported before.
+        self._former_buckets = collections.OrderedDict()
         self._peer_used = {}
         # Time of each peer's last report; None before the first one.
         self._last_report_at = {}
@@ -84,6 +90,11 @@
 
     def set_peers(self, last_report_at, reporting_share):
         """Set the last report times and the share of responsive gateways."""
+        if self._last_report_at.keys() - last_report_at.keys():
+            # While a peer is gone, the others are credited its share.
+            for bucket in self._buckets.values():
+                for peer in bucket.credited_until.keys() - last_report_at:
+                    del bucket.credited_until[peer]
         self._last_report_at = last_report_at
         self._reporting_share = reporting_share
 
@@ -96,7 +107,7 @@
             quota = workspace.quota
             if quota is None:
                 continue
-            bucket = self._buckets.get(workspace.name)
+            bucket = self._find_bucket(workspace.name)
             if bucket is None:
                 bucket = Bucket(quota, self._tolerance, now)
             elif bucket.quota != quota:
@@ -104,8 +115,24 @@
                 bucket.quota = quota
                 bucket.level = min(bucket.level, bucket.capacity)
             buckets[workspace.name] = bucket
+        self._keep_former(self._buckets.keys() - buckets.keys())
         self._buckets = buckets
 
+    def _find_bucket(self, name):
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            bucket = self._former_buckets.pop(name, None)
+            if bucket is not None:
+                bucket.tolerance = self._tolerance
+        return bucket
+
+    def _keep_former(self, names):
+        for name in names:
+            bucket = self._former_buckets[name] = self._buckets[name]
+            bucket.credited_until.clear()
+        while len(self._former_buckets) > MAX_FORMER_BUCKETS:
+            self._former_buckets.popitem(last=False)
+
     def units(self, workspace, request):
         """Return the units that a request is charged."""
         if request.states_tokens:
--- a/persimmonroute/tests/gateway/quotas_tests.py
+++ b/persimmonroute/tests/gateway/quotas_tests.py
@@ -168,6 +168,43 @@
             used = sum(u for at, u in taken if start <= at < start + 8.0)
             self.assertLessEqual(used, allowed)
 
+    def test_returning_peer_credits_no_refill_twice(self):
+        """Guards against a full bucket after each restart of a peer."""
+        limiter = self._limiter()
+        limiter.set_peers({'peer': 0.0}, 1.0)
+        request = fixtures.request()
+        taken, now = 0, 0.0
+        while now < 60.0:
+            now += 0.05
+            if now < 20.0 or now > 40.0:
+                limiter.set_peers({'peer': now}, 1.0)
+            else:
+                limiter.set_peers({}, 1.0)
+            taken += limiter.take(WORKSPACE, request, now) == 0.0
+        full = limiter._buckets[WORKSPACE.name].capacity
+        allowed = quotas.INITIAL_FILL_SHARE * full + QUOTA.per_s * now
+        self.assertLessEqual(taken * 100, allowed)
+
+    def test_workspace_that_returns_is_credited_nothing(self):
+        """Guards against peers that credit usage as if it shrank."""
+        limiter, peer = self._limiter(), self._limiter()
+        for each in (limiter, peer):
+            each.apply((WORKSPACE,), 100.0)
+        request = fixtures.request()
+        while limiter.take(WORKSPACE, request, 100.0) == 0.0:
+            peer.apply_peer_usage('own', limiter.report_used(), 100.0)
+        level = peer.report_remaining()['desk']
+        own_level = limiter.report_remaining()['desk']
+        limiter.apply((), 100.1)
+        peer.apply_peer_usage('own', limiter.report_used(), 100.1)
+        limiter.apply((WORKSPACE,), 100.1)
+        self.assertLess(limiter.report_remaining()['desk'], own_level + 20.0)
+        wait = limiter.take(WORKSPACE, request, 100.1)
+        limiter.take(WORKSPACE, request, 100.1 + wait)
+        used = limiter.report_used()
+        peer.apply_peer_usage('own', used, 100.1 + wait)
+        self.assertLess(peer.report_remaining()['desk'], level + 100 * wait)
+
     def test_lower_quota_binds_at_once(self):
         """A lowered quota leaves at most its own burst."""
         limiter = self._limiter(quotas.Tolerance())
