Ignore late reports of an earlier start of a peer

A report of a peer was ignored if it was older than the last of the same start, but any other start was taken for a new one. A datagram of before a restart that came after one of the new start turned the peer back: its usage was deducted in full again, then that of the new start too, and its old load counted until the next report. Change: starts that others have replaced are remembered for each peer, and their reports ignored, whatever the clock that numbers them shows. Before: test_late_report_of_an_earlier_start_is_ignored failed (the late report was applied). After: it passes, with all 33 of state_tests.

--- a/persimmonroute/gateway/peers.py
+++ b/persimmonroute/gateway/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import typing
 
 import xxhash
@@ -29,6 +30,8 @@
 # Share of the gateways that must report to remove rows: a gateway that few
 # reports reach is cut off itself.
 MIN_REPORTING_SHARE = 0.5
+# Earlier starts of a gateway that are remembered, as their reports may be late.
+MAX_FORMER_INCARNATIONS = 16
 # Shortest interval between reports that announce a change.
 MIN_REPORT_INTERVAL_S = 0.015
 # Each peer at a distance adds this to the report interval, which bounds the
@@ -101,6 +104,10 @@
         self.failure_domain = ''
         self.cores = 0.0
         self.incarnation = 0
+        # Incarnations that others have replaced.
+        self.former_incarnations = collections.deque(
+            maxlen=MAX_FORMER_INCARNATIONS
+        )
         self.sequence = -1
         self.last_report_at = None
         self.first_seen_at = now
@@ -208,6 +215,10 @@
         same = peer.incarnation == report.incarnation
         if same and report.sequence <= peer.sequence:
             return None
+        if report.incarnation in peer.former_incarnations:
+            return None
+        if not same:
+            peer.former_incarnations.append(peer.incarnation)
         peer.incarnation = report.incarnation
         peer.sequence = report.sequence
         peer.last_report_at = now
--- a/persimmonroute/tests/gateway/state_tests.py
+++ b/persimmonroute/tests/gateway/state_tests.py
@@ -245,6 +245,19 @@
             registry.apply_report(report, now)
         return registry
 
+    def test_late_report_of_an_earlier_start_is_ignored(self):
+        """Guards against usage that is deducted again in full."""
+        board = fixtures.board(name='own')
+        board.peers.update_peer('p', '127.0.0.1:1', 0.0)
+        self.assertTrue(board.apply_peer_report(self._report(5, 7), 1.0))
+        # The clock that numbers the starts may be set back.
+        for incarnation in (8, 3):
+            report = self._report(1, incarnation)
+            self.assertTrue(board.apply_peer_report(report, 2.0))
+            self.assertFalse(board.apply_peer_report(self._report(9, 7), 2.0))
+            self.assertEqual(board.peers.find('p').incarnation, incarnation)
+        self.assertFalse(board.apply_peer_report(self._report(9, 8), 2.0))
+
     def test_row_of_a_lost_gateway_is_removed_by_one_other(self):
         """A gateway that is gone for good leaves nothing behind."""
         names = ('a', 'b', 'c', 'd')
