Split messages to a gateway that fit no datagram together

All admission messages to one gateway of one step of the loop went into one datagram, whatever its size. Over 65,507 bytes it could not be sent, so a few offers with long prompts took the grants, ends and lists beside them along, and their repetitions failed together again. Change: a batch that is too long is sent in halves. A single message that is too long still cannot be sent, and is logged as before. Before: test_messages_that_fit_no_datagram_together_are_split failed with one datagram of 126,341 bytes. After: it passes; 20 short messages are still one.

--- a/persimmonroute/gateway/peer_link.py
+++ b/persimmonroute/gateway/peer_link.py
@@ -24,6 +24,8 @@
 # Of the origin of send times: two starts hardly draw origins that are closer
 # than the uptime of a process.
 CLOCK_ORIGIN_BITS = 48
+# Longest payload of a UDP datagram over IPv4.
+MAX_DATAGRAM_BYTES = 65_507
 
 
 class ReportSchedule:
@@ -154,16 +156,25 @@
         outgoing, self._outgoing = self._outgoing, {}
         for name, batch in outgoing.items():
             peer = self._board.peers.find(name)
-            if peer is None or self._transport.is_closing():
-                continue
-            message = pb.GatewayReport(
-                name=self._board.name,
-                address=self._address,
-                failure_domain=self._locality.failure_domain,
-                cores=self._cores,
-                admission=admission_codec.encode(batch),
-            )
-            self._send_datagram(peer, message.SerializeToString())
+            if peer is not None and not self._transport.is_closing():
+                self._send_batch(peer, batch)
+
+    def _send_batch(self, peer, batch):
+        """Send messages in as few datagrams as they fit into."""
+        message = pb.GatewayReport(
+            name=self._board.name,
+            address=self._address,
+            failure_domain=self._locality.failure_domain,
+            cores=self._cores,
+            admission=admission_codec.encode(batch),
+        )
+        data = message.SerializeToString()
+        if len(data) > MAX_DATAGRAM_BYTES and len(batch) > 1:
+            half = len(batch) // 2
+            self._send_batch(peer, batch[:half])
+            self._send_batch(peer, batch[half:])
+        else:
+            self._send_datagram(peer, data)
 
     def _receive_admission(self, message, now):
         try:
--- a/persimmonroute/tests/gateway/peer_link_tests.py
+++ b/persimmonroute/tests/gateway/peer_link_tests.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import unittest
 from unittest import mock
 
 from persimmonroute import clock
+from persimmonroute.gateway import admission_codec
+from persimmonroute.gateway import admission_messages
 from persimmonroute.gateway import freshness
+from persimmonroute.gateway import model
 from persimmonroute.gateway import peer_link
+from persimmonroute.generated import peers_pb2 as pb
 from standins import gateway_fixtures as fixtures
 
 NEAR, FAR = 'riga-b', 'frankfurt-a'
@@ -24,6 +29,10 @@
         """Record one datagram."""
         self.sent.append((address[0], data))
 
+    def is_closing(self):
+        """Return that the socket is open."""
+        return False
+
 
 class ReportTests(unittest.TestCase):
     """Send the reports of one gateway of a fleet in two regions."""
@@ -89,6 +98,53 @@
         )
         self.assertEqual(peer.runner_registry.limits.report(7.0), [])
 
+    def _send_offers(self, count, parts):
+        """Return the datagrams of offers that are made at once."""
+        _, link = self._build(1, 0)
+        link._transport = RecordingTransport()
+        prompt = tuple(
+            model.PromptPart(f'{number:08x}', 100) for number in range(parts)
+        )
+
+        async def send():
+            for number in range(count):
+                offer = admission_messages.Offer(
+                    offer_id=number,
+                    service=fixtures.SERVICE,
+                    region='riga',
+                    route='draft',
+                    tier=1,
+                    objective_s=0.5,
+                    due_s=0.5,
+                    remaining_s=4.0,
+                    age_s=0.0,
+                    prompt=prompt,
+                    excluded=(),
+                    redirected=False,
+                )
+                link.send_admission(f'{NEAR}-0', offer)
+            await asyncio.sleep(0)
+
+        asyncio.run(send())
+        return [data for _, data in link._transport.sent]
+
+    def test_messages_that_fit_no_datagram_together_are_split(self):
+        """Guards against grants lost with the long offers beside them."""
+        datagrams = self._send_offers(count=9, parts=1000)
+        self.assertLessEqual(max(map(len, datagrams)), 65_507)
+        offers = [
+            offer.offer_id
+            for data in datagrams
+            for offer in admission_codec.decode(
+                pb.GatewayReport.FromString(data).admission
+            )
+        ]
+        self.assertEqual(offers, list(range(9)))
+
+    def test_messages_to_one_gateway_share_a_datagram(self):
+        """Few and short messages cost one datagram."""
+        self.assertEqual(len(self._send_offers(count=20, parts=10)), 1)
+
     def test_small_fleet_reports_as_often_everywhere(self):
         """Few peers cost little, wherever they are."""
         board, _ = self._build(2, 2)
