Send messages whatever numbers callers state

A caller that stated a deadline of 10^10 ms, once, made all later requests of its route look as old as the difference: their offers could not be encoded (age_ms has 32 bits), and the error in the flush of one step lost the messages to all gateways beside them, grants and ends too, until the restart. The same for each request with more than 2^32 tokens in its prompt, and a prompt part of thousands of digits raised an error in the reader of requests. Change: deadlines, token counts and ages of callers are limited when they are read; the codec limits what its fields cannot hold; a message that fails loses none to other gateways.

--- a/persimmonroute/gateway/admission.py
+++ b/persimmonroute/gateway/admission.py
@@ -22,6 +22,8 @@
 RECHECK_S = 0.5
 # Smaller differences of the remaining time are network delays.
 MIN_RETRY_AGE_S = 0.03
+# Longer ones are differences between callers, not retries.
+MAX_RETRY_AGE_S = 60.0
 # Maximum number of routes whose longest remaining time is stored.
 MAX_ROUTES = 4096
 
@@ -46,7 +48,7 @@
         if remaining > longest and len(self._longest) < MAX_ROUTES:
             self._longest[route.name] = longest = remaining
         age = longest - remaining
-        return age if age > MIN_RETRY_AGE_S else 0.0
+        return min(age, MAX_RETRY_AGE_S) if age > MIN_RETRY_AGE_S else 0.0
 
 
 class Admission:
--- a/persimmonroute/gateway/admission_codec.py
+++ b/persimmonroute/gateway/admission_codec.py
@@ -7,6 +7,11 @@
 from persimmonroute.gateway import model
 from persimmonroute.generated import peers_pb2 as pb
 
+MAX_UINT32 = 2**32 - 1
+# One more still fits, where zero stands for none.
+MAX_MS = MAX_UINT32 - 1
+MAX_SIGNED_MS = 2**31 - 1
+
 
 def encode(batch):
     """Encode messages as one protobuf Admission."""
@@ -31,7 +36,10 @@
             encoded.summaries.add(
                 service=message.service,
                 region=message.region,
-                wait_ms={t: _ms(w) for t, w in message.wait_s.items()},
+                wait_ms={
+                    min(t, MAX_UINT32): _ms(w)
+                    for t, w in message.wait_s.items()
+                },
             )
     return encoded
 
@@ -99,13 +107,15 @@
         service=offer.service,
         region=offer.region,
         route=offer.route,
-        tier=offer.tier,
+        tier=min(offer.tier, MAX_UINT32),
         objective_ms=_ms(offer.objective_s),
-        due_ms=round(offer.due_s * 1000),
+        due_ms=_signed_ms(offer.due_s),
         remaining_ms=_ms(offer.remaining_s),
         age_ms=_ms(offer.age_s),
         prompt=[
-            pb.Admission.PromptPart(id=part.id, tokens=part.tokens)
+            pb.Admission.PromptPart(
+                id=part.id, tokens=min(part.tokens, MAX_UINT32)
+            )
             for part in offer.prompt
         ],
         excluded=offer.excluded,
@@ -208,7 +218,12 @@
 
 
 def _ms(seconds):
-    return max(round(seconds * 1000), 0)
+    # Not a number is sent as zero, too.
+    return round(min(seconds * 1000, MAX_MS)) if seconds > 0 else 0
+
+
+def _signed_ms(seconds):
+    return round(min(max(seconds * 1000, -MAX_SIGNED_MS), MAX_SIGNED_MS))
 
 
 def _plus_one(seconds):
--- a/persimmonroute/gateway/peer_link.py
+++ b/persimmonroute/gateway/peer_link.py
@@ -9,6 +9,7 @@
 from google.protobuf import message as protobuf
 
 from persimmonroute import clock
+from persimmonroute import draining
 from persimmonroute.events import Event
 from persimmonroute.gateway import admission_codec
 from persimmonroute.gateway.locality import Distance
@@ -157,7 +158,8 @@
         for name, batch in outgoing.items():
             peer = self._board.peers.find(name)
             if peer is not None and not self._transport.is_closing():
-                self._send_batch(peer, batch)
+                with draining.guard('send admission messages'):
+                    self._send_batch(peer, batch)
 
     def _send_batch(self, peer, batch):
         """Send messages in as few datagrams as they fit into."""
--- a/persimmonroute/gateway/peers.py
+++ b/persimmonroute/gateway/peers.py
@@ -30,7 +30,7 @@
 # Share of the gateways that must report to remove rows: a gateway that few
 # reports reach is cut off itself.
 MIN_REPORTING_SHARE = 0.5
-# Earlier starts of a gateway that are remembered, as their reports may be late.
+# Earlier starts of a gateway that are remembered; their reports may be late.
 MAX_FORMER_INCARNATIONS = 16
 # Shortest interval between reports that announce a change.
 MIN_REPORT_INTERVAL_S = 0.015
--- a/persimmonroute/platform/ingress.py
+++ b/persimmonroute/platform/ingress.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import uuid
 
 from persimmonroute.events import Event
@@ -18,6 +19,11 @@
 # read the response only after they have sent the complete body.
 MAX_DISCARDED_BYTES = 1_048_576
 TOO_LARGE = object()
+# Larger numbers of callers count as these, which fit into messages between
+# gateways.
+MAX_REMAINING_S = 86_400.0
+MAX_TOKENS = 2**31 - 1
+MAX_DIGITS = 11
 
 
 class IngressApp:
@@ -228,9 +234,12 @@
 
 def _read_deadline(value):
     try:
-        return max(float(value), 0.0) / 1000
+        remaining_s = float(value) / 1000
     except (TypeError, ValueError):
         return None
+    if math.isnan(remaining_s):
+        return None
+    return min(max(remaining_s, 0.0), MAX_REMAINING_S)
 
 
 def _read_usage(value):
@@ -238,7 +247,7 @@
         prompt, output = (int(part) for part in value.split(b','))
     except (AttributeError, ValueError):
         return 0, 0, False
-    return max(prompt, 0), max(output, 0), True
+    return _limit_tokens(prompt), _limit_tokens(output), True
 
 
 def _read_prompt(value):
@@ -246,5 +255,11 @@
     for entry in value.split(b','):
         name, _, tokens = entry.strip().partition(b':')
         if name and tokens.isdigit():
-            parts.append(model.PromptPart(name.decode('latin-1'), int(tokens)))
+            # Python converts no number of thousands of digits.
+            count = _limit_tokens(int(tokens.lstrip(b'0')[:MAX_DIGITS] or 0))
+            parts.append(model.PromptPart(name.decode('latin-1'), count))
     return tuple(parts)
+
+
+def _limit_tokens(count):
+    return min(max(count, 0), MAX_TOKENS)
--- /dev/null
+++ b/persimmonroute/tests/gateway/message_range_tests.py
@@ -0,0 +1,119 @@
+"""Test what odd numbers of callers, peers and settings do to messages."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from unittest import mock
+
+from persimmonroute.gateway import admission
+from persimmonroute.gateway import admission_codec
+from persimmonroute.gateway import admission_messages as messages
+from persimmonroute.gateway import model
+from persimmonroute.gateway import peer_link
+from persimmonroute.platform import ingress
+from standins import gateway_fixtures as fixtures
+
+MAX_UINT32 = 2**32 - 1
+ODD_NUMBERS = (0.0, -1.0, 1e12, 1e300, float('inf'), -float('inf'))
+HUGE = b'9' * 6000
+
+
+def build_offer(**changes):
+    """Return an offer; changes override fields."""
+    built = messages.Offer(
+        offer_id=1,
+        service=fixtures.SERVICE,
+        region='riga',
+        route='draft',
+        tier=1,
+        objective_s=0.5,
+        due_s=0.5,
+        remaining_s=4.0,
+        age_s=0.0,
+        prompt=(),
+        excluded=(),
+        redirected=False,
+    )
+    return built._replace(**changes)
+
+
+class CallerTests(unittest.TestCase):
+    """Read odd headers of callers."""
+
+    def test_odd_deadlines(self):
+        """No deadline is later than a day or not a number."""
+        for value in (b'1e12', b'inf', b'nan', b'-inf', b'1e999', HUGE):
+            with self.subTest(value=value[:10]):
+                deadline = ingress._read_deadline(value)
+                if deadline is not None:
+                    self.assertLessEqual(deadline, 86_400.0)
+                    self.assertGreaterEqual(deadline, 0.0)
+
+    def test_odd_token_counts(self):
+        """Counts fit into messages between gateways."""
+        for value in (b'99999999999', HUGE, b'0'):
+            with self.subTest(value=value[:10]):
+                for part in ingress._read_prompt(b'a:' + value):
+                    self.assertLessEqual(part.tokens, MAX_UINT32)
+                prompt, output, _ = ingress._read_usage(value + b',1')
+                self.assertLessEqual(prompt + output, MAX_UINT32)
+
+    def test_long_deadline_makes_no_other_request_old(self):
+        """Guards against offers of a whole route that cannot be sent."""
+        ages = admission.RetryAges()
+        route = fixtures.route()
+        ages.find(route, fixtures.request(remaining_s=1e7))
+        age_s = ages.find(route, fixtures.request(remaining_s=4.0))
+        self.assertLessEqual(age_s, admission.MAX_RETRY_AGE_S)
+
+
+class EncodingTests(unittest.TestCase):
+    """Send messages with numbers that no field takes."""
+
+    def test_any_number_is_encoded(self):
+        """Guards against an error that loses the messages beside it."""
+        for number in ODD_NUMBERS:
+            tokens = int(min(max(number, 0.0), 1e300))
+            with self.subTest(number=number):
+                admission_codec.encode(
+                    [
+                        build_offer(
+                            tier=tokens,
+                            objective_s=number,
+                            due_s=number,
+                            remaining_s=number,
+                            age_s=number,
+                            prompt=(model.PromptPart('a', tokens),),
+                        ),
+                        messages.Refusal(1, 'x', number),
+                        messages.OfferEnd(1, model.Ending.ANSWERED, number),
+                        messages.GroupSummary('llm', 'riga', {tokens: number}),
+                    ]
+                )
+
+    def test_message_that_cannot_be_encoded_loses_no_other(self):
+        """The messages to other gateways are sent whatever fails."""
+        board = fixtures.board(name='own')
+        for name in ('a', 'b'):
+            board.peers.update_peer(name, f'{name}:1', 0.0, 'riga-b', 1.0)
+        link = peer_link.PeerLink(
+            board,
+            fixtures.scheduler(board),
+            '127.0.0.1:1',
+            fixtures.LOCALITY,
+            None,
+            1.0,
+        )
+        sent = []
+        link._transport = transport = mock.Mock()
+        transport.is_closing.return_value = False
+        transport.sendto = lambda data, address: sent.append(address[0])
+
+        async def send():
+            link.send_admission('a', messages.Queued('not a number'))
+            link.send_admission('b', messages.Queued(1))
+            await asyncio.sleep(0)
+
+        asyncio.run(send())
+        self.assertEqual(sent, ['b'])
