Pass over what cannot be used in messages of peers

Whatever a datagram of a peer held was applied: usage that is not a number made a bucket that refuses nobody, infinite usage one that refuses all; an infinite or undefined rank raised an error in each later dispatch; a promise of the next report in 49 days made a silent peer responsive; a version of 2^64 had the store read again each half second; cores below zero or undefined broke the order of hosts; an address that is a name was looked up in the event loop; a first byte after weeks made all requests of a route late at their host. Change: gateway/peer_reading.py reads each part with its range. A part out of range is passed over, counted by kind (persimmonroute_unreadable_parts) and logged once for each peer and kind; the rest is used. A report whose head is out of range changes nothing.

--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -169,7 +169,7 @@
         'table loaded from a peer; the table service is unavailable',
     )
     PEER_REPORT_UNREADABLE = EventKind(
-        730, 'WARNING', 'unreadable report of a peer ignored'
+        730, 'WARNING', 'unreadable part of a message of a peer ignored'
     )
     PEER_UNREACHABLE = EventKind(
         731, 'DEBUG', 'report could not be sent to a peer'
--- a/persimmonroute/gateway/admission_codec.py
+++ b/persimmonroute/gateway/admission_codec.py
@@ -5,6 +5,10 @@
 from persimmonroute.gateway import admission_messages as messages
 from persimmonroute.gateway import endpoint_limits
 from persimmonroute.gateway import model
+from persimmonroute.gateway import peer_reading
+from persimmonroute.gateway.peer_reading import read_integer
+from persimmonroute.gateway.peer_reading import read_optional_text
+from persimmonroute.gateway.peer_reading import read_text
 from persimmonroute.generated import peers_pb2 as pb
 
 MAX_UINT32 = 2**32 - 1
@@ -44,70 +48,86 @@
     return encoded
 
 
-def decode(encoded):
-    """Return the messages of an Admission.
+def decode(encoded, parts=None):
+    """Return the readable messages of an Admission.
 
-    Raises ValueError if an ending is not known.
+    parts is the PartReader that counts the others.
     """
+    if parts is None:
+        parts = peer_reading.PartReader(peer_reading.UnreadableParts(), '')
     return [
-        *(_read_offer(offer) for offer in encoded.offers),
-        *(_read_reply(reply) for reply in encoded.replies),
-        *(
-            messages.OfferEnd(
-                end.offer_id,
-                model.Ending(end.ending),
-                _minus_one(end.first_byte_ms_plus_one),
-                end.endpoint,
-            )
-            for end in encoded.ends
-        ),
-        *(
-            messages.LeaseList(
-                listed.service,
-                listed.region,
-                tuple(
-                    messages.Lease(lease.offer_id, lease.endpoint)
-                    for lease in listed.leases
-                ),
-            )
-            for listed in encoded.lease_lists
-        ),
-        *(
-            messages.GroupSummary(
-                summary.service,
-                summary.region,
-                {t: w / 1000 for t, w in summary.wait_ms.items()},
-            )
-            for summary in encoded.summaries
-        ),
-        *(
-            messages.StreamBegun(begun.key, begun.service, begun.version)
-            for begun in encoded.streams_begun
+        *parts.read_all('offer', encoded.offers, _read_offer),
+        *parts.read_all('reply', encoded.replies, _read_reply),
+        *parts.read_all('end', encoded.ends, _read_end),
+        *parts.read_all('leases', encoded.lease_lists, _read_lease_list),
+        *parts.read_all('summary', encoded.summaries, _read_summary),
+        *parts.read_all('stream', encoded.streams_begun, _read_begun),
+        *parts.read_all(
+            'stream question', encoded.stream_questions, _read_question
         ),
-        *(
-            messages.StreamQuestion(question.key, question.service)
-            for question in encoded.stream_questions
-        ),
-        *(
-            messages.StreamReply(
-                reply.key,
-                reply.service,
-                reply.version,
-                tuple(reply.versions),
-                reply.complete,
-            )
-            for reply in encoded.stream_replies
+        *parts.read_all(
+            'stream reply', encoded.stream_replies, _read_stream_reply
         ),
     ]
 
 
+def _read_end(end):
+    return messages.OfferEnd(
+        end.offer_id,
+        model.Ending(end.ending),
+        _minus_one(end.first_byte_ms_plus_one),
+        read_optional_text(end.endpoint),
+    )
+
+
+def _read_lease_list(listed):
+    return messages.LeaseList(
+        read_text(listed.service),
+        read_optional_text(listed.region),
+        tuple(
+            messages.Lease(lease.offer_id, read_text(lease.endpoint))
+            for lease in listed.leases
+        ),
+    )
+
+
+def _read_summary(summary):
+    return messages.GroupSummary(
+        read_text(summary.service),
+        read_optional_text(summary.region),
+        {t: w / 1000 for t, w in summary.wait_ms.items()},
+    )
+
+
+def _read_begun(begun):
+    return messages.StreamBegun(
+        begun.key, read_text(begun.service), read_text(begun.version)
+    )
+
+
+def _read_question(question):
+    return messages.StreamQuestion(
+        question.key, read_optional_text(question.service)
+    )
+
+
+def _read_stream_reply(reply):
+    return messages.StreamReply(
+        reply.key,
+        read_optional_text(reply.service),
+        read_optional_text(reply.version),
+        tuple(read_text(version) for version in reply.versions),
+        reply.complete,
+    )
+
+
 def _add_offer(encoded, offer):
     encoded.offers.add(
         offer_id=offer.offer_id,
         service=offer.service,
         region=offer.region,
         route=offer.route,
-        tier=min(offer.tier, MAX_UINT32),
+        tier=min(max(offer.tier, 0), MAX_UINT32),
         objective_ms=_ms(offer.objective_s),
         due_ms=_signed_ms(offer.due_s),
         remaining_ms=_ms(offer.remaining_s),
@@ -128,9 +148,9 @@
 def _read_offer(offer):
     return messages.Offer(
         offer_id=offer.offer_id,
-        service=offer.service,
-        region=offer.region,
-        route=offer.route,
+        service=read_text(offer.service),
+        region=read_optional_text(offer.region),
+        route=read_text(offer.route),
         tier=offer.tier,
         objective_s=offer.objective_ms / 1000,
         due_s=offer.due_ms / 1000,
@@ -139,10 +159,10 @@
         prompt=tuple(
             model.PromptPart(part.id, part.tokens) for part in offer.prompt
         ),
-        excluded=tuple(offer.excluded),
+        excluded=tuple(read_text(runner) for runner in offer.excluded),
         redirected=offer.redirected,
         limits=tuple(decode_limit(limit) for limit in offer.limits),
-        version=offer.version or None,
+        version=read_optional_text(offer.version) or None,
     )
 
 
@@ -157,9 +177,12 @@
 
 
 def decode_limit(limit):
-    """Return the LimitReport of a message."""
+    """Return the LimitReport of a message, or raise ValueError."""
     return endpoint_limits.LimitReport(
-        limit.id, limit.started_at_ms, limit.per_s, limit.age_ms / 1000
+        read_text(limit.id),
+        read_integer(limit.started_at_ms),
+        peer_reading.read_rate(limit.per_s),
+        limit.age_ms / 1000,
     )
 
 
@@ -184,20 +207,24 @@
     if decision == 'granted':
         return messages.Grant(
             reply.offer_id,
-            reply.granted.endpoint,
-            reply.granted.started_at_ms,
+            read_text(reply.granted.endpoint),
+            read_integer(reply.granted.started_at_ms),
         )
     if decision == 'refused':
         return messages.Refusal(
             reply.offer_id,
-            reply.refused.reason,
+            read_optional_text(reply.refused.reason),
             _minus_one(reply.refused.wait_ms_plus_one),
         )
     if decision == 'redirected':
-        return messages.Redirect(reply.offer_id, reply.redirected)
+        return messages.Redirect(
+            reply.offer_id, read_optional_text(reply.redirected)
+        )
     if decision == 'not_host':
         return messages.NotHost(reply.offer_id)
-    return messages.Queued(reply.offer_id)
+    if decision == 'queued':
+        return messages.Queued(reply.offer_id)
+    raise ValueError('the reply has no decision')
 
 
 def _add_lease_list(encoded, message):
--- a/persimmonroute/gateway/admission_host.py
+++ b/persimmonroute/gateway/admission_host.py
@@ -177,7 +177,10 @@
             self.scheduler.withdraw(hosted)
             return
         if message.first_byte_s is not None:
-            hosted.first_byte_at = hosted.sent_at + message.first_byte_s
+            # No peer can have waited for longer.
+            hosted.first_byte_at = min(
+                hosted.sent_at + message.first_byte_s, now
+            )
         ending = message.ending
         if ending in WITNESSED_ENDINGS:
             self._record_failure(hosted, ending, now)
--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -7,6 +7,7 @@
 from persimmonroute import draining
 from persimmonroute.gateway import change_tracking
 from persimmonroute.gateway import freshness
+from persimmonroute.gateway import peer_reading
 from persimmonroute.gateway import peers
 from persimmonroute.gateway import quarantine
 from persimmonroute.gateway import quotas
@@ -75,6 +76,7 @@
         # How far the registrations have been read, here and by peers.
         self.registration_changes = change_tracking.ChangeTracker()
         self.peers = peers.PeerRegistry(name, locality)
+        self.unreadable_parts = peer_reading.UnreadableParts()
         self.quotas = quotas.QuotaLimiter(bounds.quotas)
         self.retries = retry_budget.RetryBudget(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
--- a/persimmonroute/gateway/metrics.py
+++ b/persimmonroute/gateway/metrics.py
@@ -138,6 +138,14 @@
             'Share of gateways with a recent load report, own included.',
             board.peers.reporting_share(now),
         )
+        unreadable = prometheus.CounterMetricFamily(
+            'persimmonroute_unreadable_parts',
+            'Parts of messages of other gateways that were passed over.',
+            labels=['part'],
+        )
+        for part, count in sorted(board.unreadable_parts.counts.items()):
+            unreadable.add_metric([part], count)
+        yield unreadable
         dropped = prometheus.CounterMetricFamily(
             'persimmonroute_log_lines_dropped', 'Dropped log lines.'
         )
--- a/persimmonroute/gateway/peer_link.py
+++ b/persimmonroute/gateway/peer_link.py
@@ -13,6 +13,10 @@
 from persimmonroute.events import Event
 from persimmonroute.gateway import admission_codec
 from persimmonroute.gateway.locality import Distance
+from persimmonroute.gateway import peer_reading
+from persimmonroute.gateway.peer_reading import read_integer
+from persimmonroute.gateway.peer_reading import read_number
+from persimmonroute.gateway.peer_reading import read_text
 from persimmonroute.gateway import peers
 from persimmonroute.gateway import quarantine
 from persimmonroute.generated import peers_pb2 as pb
@@ -78,12 +82,34 @@
         """Decode and apply a peer's report."""
         try:
             message = pb.GatewayReport.FromString(data)
-        except protobuf.DecodeError as error:
-            log.emit(Event.PEER_REPORT_UNREADABLE, problem=repr(error))
+            _check_sender(message)
+        except (protobuf.DecodeError, ValueError) as error:
+            self._board.unreadable_parts.record('', 'message', error)
             return
-        if not message.name or message.name == self._board.name:
+        if message.name == self._board.name:
             return
         now = clock.now_s()
+        parts = peer_reading.PartReader(
+            self._board.unreadable_parts, message.name
+        )
+        if message.HasField('admission'):
+            self._update_sender(message, now)
+            self._dispatcher.receive(
+                message.name,
+                message.failure_domain,
+                admission_codec.decode(message.admission, parts),
+                now,
+            )
+            return
+        try:
+            report = _decode_message(message, parts)
+        except ValueError as error:
+            self._board.unreadable_parts.record(message.name, 'report', error)
+            return
+        self._update_sender(message, now)
+        self._apply_report(message, report, now)
+
+    def _update_sender(self, message, now):
         self._board.peers.update_peer(
             message.name,
             message.address,
@@ -91,15 +117,14 @@
             message.failure_domain,
             message.cores,
         )
-        if message.HasField('admission'):
-            self._receive_admission(message, now)
-            return
+
+    def _apply_report(self, message, report, now):
         self._board.newest_reported_version = max(
             self._board.newest_reported_version, message.configuration_version
         )
         if message.store_era:
             self._board.raise_store_era(message.store_era)
-        if self._board.apply_peer_report(_decode_message(message), now):
+        if self._board.apply_peer_report(report, now):
             self._newest_sent_at_ms[message.name] = message.sent_at_ms
             self._confirm_configuration(message, now)
             self._board.registration_changes.record_peer(
@@ -178,16 +203,6 @@
         else:
             self._send_datagram(peer, data)
 
-    def _receive_admission(self, message, now):
-        try:
-            received = admission_codec.decode(message.admission)
-        except ValueError as error:
-            log.emit(Event.PEER_REPORT_UNREADABLE, problem=repr(error))
-            return
-        self._dispatcher.receive(
-            message.name, message.failure_domain, received, now
-        )
-
     def _send(self):
         """Send the reports that are due, whatever happens to one of them."""
         self._handle = None
@@ -312,44 +327,100 @@
 
 
 def decode(data):
-    """Decode a datagram into a PeerReport."""
-    return _decode_message(pb.GatewayReport.FromString(data))
+    """Decode a datagram into a PeerReport; raises ValueError."""
+    message = pb.GatewayReport.FromString(data)
+    unreadable = peer_reading.UnreadableParts()
+    return _decode_message(
+        message, peer_reading.PartReader(unreadable, message.name)
+    )
+
+
+def _check_sender(message):
+    """Raise ValueError unless all that is kept of a sender is in range."""
+    peer_reading.read_text(message.name)
+    peer_reading.read_address(message.address)
+    peer_reading.read_optional_text(message.failure_domain)
+    peer_reading.read_number(message.cores, 0.0, peer_reading.MAX_CORES)
+
+
+def _read_suspect(suspect):
+    read_number(suspect.specificity, 0, peer_reading.MAX_SPECIFICITY)
+    crash_ages_s = {
+        crash: age_ms / 1000
+        for crash, age_ms in zip(suspect.crashes, suspect.ages_ms)
+    }
+    return suspect.trait, quarantine.Suspect(suspect.specificity, crash_ages_s)
 
 
-def _decode_findings(message):
+def _decode_findings(message, parts):
     if not message.crash_suspects and not message.sound_traits:
         return quarantine.NO_FINDINGS
-    suspects = {
-        suspect.trait: quarantine.Suspect(
-            suspect.specificity,
-            {
-                crash: age_ms / 1000
-                for crash, age_ms in zip(suspect.crashes, suspect.ages_ms)
-            },
-        )
-        for suspect in message.crash_suspects
-    }
-    return quarantine.PeerFindings(suspects, frozenset(message.sound_traits))
+    suspects = parts.read_all('suspect', message.crash_suspects, _read_suspect)
+    return quarantine.PeerFindings(
+        dict(suspects), frozenset(message.sound_traits)
+    )
+
+
+def _read_endpoint(work):
+    most = peer_reading.MAX_IN_FLIGHT
+    return read_text(work.id), read_number(work.in_flight, 0, most)
 
 
-def _decode_message(message):
+def _read_waiting(work):
+    most = peer_reading.MAX_TIER
+    rank = read_number(work.rank, -most, most)
+    return (read_text(work.service), rank), peers.WaitingWork(
+        work.requests, work.work_ms / 1000
+    )
+
+
+def _read_use(use):
+    units = read_number(
+        use.units, -peer_reading.MAX_UNITS, peer_reading.MAX_UNITS
+    )
+    return read_text(use.workspace), units
+
+
+def _read_leaving(leaving):
+    return read_text(leaving.id), read_integer(leaving.started_at_ms)
+
+
+def _decode_message(message, parts):
+    """Return a PeerReport of the readable parts.
+
+    Raises ValueError if what holds for the whole report is out of range.
+    """
+    for value in (
+        message.incarnation,
+        message.sequence,
+        message.configuration_version,
+        message.registrations_version,
+    ):
+        read_integer(value)
+    read_integer(message.store_era, peer_reading.MAX_ERA)
+    interval_s = min(
+        message.next_report_ms / 1000, peer_reading.MAX_REPORT_INTERVAL_S
+    )
     return peers.PeerReport(
         name=message.name,
         incarnation=message.incarnation,
         sequence=message.sequence,
-        in_flight={work.id: work.in_flight for work in message.endpoints},
-        waiting={
-            (work.service, work.rank): peers.WaitingWork(
-                work.requests, work.work_ms / 1000
-            )
-            for work in message.waiting
-        },
-        used={use.workspace: use.units for use in message.used},
-        crash_findings=_decode_findings(message),
-        interval_s=message.next_report_ms / 1000 or peers.IDLE_INTERVAL_S,
+        in_flight=dict(
+            parts.read_all('endpoint', message.endpoints, _read_endpoint)
+        ),
+        waiting=dict(
+            parts.read_all('waiting work', message.waiting, _read_waiting)
+        ),
+        used=dict(parts.read_all('usage', message.used, _read_use)),
+        crash_findings=_decode_findings(message, parts),
+        interval_s=interval_s or peers.IDLE_INTERVAL_S,
         stopping=message.stopping,
-        leaving=tuple((e.id, e.started_at_ms) for e in message.leaving),
+        leaving=tuple(
+            parts.read_all('leaving endpoint', message.leaving, _read_leaving)
+        ),
         limits=tuple(
-            admission_codec.decode_limit(limit) for limit in message.limits
+            parts.read_all(
+                'limit', message.limits, admission_codec.decode_limit
+            )
         ),
     )
--- a/persimmonroute/tests/gateway/message_range_tests.py
+++ b/persimmonroute/tests/gateway/message_range_tests.py
@@ -11,12 +11,17 @@
 from persimmonroute.gateway import admission_messages as messages
 from persimmonroute.gateway import model
 from persimmonroute.gateway import peer_link
+from persimmonroute.generated import peers_pb2 as pb
+from persimmonroute import logs
 from persimmonroute.platform import ingress
 from standins import gateway_fixtures as fixtures
+from standins import report_fuzzer
 
 MAX_UINT32 = 2**32 - 1
 ODD_NUMBERS = (0.0, -1.0, 1e12, 1e300, float('inf'), -float('inf'))
 HUGE = b'9' * 6000
+FUZZ_SEEDS = 8
+FUZZ_MESSAGES = 400
 
 
 def build_offer(**changes):
@@ -117,3 +122,70 @@
 
         asyncio.run(send())
         self.assertEqual(sent, ['b'])
+
+
+class ReadingTests(unittest.TestCase):
+    """Receive messages of peers with any values."""
+
+    def test_any_message_of_a_peer_does_no_harm(self):
+        """Guards against numbers and texts that fail where they are used."""
+        for seed in range(FUZZ_SEEDS):
+            findings = report_fuzzer.fuzz(seed, FUZZ_MESSAGES)
+            self.assertEqual(findings, [], f'seed {seed}')
+
+    def _receive(self, board, *parts, **fields):
+        link = peer_link.PeerLink(
+            board,
+            fixtures.scheduler(board),
+            '127.0.0.1:1',
+            fixtures.LOCALITY,
+            mock.Mock(),
+            1.0,
+        )
+        report = pb.GatewayReport(
+            name='peer',
+            address='127.0.0.1:2',
+            incarnation=1,
+            sequence=len(board.unreadable_parts.counts) + 1,
+            failure_domain='riga-b',
+            cores=1.0,
+            **fields,
+        )
+        for part in parts:
+            report.MergeFrom(part)
+        link.datagram_received(report.SerializeToString(), None)
+
+    def test_unreadable_parts_are_passed_over(self):
+        """The other parts are used; each kind is logged once."""
+        board = fixtures.board(name='own')
+        odd = pb.GatewayReport()
+        odd.endpoints.add(id='r1', in_flight=2)
+        odd.endpoints.add(id='x' * 60_000, in_flight=1)
+        odd.endpoints.add(id='r2', in_flight=2**32 - 1)
+        odd.waiting.add(service='llm', rank=float('nan'), requests=1)
+        odd.used.add(workspace='desk', units=float('inf'))
+        odd.limits.add(id='r1', per_s=-1.0)
+        with mock.patch.object(logs.EventLog, 'emit') as emit:
+            self._receive(board, odd)
+        (view,) = board.runner_registry
+        self.assertEqual(view.peer_in_flight, {'peer': 2})
+        self.assertEqual(board.peers.higher_tier_demand('llm', 5, 0.0)[0], 0)
+        counts = {'endpoint': 2, 'waiting work': 1, 'usage': 1, 'limit': 1}
+        self.assertEqual(board.unreadable_parts.counts, counts)
+        self.assertEqual(emit.call_count, 4)
+        for call in emit.call_args_list:
+            self.assertLess(len(str(call)), 1000)
+
+    def test_report_out_of_range_changes_nothing(self):
+        """The last report that could be read stays in force."""
+        for field, most in (
+            ('configuration_version', 2**64 - 1),
+            ('registrations_version', 2**64 - 1),
+            ('store_era', 2**32 - 1),
+        ):
+            with self.subTest(field=field):
+                board = fixtures.board(name='own')
+                self._receive(board, **{field: most})
+                self.assertEqual(board.newest_reported_version, 0)
+                self.assertIsNone(board.store_era)
+                self.assertIsNone(board.peers.find('peer'))
--- a/standins/datagram_simulation.py
+++ b/standins/datagram_simulation.py
@@ -244,6 +244,7 @@
     """Play one seed, and collect what must not happen."""
 
     def __init__(self, seed):
+        self.seed = seed
         self._rng = random.Random(seed)
         self.network = Network(self._rng)
         self.violations = []
@@ -617,20 +618,25 @@
             self._report('quota exceeded', f'{most:.0f} of {allowed:.0f}')
 
 
-def play(seed):
-    """Play a seed; return its Play."""
-    built = Play(seed)
+def run(built, coroutine):
+    """Run a coroutine on a simulated time, and record events in a Play."""
     # Ids of offers and origins of clocks are drawn from the common generator.
     state = random.getstate()
-    random.seed(seed)
+    random.seed(built.seed)
     record_event = mock.patch.object(
         logs.EventLog,
         'emit',
-        lambda log, *args, **kw: built.record_event(*args, **kw),
+        lambda log, event, **fields: built.record_event(event, **fields),
     )
     try:
         with virtual_time.loop() as loop, record_event:
-            loop.run_until_complete(built.run())
+            return loop.run_until_complete(coroutine)
     finally:
         random.setstate(state)
+
+
+def play(seed):
+    """Play a seed; return its Play."""
+    built = Play(seed)
+    run(built, built.run())
     return built
