Handle signals from the first moments of a process

A process had a handler for SIGTERM only after its settings were read, and one for SIGHUP only after the modules of its role were imported (0.3 s and more). The first SIGHUP in that time ended it. A change of the settings between their reading and the end of the imports was never read, unless the file changed again. Change: daemon.py holds the signals before anything else is imported, and the event loop gets those that came meanwhile: a stop ends the process before it serves, a hangup reads the settings again. The file's state is noted before it is read. Signals are held 0.03 s after the start of the interpreter; before that they end it. The mutant of the soak that ends at a hangup now sets the stop event.

--- a/persimmonroute/daemon.py
+++ b/persimmonroute/daemon.py
@@ -1,77 +1,20 @@
-"""Run one process of the system.
-
-Usage:
-  persimmonrouted --config FILE [--check-config]
-  persimmonrouted --version
-
-Options:
-  --config FILE   Settings of the process, in JSON.
-  --check-config  Validate the settings and exit.
-"""
+"""Start one process of the system."""
 
 from __future__ import annotations
 
-import asyncio
 import importlib
-import signal
 import sys
 
-import docopt
-
-import persimmonroute
-from persimmonroute import background
-from persimmonroute.config import settings as settings_module
-from persimmonroute import exceptions
-from persimmonroute import logs
-from persimmonroute import reloading
-
-# Modules are imported per role, since a gateway has little memory and needs
-# neither gRPC nor TLS.
-BUILDERS = {
-    'entry': ('persimmonroute.composition', 'build_entry'),
-    'sidecar': ('persimmonroute.composition', 'build_sidecar'),
-    'gateway': ('persimmonroute.gateway_composition', 'build_gateway'),
-}
-
-
-def build_process(settings):
-    """Build the process of the role given in the settings."""
-    module, function = BUILDERS[settings.role]
-    return getattr(importlib.import_module(module), function)(settings)
+from persimmonroute import startup_signals
 
 
 def main(argv=None):
     """Run the daemon and return its exit status."""
-    arguments = docopt.docopt(
-        __doc__, argv, version=persimmonroute.__version__
-    )
-    try:
-        settings = settings_module.load_settings(arguments['--config'])
-    except exceptions.SettingsError as error:
-        print(error, file=sys.stderr)
-        return 2
-    if arguments['--check-config']:
-        print('settings are valid')
-        return 0
-    logs.setup_logs(settings.instance, settings.log_level, settings.log_format)
-    try:
-        asyncio.run(_run(arguments['--config'], settings))
-    finally:
-        logs.close_logs()
-    return 0
-
-
-async def _run(path, settings):
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop.set)
-    process = build_process(settings)
-    reloader = reloading.SettingsReloader(path, settings, process)
-    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
-    watch_task = asyncio.create_task(background.run_forever(reloader.watch))
-    await process.run(stop)
-    watch_task.cancel()
+    signals = startup_signals.StartupSignals()
+    signals.hold()
+    # Everything else is imported while signals are held.
+    process = importlib.import_module('persimmonroute.process')
+    return process.main(argv, signals)
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/persimmonroute/process.py
@@ -0,0 +1,90 @@
+"""Run one process of the system.
+
+Usage:
+  persimmonrouted --config FILE [--check-config]
+  persimmonrouted --version
+
+Options:
+  --config FILE   Settings of the process, in JSON.
+  --check-config  Validate the settings and exit.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import importlib
+import signal
+import sys
+
+import docopt
+
+import persimmonroute
+from persimmonroute import background
+from persimmonroute.config import settings as settings_module
+from persimmonroute.events import Event
+from persimmonroute import exceptions
+from persimmonroute import logs
+from persimmonroute import reloading
+from persimmonroute import startup_signals
+
+log = logs.EventLog(__name__)
+
+# Modules are imported per role, since a gateway has little memory and needs
+# neither gRPC nor TLS.
+BUILDERS = {
+    'entry': ('persimmonroute.composition', 'build_entry'),
+    'sidecar': ('persimmonroute.composition', 'build_sidecar'),
+    'gateway': ('persimmonroute.gateway_composition', 'build_gateway'),
+}
+
+
+def build_process(settings):
+    """Build the process of the role given in the settings."""
+    module, function = BUILDERS[settings.role]
+    return getattr(importlib.import_module(module), function)(settings)
+
+
+def main(argv, signals):
+    """Run the daemon and return its exit status.
+
+    signals are the StartupSignals that it was started with.
+    """
+    arguments = docopt.docopt(
+        __doc__, argv, version=persimmonroute.__version__
+    )
+    path = arguments['--config']
+    # A change of the file after this is read again.
+    file_version = reloading.read_file_version(path) if path else None
+    try:
+        settings = settings_module.load_settings(path)
+    except exceptions.SettingsError as error:
+        print(error, file=sys.stderr)
+        return 2
+    if arguments['--check-config']:
+        print('settings are valid')
+        return 0
+    logs.setup_logs(settings.instance, settings.log_level, settings.log_format)
+    try:
+        asyncio.run(_run(path, file_version, settings, signals))
+    finally:
+        logs.close_logs()
+    return 0
+
+
+async def _run(path, file_version, settings, signals):
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signal_number in startup_signals.STOP_SIGNALS:
+        signals.hand_over(loop, signal_number, stop.set)
+    if stop.is_set():
+        # Nothing is served yet.
+        log.emit(Event.PROCESS_STOPPED)
+        return
+    process = build_process(settings)
+    reloader = reloading.SettingsReloader(
+        path, settings, process, file_version
+    )
+    signals.hand_over(loop, signal.SIGHUP, reloader.reload)
+    watch_task = asyncio.create_task(background.run_forever(reloader.watch))
+    await process.run(stop)
+    watch_task.cancel()
--- a/persimmonroute/reloading.py
+++ b/persimmonroute/reloading.py
@@ -24,15 +24,16 @@
     of the settings that it applied without a restart.
     """
 
-    def __init__(self, path, settings, process):
+    def __init__(self, path, settings, process, file_version):
         self._path = path
         self._settings = settings
         self._process = process
-        self._file_version = _file_version(path)
+        # Of the file before its settings were loaded.
+        self._file_version = file_version
 
     def reload(self):
         """Reload the file and apply the settings that need no restart."""
-        self._file_version = _file_version(self._path)
+        self._file_version = read_file_version(self._path)
         try:
             loaded = settings_module.load_settings(self._path)
         except exceptions.SettingsError as error:
@@ -60,11 +61,12 @@
         """Poll the file and reload it whenever it has changed."""
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
-            if _file_version(self._path) != self._file_version:
+            if read_file_version(self._path) != self._file_version:
                 self.reload()
 
 
-def _file_version(path):
+def read_file_version(path):
+    """Return what changes with a file, or None if it is not there."""
     try:
         status = os.stat(path)
     except OSError:
--- a/persimmonroute/tests/reloading_tests.py
+++ b/persimmonroute/tests/reloading_tests.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
 import tempfile
 import unittest
+from unittest import mock
 
 from persimmonroute.config import settings as settings_module
 from persimmonroute.gateway import server
@@ -42,7 +44,12 @@
         process = server.GatewayServer(
             self.board, None, None, None, (), loaded
         )
-        self.reloader = reloading.SettingsReloader(self.path, loaded, process)
+        self.reloader = reloading.SettingsReloader(
+            self.path,
+            loaded,
+            process,
+            reloading.read_file_version(self.path),
+        )
 
     def _write(self, document):
         with open(self.path, 'w', encoding='utf-8') as file:
@@ -64,3 +71,24 @@
                     file.write(text)
                 self.reloader.reload()
                 self.assertEqual(self.board.bounds, before)
+
+    def test_change_during_the_start_is_read(self):
+        """Guards against settings that change while a process is built."""
+        before = reloading.read_file_version(self.path)
+        loaded = settings_module.load_settings(self.path)
+        self._write({**DOCUMENT, 'revocation_s': 11})
+        process = server.GatewayServer(
+            self.board, None, None, None, (), loaded
+        )
+        reloader = reloading.SettingsReloader(
+            self.path, loaded, process, before
+        )
+
+        async def watch():
+            task = asyncio.create_task(reloader.watch())
+            await asyncio.sleep(0.05)
+            task.cancel()
+
+        with mock.patch.object(reloading, 'POLL_INTERVAL_S', 0.01):
+            asyncio.run(watch())
+        self.assertEqual(self.board.bounds.revocation_s, 11)
--- a/tools/soak/mutants.py
+++ b/tools/soak/mutants.py
@@ -212,9 +212,9 @@
         'ends when it is told to read its settings again',
         (
             Edit(
-                'daemon.py',
-                'loop.add_signal_handler(signal.SIGHUP, reloader.reload)',
-                'pass',
+                'process.py',
+                'signals.hand_over(loop, signal.SIGHUP, reloader.reload)',
+                'signals.hand_over(loop, signal.SIGHUP, stop.set)',
             ),
         ),
     ),
