Log a lack of descriptors once, and go on

With no descriptor left, asyncio reports an error for each of the 2048 connections that it tries to accept in one step, and logs each with a traceback on stderr, in the thread of the event loop: 5.6 MB in 4 s in the test, so a reader of the log that stands still blocks the gateway, and 2048 timers accept again one second later. Change: errors of the event loop go through the log's bounded writer, once a second for each kind, a lack of descriptors or memory as event 111 with its remedy; servers accept 32 connections a step, and listen with the same backlog as before. Before: test_gateway_without_descriptors_recovers_and_logs_little failed with 5,575,624 bytes logged (callers were not accepted; the process went on and recovered within 2 s, as it does now). After: it passes; both server_tests pass.

--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -31,6 +31,12 @@
         'WARNING',
         'log lines dropped because the log queue or rate limit is full',
     )
+    RESOURCES_EXHAUSTED = EventKind(
+        111,
+        'ERROR',
+        'no descriptors or memory left; raise the limit of open files, or '
+        'lower the number of connections',
+    )
     REQUEST_ROUTED = EventKind(200, 'INFO', 'request offered to a sidecar')
     REQUEST_SHED = EventKind(201, 'INFO', 'request shed before it started')
     REQUEST_REROUTED = EventKind(
--- a/persimmonroute/http_server.py
+++ b/persimmonroute/http_server.py
@@ -19,6 +19,11 @@
 ACCEPTED_GRACE_S = 0.4
 # Time to accept what is left in the backlog of a socket.
 BACKLOG_DRAIN_S = 0.02
+# Connections accepted in one step of the event loop. It tries as many also
+# when no descriptor is left.
+ACCEPTS_PER_STEP = 32
+# Connections that a listening socket queues.
+BACKLOG = 2048
 
 
 class SignalFreeServer(uvicorn.Server):
@@ -35,6 +40,13 @@
         # the shutdown began.
         self._ends_at = None
 
+    async def startup(self, sockets=None):
+        """Listen, with a backlog that is longer than one step accepts."""
+        await super().startup(sockets)
+        for server in self.servers:
+            for listener in server.sockets:
+                _set_backlog(listener.fileno(), BACKLOG)
+
     def stop(self, within_s):
         """Begin a shutdown that cancels what is still open within_s later."""
         self._ends_at = clock.now_s() + within_s
@@ -53,7 +65,7 @@
         """
         for server in self.servers:
             for listener in server.sockets:
-                _close_backlog(listener.fileno())
+                _set_backlog(listener.fileno(), 0)
         await asyncio.sleep(BACKLOG_DRAIN_S)
         for server in self.servers:
             server.close()
@@ -64,10 +76,10 @@
         await super().shutdown(sockets)
 
 
-def _close_backlog(descriptor):
-    """Let a listening socket queue no further connections."""
+def _set_backlog(descriptor, connections):
+    """Set how many connections a listening socket queues."""
     with socket.socket(fileno=os.dup(descriptor)) as listener:
-        listener.listen(0)
+        listener.listen(connections)
 
 
 def build_server(app, address, grace_s, accepted_grace_s=ACCEPTED_GRACE_S):
@@ -86,5 +98,6 @@
         lifespan='off',
         timeout_keep_alive=KEEP_ALIVE_S,
         timeout_graceful_shutdown=int(grace_s),
+        backlog=ACCEPTS_PER_STEP,
     )
     return SignalFreeServer(config, accepted_grace_s)
--- a/persimmonroute/process.py
+++ b/persimmonroute/process.py
@@ -24,6 +24,7 @@
 from persimmonroute.events import Event
 from persimmonroute import exceptions
 from persimmonroute import logs
+from persimmonroute import loop_errors
 from persimmonroute import reloading
 from persimmonroute import startup_signals
 
@@ -74,6 +75,7 @@
 async def _run(path, file_version, settings, signals):
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(loop_errors.LoopErrorLog().handle)
     for signal_number in startup_signals.STOP_SIGNALS:
         signals.hand_over(loop, signal_number, stop.set)
     if stop.is_set():
