Name the remedy for odd input of operators

Odd input ended the command line with a traceback, or passed: declarations that are no UTF-8, an encrypted key, a port over 65535; a key of another kind was loaded and failed when it signed; a status waited for ever for nan seconds; a handover to a text that is no key would have passed the operator role to nobody; settings that are no object raised KeyError. A revision with numbers and texts of other types, which anybody may post to an entry, raised AttributeError and TypeError where only UntrustedRevisionError is expected. Change: files, keys, addresses and numbers are checked before anything is sent, and signed revisions field by field; unknown fields of a revision are dropped.

--- a/persimmonroute/cli.py
+++ b/persimmonroute/cli.py
@@ -29,6 +29,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import os
 import sys
 
@@ -44,11 +45,14 @@
 from persimmonroute.commands import keygen
 from persimmonroute.commands import show
 from persimmonroute.commands import status
+from persimmonroute.config import options
 from persimmonroute import exceptions
 from persimmonroute import operators
 from persimmonroute.platform import client
 
 PLATFORM_VARIABLE = 'PERSIMMONROUTE_PLATFORM'
+# Characters of an odd argument that an error shows.
+MAX_SHOWN = 100
 
 
 def main(argv=None):
@@ -121,7 +125,7 @@
 async def _handover(arguments, platform):
     await handover.handover(
         platform,
-        arguments['PUBLIC_KEY'],
+        operators.read_public_key(arguments['PUBLIC_KEY']),
         _load_key(arguments),
         arguments['--change'],
     )
@@ -155,19 +159,30 @@
             'no platform address is configured',
             f'pass --platform or set {PLATFORM_VARIABLE}',
         )
-    return address
+    try:
+        return options.Address('').validate(address)
+    except options.OptionError as error:
+        raise exceptions.SettingsError(
+            f'the platform address {address[:MAX_SHOWN]!r} {error}',
+            f'correct --platform or {PLATFORM_VARIABLE}',
+        )
 
 
 def _parse_number(arguments, name, number_type):
+    """Return a number that is finite and not negative."""
     text = arguments[name]
     if text is None:
         return None
     try:
-        return number_type(text)
+        number = number_type(text)
+        if not 0 <= number < math.inf:
+            raise ValueError('out of range')
     except ValueError:
         raise exceptions.SettingsError(
-            f'{name} {text!r} is not a number', f'pass {name} a number'
+            f'{name} {text[:MAX_SHOWN]!r} is not a number from 0 on',
+            f'pass {name} a number',
         )
+    return number
 
 
 if __name__ == '__main__':
--- a/persimmonroute/commands/apply.py
+++ b/persimmonroute/commands/apply.py
@@ -30,7 +30,7 @@
     try:
         with open(path, encoding='utf-8') as file:
             return file.read()
-    except OSError as error:
+    except (OSError, ValueError) as error:
         raise exceptions.DeclarationError(
             f'cannot read the declarations file {path}: {error}'
         )
--- a/persimmonroute/config/settings.py
+++ b/persimmonroute/config/settings.py
@@ -189,6 +189,8 @@
     """Validate a parsed document; return its settings and problems."""
     problems = []
     fields = options.validate_object(document, SCHEMA, 'settings', problems)
+    if problems and not isinstance(document, dict):
+        return None, problems
     for name in REQUIRED_BY_ROLE.get(fields.get('role'), ()):
         if fields[name] is None:
             problems.append(
--- a/persimmonroute/operators.py
+++ b/persimmonroute/operators.py
@@ -20,6 +20,19 @@
 from persimmonroute import json_text
 
 
+# An encrypted key raises TypeError.
+KEY_ERRORS = (
+    OSError,
+    ValueError,
+    TypeError,
+    crypto_exceptions.UnsupportedAlgorithm,
+)
+MALFORMED_REVISION_ERRORS = (ValueError, TypeError, KeyError, AttributeError)
+# Characters of an odd key that an error shows.
+MAX_SHOWN = 100
+MAX_PROBLEM_CHARACTERS = 300
+
+
 class Handover(typing.NamedTuple):
     """Transfer the operator role to another public key.
 
@@ -65,7 +78,9 @@
         try:
             with open(path, 'rb') as file:
                 key = serialization.load_pem_private_key(file.read(), None)
-        except (OSError, ValueError) as error:
+            if not isinstance(key, ed25519.Ed25519PrivateKey):
+                raise ValueError('it is no Ed25519 key')
+        except KEY_ERRORS as error:
             raise exceptions.SettingsError(
                 f'cannot load the operator key {path}: {error}',
                 'generate a key with persimmonroute keygen',
@@ -104,14 +119,53 @@
     """Parse a SignedRevision from JSON or raise UntrustedRevisionError."""
     try:
         fields = json_text.parse(data)
-        chain = tuple(Handover(**item) for item in fields.pop('chain'))
-        return SignedRevision(chain=chain, **fields)
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        chain = tuple(
+            Handover(
+                _read_number(item['revision']),
+                _read_text(item['public_key']),
+                _read_text(item['signature']),
+            )
+            for item in fields['chain']
+        )
+        return SignedRevision(
+            _read_number(fields['number']),
+            _read_text(fields['document']),
+            _read_text(fields['signature']),
+            chain,
+        )
+    except MALFORMED_REVISION_ERRORS as error:
         raise exceptions.UntrustedRevisionError(
-            f'not a signed revision: {error!r}'
+            f'not a signed revision: {error!r}'[:MAX_PROBLEM_CHARACTERS]
         )
 
 
+def read_public_key(text):
+    """Return a public key in hexadecimal, or raise SettingsError."""
+    try:
+        raw = bytes.fromhex(text)
+        ed25519.Ed25519PublicKey.from_public_bytes(raw)
+    except ValueError as error:
+        raise exceptions.SettingsError(
+            f'{text[:MAX_SHOWN]!r} is no public key: {error}',
+            'pass what persimmonroute keygen printed for the new operator',
+        )
+    return raw.hex()
+
+
+def _read_number(value):
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError(f'not an integer but {type(value)}')
+    return value
+
+
+def _read_text(value):
+    if not isinstance(value, str):
+        raise TypeError(f'not a string but {type(value)}')
+    # Half characters cannot be signed.
+    value.encode()
+    return value
+
+
 def verify_revision(revision, root_key):
     """Raise UntrustedRevisionError unless all signatures are valid.
 
