Play searches of gateways with the code that gateways use

The driver of datagrams built successors of requests itself, as that code was not there yet. Change: it calls PendingRequest.build_successor, and searches for streams that have begun, too, at the endpoints of their version only.

--- a/standins/datagram_simulation.py
+++ b/standins/datagram_simulation.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import collections
-import copy
 import itertools
 import random
 import typing
@@ -462,10 +461,10 @@
 
     async def _search(self, gateway, pending):
         """Look for a place beside the one in use; return it or None."""
-        successor = copy.copy(pending)
-        successor.excluded = pending.excluded | {pending.runner.id}
-        successor.runner = successor.host = successor.offer_id = None
-        successor.sent_at = None
+        if self._rng.random() < 0.3:
+            # A stream that has begun goes on at its version only.
+            pending.version = pending.runner.record.version
+        successor = pending.build_successor()
         self.counts['search'] += 1
         search = asyncio.create_task(
             gateway.dispatcher.wait_for_grant(successor)
