--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -31,6 +31,12 @@
         'WARNING',
         'log lines dropped because the log queue or rate limit is full',
     )
+    RESOURCES_EXHAUSTED = EventKind(
+        111,
+        'ERROR',
+        'no descriptors or memory left; raise the limit of open files, or '
+        'lower the number of connections',
+    )
     REQUEST_ROUTED = EventKind(200, 'INFO', 'request offered to a sidecar')
     REQUEST_SHED = EventKind(201, 'INFO', 'request shed before it started')
     REQUEST_REROUTED = EventKind(
@@ -169,7 +175,7 @@
         'table loaded from a peer; the table service is unavailable',
     )
     PEER_REPORT_UNREADABLE = EventKind(
-        730, 'WARNING', 'unreadable report of a peer ignored'
+        730, 'WARNING', 'unreadable part of a message of a peer ignored'
     )
     PEER_UNREACHABLE = EventKind(
         731, 'DEBUG', 'report could not be sent to a peer'
--- a/persimmonroute/platform/ingress.py
+++ b/persimmonroute/platform/ingress.py
@@ -261,7 +261,7 @@
     for entry in value.split(b','):
         name, _, tokens = entry.strip().partition(b':')
         if name and tokens.isdigit():
-            count = _bound_tokens(int(tokens[:MAX_DIGITS]))
+            count = _bound_tokens(int(tokens.lstrip(b'0')[:MAX_DIGITS] or 0))
             parts.append(model.PromptPart(name.decode('latin-1'), count))
     return tuple(parts)
 
