Give the budget back for a retry that is refused

What callers saw: an endpoint's error, though another endpoint was free, once earlier requests had found none. Cause: a retry was counted before a place was looked for, and stayed counted if none was found. Change: it is given back, as a search does. Measured: the new test fails on the commit before (500 in place of 200) and passes, 3 of 3.

--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -231,8 +231,9 @@
             place = None
             if self._may_retry(pending, failed, progress):
                 place = await self._finder.find(pending)
-            if isinstance(place, places.Place):
-                return place
+                if isinstance(place, places.Place):
+                    return place
+                self._board.retries.give_back(pending.service)
             if not self._must_go_on(pending, place, progress):
                 return place
             # Those that were silent or full may have recovered.
--- a/persimmonroute/tests/gateway/silent_endpoint_tests.py
+++ b/persimmonroute/tests/gateway/silent_endpoint_tests.py
@@ -17,6 +17,8 @@
 OVERLAP_S = 0.05
 # A gateway whose budget allows no retry.
 NO_RETRIES = {'retry_slack': 0, 'retry_ratio': 0}
+# One of two gateways whose budget allows one retry.
+ONE_RETRY = {'retry_slack': 4, 'retry_ratio': 0}
 
 
 def _configuration(version, **changes):
@@ -206,3 +208,16 @@
         response = await self._call('find')
         self.assertEqual((response.status, response.body), (500, b'failed'))
         self.assertIn(b'upstream-signature', response.headers)
+
+    async def test_refused_retry_spends_no_budget(self):
+        """Guards against requests that fail for retries never sent."""
+        await self.deployment.add_gateway(**ONE_RETRY)
+        other = self.deployment.runners[1]
+        first = await self._leave_one()
+        first.script.extend(['fail', 'fail'])
+        response = await self._call('find', gateway=1)
+        self.assertEqual(response.status, 500)
+        call = asyncio.create_task(self._call('find', gateway=1))
+        other.born += 1
+        self.deployment.register(other)
+        self.assertEqual((await call).status, 200)
