--- a/standins/datagram_simulation.py
+++ b/standins/datagram_simulation.py
@@ -57,7 +57,7 @@
 # the deadline from the arrival of the offer.
 DECISION_BOUND_S = MAX_DELAY_S + offers.HOST_TIMEOUT_S
 QUESTION_BOUND_S = stream_origins.GIVE_UP_AFTER_S + 2 * shell.TICK_S
-QUOTA = model.Quota(per_s=4000.0, burst=2000.0, plain_units=100.0)
+QUOTA = model.Quota(per_s=3000.0, burst=1500.0, plain_units=100.0)
 TOLERANCE = quotas.Tolerance(window_s=8.0, overrun=0.25, slack=3000.0)
 ROUTE = fixtures.route(
     timeout_s=8.0, objective_s=0.5, idempotent=True, resumable=True
@@ -374,11 +374,14 @@
                 held.append(data)
 
         self.network.receivers[gateway.address] = Holder()
-        await asyncio.sleep(self._rng.uniform(0.1, MAX_DELAY_S))
-        if gateway.alive:
-            self.network.receivers[gateway.address] = gateway.link
-            for data in held:
-                gateway.link.datagram_received(data, None)
+        try:
+            await asyncio.sleep(self._rng.uniform(0.1, MAX_DELAY_S))
+        finally:
+            # Also if the time of faults ends meanwhile.
+            if gateway.alive:
+                self.network.receivers[gateway.address] = gateway.link
+                for data in held:
+                    gateway.link.datagram_received(data, None)
 
     # Requests.
 
