--- a/tools/faults.py
+++ b/tools/faults.py
@@ -13,6 +13,7 @@
 import collections
 import concurrent.futures
 import itertools
+import multiprocessing
 import os
 import sys
 import typing
@@ -75,7 +76,9 @@
 def run_cells(cells):
     """Run cells in a pool of processes and return their results."""
     workers = min(MAX_WORKERS, os.cpu_count() or 1)
-    with concurrent.futures.ProcessPoolExecutor(workers) as pool:
+    # Forked processes would share the threads' locks of gRPC.
+    context = multiprocessing.get_context('spawn')
+    with concurrent.futures.ProcessPoolExecutor(workers, context) as pool:
         return list(pool.map(_run_cell, cells, chunksize=CELLS_PER_CHUNK))
 
 
