Close connections whose check is cancelled

What operators saw: connections to endpoints that stay open without a request, one for each search that ended while an endpoint was asked for its start. Cause: the check of an endpoint closed its connection after errors, but not when it was cancelled; searches are cancelled whenever an endpoint goes on. Change: a cancelled check closes its connection. Measured: the new test fails on the commit before (no close within 1 s) and passes.

--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections
 import math
 import re
@@ -215,6 +216,9 @@
             raise exceptions.EndpointUnreachableError(
                 f'no report of the endpoint: {error!r}'
             ) from error
+        except asyncio.CancelledError:
+            conn.abort()
+            raise
         started_at_ms = documents.read_start(report.body)
         if started_at_ms is None and runner.started_at_ms:
             conn.abort()
