End a stream at once that no endpoint can go on with

What callers saw: a stream whose events have no ids and whose second endpoint broke off stayed open without data until its deadline. Cause: after a handover a request looked for a place until its deadline, also where no place may be used because events without ids were relayed. Change: such a stream ends when its endpoint does. Measured: the new test fails on the commit before (8.1 s in place of less than 4.0 s) and passes.

--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -249,6 +249,8 @@
             return False
         if rejection is not None and rejection.status != 503:
             return False
+        if progress.begun and not _can_go_on(pending.route, progress):
+            return False
         return self._has_attempts_left(pending)
 
     async def _attempt(self, place, caller, progress):
--- a/persimmonroute/tests/gateway/search_tests.py
+++ b/persimmonroute/tests/gateway/search_tests.py
@@ -4,15 +4,34 @@
 
 import asyncio
 import contextlib
+import time
 import unittest
 
 from persimmonroute.platform import runner_client
+from standins import gateway_deployment as deployments
 from standins import gateway_fixtures as fixtures
+from standins import platform_runner
 
+STREAM = (('accept', 'text/event-stream'),)
+TIMEOUT_MS = 8000
+# Well below the deadline of the requests here, in seconds.
+PROMPT_S = 4.0
 # Time in which the end of a connection is noticed, in seconds.
 NOTICE_S = 1.0
 
 
+class SearchRunner(platform_runner.RunnerStandIn):
+    """Fall silent and fail in ways of its own."""
+
+    async def _do_break_unnumbered(self, reply, headers):
+        """Break off a stream whose events have no ids."""
+        await self._begin_stream(reply, headers)
+        await reply.send_data(b'data: piece\n\n')
+        await asyncio.sleep(self.event_pause_s)
+        platform_runner.reset(reply.writer)
+        return False
+
+
 class VerificationTests(unittest.IsolatedAsyncioTestCase):
     """Cancel the check of an endpoint."""
 
@@ -41,3 +60,33 @@
         await asyncio.wait((connecting,))
         async with asyncio.timeout(NOTICE_S):
             await closed.wait()
+
+
+class SearchTests(unittest.IsolatedAsyncioTestCase):
+    """Run gateways with two endpoints."""
+
+    async def asyncSetUp(self):
+        """Start a gateway, a store and two endpoints."""
+        self.deployment = deployments.GatewayDeployment()
+        self.deployment.runners = [SearchRunner('r0'), SearchRunner('r1')]
+        self.addAsyncCleanup(self.deployment.stop)
+        await self.deployment.start()
+        document = deployments.configuration(2)
+        for route in document['Routes']:
+            route['TimeoutMs'] = TIMEOUT_MS
+            route['MaxAttempts'] = 4
+        self.deployment.platform.put_row('op', 'config', document)
+        await asyncio.sleep(0.2)
+
+    async def test_stream_that_cannot_go_on_ends_at_once(self):
+        """Guards against a wait for the deadline after a handover."""
+        script = self.deployment.runners[0].script
+        script.extend(('hang', 'break_unnumbered'))
+        self.deployment.runners[1].script = script
+        began_at = time.monotonic()
+        response = await self.deployment.call(
+            '/resume/x', headers=STREAM, remaining_ms=TIMEOUT_MS
+        )
+        self.assertEqual(response.body, b'data: piece\n\n')
+        self.assertFalse(response.complete)
+        self.assertLess(time.monotonic() - began_at, PROMPT_S)
