Keep an endpoint's error that arrives slowly or is long

What callers saw: 502 "no usable endpoint" in place of an endpoint's 500 whose body paused for two objectives of the route or was longer than 256 KB. Change: another place is looked for while the error is read, as while an endpoint is silent; an error too long to keep is relayed.

--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -375,7 +375,9 @@
             return Failed(Ending.FAILED, True, 'the rest is no stream')
         retry = head.status >= 500 and self._has_attempts_left(pending)
         if retry and pending.route.repeatable:
-            return await self._keep_error(pending, head, call, progress)
+            return await self._keep_error(
+                pending, head, call, caller, progress, standby
+            )
         return await self._relay_whole(pending, head, call, caller, progress)
 
     def _record_head(self, pending, head):
@@ -417,8 +419,11 @@
     def _has_attempts_left(self, pending):
         return pending.sends < pending.route.max_attempts
 
-    async def _relay_whole(self, pending, head, call, caller, progress):
-        parts, size = [], 0
+    async def _relay_whole(
+        self, pending, head, call, caller, progress, parts=()
+    ):
+        parts = list(parts)
+        size = sum(len(part) for part in parts)
         while (data := await call.next_data()) is not None:
             parts.append(data)
             size += len(data)
@@ -434,16 +439,30 @@
         await caller.finish()
         return Relayed(head.status)
 
-    async def _keep_error(self, pending, head, call, progress):
+    async def _keep_error(
+        self, pending, head, call, caller, progress, standby
+    ):
         """Read an error response, to try another endpoint first."""
-        try:
-            async with timeouts.timeout(self._start_timeout_s(pending)):
-                body = await _read_buffered(call)
-        except (exceptions.EndpointBrokenError, TimeoutError):
-            body = None
-        if body is not None:
-            progress.kept = KeptResponse(head, body)
-        return Failed(Ending.FAILED, True, f'status {head.status}')
+        parts, size = [], 0
+        began_at = clock.now_s()
+        limit_s = self._start_timeout_s(pending)
+        while size <= BUFFERED_RESPONSE_BYTES:
+            left_s = max(began_at + limit_s - clock.now_s(), 0.0)
+            try:
+                data = await standby.read(call.next_data, left_s)
+            except exceptions.EndpointBrokenError:
+                return Failed(Ending.FAILED, True, f'status {head.status}')
+            if isinstance(data, places.Place):
+                return Replaced(data, 'the error stands still')
+            if data is None:
+                progress.kept = KeptResponse(head, b''.join(parts))
+                return Failed(Ending.FAILED, True, f'status {head.status}')
+            parts.append(data)
+            size += len(data)
+        standby.stop()
+        return await self._relay_whole(
+            pending, head, call, caller, progress, parts
+        )
 
     async def _begin(self, head, caller, progress):
         if not progress.begun:
@@ -676,17 +695,6 @@
         )
 
 
-async def _read_buffered(call):
-    """Return a whole body, or None if it is too large to be buffered."""
-    parts, size = [], 0
-    while (data := await call.next_data()) is not None:
-        parts.append(data)
-        size += len(data)
-        if size > BUFFERED_RESPONSE_BYTES:
-            return None
-    return b''.join(parts)
-
-
 def _can_go_on(route, progress):
     """Return whether another endpoint may write the rest of a stream."""
     return route.resumable and not progress.has_unnumbered
--- a/persimmonroute/tests/gateway/search_tests.py
+++ b/persimmonroute/tests/gateway/search_tests.py
@@ -14,6 +14,8 @@
 
 STREAM = (('accept', 'text/event-stream'),)
 TIMEOUT_MS = 8000
+# More than gateways buffer of a response.
+LONG_ERROR_BYTES = 400_000
 # Well below the deadline of the requests here, in seconds.
 PROMPT_S = 4.0
 # Time in which the end of a connection is noticed, in seconds.
@@ -23,6 +25,18 @@
 class SearchRunner(platform_runner.RunnerStandIn):
     """Fall silent and fail in ways of its own."""
 
+    async def _do_late_error(self, reply, headers):
+        """Fall silent between the head and the body of an error."""
+        await reply.send_head(500, [(b'content-length', b'6')])
+        await self._be_silent(reply)
+        await reply.send_data(b'failed')
+        reply.end()
+        return True
+
+    async def _do_long_error(self, reply, headers):
+        await reply.send_complete(500, b'x' * LONG_ERROR_BYTES, [])
+        return True
+
     async def _do_break_unnumbered(self, reply, headers):
         """Break off a stream whose events have no ids."""
         await self._begin_stream(reply, headers)
@@ -78,6 +92,24 @@
         self.deployment.platform.put_row('op', 'config', document)
         await asyncio.sleep(0.2)
 
+    async def _leave_one(self):
+        """Let all endpoints but the first leave; return the first."""
+        first, *others = self.deployment.runners
+        for runner in others:
+            self.deployment.register(runner, 'draining')
+        await asyncio.sleep(0.3)
+        return first
+
+    async def test_silence_within_an_error_ends_no_answer(self):
+        """Guards against 502 in place of an error that arrives slowly."""
+        first = await self._leave_one()
+        first.script.append('late_error')
+        response = await self.deployment.call(
+            '/find/x', remaining_ms=TIMEOUT_MS
+        )
+        self.assertEqual((response.status, response.body), (500, b'failed'))
+        self.assertIn(b'upstream-signature', response.headers)
+
     async def test_stream_that_cannot_go_on_ends_at_once(self):
         """Guards against a wait for the deadline after a handover."""
         script = self.deployment.runners[0].script
@@ -90,3 +122,26 @@
         self.assertEqual(response.body, b'data: piece\n\n')
         self.assertFalse(response.complete)
         self.assertLess(time.monotonic() - began_at, PROMPT_S)
+
+    async def test_silence_within_an_error_leads_to_another_endpoint(self):
+        """An error that stands still is replaced by an answer."""
+        first, second = self.deployment.runners
+        first.silence_s = second.silence_s = TIMEOUT_MS / 1000
+        first.script.append('late_error')
+        second.script = first.script
+        response = await self.deployment.call(
+            '/find/x', remaining_ms=TIMEOUT_MS
+        )
+        self.assertEqual((response.status, response.body), (200, b'answer a1'))
+        self.assertEqual(first.runs['a1'] + second.runs['a1'], 2)
+
+    async def test_error_that_is_too_long_to_keep_is_relayed(self):
+        """Guards against 502 in place of a long error."""
+        first = await self._leave_one()
+        first.script.append('long_error')
+        response = await self.deployment.call(
+            '/find/x', remaining_ms=TIMEOUT_MS
+        )
+        self.assertEqual(response.status, 500)
+        self.assertEqual(len(response.body), LONG_ERROR_BYTES)
+        self.assertTrue(response.complete)
