Count retries when they are sent, and give back the right one

What operators saw: a service may get more retries in a window than its budget. Cause: a search counts a retry before it waits for a place. The retry left the window after that time, not after its send; one that was not sent took back the newest count, which may be that of a retry that was. A cancelled wait after a failure gave nothing back. Change: each retry remembers when it was counted; its count moves to its send, and only that count is given back.

--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -230,10 +230,9 @@
         while True:
             place = None
             if self._may_retry(pending, failed, progress):
-                place = await self._finder.find(pending)
+                place = await self._finder.find_again(pending)
                 if isinstance(place, places.Place):
                     return place
-                self._board.retries.give_back(pending.service)
             if not self._must_go_on(pending, place, progress):
                 return place
             # Those that were silent or full may have recovered.
@@ -322,6 +321,7 @@
             pending.workspace,
             pending.deadline_at - now,
         )
+        self._finder.record_sent(pending)
         pending.sends += 1
         progress.may_have_run = True
         self._metrics.on_sent(pending, now)
@@ -556,7 +556,7 @@
             return False
         if not self._has_attempts_left(pending):
             return False
-        return self._board.retries.take(pending.service, clock.now_s())
+        return self._finder.take_retry(pending)
 
     def _record_outcome(self, pending, view, outcome, progress):
         if isinstance(outcome, Relayed):
--- a/persimmonroute/gateway/messages.py
+++ b/persimmonroute/gateway/messages.py
@@ -65,6 +65,8 @@
         self.version = None
         # Attempts at endpoints that count toward the route's max_attempts.
         self.sends = 0
+        # When the current retry was counted in the budget; None for none.
+        self.retried_at = None
         self.queued_at = now
         self.runner = None
         self.sent_at = None
--- a/persimmonroute/gateway/places.py
+++ b/persimmonroute/gateway/places.py
@@ -96,23 +96,49 @@
         record = place.pending.runner.record
         self._dispatcher.release(place.pending, Ending.ABANDONED)
         self._client.release(record, place.connection)
-        self._board.retries.give_back(place.pending.service)
+        self._give_back(place.pending)
 
     async def _find_other(self, pending):
         """Return a Place, or None if there is none now."""
-        retries = self._board.retries
-        if not retries.take(pending.service, clock.now_s()):
+        successor = pending.build_successor()
+        if not self.take_retry(successor):
             return None
+        found = await self.find_again(successor)
+        return found if isinstance(found, Place) else None
+
+    def take_retry(self, pending):
+        """Count a retry and return True if the budget allows it."""
+        now = clock.now_s()
+        if not self._board.retries.take(pending.service, now):
+            return False
+        pending.retried_at = now
+        return True
+
+    async def find_again(self, pending):
+        """Return a Place for a counted retry, or the Rejection.
+
+        The retry counts no more if there is no Place.
+        """
         place = None
         try:
-            found = await self.find(pending.build_successor())
-            if isinstance(found, Place):
-                place = found
+            place = await self.find(pending)
         finally:
-            if place is None:
-                retries.give_back(pending.service)
+            if not isinstance(place, Place):
+                self._give_back(pending)
         return place
 
+    def record_sent(self, pending):
+        """Count a retry from the time at which it is sent."""
+        if pending.retried_at is not None:
+            self._board.retries.move(
+                pending.service, pending.retried_at, clock.now_s()
+            )
+            pending.retried_at = None
+
+    def _give_back(self, pending):
+        self._board.retries.give_back(pending.service, pending.retried_at)
+        pending.retried_at = None
+
     async def _connect(self, pending):
         record = pending.runner.record
         if pending.route.resumable and pending.version is None:
--- a/persimmonroute/gateway/retry_budget.py
+++ b/persimmonroute/gateway/retry_budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 
 # Share of the slack that all gateways together may use. The rest covers
 # restarts, which lose the count of retries.
@@ -46,11 +47,18 @@
         retries.append(now)
         return True
 
-    def give_back(self, service):
-        """Take back the count of a retry that was not sent."""
-        retries = self._retries[service]
-        if retries:
-            retries.pop()
+    def give_back(self, service, taken_at):
+        """Take back the retry that was counted at a time, if it was not sent.
+
+        It may have left the window.
+        """
+        with contextlib.suppress(ValueError):
+            self._retries[service].remove(taken_at)
+
+    def move(self, service, taken_at, now):
+        """Count a retry that was counted at a time when it is sent."""
+        self.give_back(service, taken_at)
+        self._retries[service].append(now)
 
     def report_used(self, now):
         """Return the retries in the window by service."""
--- a/persimmonroute/tests/gateway/search_tests.py
+++ b/persimmonroute/tests/gateway/search_tests.py
@@ -7,6 +7,7 @@
 import time
 import unittest
 
+from persimmonroute.gateway import retry_budget
 from persimmonroute.platform import runner_client
 from standins import gateway_deployment as deployments
 from standins import gateway_fixtures as fixtures
@@ -20,6 +21,7 @@
 PROMPT_S = 4.0
 # Time in which the end of a connection is noticed, in seconds.
 NOTICE_S = 1.0
+WINDOW_S = 10.0
 
 
 class SearchRunner(platform_runner.RunnerStandIn):
@@ -46,6 +48,36 @@
         return False
 
 
+class RetryBudgetTests(unittest.TestCase):
+    """Give retries back that were not sent."""
+
+    def _budget(self):
+        return retry_budget.RetryBudget(0.0, 2.0, WINDOW_S)
+
+    def test_late_return_takes_no_other_retry_back(self):
+        """Guards against a sent retry that the budget forgets."""
+        budget = self._budget()
+        self.assertTrue(budget.take('s', 0.0))
+        self.assertTrue(budget.take('s', WINDOW_S + 1.0))
+        budget.give_back('s', 0.0)
+        self.assertEqual(budget.report_used(WINDOW_S + 1.0), {'s': 1})
+
+    def test_return_leaves_the_time_of_another_retry(self):
+        """Guards against a sent retry that leaves the window early."""
+        budget = retry_budget.RetryBudget(0.0, 4.0, WINDOW_S)
+        self.assertTrue(budget.take('s', 0.0))
+        self.assertTrue(budget.take('s', 5.0))
+        budget.give_back('s', 0.0)
+        self.assertEqual(budget.report_used(WINDOW_S + 1.0), {'s': 1})
+
+    def test_late_send_counts_from_its_sending(self):
+        """Guards against a retry that waits longer than it counts."""
+        budget = self._budget()
+        self.assertTrue(budget.take('s', 0.0))
+        budget.move('s', 0.0, WINDOW_S - 1.0)
+        self.assertFalse(budget.take('s', WINDOW_S + 1.0))
+
+
 class VerificationTests(unittest.IsolatedAsyncioTestCase):
     """Cancel the check of an endpoint."""
 
