Give a search's retry back before its request needs one

Cause: a search that ends because its endpoint broke off was cancelled, but still held its retry when the same request asked the budget for one. Change: an attempt ends when its search holds nothing any more.

--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -262,7 +262,7 @@
         call = None
         try:
             call = self._send(place, progress)
-            with self._stand_by(pending, progress) as standby:
+            async with self._stand_by(pending, progress) as standby:
                 outcome = await self._relay(
                     pending, call, caller, progress, standby
                 )
--- a/persimmonroute/gateway/standby.py
+++ b/persimmonroute/gateway/standby.py
@@ -49,6 +49,13 @@
             searching.cancel()
             searching.add_done_callback(self._discard_found)
 
+    async def close(self):
+        """End the search, and wait until it holds nothing any more."""
+        searching = self._searching
+        self.stop()
+        if searching is not None:
+            await asyncio.wait((searching,))
+
     def _discard_found(self, searching):
         if not searching.cancelled():
             self._discard(searching.result())
@@ -68,11 +75,11 @@
             reading.cancel()
 
 
-@contextlib.contextmanager
-def stand_by(search, discard, on_silent):
+@contextlib.asynccontextmanager
+async def stand_by(search, discard, on_silent):
     """Yield a Standby whose search ends with the body."""
     standby = Standby(search, discard, on_silent)
     try:
         yield standby
     finally:
-        standby.stop()
+        await standby.close()
--- a/persimmonroute/tests/gateway/search_tests.py
+++ b/persimmonroute/tests/gateway/search_tests.py
@@ -8,6 +8,7 @@
 import unittest
 
 from persimmonroute.gateway import retry_budget
+from persimmonroute.gateway import standby
 from persimmonroute.platform import runner_client
 from standins import gateway_deployment as deployments
 from standins import gateway_fixtures as fixtures
@@ -108,6 +109,33 @@
             await closed.wait()
 
 
+class StandbyTests(unittest.IsolatedAsyncioTestCase):
+    """End a search together with the attempt that it stands by."""
+
+    async def test_ended_search_has_given_its_retry_back(self):
+        """Guards against 502 when an endpoint breaks off in a search."""
+        budget = retry_budget.RetryBudget(0.0, 2.0, WINDOW_S)
+
+        async def search():
+            budget.take('s', 0.0)
+            try:
+                await asyncio.sleep(NOTICE_S)
+            finally:
+                budget.give_back('s', 0.0)
+
+        async def break_off():
+            await asyncio.sleep(0.05)
+            raise ConnectionResetError
+
+        with contextlib.suppress(ConnectionResetError):
+            async with standby.stand_by(
+                search, self.fail, lambda: None
+            ) as standing:
+                await standing.read(break_off, 0.0)
+                self.fail('the endpoint has not broken off')
+        self.assertTrue(budget.take('s', 0.0))
+
+
 class SearchTests(unittest.IsolatedAsyncioTestCase):
     """Run gateways with two endpoints."""
 
