--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -19,6 +19,7 @@
 
 import asyncio
 import concurrent.futures
+import multiprocessing
 import pathlib
 import random
 import shutil
@@ -76,7 +77,9 @@
 
 def run_seeds(seeds, jobs, keep_folder=None, tree=seed_run.ROOT):
     """Yield the SeedResults of seeds as the runs finish."""
-    with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
+    # Forked processes would share the threads' locks of gRPC.
+    context = multiprocessing.get_context('spawn')
+    with concurrent.futures.ProcessPoolExecutor(jobs, context) as pool:
         futures = [pool.submit(run_seed, s, keep_folder, tree) for s in seeds]
         try:
             for future in concurrent.futures.as_completed(futures):
