Believe the health check after a connection that was not opened

Callers got 503 at once although the endpoint of their sidecar responded.

Cause: a call that could not connect marked the endpoint as down and refused all that waited, even if the check made just before had found it up. It stayed closed until the next check.

Change: the check alone decides. The request that could not be sent is offered again, as before, and others go on.

Evidence: the new test failed before.

--- a/persimmonroute/sidecar/execution.py
+++ b/persimmonroute/sidecar/execution.py
@@ -426,7 +426,7 @@
         board.add_tombstone(attempt.attempt_id)
         for link in sorted(attempt.subscribers):
             board.send(link, attempt.attempt_id, never_starts=pb.NeverStarts())
-        self.on_probed(messages.EndpointProbed(False), now)
+        self.request_grants(now)
 
     def _record_crash(self, now):
         # A gracefully stopping endpoint fails probes but completes its
--- a/persimmonroute/tests/sidecar/execution_tests.py
+++ b/persimmonroute/tests/sidecar/execution_tests.py
@@ -90,3 +90,21 @@
         self._handle(messages.TimePassed(), 2.0)
         kinds = self._send('a', 2.1, grant=pb.Grant())
         self.assertEqual(kinds, ['never_starts'])
+
+    def test_unsent_call_closes_no_endpoint_that_responds(self):
+        """Guards against refusals because one connection was not opened."""
+        offer = pb.Offer(tier=1, patience_s=5.0, idempotent=True)
+        self._send('a', 0.0, offer=offer)
+        self._send('a', 0.0, grant=pb.Grant())
+        self._handle(messages.EndpointProbed(True), 1.0)
+        effects = self._handle(
+            messages.EndpointFailed('a', False, 'no connection'), 1.0
+        )
+        sent = [
+            e.frame.WhichOneof('body') for e in effects if hasattr(e, 'frame')
+        ]
+        self.assertEqual(sent, ['never_starts'])
+        self.assertFalse(self.core.load(1.0).endpoint_down)
+        self.assertEqual(
+            self._send('b', 1.0, offer=offer), ['accepted', 'ready']
+        )
