--- a/persimmonroute/sidecar/endpoints.py
+++ b/persimmonroute/sidecar/endpoints.py
@@ -116,6 +116,14 @@
         """Return whether the endpoint responds to a health check."""
         try:
             await self._request('GET', '/health')
+        except exceptions.ResourcesExhaustedError as error:
+            log.emit(
+                Event.RESOURCES_EXHAUSTED,
+                step='health check',
+                problem=error.problem,
+                suppressed=0,
+            )
+            return False
         except PROBE_ERRORS:
             return False
         return True
--- a/persimmonroute/tests/gateway/descriptor_tests.py
+++ b/persimmonroute/tests/gateway/descriptor_tests.py
@@ -3,15 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import os
 import pathlib
-import resource
 import signal
-import socket
 import tempfile
 import unittest
 
+from standins import descriptors
 from tools.soak import callers
 from tools.soak import seed_run
 
@@ -49,40 +46,19 @@
         caller.close()
         return statuses
 
-    @contextlib.contextmanager
-    def _limit(self, process):
-        """Let a process open only a few descriptors more."""
-        before = resource.prlimit(process.pid, resource.RLIMIT_NOFILE)
-        open_now = len(os.listdir(f'/proc/{process.pid}/fd'))
-        limit = open_now + FEW, before[1]
-        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limit)
-        try:
-            yield
-        finally:
-            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, before)
-
-    async def _open_connections(self, address):
-        """Open connections that send nothing, as far as possible."""
-        host, _, port = address.rpartition(':')
-        for _ in range(IDLE_CONNECTIONS):
-            connection = socket.socket()
-            connection.setblocking(False)
-            connection.connect_ex((host, int(port)))
-            self.addCleanup(connection.close)
-            yield connection
-
     async def test_gateway_without_descriptors_recovers_and_logs_little(self):
         """Guards against thousands of tracebacks for each lack."""
         async with self.seed_run.deployment():
             gateway = self.seed_run.gateways[0]
             for endpoint in self.seed_run.endpoints:
                 endpoint.long_share = 0.0
-            with self._limit(gateway._process):
-                address = gateway.settings['address']
-                idle = [c async for c in self._open_connections(address)]
+            pid = gateway._process.pid
+            address = gateway.settings['address']
+            with (
+                descriptors.limit_descriptors(pid, FEW),
+                descriptors.open_connections(address, IDLE_CONNECTIONS),
+            ):
                 during = await self._send_requests('during', 1)
-                for connection in idle:
-                    connection.close()
             self.assertTrue(gateway.running)
             self.assertLessEqual(set(during), REFUSALS)
             await asyncio.sleep(RECOVERY_S)
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -120,6 +120,10 @@
         settings = str(self._folder / f'{name}.json')
         self._spawn(name, 'persimmonroute.daemon', '--config', settings)
 
+    def find_pid(self, name):
+        """Return the process id of a started process."""
+        return self._processes[name].pid
+
     def send_signal(self, name, signal_number):
         """Send a signal to one process."""
         self._processes[name].send_signal(signal_number)
