Let callers come back after a handover that was refused

Callers of requests that may repeat waited for their deadline and got 504, when an endpoint was silent, the one that replaced it refused, and no other place was found, as with a retry budget that is spent.

Cause: such a request was looked on for as long as its deadline allowed. It may have run, so it cannot be refused with 503; but a request that its caller sends again needs nothing of the budget.

Change: a place is looked for during four latency objectives and at most half of the time left; then the caller gets 502. Streams that have begun are looked on for as before, since a cut would lose what the caller has. Endpoints are still left before the next is sent to: no request may run at two at once, and only the head of a response shows that an endpoint has accepted.

Evidence: test_caller_can_return_after_a_refused_handover failed before (504 at the deadline of 8 s).

--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -43,6 +43,12 @@
 # pause.
 STREAM_IDLE_TIMEOUT_S = 1.5
 STREAM_IDLE_PAUSES = 3.0
+# For how long a place is looked for after a handover to an endpoint that
+# refused: at most so many latency objectives, and this share of the time left.
+# The caller of a request without a response may come back in the rest, and
+# its new request takes nothing of the retry budget.
+LOOK_ON_OBJECTIVES = 4.0
+LOOK_ON_SHARE = 0.5
 # Route name reported for requests that admission rejects.
 NO_ROUTE = '-'
 
@@ -112,6 +118,9 @@
         self.failed = None
         # True once a silent endpoint was left for another one.
         self.handed_over = False
+        # Until when to look for a place after the handover, in seconds; None
+        # if no place was missing since.
+        self.look_on_until = None
         # KeptResponse that the caller gets if there is nothing better.
         self.kept = None
 
@@ -215,6 +224,7 @@
                 place = outcome.place
                 place.pending.current_id = None
                 progress.handed_over = True
+                progress.look_on_until = None
                 continue
             place = await self._find_next(pending, outcome, progress)
             if place is None:
@@ -248,9 +258,14 @@
             return False
         if rejection is not None and rejection.status != 503:
             return False
-        if progress.begun and not _can_go_on(pending.route, progress):
+        if not self._has_attempts_left(pending):
             return False
-        return self._has_attempts_left(pending)
+        if progress.begun:
+            return _can_go_on(pending.route, progress)
+        now = clock.now_s()
+        if progress.look_on_until is None:
+            progress.look_on_until = now + _find_look_on_s(pending, now)
+        return now < progress.look_on_until
 
     async def _attempt(self, place, caller, progress):
         pending = place.pending
@@ -725,6 +740,14 @@
     return 'gateway' if progress.handed_over else 'endpoint'
 
 
+def _find_look_on_s(pending, now):
+    """Return for how long to look for a place after a handover."""
+    return min(
+        LOOK_ON_OBJECTIVES * pending.route.objective_s,
+        LOOK_ON_SHARE * (pending.deadline_at - now),
+    )
+
+
 def _find_extension_s(pending):
     """Return for how much longer to wait for the response head."""
     if pending.runner.last_heard_at <= pending.sent_at:
--- a/persimmonroute/tests/gateway/search_tests.py
+++ b/persimmonroute/tests/gateway/search_tests.py
@@ -20,6 +20,8 @@
 LONG_ERROR_BYTES = 400_000
 # Well below the deadline of the requests here, in seconds.
 PROMPT_S = 4.0
+# One of two gateways whose budget allows one retry.
+ONE_RETRY = {'retry_slack': 4, 'retry_ratio': 0}
 # Time in which the end of a connection is noticed, in seconds.
 NOTICE_S = 1.0
 WINDOW_S = 10.0
@@ -183,6 +185,22 @@
         self.assertFalse(response.complete)
         self.assertLess(time.monotonic() - began_at, PROMPT_S)
 
+    async def test_caller_can_return_after_a_refused_handover(self):
+        """Guards against a fruitless search until the caller's deadline."""
+        await self.deployment.add_gateway(**ONE_RETRY)
+        script = self.deployment.runners[0].script
+        script.extend(('hang', 'full'))
+        self.deployment.runners[1].script = script
+        began_at = time.monotonic()
+        statuses = []
+        for attempt in ('a1', 'a2'):
+            response = await self.deployment.call(
+                '/find/x', 1, attempt=attempt, remaining_ms=TIMEOUT_MS
+            )
+            statuses.append(response.status)
+        self.assertEqual(statuses, [502, 200])
+        self.assertLess(time.monotonic() - began_at, PROMPT_S)
+
     async def test_silence_within_an_error_leads_to_another_endpoint(self):
         """An error that stands still is replaced by an answer."""
         first, second = self.deployment.runners
