Count the search for another endpoint from its grant

Callers whose endpoint had failed got 502 for want of a retry, while searches for requests with silent endpoints held the budget in a queue, most of them in vain. Searches and retries that waited longer than the window of the budget were sent beyond it together.

Cause: a share was taken before the place was asked for. It left the window while the request waited, and was counted again without a check when it was sent.

Change: a search is counted when it has a place, and gives the place back if the budget is spent by then. A retry that has left the window needs a share again.

--- a/persimmonroute/gateway/places.py
+++ b/persimmonroute/gateway/places.py
@@ -101,7 +101,8 @@
     async def _find_other(self, pending):
         """Return a Place, or None if there is none now."""
         successor = pending.build_successor()
-        if not self.take_retry(successor):
+        # The search counts as a retry from its grant on: others may end first.
+        if not self._board.retries.allows(successor.service, clock.now_s()):
             return None
         found = await self.find_again(successor)
         return found if isinstance(found, Place) else None
@@ -115,9 +116,10 @@
         return True
 
     async def find_again(self, pending):
-        """Return a Place for a counted retry, or the Rejection.
+        """Return a counted Place for a retry, or the Rejection.
 
-        The retry counts no more if there is no Place.
+        None if the budget does not allow it any more. The retry counts no more
+        if there is no Place.
         """
         place = None
         try:
@@ -125,8 +127,21 @@
         finally:
             if not isinstance(place, Place):
                 self._give_back(pending)
+        if isinstance(place, Place) and not self._renew_retry(pending):
+            self.discard(place)
+            return None
         return place
 
+    def _renew_retry(self, pending):
+        """Count a retry at its grant; return whether that is allowed."""
+        now = clock.now_s()
+        if not self._board.retries.renew(
+            pending.service, pending.retried_at, now
+        ):
+            return False
+        pending.retried_at = now
+        return True
+
     def record_sent(self, pending):
         """Count a retry from the time at which it is sent."""
         if pending.retried_at is not None:
--- a/persimmonroute/gateway/retry_budget.py
+++ b/persimmonroute/gateway/retry_budget.py
@@ -37,14 +37,28 @@
         # Trimmed here, too: a service may never be asked for a retry.
         self._trim(self._requests[service], now).append(now)
 
-    def take(self, service, now):
-        """Count a retry and return True if the budget allows it."""
+    def allows(self, service, now):
+        """Return whether the budget allows a retry, without counting it."""
         requests = self._trim(self._requests[service], now)
         retries = self._trim(self._retries[service], now)
         slack = self._slack * SLACK_SHARE / self._gateways
-        if len(retries) + 1 > self._ratio * len(requests) + slack:
+        return len(retries) + 1 <= self._ratio * len(requests) + slack
+
+    def take(self, service, now):
+        """Count a retry and return True if the budget allows it."""
+        if not self.allows(service, now):
             return False
-        retries.append(now)
+        self._retries[service].append(now)
+        return True
+
+    def renew(self, service, taken_at, now):
+        """Count a retry from now; return whether the budget allows it.
+
+        One that has left the window, or was not counted, needs a share again.
+        """
+        if taken_at not in self._trim(self._retries[service], now):
+            return self.take(service, now)
+        self.move(service, taken_at, now)
         return True
 
     def give_back(self, service, taken_at):
--- /dev/null
+++ b/persimmonroute/tests/gateway/place_tests.py
@@ -0,0 +1,154 @@
+"""Test what requests hold and ask for while a place is looked for."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from unittest import mock
+
+from persimmonroute import clock
+from persimmonroute.gateway import admission
+from persimmonroute.gateway import places
+from persimmonroute.gateway import retry_budget
+from standins import gateway_fixtures as fixtures
+
+WINDOW_S = 10.0
+# Allows one retry at a time.
+SLACK = 2.0
+# Time in which tasks reach their next wait, in seconds.
+SETTLE_S = 0.05
+# Longer than the requests here take, in seconds.
+REMAINING_S = 60.0
+
+
+class DispatcherStandIn:
+    """Grant an endpoint when the test says so."""
+
+    def __init__(self, view):
+        self._view = view
+        self.open = asyncio.Event()
+        self.asked = 0
+        self.released = []
+
+    async def wait_for_grant(self, pending):
+        """Return the endpoint once grants are open."""
+        self.asked += 1
+        await self.open.wait()
+        pending.runner = self._view
+        pending.sent_at = clock.now_s()
+        return self._view
+
+    def release(self, pending, ending):
+        """Record that a slot was returned."""
+        pending.runner = None
+        self.released.append(ending)
+
+
+class PlaceCase(unittest.IsolatedAsyncioTestCase):
+    """Look for places with a clock and grants that tests control."""
+
+    async def asyncSetUp(self):
+        """Create a finder on a board with one endpoint."""
+        self.now = 0.0
+        patcher = mock.patch.object(clock, 'now_s', lambda: self.now)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        self.route = fixtures.route(
+            streaming=False, idempotent=True, timeout_s=REMAINING_S
+        )
+        self.board = fixtures.board(routes=[self.route])
+        self.board.retries = retry_budget.RetryBudget(0.0, SLACK, WINDOW_S)
+        (self.view,) = self.board.runner_registry
+        self.dispatcher = DispatcherStandIn(self.view)
+        self.client = mock.Mock()
+        self.client.connect = mock.AsyncMock()
+        self.finder = places.PlaceFinder(
+            self.board,
+            admission.Admission(self.board),
+            self.dispatcher,
+            self.client,
+            mock.Mock(),
+            mock.Mock(),
+            mock.AsyncMock(),
+        )
+
+    def _build_request(self):
+        return fixtures.pending_request(
+            self.now,
+            self.route,
+            fixtures.workspace(),
+            remaining_s=REMAINING_S,
+        )
+
+    def _start_search(self):
+        """Search for a request whose endpoint is silent."""
+        pending = self._build_request()
+        pending.runner = self.view
+        searching = asyncio.create_task(self.finder.search(pending))
+        self.addCleanup(searching.cancel)
+        return searching
+
+    def _start_retry(self):
+        """Look for a place for a request whose attempt has ended."""
+        pending = self._build_request()
+        self.assertTrue(self.finder.take_retry(pending))
+        retrying = asyncio.create_task(self.finder.find_again(pending))
+        self.addCleanup(retrying.cancel)
+        return retrying
+
+    def _advance(self, seconds):
+        """Let time pass in which the configuration is confirmed."""
+        self.now += seconds
+        self.board.configuration_freshness.confirm(self.now, self.now)
+
+    def _used(self):
+        return self.board.retries.report_used(self.now)[fixtures.SERVICE]
+
+
+class BudgetTests(PlaceCase):
+    """Share the retry budget between searches and retries."""
+
+    async def test_queued_search_leaves_the_budget_to_retries(self):
+        """Guards against 502 while a search that may be in vain waits."""
+        self._start_search()
+        await asyncio.sleep(SETTLE_S)
+        self.assertEqual(self.dispatcher.asked, 1)
+        self.assertTrue(self.finder.take_retry(self._build_request()))
+
+    async def test_long_searches_keep_to_the_budget_together(self):
+        """Guards against searches that outlast the window they count in."""
+        searches = [self._start_search()]
+        await asyncio.sleep(SETTLE_S)
+        self._advance(WINDOW_S + 1.0)
+        searches.append(self._start_search())
+        await asyncio.sleep(SETTLE_S)
+        self.dispatcher.open.set()
+        await asyncio.sleep(SETTLE_S)
+        self.assertEqual([s.done() for s in searches], [True, False])
+        self.finder.record_sent(searches[0].result().pending)
+        self.assertEqual(self._used(), 1)
+
+    async def test_long_retries_keep_to_the_budget_together(self):
+        """Guards against retries that outlast the window they count in."""
+        retries = [self._start_retry()]
+        await asyncio.sleep(SETTLE_S)
+        self._advance(WINDOW_S + 1.0)
+        retries.append(self._start_retry())
+        await asyncio.sleep(SETTLE_S)
+        self.dispatcher.open.set()
+        found = await asyncio.gather(*retries)
+        found = [place for place in found if isinstance(place, places.Place)]
+        for place in found:
+            self.finder.record_sent(place.pending)
+        self.assertEqual((len(found), self._used()), (1, 1))
+
+    async def test_search_without_budget_holds_no_place(self):
+        """Guards against slots held by searches that may not be sent."""
+        self._start_search()
+        await asyncio.sleep(SETTLE_S)
+        self.assertTrue(self.finder.take_retry(self._build_request()))
+        self.dispatcher.open.set()
+        await asyncio.sleep(SETTLE_S)
+        self.assertEqual(len(self.dispatcher.released), 1)
+        self.client.release.assert_called_once()
+        self.assertEqual(self._used(), 1)
