Ask for no slot for a search with a lost key

While an endpoint was silent and the key of its request had been taken away, a slot of another endpoint was granted five times a second and given back unused. Other callers waited for these slots.

Cause: a search checked the key only after each grant.

Change: it checks before it asks as well, and asks again if the key is back. A version without an endpoint left is refused without a message to a host, and may come back; such a search goes on as before (test_silent_stream_never_runs_at_two_endpoints). The answer that is still running is not touched (test_removed_key_ends_no_silent_answer).

Evidence: test_search_asks_for_no_slot_that_it_may_not_use failed before (2 grants); the test of a key that is back passed before and guards the change.

--- a/persimmonroute/gateway/places.py
+++ b/persimmonroute/gateway/places.py
@@ -101,8 +101,12 @@
     async def _find_other(self, pending):
         """Return a Place, or None if there is none now."""
         successor = pending.build_successor()
+        now = clock.now_s()
+        # A slot would be granted in vain.
+        if self._admission.check_again(successor, now) is not None:
+            return None
         # The search counts as a retry from its grant on: others may end first.
-        if not self._board.retries.allows(successor.service, clock.now_s()):
+        if not self._board.retries.allows(successor.service, now):
             return None
         found = await self.find_again(successor)
         return found if isinstance(found, Place) else None
--- a/persimmonroute/tests/gateway/place_tests.py
+++ b/persimmonroute/tests/gateway/place_tests.py
@@ -152,3 +152,35 @@
         self.assertEqual(len(self.dispatcher.released), 1)
         self.client.release.assert_called_once()
         self.assertEqual(self._used(), 1)
+
+
+class RevokedKeyTests(PlaceCase):
+    """Search for a request whose key is taken away."""
+
+    def _configure(self, key, version):
+        workspace = fixtures.workspace(key=key)
+        self.board.adopt_configuration(
+            fixtures.configuration([self.route], [workspace], version),
+            self.now,
+        )
+
+    async def test_search_asks_for_no_slot_that_it_may_not_use(self):
+        """Guards against slots granted again and again for a lost key."""
+        self.dispatcher.open.set()
+        searching = self._start_search()
+        self._advance(admission.RECHECK_S)
+        self._configure('another', 2)
+        await asyncio.sleep(SETTLE_S + places.SEARCH_PAUSE_S)
+        self.assertEqual(self.dispatcher.asked, 0)
+        self.assertFalse(searching.done())
+
+    async def test_search_goes_on_with_a_key_that_is_back(self):
+        """Guards against a search that one refusal ends for good."""
+        self.dispatcher.open.set()
+        searching = self._start_search()
+        self._advance(admission.RECHECK_S)
+        self._configure('another', 2)
+        await asyncio.sleep(SETTLE_S)
+        self._configure(fixtures.KEY, 3)
+        await asyncio.sleep(SETTLE_S + places.SEARCH_PAUSE_S)
+        self.assertTrue(searching.done())
