Send nothing for a grant that has become old

A gateway that stood still for a second or more between a grant and the send sent the request to a slot that its host had given to another gateway, on a connection that the endpoint may have closed; one that was looking for another endpoint gave up a silent one for it.

Cause: only the time from the offer to the grant was checked.

A place that a search has found is checked before the silent endpoint is left.

Evidence: the two tests of SuspensionTests failed before.

--- a/persimmonroute/gateway/places.py
+++ b/persimmonroute/gateway/places.py
@@ -17,6 +17,9 @@
 
 # Pause after a search for another endpoint that found none.
 SEARCH_PAUSE_S = 0.2
+# Age of a grant from which nothing is sent for it any more. Connecting takes
+# less; a host frees the slots of a gateway that stood still for this long.
+PLACE_VALID_S = 1.0
 
 
 class Place(typing.NamedTuple):
@@ -25,6 +28,15 @@
     pending: messages.PendingRequest
     connection: object
 
+    @property
+    def valid(self):
+        """Return whether a request may still be sent there."""
+        return clock.now_s() - self.pending.sent_at <= PLACE_VALID_S
+
+    def close(self):
+        """Close the connection, which may be stale."""
+        self.connection.close()
+
 
 class PlaceFinder:
     """Have endpoints granted, and connect to them."""
@@ -57,7 +69,10 @@
             try:
                 rejection = self._admission.check_again(pending, clock.now_s())
                 if rejection is None:
-                    return Place(pending, await self._connect(pending))
+                    place = Place(pending, await self._connect(pending))
+                    if place.valid:
+                        return place
+                    place.close()
             except (
                 exceptions.EndpointUnreachableError,
                 exceptions.EndpointReplacedError,
@@ -68,7 +83,8 @@
                 self._dispatcher.release(pending, Ending.ABANDONED)
                 raise
             self._dispatcher.release(pending, Ending.ABANDONED)
-            return rejection
+            if rejection is not None:
+                return rejection
 
     async def search(self, pending):
         """Return a Place at another endpoint than that of a request.
@@ -93,9 +109,12 @@
 
     def discard(self, place):
         """Return a place that is not needed any more."""
-        record = place.pending.runner.record
+        if place.valid:
+            record = place.pending.runner.record
+            self._client.release(record, place.connection)
+        else:
+            place.close()
         self._dispatcher.release(place.pending, Ending.ABANDONED)
-        self._client.release(record, place.connection)
         self._give_back(place.pending)
 
     async def _find_other(self, pending):
--- a/persimmonroute/gateway/standby.py
+++ b/persimmonroute/gateway/standby.py
@@ -63,14 +63,20 @@
     async def _read_or_replace(self, read):
         reading = asyncio.create_task(read())
         try:
-            await asyncio.wait(
-                (reading, self._searching),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            if reading.done():
-                return reading.result()
-            searching, self._searching = self._searching, None
-            return searching.result()
+            while True:
+                await asyncio.wait(
+                    (reading, self._searching),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if reading.done():
+                    return reading.result()
+                searching, self._searching = self._searching, None
+                place = searching.result()
+                if place.valid:
+                    return place
+                # This process stood still since the grant.
+                self._discard(place)
+                self._searching = asyncio.create_task(self._search())
         finally:
             reading.cancel()
 
--- a/persimmonroute/tests/gateway/place_tests.py
+++ b/persimmonroute/tests/gateway/place_tests.py
@@ -10,6 +10,7 @@
 from persimmonroute.gateway import admission
 from persimmonroute.gateway import places
 from persimmonroute.gateway import retry_budget
+from persimmonroute.gateway import standby
 from standins import gateway_fixtures as fixtures
 
 WINDOW_S = 10.0
@@ -19,6 +20,8 @@
 SETTLE_S = 0.05
 # Longer than the requests here take, in seconds.
 REMAINING_S = 60.0
+# Time for which a gateway stands still, in seconds.
+SUSPENDED_S = 2.0
 
 
 class DispatcherStandIn:
@@ -184,3 +187,58 @@
         self._configure(fixtures.KEY, 3)
         await asyncio.sleep(SETTLE_S + places.SEARCH_PAUSE_S)
         self.assertTrue(searching.done())
+
+
+class SuspensionTests(PlaceCase):
+    """Let the gateway stand still between a grant and the send."""
+
+    async def asyncSetUp(self):
+        """Grant what is asked for."""
+        await super().asyncSetUp()
+        self.dispatcher.open.set()
+        self.stale = mock.Mock()
+        self.fresh = mock.Mock()
+
+    async def _connect(self, *args, **options):
+        """Stand still beside the first connection."""
+        if self.client.connect.call_count > 1:
+            return self.fresh
+        self._advance(SUSPENDED_S)
+        return self.stale
+
+    async def test_old_grant_is_asked_for_again(self):
+        """Guards against a send to a slot that its host has given away."""
+        self.client.connect.side_effect = self._connect
+        place = await self.finder.find(self._build_request())
+        self.assertIs(place.connection, self.fresh)
+        self.assertEqual(len(self.dispatcher.released), 1)
+        self.stale.close.assert_called_once()
+        self.client.release.assert_not_called()
+
+    async def test_old_place_replaces_no_silent_endpoint(self):
+        """Guards against an answer given up for a slot that is gone."""
+        self.client.connect.return_value = self.stale
+        pending = self._build_request()
+        pending.runner = self.view
+        answered = asyncio.Event()
+
+        async def search():
+            place = await self.finder.search(pending)
+            self.dispatcher.open.clear()
+            self._advance(SUSPENDED_S)
+            return place
+
+        async def read():
+            await answered.wait()
+            return 'answer'
+
+        async with standby.stand_by(
+            search, self.finder.discard, lambda: None
+        ) as standing:
+            reading = asyncio.create_task(standing.read(read, 0.0))
+            await asyncio.sleep(SETTLE_S)
+            answered.set()
+            self.assertEqual(await reading, 'answer')
+        self.assertEqual(len(self.dispatcher.released), 1)
+        self.stale.close.assert_called_once()
+        self.assertEqual(self._used(), 0)
