Close the connection of a send that raises

A request whose send raised an unexpected error got 502, as it should, but its connection stayed open and its retry counted for a whole window. A check of an endpoint that raised left its connection as well.

Cause: only a send that had returned was ended.

Change: the connection is aborted and the retry given back. The slot was returned before, too.

--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -288,6 +288,8 @@
         finally:
             if call is not None:
                 call.abandon()
+            else:
+                self._finder.abort(place)
             self._dispatcher.release(pending, ending)
         if isinstance(outcome, Failed) and not outcome.may_have_run:
             progress.may_have_run = ran_before
--- a/persimmonroute/gateway/places.py
+++ b/persimmonroute/gateway/places.py
@@ -117,6 +117,11 @@
         self._dispatcher.release(place.pending, Ending.ABANDONED)
         self._give_back(place.pending)
 
+    def abort(self, place):
+        """End the use of a place whose request could not be sent."""
+        place.connection.abort()
+        self._give_back(place.pending)
+
     async def _find_other(self, pending):
         """Return a Place, or None if there is none now."""
         successor = pending.build_successor()
--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import collections
 import math
 import re
@@ -206,8 +205,10 @@
         its start holds for the next request, too.
         """
         sent_at = clock.now_s()
-        conn.send_request('GET', REPORT_PATH, [('host', runner.address)], b'')
         try:
+            conn.send_request(
+                'GET', REPORT_PATH, [('host', runner.address)], b''
+            )
             report = await http_connection.read_response(
                 conn, REPORT_TIMEOUT_S
             )
@@ -216,7 +217,7 @@
             raise exceptions.EndpointUnreachableError(
                 f'no report of the endpoint: {error!r}'
             ) from error
-        except asyncio.CancelledError:
+        except BaseException:
             conn.abort()
             raise
         started_at_ms = documents.read_start(report.body)
--- a/persimmonroute/tests/gateway/place_tests.py
+++ b/persimmonroute/tests/gateway/place_tests.py
@@ -7,10 +7,15 @@
 from unittest import mock
 
 from persimmonroute import clock
+from persimmonroute import exceptions
 from persimmonroute.gateway import admission
+from persimmonroute.gateway import forwarding
+from persimmonroute.gateway import model
 from persimmonroute.gateway import places
 from persimmonroute.gateway import retry_budget
 from persimmonroute.gateway import standby
+from persimmonroute import http_connection
+from persimmonroute.platform import runner_client
 from standins import gateway_fixtures as fixtures
 
 WINDOW_S = 10.0
@@ -242,3 +247,61 @@
         self.assertEqual(len(self.dispatcher.released), 1)
         self.stale.close.assert_called_once()
         self.assertEqual(self._used(), 0)
+
+
+class FailedSendTests(PlaceCase):
+    """Let the send of a request raise an unexpected error."""
+
+    async def asyncSetUp(self):
+        """Create a forwarder, and grant what is asked for."""
+        await super().asyncSetUp()
+        self.dispatcher.open.set()
+        self.client.check = mock.AsyncMock()
+        self.connections = [mock.Mock(), mock.Mock()]
+        self.client.connect.side_effect = self.connections
+        self.forwarder = forwarding.Forwarder(
+            self.board,
+            admission.Admission(self.board),
+            self.dispatcher,
+            self.client,
+            mock.Mock(),
+            mock.AsyncMock(),
+        )
+
+    async def _serve(self):
+        request = fixtures.request(remaining_s=REMAINING_S)
+        with self.assertRaises(OSError):
+            await self.forwarder.serve(request, mock.AsyncMock())
+
+    async def test_failed_send_leaves_no_connection_open(self):
+        """Guards against connections and slots that nothing returns."""
+        self.client.send.side_effect = OSError
+        await self._serve()
+        self.connections[0].abort.assert_called_once()
+        self.assertEqual(self.dispatcher.released, [model.Ending.ABANDONED])
+
+    async def test_failed_send_spends_no_retry(self):
+        """Guards against retries that count though they were not sent."""
+        broken = mock.Mock()
+        broken.head = mock.AsyncMock(
+            side_effect=exceptions.EndpointBrokenError('reset')
+        )
+        self.client.send.side_effect = [broken, OSError]
+        await self._serve()
+        self.assertEqual(self.client.send.call_count, 2)
+        self.assertEqual(self._used(), 0)
+
+    async def test_failed_verification_leaves_no_connection_open(self):
+        """Guards against connections of checks that raise."""
+        connection = mock.Mock(verified=False)
+        connection.send_request.side_effect = OSError
+        with mock.patch.object(
+            http_connection,
+            'open_connection',
+            mock.AsyncMock(return_value=connection),
+        ):
+            with self.assertRaises(OSError):
+                await runner_client.RunnerClient().connect(
+                    fixtures.runner('r1'), fixtures.request(), True, True
+                )
+        connection.abort.assert_called_once()
