Test that a removed key cuts no running answer

Only answers that fell silent were covered. The new test lets a plain answer, a stream and a resumable stream run for longer than keys are trusted without a confirmation, and takes their key away meanwhile: all are complete, and a later request gets 401. It passes on the code before; the suspicion is ruled out.

--- a/persimmonroute/tests/gateway/silent_endpoint_tests.py
+++ b/persimmonroute/tests/gateway/silent_endpoint_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import unittest
 
 from standins import gateway_deployment as deployments
@@ -162,6 +163,36 @@
         await self._check_beside('resume', Routes=[deployments.route('book')])
 
 
+class RevocationTests(SilentEndpointCase):
+    """Take the key away while answers to its requests run."""
+
+    async def test_removed_key_cuts_no_running_answer(self):
+        """Guards against a revocation that reaches what was sent before."""
+        for runner in self.deployment.runners:
+            runner.event_count, runner.event_pause_s = 10, 0.4
+            runner.default_behaviour = 'pause'
+            runner.answer_pause_s = 0.5
+        # Longer than the time within which a key has to be confirmed.
+        lasts_s = 4.0
+        routes = ('book', 'draft', 'resume')
+        began_at = time.monotonic()
+        calls = [
+            asyncio.create_task(self._call(route, attempt=route))
+            for route in routes
+        ]
+        await asyncio.sleep(0.3)
+        other_key = [{'Name': 'desk', 'ApiKeys': ['key-2'], 'Priority': 1}]
+        await self._configure(_configuration(3, Tenants=other_key))
+        late = await self._call('book', attempt='late')
+        self.assertEqual(late.status, 401)
+        for response in await asyncio.gather(*calls):
+            self.assertEqual(response.status, 200)
+            self.assertTrue(response.complete, vars(response))
+            if response.body != b'answer book':
+                self.assertEqual(response.body.count(b'data: '), 10)
+        self.assertGreater(time.monotonic() - began_at, lasts_s)
+
+
 class ReplacementTests(SilentEndpointCase):
     """Let another endpoint take over from one that is silent or fails."""
 
