--- a/persimmonroute/gateway/places.py
+++ b/persimmonroute/gateway/places.py
@@ -17,6 +17,9 @@
 
 # Pause after a search for another endpoint that found none.
 SEARCH_PAUSE_S = 0.2
+# Age of a grant from which nothing is sent for it any more. Connecting takes
+# less; a host frees the slots of a gateway that stood still for this long.
+PLACE_VALID_S = 1.0
 
 
 class Place(typing.NamedTuple):
@@ -25,6 +28,15 @@
     pending: messages.PendingRequest
     connection: object
 
+    @property
+    def valid(self):
+        """Return whether a request may still be sent there."""
+        return clock.now_s() - self.pending.sent_at <= PLACE_VALID_S
+
+    def close(self):
+        """Close the connection, which may be stale."""
+        self.connection.close()
+
 
 class PlaceFinder:
     """Have endpoints granted, and connect to them."""
@@ -57,7 +69,10 @@
             try:
                 rejection = self._admission.check_again(pending, clock.now_s())
                 if rejection is None:
-                    return Place(pending, await self._connect(pending))
+                    place = Place(pending, await self._connect(pending))
+                    if place.valid:
+                        return place
+                    place.close()
             except (
                 exceptions.EndpointUnreachableError,
                 exceptions.EndpointReplacedError,
@@ -68,7 +83,8 @@
                 self._dispatcher.release(pending, Ending.ABANDONED)
                 raise
             self._dispatcher.release(pending, Ending.ABANDONED)
-            return rejection
+            if rejection is not None:
+                return rejection
 
     async def search(self, pending):
         """Return a Place at another endpoint than that of a request.
@@ -93,15 +109,28 @@
 
     def discard(self, place):
         """Return a place that is not needed any more."""
-        record = place.pending.runner.record
+        if place.valid:
+            record = place.pending.runner.record
+            self._client.release(record, place.connection)
+        else:
+            place.close()
         self._dispatcher.release(place.pending, Ending.ABANDONED)
-        self._client.release(record, place.connection)
+        self._give_back(place.pending)
+
+    def abort(self, place):
+        """End the use of a place whose request could not be sent."""
+        place.connection.abort()
         self._give_back(place.pending)
 
     async def _find_other(self, pending):
         """Return a Place, or None if there is none now."""
         successor = pending.build_successor()
-        if not self.take_retry(successor):
+        now = clock.now_s()
+        # A slot would be granted in vain.
+        if self._admission.check_again(successor, now) is not None:
+            return None
+        # The search counts as a retry from its grant on: others may end first.
+        if not self._board.retries.allows(successor.service, now):
             return None
         found = await self.find_again(successor)
         return found if isinstance(found, Place) else None
@@ -115,9 +144,10 @@
         return True
 
     async def find_again(self, pending):
-        """Return a Place for a counted retry, or the Rejection.
+        """Return a counted Place for a retry, or the Rejection.
 
-        The retry counts no more if there is no Place.
+        None if the budget does not allow it any more. The retry counts no more
+        if there is no Place.
         """
         place = None
         try:
@@ -125,8 +155,21 @@
         finally:
             if not isinstance(place, Place):
                 self._give_back(pending)
+        if isinstance(place, Place) and not self._renew_retry(pending):
+            self.discard(place)
+            return None
         return place
 
+    def _renew_retry(self, pending):
+        """Count a retry at its grant; return whether that is allowed."""
+        now = clock.now_s()
+        if not self._board.retries.renew(
+            pending.service, pending.retried_at, now
+        ):
+            return False
+        pending.retried_at = now
+        return True
+
     def record_sent(self, pending):
         """Count a retry from the time at which it is sent."""
         if pending.retried_at is not None:
