Let entries and sidecars read before their limits end

Callers got 503, streams ended as unknown, and attempts were dropped or offered again because an entry or a sidecar had stood still for about as long as one of its limits, although what it waited for had arrived.

Cause: a core handles the timers that are due before the event that is handed to it, so after a suspension all limits ended before the first frame was read: the sidecar's for a grant and for a place, the entry's for the reply to an offer, the reply of the store to a claim, and the resumption of a response. Read, not shown: those of attached requests and of responses without readers.

Change: timeouts.Limit holds the rule that timeouts already followed, that the last 0.2 s of a limit count from when the process runs, once. The queue of timers applies it to all limits of the cores. A grant is used for 2 s at most: a sidecar that was suspended for longer does not act on one of before.

--- a/persimmonroute/entry/board.py
+++ b/persimmonroute/entry/board.py
@@ -153,10 +153,12 @@
         frame = pb.Frame(request_id=record.attempt, **body)
         self._effects.append(messages.SendFrame(record.sidecar, frame))
 
-    def set_deadline(self, record, kind, at):
-        """Set the deadline of a request's current state; at is in seconds."""
-        record.deadline = at
-        self.timers.schedule(at, kind, record.request_id)
+    def set_deadline(self, record, kind, now, limit_s):
+        """Set the deadline of a request's current state."""
+        record.deadline = now + limit_s
+        self.timers.schedule_limit(
+            record.deadline, limit_s, kind, record.request_id
+        )
 
     def remove_outstanding(self, record):
         """Remove a request's offer from the outstanding work."""
--- a/persimmonroute/entry/claims.py
+++ b/persimmonroute/entry/claims.py
@@ -93,7 +93,7 @@
         if claim is None:
             claim = Claim(record, now)
             self._claims[record.request_id] = claim
-            self._schedule(claim.deadline, 'claim', claim)
+            self._schedule_deadline(claim)
         claim.attempt = record.attempt
         claim.sidecar = record.sidecar
         claim.incarnation = record.incarnation
@@ -148,7 +148,7 @@
         """Claim a row whose owner can no longer start."""
         claim = self._claims[record.request_id]
         claim.deadline = now + CLAIM_TIMEOUT_S
-        self._schedule(claim.deadline, 'claim', claim)
+        self._schedule_deadline(claim)
         self.dispatcher.reoffer(record, now)
 
     def on_reply(self, event, now):
@@ -160,7 +160,9 @@
         reply = event.reply
         if reply.status is StoreStatus.FAILED:
             delay = RELEASE_RETRY_S if claim.abandoned else WRITE_RETRY_S
-            self._schedule(now + delay, 'claim-write', claim)
+            self._board.timers.schedule(
+                now + delay, 'claim-write', claim.request_id
+            )
         elif reply.status is StoreStatus.COMMITTED:
             claim.version = reply.rows[0].version
             self._on_written(claim, reply.rows[0].value)
@@ -191,8 +193,10 @@
             STORE_RETRY_AFTER_S,
         )
 
-    def _schedule(self, at, kind, claim):
-        self._board.timers.schedule(at, kind, claim.request_id)
+    def _schedule_deadline(self, claim):
+        self._board.timers.schedule_limit(
+            claim.deadline, CLAIM_TIMEOUT_S, 'claim', claim.request_id
+        )
 
     def _write(self, claim):
         if claim.in_flight:
--- a/persimmonroute/entry/dispatch.py
+++ b/persimmonroute/entry/dispatch.py
@@ -134,7 +134,7 @@
                 self._interrupt(record, now)
             elif record.state == 'attached':
                 self._board.set_deadline(
-                    record, 'attach', now + RESUME_TIMEOUT_S
+                    record, 'attach', now, RESUME_TIMEOUT_S
                 )
 
     def on_timer(self, timer, now):
@@ -172,7 +172,7 @@
         record.sidecar = sidecar
         record.incarnation = incarnation
         record.attached = True
-        board.set_deadline(record, 'attach', now + ATTACH_TIMEOUT_S)
+        board.set_deadline(record, 'attach', now, ATTACH_TIMEOUT_S)
         board.log(
             Event.REQUEST_ATTACHED,
             request=record.request_id,
@@ -301,7 +301,7 @@
     def _interrupt(self, record, now):
         advance(record, 'interrupt')
         board = self._board
-        board.set_deadline(record, 'resume', now + RESUME_TIMEOUT_S)
+        board.set_deadline(record, 'resume', now, RESUME_TIMEOUT_S)
         board.log(
             Event.REQUEST_RESUMING,
             request=record.request_id,
--- a/persimmonroute/entry/offering.py
+++ b/persimmonroute/entry/offering.py
@@ -123,7 +123,7 @@
         )
         self._policy.record_offer(record, chosen.sidecar)
         board.send(record, offer=self._build_offer(record, chosen, now))
-        board.set_deadline(record, 'offer', now + OFFER_TIMEOUT_S)
+        board.set_deadline(record, 'offer', now, OFFER_TIMEOUT_S)
         self._log_decision(record, decision)
         if not record.work_class.idempotent:
             self._claims.begin(record, now)
--- a/persimmonroute/sidecar/execution.py
+++ b/persimmonroute/sidecar/execution.py
@@ -12,6 +12,9 @@
 from persimmonroute.sidecar import messages
 
 READY_TIMEOUT_S = 1.0
+# A sidecar that was suspended for longer uses no grant that waited meanwhile:
+# its entry may have given up the link, and the endpoint may be leaving.
+GRANT_VALID_S = 2.0
 CAPACITY_RETRY_S = 0.02
 REFUSAL_RETRY_AFTER_S = 1.0
 ENDPOINT_DOWN_RETRY_AFTER_S = 2.0
@@ -200,8 +203,12 @@
             board.queue.discard(attempt)
             board.running[attempt.attempt_id] = attempt
             board.send(attempt.owner, attempt.attempt_id, ready=pb.Ready())
-            board.timers.schedule(
-                now + READY_TIMEOUT_S, 'ready', attempt.attempt_id
+            board.timers.schedule_limit(
+                now + READY_TIMEOUT_S,
+                READY_TIMEOUT_S,
+                'ready',
+                attempt.attempt_id,
+                latest_at=now + GRANT_VALID_S,
             )
 
     def _schedule_capacity_retry(self, now):
@@ -244,7 +251,12 @@
     def _accept(self, attempt, decision, now):
         board = self._board
         board.attempts[attempt.attempt_id] = attempt
-        board.timers.schedule(attempt.deadline, 'patience', attempt.attempt_id)
+        board.timers.schedule_limit(
+            attempt.deadline,
+            attempt.offer.patience_s,
+            'patience',
+            attempt.attempt_id,
+        )
         accepted = pb.Accepted(wait_s=decision.wait_s)
         board.send(attempt.owner, attempt.attempt_id, accepted=accepted)
         board.log(
--- a/persimmonroute/sidecar/responses.py
+++ b/persimmonroute/sidecar/responses.py
@@ -75,8 +75,11 @@
                 continue
             attempt.subscribers.discard(link)
             if attempt.state == 'started' and not attempt.subscribers:
-                self._board.timers.schedule(
-                    now + ORPHAN_GRACE_S, 'orphan', attempt.attempt_id
+                self._board.timers.schedule_limit(
+                    now + ORPHAN_GRACE_S,
+                    ORPHAN_GRACE_S,
+                    'orphan',
+                    attempt.attempt_id,
                 )
 
     def on_timer(self, timer, now):
--- a/persimmonroute/timeouts.py
+++ b/persimmonroute/timeouts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 
 # A timer that fires later than this was held up with the whole process.
 MAX_TIMER_DELAY_S = 0.05
@@ -11,50 +12,78 @@
 CATCH_UP_S = 0.2
 
 
-@contextlib.asynccontextmanager
-async def timeout(seconds, find_extension_s=lambda: 0.0):
-    """Raise TimeoutError if the body takes longer; None for no limit.
-
-    At the limit find_extension_s is called once, and returns by how many
-    seconds the limit is extended.
+class Limit:
+    """Count the seconds of a time limit, without a stand-still at its end.
 
     After a suspension all timers are due at once, before the data that has
     arrived meanwhile is read. The process therefore runs for the last
     CATCH_UP_S of a limit, also if it stood still before. It gets them once,
-    as a process that is always slow has to keep its limits.
+    as a process that is always slow has to keep its limits. A limit never
+    passes later than latest_at.
+    """
+
+    def __init__(self, due_at, seconds, latest_at=math.inf):
+        self._due_at = due_at
+        self._latest_at = latest_at
+        self._last_s = min(max(seconds, 0.0), CATCH_UP_S)
+        self._nearly_due = False
+        self._caught_up = False
+
+    @property
+    def next_at(self):
+        """Return when has_passed has to be called, in seconds."""
+        if self._nearly_due:
+            return self._due_at
+        return self._due_at - self._last_s
+
+    def has_passed(self, now):
+        """Return whether the limit has passed; if not, next_at is new."""
+        if now < self.next_at:
+            return False
+        late = now - self.next_at > MAX_TIMER_DELAY_S
+        if not self._nearly_due:
+            self._nearly_due = True
+            self._caught_up = late
+            self._postpone_to(max(self._due_at, now + self._last_s))
+        elif late and not self._caught_up:
+            self._caught_up = True
+            self._postpone_to(now + CATCH_UP_S)
+        return now >= self._due_at
+
+    def _postpone_to(self, due_at):
+        self._due_at = min(due_at, self._latest_at)
+
+
+@contextlib.asynccontextmanager
+async def timeout(seconds, find_extension_s=lambda: 0.0):
+    """Raise TimeoutError if the body takes longer; None for no limit.
+
+    The seconds count as in a Limit. At the end of it find_extension_s is
+    called once, and returns by how many seconds the limit is extended.
     """
     async with asyncio.timeout(None) as scope:
         if seconds is None:
             yield scope
             return
         loop = asyncio.get_running_loop()
-        last_s = min(seconds, CATCH_UP_S)
-        due_at = loop.time() + seconds
-        caught_up = False
-
-        def is_late(at):
-            return loop.time() - at > MAX_TIMER_DELAY_S
+        limit = Limit(loop.time() + seconds, seconds)
 
         def end_body():
             scope.reschedule(loop.time())
 
-        def on_nearly_due():
-            nonlocal timer, due_at, caught_up
-            caught_up = is_late(due_at - last_s)
-            due_at = max(due_at, loop.time() + last_s)
-            timer = loop.call_at(due_at, on_due)
-
         def on_due():
             nonlocal timer
+            # Timers may fire early by the resolution of the clock.
+            if not limit.has_passed(max(loop.time(), limit.next_at)):
+                timer = loop.call_at(limit.next_at, on_due)
+                return
             extension_s = find_extension_s()
-            if is_late(due_at) and not caught_up:
-                extension_s = max(extension_s, CATCH_UP_S)
             if extension_s > 0:
                 timer = loop.call_later(extension_s, end_body)
             else:
                 end_body()
 
-        timer = loop.call_at(due_at - last_s, on_nearly_due)
+        timer = loop.call_at(limit.next_at, on_due)
         try:
             yield scope
         finally:
