Read the lists of leases before a host frees slots

An endpoint got more requests than it takes, because the gateway that hosts its group had stood still for a second.

Cause: on waking up the host took all gateways for silent and freed what they use, before it read the lists that they had sent meanwhile, and granted the slots again.

Change: after a gap between its ticks (timeouts.CatchUp) the host frees nothing for 0.2 s, at most once in 1.2 s. It grants no more than it knew to be free.

--- a/persimmonroute/gateway/admission_host.py
+++ b/persimmonroute/gateway/admission_host.py
@@ -22,7 +22,10 @@
 from persimmonroute.gateway import runners
 from persimmonroute.gateway import scheduler as schedulers
 from persimmonroute.gateway import slots
+from persimmonroute import timeouts
 
+# Longest interval between two calls of tick().
+TICK_S = 0.05
 # A gateway lists its requests five times a second; one that has been silent
 # for longer is gone or cut off, and its slots are free for the others.
 LEASE_TIMEOUT_S = 1.0
@@ -323,6 +326,7 @@
         # Summaries of other groups, with the time of their arrival.
         self._summaries = {}
         self._stopping = False
+        self._catch_up = timeouts.CatchUp(TICK_S)
 
     @property
     def groups(self):
@@ -364,10 +368,11 @@
 
     def tick(self, now):
         """Free what silent gateways used, and dispatch what is possible."""
+        catching_up = self._catch_up.is_active(now)
         silent = [
             gateway
             for gateway, at in self._heard_at.items()
-            if now - at > LEASE_TIMEOUT_S
+            if now - at > LEASE_TIMEOUT_S and not catching_up
         ]
         for gateway in silent:
             del self._heard_at[gateway]
@@ -375,7 +380,8 @@
             self._update_runners(hosted_group, now)
             for gateway in silent:
                 hosted_group.drop_gateway(gateway, now)
-            hosted_group.expire(now)
+            if not catching_up:
+                hosted_group.expire(now)
             hosted_group.scheduler.dispatch_all_ready(now)
             idle = now - hosted_group.offered_at > IDLE_GROUP_S
             if idle and not hosted_group.requests and not hosted_group.learned:
--- a/persimmonroute/tests/gateway/admission_host_tests.py
+++ b/persimmonroute/tests/gateway/admission_host_tests.py
@@ -482,6 +482,41 @@
             self._receive(_offer(3), 2.2, 'g2'), [messages.Grant(3, 'r1', 1)]
         )
 
+    def test_stand_still_of_a_host_frees_no_slots(self):
+        """Guards against slots granted twice beside unread lists."""
+        lease = messages.Lease(1, 'r1')
+        listed = messages.LeaseList(fixtures.SERVICE, 'riga', (lease,))
+        for gap_s in (0.9, 1.0, 1.1, 3.0):
+            with self.subTest(gap_s=gap_s):
+                self.setUp()
+                self._receive(_offer(1))
+                self._receive(_offer(2), gateway='g2')
+                self.host.tick(1.0)
+                now = 1.0 + gap_s
+                self.host.tick(now)
+                self.assertEqual(self._receive(listed, now + 0.01), [])
+                self.assertEqual(
+                    self._receive(_offer(2), now + 0.01, 'g2'),
+                    [messages.Queued(2)],
+                )
+                self.host.tick(now + 0.05)
+                self.assertEqual(self.host.take_replies(), [])
+
+    def test_silent_gateways_slots_are_freed_after_a_stand_still(self):
+        """A host that is late again and again frees slots nevertheless."""
+        for interval_s in (0.16, 0.3, 0.5):
+            with self.subTest(interval_s=interval_s):
+                self.setUp()
+                self._receive(_offer(1))
+                now = 1.0
+                while now < 3.0:
+                    self.host.tick(now)
+                    now += interval_s
+                self.assertEqual(
+                    self._receive(_offer(3), now, 'g2'),
+                    [messages.Grant(3, 'r1', 1)],
+                )
+
     def test_silent_gateway_is_not_told_as_a_failure_of_its_endpoint(self):
         """One gateway that fails to reach an endpoint may be cut off."""
         self._receive(_offer(1))
--- a/persimmonroute/timeouts.py
+++ b/persimmonroute/timeouts.py
@@ -10,6 +10,9 @@
 MAX_TIMER_DELAY_S = 0.05
 # Time to process what arrived while the process stood still.
 CATCH_UP_S = 0.2
+# Time between two stand-stills that are made up for, so that limits hold in a
+# process that is always slow.
+CATCH_UP_PAUSE_S = 1.0
 
 
 class Limit:
@@ -54,6 +57,26 @@
         self._due_at = min(due_at, self._latest_at)
 
 
+class CatchUp:
+    """Tell a periodic task to end nothing until what has arrived is read."""
+
+    def __init__(self, interval_s):
+        self._max_gap_s = 2 * interval_s + MAX_TIMER_DELAY_S
+        self._ran_at = math.inf
+        self._until = -math.inf
+
+    def is_active(self, now):
+        """Return whether the process stood still just before.
+
+        It has to be called each time the task runs.
+        """
+        stood_still = now - self._ran_at > self._max_gap_s
+        self._ran_at = now
+        if stood_still and now > self._until + CATCH_UP_PAUSE_S:
+            self._until = now + CATCH_UP_S
+        return now < self._until
+
+
 @contextlib.asynccontextmanager
 async def timeout(seconds, find_extension_s=lambda: 0.0):
     """Raise TimeoutError if the body takes longer; None for no limit.
