Read the replies to an offer before its host is silent

A request that waited at the host of its group lost its place in the queue, and was offered elsewhere or left to the gateway itself, because its gateway had stood still for 0.4 to 0.7 s.

Cause: the host counted as silent if the gateway had read nothing of it for long, although its reply to the last offer was in the socket.

Change: an offer whose repetition is late is sent again, or gets 0.2 s more, once until the host is heard. Grants are valid for as long as before.

Evidence: test_queued_offer_outlives_a_stand_still failed before at 0.42 to 0.69 s, test_reply_that_waits_is_read_before_a_host_is_silent at all delays.

--- a/persimmonroute/gateway/offers.py
+++ b/persimmonroute/gateway/offers.py
@@ -17,6 +17,7 @@
 from persimmonroute.gateway.model import Ending
 from persimmonroute.gateway import runners
 from persimmonroute.gateway import scheduler as schedulers
+from persimmonroute import timeouts
 
 # Pauses before an offer without a reply is sent again; after the last one the
 # host counts as silent. Hosts are a few milliseconds away, or tens of them in
@@ -61,6 +62,8 @@
         self.redirected = False
         # Sends to the current host without any reply.
         self.unanswered = 0
+        # True if the host got more time, as this process stood still.
+        self.caught_up = False
         self.sent_at = -math.inf
         self.heard_at = -math.inf
         self.queued = False
@@ -164,6 +167,7 @@
             return
         state.heard_at = now
         state.unanswered = 0
+        state.caught_up = False
         if isinstance(reply, admission_messages.Grant):
             self._accept_grant(state, reply, now)
         elif isinstance(reply, admission_messages.Queued):
@@ -212,7 +216,15 @@
 
     def _repeat(self, state, now):
         silent_s = now - max(state.heard_at, state.sent_at)
-        if state.queued:
+        late = now - state.due_at > timeouts.MAX_TIMER_DELAY_S
+        if late and not state.caught_up:
+            # Replies may have arrived while this process stood still.
+            state.caught_up = True
+            if state.queued or state.unanswered < len(RESEND_AFTER_S):
+                self._send(state, now)
+            else:
+                self._schedule(state, now + timeouts.CATCH_UP_S)
+        elif state.queued:
             lost = now - state.heard_at > HOST_TIMEOUT_S
             # After a suspension of this process the host had no chance yet.
             if lost and silent_s < HOST_TIMEOUT_S:
--- a/persimmonroute/tests/gateway/admission_host_tests.py
+++ b/persimmonroute/tests/gateway/admission_host_tests.py
@@ -9,6 +9,7 @@
 from persimmonroute.gateway import admission_messages as messages
 from persimmonroute.gateway import endpoint_limits
 from persimmonroute.gateway import groups
+from persimmonroute.gateway import messages as offer_messages
 from persimmonroute.gateway import model
 from persimmonroute.gateway import offers
 from persimmonroute.gateway import peers
@@ -405,6 +406,58 @@
         self.assertEqual(peers_asked, ['host', 'host', 'own'])
         self.assertLess(now, 1.2)
 
+    def _stand_still(self, seconds):
+        """Let a due repetition be late; return the hosts that are asked."""
+        woke_at = self.client.next_wakeup_at() + seconds
+        self.client.tick(woke_at)
+        sent = self.client.take_effects()
+        asked = [e.peer for e in sent if isinstance(e, offers.Send)]
+        return woke_at, set(asked)
+
+    def test_reply_that_waits_is_read_before_a_host_is_silent(self):
+        """Guards against a host left beside its unread grant."""
+        for late_s in (0.06, 0.1, 0.4):
+            with self.subTest(late_s=late_s):
+                self.setUp()
+                _, offer = self._offer()
+                for _ in range(2):
+                    self.client.tick(self.client.next_wakeup_at())
+                    self.client.take_effects()
+                woke_at, asked = self._stand_still(late_s)
+                self.assertLessEqual(asked, {'host'})
+                (granted,) = self._grant(offer, woke_at + 0.01)
+                self.assertIsInstance(granted, offer_messages.Granted)
+
+    def test_queued_offer_outlives_a_stand_still(self):
+        """Guards against a place in a queue lost beside unread replies."""
+        for seconds in (0.29, 0.31, 0.36, 0.42, 0.5, 0.6, 0.69, 0.8, 1.8):
+            with self.subTest(seconds=seconds):
+                self.setUp()
+                _, offer = self._offer()
+                queued = messages.Queued(offer.offer_id)
+                now = 1.0
+                for _ in range(5):
+                    self.client.receive('host', queued, now + 0.005)
+                    sent = []
+                    while not sent:
+                        now = self.client.next_wakeup_at()
+                        self.client.tick(now)
+                        sent = self.client.take_effects()
+                self.client.tick(now + seconds)
+                sent = self.client.take_effects()
+                self.assertLessEqual({e.peer for e in sent}, {'host'})
+                if sent:
+                    (granted,) = self._grant(offer, now + seconds + 0.01)
+                    self.assertIsInstance(granted, offer_messages.Granted)
+
+    def test_silent_host_is_replaced_after_a_stand_still(self):
+        """A stand-still postpones the end of the wait once."""
+        self._offer()
+        now, asked = 1.0, set()
+        while 'own' not in asked:
+            now, asked = self._stand_still(0.06)
+        self.assertLess(now, 2.0)
+
 
 class AdmissionHostTests(unittest.TestCase):
     """Drive one host with the messages of gateways."""
