Read the replies about a stream before its origin is unknown

A stream that was taken up at a gateway counted as unknown, because the gateway had stood still for 0.2 s after it had asked the others for its version.

Cause: the question ended on waking up, before the replies were read.

Change: after a gap between the ticks a question ends 0.2 s later, at most.

Evidence: test_reply_that_waits_is_read failed before from 0.2 s.

--- a/persimmonroute/gateway/stream_origins.py
+++ b/persimmonroute/gateway/stream_origins.py
@@ -18,6 +18,7 @@
 from persimmonroute import blackboard
 from persimmonroute.gateway import admission_messages
 from persimmonroute.gateway import runners
+from persimmonroute import timeouts
 
 # Streams are remembered for this long after their begin, well beyond the
 # longest time that callers wait.
@@ -30,6 +31,8 @@
 # Pauses before a question without a reply is sent again, and before it counts
 # as unanswered. Gateways of other regions are tens of milliseconds away.
 RESEND_AFTER_S = 0.06
+# Longest interval between two calls of tick().
+TICK_S = 0.05
 GIVE_UP_AFTER_S = 0.2
 # Key of a stream whose first attempt the caller does not name.
 NO_KEY = 0
@@ -110,6 +113,7 @@
         # Members by region, as of a generation of the peers.
         self._members = {}
         self._generation = -1
+        self._catch_up = timeouts.CatchUp(TICK_S)
 
     def record_begun(self, workspace, attempt, origin, now):
         """Remember a stream of this gateway, and tell its keepers soon."""
@@ -163,6 +167,7 @@
 
     def tick(self, now):
         """Tell the keepers of new streams, and end old questions."""
+        catching_up = self._catch_up.is_active(now)
         untold, self._untold = self._untold, {}
         for key, origin in untold.items():
             for keeper in self._find_keepers(key, self._locality.region):
@@ -171,7 +176,8 @@
         for waiting in list(self._questions.values()):
             for question in list(waiting):
                 if now - question.asked_at >= GIVE_UP_AFTER_S:
-                    self._conclude(question)
+                    if not catching_up:
+                        self._conclude(question)
                 elif now >= question.resend_at:
                     question.resend_at += RESEND_AFTER_S
                     self._send_question(question)
--- a/persimmonroute/tests/gateway/stream_origins_tests.py
+++ b/persimmonroute/tests/gateway/stream_origins_tests.py
@@ -11,6 +11,7 @@
 from persimmonroute.gateway import peers
 from persimmonroute.gateway import runners
 from persimmonroute.gateway import stream_origins
+from persimmonroute import timeouts
 from standins import gateway_fixtures as fixtures
 
 REGIONS = {
@@ -153,6 +154,50 @@
         self.assertEqual(fleet.ask('g0', 'a1'), BEGUN)
 
 
+class StandingStillTests(unittest.TestCase):
+    """Ask for a stream, and stand still until after the limit."""
+
+    def _stand_still(self, seconds):
+        fleet = Fleet(4)
+        fleet.begin('g0', 'a1')
+        fleet.pass_time(0.1)
+        gateway = fleet.gateways['g3']
+        gateway._origins.clear()
+        question = gateway.ask(DESK, 'a1', fixtures.SERVICE, fleet.now)
+        fleet.silent = {'g3'}
+        asked_at = fleet.now
+        gateway.take_effects()
+        fleet.pass_time(seconds)
+        gateway.tick(fleet.now)
+        return fleet, gateway, question, asked_at
+
+    def test_reply_that_waits_is_read(self):
+        """Guards against a stream that counts as unknown for a stand-still."""
+        for seconds in (0.16, 0.19, 0.2, 0.21, 0.3, 1.8):
+            with self.subTest(seconds=seconds):
+                fleet, gateway, question, _ = self._stand_still(seconds)
+                reply = messages.StreamReply(question.key, *BEGUN, (), False)
+                gateway.receive('g0', reply, fleet.now)
+                resolved = [
+                    effect.origin
+                    for effect in gateway.take_effects()
+                    if isinstance(effect, stream_origins.Resolved)
+                ]
+                self.assertEqual(resolved, [BEGUN])
+
+    def test_question_without_replies_ends_after_a_stand_still(self):
+        """A stand-still postpones the end of a question once."""
+        _, gateway, _, asked_at = self._stand_still(0.5)
+        gateway.take_effects()
+        gateway.tick(asked_at + 0.55 + timeouts.CATCH_UP_S)
+        resolved = [
+            effect.origin
+            for effect in gateway.take_effects()
+            if isinstance(effect, stream_origins.Resolved)
+        ]
+        self.assertEqual(resolved, [None])
+
+
 class UnknownStreamTests(unittest.TestCase):
     """Ask for streams that nobody knows."""
 
