Read what has arrived before an idle connection is closed

A caller's request on a kept connection got a reset in place of an answer if the gateway or entry was suspended until the idle limit of the connection.

Cause: a suspended process that waits for its sockets runs its timers first when it goes on, and only then reads the sockets. The server closed the connection with the request unread.

--- a/persimmonroute/http_server.py
+++ b/persimmonroute/http_server.py
@@ -8,8 +8,10 @@
 import socket
 
 import uvicorn
+from uvicorn.protocols.http import h11_impl
 
 from persimmonroute import clock
+from persimmonroute import timeouts
 
 # Longer than load balancers and clients keep idle connections, so that no
 # request is sent on a connection that the server is closing.
@@ -26,6 +28,19 @@
 BACKLOG = 2048
 
 
+class CatchUpProtocol(h11_impl.H11Protocol):
+    """Close an idle connection only after what has arrived on it is read.
+
+    In a process that was suspended, timers run before the sockets are read.
+    """
+
+    def timeout_keep_alive_handler(self):
+        """Close the connection soon, unless a request is read before."""
+        self.timeout_keep_alive_task = self.loop.call_later(
+            timeouts.CATCH_UP_S, super().timeout_keep_alive_handler
+        )
+
+
 class SignalFreeServer(uvicorn.Server):
     """Run uvicorn without its signal handlers.
 
@@ -90,7 +105,7 @@
         host=host.strip('[]'),
         port=int(port),
         log_config=None,
-        http='h11',
+        http=CatchUpProtocol,
         ws='none',
         loop='asyncio',
         log_level='critical',
