End all of a gateway whose run is cancelled

test_restart_of_all_gateways_with_one_version got 503 in place of 200 beside load.

Cause: the tests kill a gateway by cancelling its run, which left its link to the peers, its followers and keepers, and its HTTP servers running. The killed gateway went on to report under its successor's name (E736 in all logs) and to write rows: the row of a version that it had seen within the minute came back, and so a stream that nobody knew was refused. A process that is killed does none of this; the product's processes are not affected.

Change: a cancelled run closes the link, the background tasks and the servers. A closed link sends no reports.

The new test failed before, on the reports and, without that check, on the row.

--- a/persimmonroute/gateway/peer_link.py
+++ b/persimmonroute/gateway/peer_link.py
@@ -148,7 +148,7 @@
 
     def schedule_reports(self):
         """Send changed reports as soon as each distance's interval allows."""
-        if self._transport is None:
+        if self._transport is None or self._transport.is_closing():
             return
         for schedule in self._schedules:
             schedule.changed = True
--- a/persimmonroute/gateway/server.py
+++ b/persimmonroute/gateway/server.py
@@ -54,12 +54,31 @@
         )
 
     async def run(self, stop):
-        """Serve until the stop event is set and all requests have ended."""
+        """Serve until the stop event is set and all requests have ended.
+
+        Nothing goes on if it is cancelled, as in a process that is killed.
+        """
         await self._shell.start(self._settings.peer_address)
         servers = [self._front, self._ready, self._metrics, self._peers]
         serving = [asyncio.create_task(s.serve()) for s in servers]
         log.emit(Event.PROCESS_STARTED, address=self._settings.address)
-        await stop.wait()
+        try:
+            await stop.wait()
+            await self._stop(serving)
+        except asyncio.CancelledError:
+            for server, task in zip(servers, serving, strict=True):
+                server.abort()
+                task.cancel()
+            await self._shell.close()
+            raise
+
+    def apply_settings(self, settings):
+        """Apply the reloadable settings and return their names."""
+        self._board.apply_bounds(boards.read_bounds(settings))
+        return boards.BOUND_SETTINGS
+
+    async def _stop(self, serving):
+        """Drain the requests; serving are the tasks of the servers."""
         log.emit(Event.PROCESS_STOPPING)
         drain = self._board.drain = self._begin_drain()
         with draining.guard('hand over'):
@@ -77,11 +96,6 @@
         log.emit(Event.PROCESS_STOPPED)
         await asyncio.gather(*serving)
 
-    def apply_settings(self, settings):
-        """Apply the reloadable settings and return their names."""
-        self._board.apply_bounds(boards.read_bounds(settings))
-        return boards.BOUND_SETTINGS
-
     def _begin_drain(self):
         return draining.begin(
             clock.now_s(),
--- a/persimmonroute/http_server.py
+++ b/persimmonroute/http_server.py
@@ -52,6 +52,16 @@
         self._ends_at = clock.now_s() + within_s
         self.should_exit = True
 
+    def abort(self):
+        """Close all sockets and cancel all requests at once."""
+        # Set when the server has started.
+        for server in getattr(self, 'servers', ()):
+            server.close()
+        for connection in list(self.server_state.connections):
+            connection.transport.abort()
+        for task in list(self.server_state.tasks):
+            task.cancel()
+
     @contextlib.contextmanager
     def capture_signals(self):
         """Capture no signals."""
--- a/persimmonroute/tests/gateway/server_tests.py
+++ b/persimmonroute/tests/gateway/server_tests.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 import typing
 import unittest
 from unittest import mock
 
+from persimmonroute import exceptions
 from persimmonroute.gateway import dispatcher
 from persimmonroute.gateway import peer_link
+from persimmonroute.gateway import row_keeping
 from persimmonroute.gateway import server
 from persimmonroute.gateway import shell
 from persimmonroute import http_connection
@@ -164,3 +167,20 @@
         in_time = [s for s in sent if s.sent_s < EXCUSED_S]
         self.assertGreater(in_time[-1].sent_s, server.BALANCER_REMOVAL_S)
         self.assertEqual({s.response.status for s in in_time}, {200})
+
+    async def test_killed_gateway_neither_writes_nor_reports(self):
+        """Guards against rows of a gateway that its successor replaced."""
+        await self.deployment.kill_gateway(0)
+        with mock.patch.object(
+            peer_link.PeerLink, 'encode', autospec=True
+        ) as encode:
+            runner = self.deployment.runners[0]
+            runner.version, runner.born = 'v2', 2
+            self.deployment.register(runner)
+            await asyncio.sleep(2 * row_keeping.CHECK_INTERVAL_S)
+        encode.assert_not_called()
+        rows = self.deployment.platform.tables.list_rows('versions', '')
+        versions = {json.loads(row.value)['version'] for row in rows}
+        self.assertNotIn('v2', versions)
+        with self.assertRaises(exceptions.EndpointUnreachableError):
+            await self.deployment.call('/book/x')
