Read the replies about a stream before giving them up

Callers that took a stream up again got 503 in place of 200 beside load: a gateway that did not know the stream stood still while it asked the others.

Cause: a question about a stream ends 0.2 s after it was asked, also if the gateway stood still meanwhile. The tick is then due before the replies are read. timeouts.py spares awaited work for the same reason.

Change: after a pause of more than 0.1 s between two ticks a question gets 0.2 s from then, once, so a process that is always slow keeps its limit.

--- a/persimmonroute/gateway/stream_origins.py
+++ b/persimmonroute/gateway/stream_origins.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import collections
+import math
 import typing
 
 import xxhash
@@ -18,6 +19,7 @@
 from persimmonroute import blackboard
 from persimmonroute.gateway import admission_messages
 from persimmonroute.gateway import runners
+from persimmonroute import timeouts
 
 # Streams are remembered for this long after their begin, well beyond the
 # longest time that callers wait.
@@ -31,6 +33,8 @@
 # as unanswered. Gateways of other regions are tens of milliseconds away.
 RESEND_AFTER_S = 0.06
 GIVE_UP_AFTER_S = 0.2
+# A longer pause between two ticks means that this process stood still.
+MAX_TICK_PAUSE_S = 0.1
 # Key of a stream whose first attempt the caller does not name.
 NO_KEY = 0
 # Callers write the names of attempts, so questions are bounded.
@@ -69,7 +73,9 @@
         # The only service that the stream can have begun at, or None.
         self.service = service
         self.unanswered = set(asked)
-        self.asked_at = now
+        self.give_up_at = now + GIVE_UP_AFTER_S
+        # True once it was extended because this process stood still.
+        self.extended = False
         self.resend_at = now + RESEND_AFTER_S
         # Versions of the service that any gateway has seen.
         self.versions = set()
@@ -82,6 +88,15 @@
         self.versions.update(versions)
         self.history_complete |= complete
 
+    def extend(self, now):
+        """Allow time to read the replies that arrived in a standstill.
+
+        Once, as a process that is always slow has to keep its limits.
+        """
+        if not self.extended:
+            self.extended = True
+            self.give_up_at = max(self.give_up_at, now + timeouts.CATCH_UP_S)
+
     def conclude(self):
         """Return the only possible origin if no gateway knows the stream."""
         certain = (
@@ -110,6 +125,7 @@
         # Members by region, as of a generation of the peers.
         self._members = {}
         self._generation = -1
+        self._ticked_at = math.inf
 
     def record_begun(self, workspace, attempt, origin, now):
         """Remember a stream of this gateway, and tell its keepers soon."""
@@ -168,9 +184,13 @@
             for keeper in self._find_keepers(key, self._locality.region):
                 message = admission_messages.StreamBegun(key, *origin)
                 self._send(keeper, message)
+        stood_still = now - self._ticked_at > MAX_TICK_PAUSE_S
+        self._ticked_at = now
         for waiting in list(self._questions.values()):
             for question in list(waiting):
-                if now - question.asked_at >= GIVE_UP_AFTER_S:
+                if stood_still:
+                    question.extend(now)
+                if now >= question.give_up_at:
                     self._conclude(question)
                 elif now >= question.resend_at:
                     question.resend_at += RESEND_AFTER_S
--- a/persimmonroute/tests/gateway/stream_origins_tests.py
+++ b/persimmonroute/tests/gateway/stream_origins_tests.py
@@ -11,6 +11,7 @@
 from persimmonroute.gateway import peers
 from persimmonroute.gateway import runners
 from persimmonroute.gateway import stream_origins
+from persimmonroute import timeouts
 from standins import gateway_fixtures as fixtures
 
 REGIONS = {
@@ -79,12 +80,20 @@
         """Begin a stream at a gateway, which then tells its keepers."""
         self.gateways[name].record_begun(workspace, attempt, origin, self.now)
 
-    def ask(self, name, attempt, workspace=DESK):
-        """Return the Origin that a gateway finds, or None."""
+    def ask(self, name, attempt, workspace=DESK, pause_s=0.0):
+        """Return the Origin that a gateway finds, or None.
+
+        pause_s is how long the gateway then stands still.
+        """
         gateway = self.gateways[name]
         question = gateway.ask(workspace, attempt, fixtures.SERVICE, self.now)
         self._collect(name, gateway)
         asked_at = self.now
+        if pause_s:
+            # Timers are due before the data that has arrived is read.
+            self.now += pause_s
+            gateway.tick(self.now)
+            self._collect(name, gateway)
         while question not in self.resolved:
             self.pass_time(self.step_s)
         self.took_s = self.now - asked_at
@@ -143,6 +152,16 @@
         found = [fleet.ask('g1', f'a{n}') for n in range(100)]
         self.assertGreaterEqual(found.count(BEGUN), 95)
 
+    def test_gateway_that_stood_still_finds_a_stream(self):
+        """Guards against replies that are given up before they are read."""
+        for pause_s in (0.15, 0.19, 0.2, 0.25, 0.7, 5.0):
+            with self.subTest(pause_s=pause_s):
+                fleet = Fleet(4)
+                fleet.begin('g0', 'a1')
+                fleet.pass_time(0.1)
+                found = fleet.ask('g3', 'a1', pause_s=pause_s)
+                self.assertEqual(found, BEGUN)
+
     def test_stream_that_is_complete_at_once_costs_nothing(self):
         """Keepers are told only of streams that last."""
         fleet = Fleet(4)
@@ -166,6 +185,15 @@
             fleet.took_s, stream_origins.GIVE_UP_AFTER_S + 0.05
         )
 
+    def test_gateway_that_is_always_slow_keeps_the_limit(self):
+        """It refuses after one extension, however late each tick is."""
+        fleet = Fleet(4)
+        fleet.silent = {'g0', 'g1', 'g2'}
+        fleet.step_s = 1.5 * stream_origins.MAX_TICK_PAUSE_S
+        self.assertIsNone(fleet.ask('g3', 'a1'))
+        most_s = stream_origins.GIVE_UP_AFTER_S + timeouts.CATCH_UP_S
+        self.assertLessEqual(fleet.took_s, most_s + 2 * fleet.step_s)
+
     def test_only_version_since_before_the_stream_began(self):
         """Without any other version the origin is certain."""
         fleet = Fleet(4)
