Have two keepers of a stream in one failure domain

Cause: keepers of a stream are in unlike failure domains. If all gateways are in one, there was a single keeper, which may be the gateway that began the stream, and its streams were refused once it was killed. The tests did not see it, because a gateway that they killed went on to reply.

Change: with fewer failure domains than keepers, other gateways fill up.

Measured: the new test passes; the 13 of stream_origins_tests do.

--- a/persimmonroute/gateway/stream_origins.py
+++ b/persimmonroute/gateway/stream_origins.py
@@ -283,12 +283,15 @@
         """
         members = self._members_by_region()
         keepers = {}
+        seen = []
         for near in (region, *sorted(members.keys() - {region})):
             for member in _order(key, members.get(near, ())):
                 keepers.setdefault(member.failure_domain, member.name)
                 if len(keepers) == KEEPERS:
                     return list(keepers.values())
-        return list(keepers.values())
+                seen.append(member.name)
+        # There are fewer failure domains than keepers.
+        return list(dict.fromkeys([*keepers.values(), *seen]))[:KEEPERS]
 
     def _members_by_region(self):
         if self._generation != self._peers.generation:
--- a/persimmonroute/tests/gateway/stream_origins_tests.py
+++ b/persimmonroute/tests/gateway/stream_origins_tests.py
@@ -32,7 +32,7 @@
 
     step_s = 0.01
 
-    def __init__(self, count, loss_share=0.0):
+    def __init__(self, count, loss_share=0.0, domains=DOMAINS):
         self.now = 100.0
         self.sent = 0
         self.silent = set()
@@ -41,7 +41,7 @@
         self._loss_share = loss_share
         self._underway = []
         members = [
-            groups.Member(f'g{n}', DOMAINS[n % len(DOMAINS)], 1.0)
+            groups.Member(f'g{n}', domains[n % len(domains)], 1.0)
             for n in range(count)
         ]
         self.gateways = {m.name: self._build(m, members) for m in members}
@@ -142,6 +142,18 @@
                 for number in range(20):
                     self.assertEqual(fleet.ask('g1', f'a{number}'), BEGUN)
 
+    def test_stream_outlives_its_gateway_in_one_failure_domain(self):
+        """Guards against a gateway that is the only keeper of its stream."""
+        for size in (2, 4):
+            with self.subTest(size=size):
+                fleet = Fleet(size, domains=DOMAINS[:1])
+                for number in range(20):
+                    fleet.begin('g0', f'a{number}')
+                fleet.pass_time(0.1)
+                fleet.silent = {'g0'}
+                found = [fleet.ask('g1', f'a{n}') for n in range(20)]
+                self.assertEqual(found, [BEGUN] * 20)
+
     def test_lost_messages(self):
         """Questions are repeated; two keepers are seldom both missed."""
         fleet = Fleet(68, loss_share=0.1)
