Tell the keepers of a stream at once when it breaks off

Cause: keepers are told of a stream at the next tick, up to 50 ms after its begin. A caller whose stream breaks off takes it up at once; if its gateway was killed before that tick, the stream was refused.

Change: a stream that breaks off is told before its caller sees it. Streams that are complete at once still cost nothing.

The new test calls what this change adds.

--- a/persimmonroute/gateway/dispatcher.py
+++ b/persimmonroute/gateway/dispatcher.py
@@ -99,6 +99,11 @@
         """Record that a stream needs no keeper any more."""
         self._origins.record_complete(pending.workspace, pending.attempt)
 
+    def record_broken_off(self, pending):
+        """Record that a stream broke off before its end."""
+        self._origins.record_broken_off(pending.workspace, pending.attempt)
+        self.deliver_decisions()
+
     def release(self, pending, ending):
         """Release the slot that a request occupied at its endpoint."""
         now = clock.now_s()
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -675,6 +675,7 @@
             ended_by=_find_ended_by(progress),
             attempt_problem=progress.failed and progress.failed.problem,
         )
+        self._dispatcher.record_broken_off(pending)
         caller.abort()
 
     def _record_rejected(self, attempt, route, rejection):
--- a/persimmonroute/gateway/stream_origins.py
+++ b/persimmonroute/gateway/stream_origins.py
@@ -137,6 +137,13 @@
         """Do not tell the keepers of a stream that is complete already."""
         self._untold.pop(find_key(workspace, attempt), None)
 
+    def record_broken_off(self, workspace, attempt):
+        """Tell the keepers now, as the caller takes the stream up soon."""
+        key = find_key(workspace, attempt)
+        origin = self._untold.pop(key, None)
+        if origin is not None:
+            self._tell_keepers(key, origin)
+
     def ask(self, workspace, attempt, service, now):
         """Return a Question; a Resolved effect follows.
 
@@ -181,9 +188,7 @@
         """Tell the keepers of new streams, and end old questions."""
         untold, self._untold = self._untold, {}
         for key, origin in untold.items():
-            for keeper in self._find_keepers(key, self._locality.region):
-                message = admission_messages.StreamBegun(key, *origin)
-                self._send(keeper, message)
+            self._tell_keepers(key, origin)
         stood_still = now - self._ticked_at > MAX_TICK_PAUSE_S
         self._ticked_at = now
         for waiting in list(self._questions.values()):
@@ -196,6 +201,11 @@
                     question.resend_at += RESEND_AFTER_S
                     self._send_question(question)
 
+    def _tell_keepers(self, key, origin):
+        message = admission_messages.StreamBegun(key, *origin)
+        for keeper in self._find_keepers(key, self._locality.region):
+            self._send(keeper, message)
+
     def _find(self, key, now):
         origin, at = self._origins.get(key, (None, now))
         return origin if now - at <= STREAM_LIFE_S else None
--- a/persimmonroute/tests/gateway/stream_origins_tests.py
+++ b/persimmonroute/tests/gateway/stream_origins_tests.py
@@ -80,6 +80,11 @@
         """Begin a stream at a gateway, which then tells its keepers."""
         self.gateways[name].record_begun(workspace, attempt, origin, self.now)
 
+    def break_off(self, name, attempt, workspace=DESK):
+        """Break a stream off at a gateway."""
+        self.gateways[name].record_broken_off(workspace, attempt)
+        self._collect(name, self.gateways[name])
+
     def ask(self, name, attempt, workspace=DESK, pause_s=0.0):
         """Return the Origin that a gateway finds, or None.
 
@@ -154,6 +159,18 @@
                 found = [fleet.ask('g1', f'a{n}') for n in range(20)]
                 self.assertEqual(found, [BEGUN] * 20)
 
+    def test_broken_stream_outlives_a_gateway_that_is_killed_at_once(self):
+        """Guards against keepers that are told only at the next tick."""
+        for size in SIZES:
+            with self.subTest(size=size):
+                fleet = Fleet(size)
+                fleet.begin('g0', 'a1')
+                fleet.break_off('g0', 'a1')
+                fleet.silent = {'g0'}
+                fleet.pass_time(fleet.step_s)
+                self.assertEqual(fleet.ask('g1', 'a1'), BEGUN)
+                self.assertLess(fleet.took_s, stream_origins.GIVE_UP_AFTER_S)
+
     def test_lost_messages(self):
         """Questions are repeated; two keepers are seldom both missed."""
         fleet = Fleet(68, loss_share=0.1)
