Show why a request was refused beside a blocked log reader

Change: the test compares the same statuses, and a refusal comes with its body, which names the reason.

--- a/persimmonroute/tests/gateway/process_tests.py
+++ b/persimmonroute/tests/gateway/process_tests.py
@@ -30,11 +30,15 @@
         )
 
     async def _send_requests(self, caller, count):
+        """Return the statuses, those of refusals with their reason."""
         statuses = []
         for _ in range(count):
             target = callers.Target('find', 'key-0', self.seed_run.gateways[0])
             outcome = await caller.send_request(target, reuse=True)
-            statuses.append(outcome.status)
+            status = outcome.status
+            statuses.append(
+                status if status == 200 else (status, outcome.body)
+            )
         return statuses
 
     async def _send_all(self, count):
