--- a/persimmonroute/gateway/stream_origins.py
+++ b/persimmonroute/gateway/stream_origins.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import collections
+import math
 import typing
 
 import xxhash
@@ -31,9 +32,9 @@
 # Pauses before a question without a reply is sent again, and before it counts
 # as unanswered. Gateways of other regions are tens of milliseconds away.
 RESEND_AFTER_S = 0.06
-# Longest interval between two calls of tick().
-TICK_S = 0.05
 GIVE_UP_AFTER_S = 0.2
+# A longer pause between two ticks means that this process stood still.
+MAX_TICK_PAUSE_S = 0.1
 # Key of a stream whose first attempt the caller does not name.
 NO_KEY = 0
 # Callers write the names of attempts, so questions are bounded.
@@ -72,7 +73,9 @@
         # The only service that the stream can have begun at, or None.
         self.service = service
         self.unanswered = set(asked)
-        self.asked_at = now
+        self.give_up_at = now + GIVE_UP_AFTER_S
+        # True once it was extended because this process stood still.
+        self.extended = False
         self.resend_at = now + RESEND_AFTER_S
         # Versions of the service that any gateway has seen.
         self.versions = set()
@@ -85,6 +88,15 @@
         self.versions.update(versions)
         self.history_complete |= complete
 
+    def extend(self, now):
+        """Allow time to read the replies that arrived in a standstill.
+
+        Once, as a process that is always slow has to keep its limits.
+        """
+        if not self.extended:
+            self.extended = True
+            self.give_up_at = max(self.give_up_at, now + timeouts.CATCH_UP_S)
+
     def conclude(self):
         """Return the only possible origin if no gateway knows the stream."""
         certain = (
@@ -113,7 +125,7 @@
         # Members by region, as of a generation of the peers.
         self._members = {}
         self._generation = -1
-        self._catch_up = timeouts.CatchUp(TICK_S)
+        self._ticked_at = math.inf
 
     def record_begun(self, workspace, attempt, origin, now):
         """Remember a stream of this gateway, and tell its keepers soon."""
@@ -125,6 +137,13 @@
         """Do not tell the keepers of a stream that is complete already."""
         self._untold.pop(find_key(workspace, attempt), None)
 
+    def record_broken_off(self, workspace, attempt):
+        """Tell the keepers now, as the caller takes the stream up soon."""
+        key = find_key(workspace, attempt)
+        origin = self._untold.pop(key, None)
+        if origin is not None:
+            self._tell_keepers(key, origin)
+
     def ask(self, workspace, attempt, service, now):
         """Return a Question; a Resolved effect follows.
 
@@ -167,21 +186,26 @@
 
     def tick(self, now):
         """Tell the keepers of new streams, and end old questions."""
-        catching_up = self._catch_up.is_active(now)
         untold, self._untold = self._untold, {}
         for key, origin in untold.items():
-            for keeper in self._find_keepers(key, self._locality.region):
-                message = admission_messages.StreamBegun(key, *origin)
-                self._send(keeper, message)
+            self._tell_keepers(key, origin)
+        stood_still = now - self._ticked_at > MAX_TICK_PAUSE_S
+        self._ticked_at = now
         for waiting in list(self._questions.values()):
             for question in list(waiting):
-                if now - question.asked_at >= GIVE_UP_AFTER_S:
-                    if not catching_up:
-                        self._conclude(question)
+                if stood_still:
+                    question.extend(now)
+                if now >= question.give_up_at:
+                    self._conclude(question)
                 elif now >= question.resend_at:
                     question.resend_at += RESEND_AFTER_S
                     self._send_question(question)
 
+    def _tell_keepers(self, key, origin):
+        message = admission_messages.StreamBegun(key, *origin)
+        for keeper in self._find_keepers(key, self._locality.region):
+            self._send(keeper, message)
+
     def _find(self, key, now):
         origin, at = self._origins.get(key, (None, now))
         return origin if now - at <= STREAM_LIFE_S else None
@@ -269,12 +293,15 @@
         """
         members = self._members_by_region()
         keepers = {}
+        seen = []
         for near in (region, *sorted(members.keys() - {region})):
             for member in _order(key, members.get(near, ())):
                 keepers.setdefault(member.failure_domain, member.name)
                 if len(keepers) == KEEPERS:
                     return list(keepers.values())
-        return list(keepers.values())
+                seen.append(member.name)
+        # There are fewer failure domains than keepers.
+        return list(dict.fromkeys([*keepers.values(), *seen]))[:KEEPERS]
 
     def _members_by_region(self):
         if self._generation != self._peers.generation:
--- a/persimmonroute/tests/gateway/stream_origins_tests.py
+++ b/persimmonroute/tests/gateway/stream_origins_tests.py
@@ -32,7 +32,7 @@
 
     step_s = 0.01
 
-    def __init__(self, count, loss_share=0.0):
+    def __init__(self, count, loss_share=0.0, domains=DOMAINS):
         self.now = 100.0
         self.sent = 0
         self.silent = set()
@@ -41,7 +41,7 @@
         self._loss_share = loss_share
         self._underway = []
         members = [
-            groups.Member(f'g{n}', DOMAINS[n % len(DOMAINS)], 1.0)
+            groups.Member(f'g{n}', domains[n % len(domains)], 1.0)
             for n in range(count)
         ]
         self.gateways = {m.name: self._build(m, members) for m in members}
@@ -80,12 +80,25 @@
         """Begin a stream at a gateway, which then tells its keepers."""
         self.gateways[name].record_begun(workspace, attempt, origin, self.now)
 
-    def ask(self, name, attempt, workspace=DESK):
-        """Return the Origin that a gateway finds, or None."""
+    def break_off(self, name, attempt, workspace=DESK):
+        """Break a stream off at a gateway."""
+        self.gateways[name].record_broken_off(workspace, attempt)
+        self._collect(name, self.gateways[name])
+
+    def ask(self, name, attempt, workspace=DESK, pause_s=0.0):
+        """Return the Origin that a gateway finds, or None.
+
+        pause_s is how long the gateway then stands still.
+        """
         gateway = self.gateways[name]
         question = gateway.ask(workspace, attempt, fixtures.SERVICE, self.now)
         self._collect(name, gateway)
         asked_at = self.now
+        if pause_s:
+            # Timers are due before the data that has arrived is read.
+            self.now += pause_s
+            gateway.tick(self.now)
+            self._collect(name, gateway)
         while question not in self.resolved:
             self.pass_time(self.step_s)
         self.took_s = self.now - asked_at
@@ -134,6 +147,30 @@
                 for number in range(20):
                     self.assertEqual(fleet.ask('g1', f'a{number}'), BEGUN)
 
+    def test_stream_outlives_its_gateway_in_one_failure_domain(self):
+        """Guards against a gateway that is the only keeper of its stream."""
+        for size in (2, 4):
+            with self.subTest(size=size):
+                fleet = Fleet(size, domains=DOMAINS[:1])
+                for number in range(20):
+                    fleet.begin('g0', f'a{number}')
+                fleet.pass_time(0.1)
+                fleet.silent = {'g0'}
+                found = [fleet.ask('g1', f'a{n}') for n in range(20)]
+                self.assertEqual(found, [BEGUN] * 20)
+
+    def test_broken_stream_outlives_a_gateway_that_is_killed_at_once(self):
+        """Guards against keepers that are told only at the next tick."""
+        for size in SIZES:
+            with self.subTest(size=size):
+                fleet = Fleet(size)
+                fleet.begin('g0', 'a1')
+                fleet.break_off('g0', 'a1')
+                fleet.silent = {'g0'}
+                fleet.pass_time(fleet.step_s)
+                self.assertEqual(fleet.ask('g1', 'a1'), BEGUN)
+                self.assertLess(fleet.took_s, stream_origins.GIVE_UP_AFTER_S)
+
     def test_lost_messages(self):
         """Questions are repeated; two keepers are seldom both missed."""
         fleet = Fleet(68, loss_share=0.1)
@@ -144,6 +181,16 @@
         found = [fleet.ask('g1', f'a{n}') for n in range(100)]
         self.assertGreaterEqual(found.count(BEGUN), 95)
 
+    def test_gateway_that_stood_still_finds_a_stream(self):
+        """Guards against replies that are given up before they are read."""
+        for pause_s in (0.15, 0.19, 0.2, 0.25, 0.7, 5.0):
+            with self.subTest(pause_s=pause_s):
+                fleet = Fleet(4)
+                fleet.begin('g0', 'a1')
+                fleet.pass_time(0.1)
+                found = fleet.ask('g3', 'a1', pause_s=pause_s)
+                self.assertEqual(found, BEGUN)
+
     def test_stream_that_is_complete_at_once_costs_nothing(self):
         """Keepers are told only of streams that last."""
         fleet = Fleet(4)
@@ -211,6 +258,15 @@
             fleet.took_s, stream_origins.GIVE_UP_AFTER_S + 0.05
         )
 
+    def test_gateway_that_is_always_slow_keeps_the_limit(self):
+        """It refuses after one extension, however late each tick is."""
+        fleet = Fleet(4)
+        fleet.silent = {'g0', 'g1', 'g2'}
+        fleet.step_s = 1.5 * stream_origins.MAX_TICK_PAUSE_S
+        self.assertIsNone(fleet.ask('g3', 'a1'))
+        most_s = stream_origins.GIVE_UP_AFTER_S + timeouts.CATCH_UP_S
+        self.assertLessEqual(fleet.took_s, most_s + 2 * fleet.step_s)
+
     def test_only_version_since_before_the_stream_began(self):
         """Without any other version the origin is certain."""
         fleet = Fleet(4)
