Take the response to HEAD of a stream for whole

Callers of HEAD got 502 "the stream has no event" where the endpoint had answered 200 with the type of an event stream and no length, as it may: the empty body was taken for a stream that broke off. On routes that may repeat, the request ran at a second endpoint, and the first counted as broken. The same held at sidecars.

A response to HEAD does not end with its connection.

Before: test_head_of_a_stream_is_a_whole_response failed at the gateway (502) and at the sidecar ("the stream has no event"); both pass now.

--- a/persimmonroute/http_connection.py
+++ b/persimmonroute/http_connection.py
@@ -151,6 +151,19 @@
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
         )
 
+    def ends_response(self, head):
+        """Return whether the end of the connection ends a response.
+
+        It then has neither a length nor chunks, and may have a body.
+        """
+        if self._last_request.method == b'HEAD':
+            return False
+        header_names = [name for name, _ in head.headers]
+        return (
+            b'content-length' not in header_names
+            and b'transfer-encoding' not in header_names
+        )
+
     def finish(self):
         """Prepare for the next request and return whether that is possible."""
         if self._http.states != {
@@ -244,15 +257,6 @@
         )
 
 
-def ends_with_connection(head):
-    """Return whether a response has neither a length nor chunks."""
-    header_names = [name for name, _ in head.headers]
-    return (
-        b'content-length' not in header_names
-        and b'transfer-encoding' not in header_names
-    )
-
-
 def set_socket_options(sock):
     """Set socket options that detect an unresponsive peer in seconds."""
     tcp = socket.IPPROTO_TCP
--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -119,7 +119,7 @@
             not_run=not_run,
             misdirected=event.status_code == STATUS_MISDIRECTED,
             load=_read_load(headers.get(names.RUNNER_LOAD)),
-            ends_with_connection=http_connection.ends_with_connection(event),
+            ends_with_connection=self._conn.ends_response(event),
             content_type=_read_content_type(headers),
             leaving=headers.get(names.SERVER_LEAVING) == b'1',
             retry_after_s=_read_retry_after(event.status_code, headers),
--- a/persimmonroute/sidecar/endpoints.py
+++ b/persimmonroute/sidecar/endpoints.py
@@ -66,8 +66,8 @@
 class _Body:
     """Check that the body of a response is complete."""
 
-    def __init__(self, head, content_type):
-        self._ends_with_connection = http_connection.ends_with_connection(head)
+    def __init__(self, ends_with_connection, content_type):
+        self._ends_with_connection = ends_with_connection
         self._splitter = None
         self._events = 0
         self._size = 0
@@ -195,7 +195,7 @@
         content_type = headers.get(b'content-type', b'').decode('latin-1')
         call.check_head(head.status_code, content_type)
         skip = call.offset or 0
-        body = _Body(head, content_type)
+        body = _Body(conn.ends_response(head), content_type)
         while isinstance(event := await conn.next_event(), h11.Data):
             data = bytes(event.data)
             body.add(data)
--- a/persimmonroute/tests/gateway/partial_head_tests.py
+++ b/persimmonroute/tests/gateway/partial_head_tests.py
@@ -201,3 +201,12 @@
                 self.assertEqual(response.status, int(status[:3]))
                 self.assertEqual(response.body, b'')
                 self.assertTrue(response.complete)
+
+    async def test_head_of_a_stream_is_a_whole_response(self):
+        """Guards against 502 for a response to HEAD without a length."""
+        for route in ('book', 'find', 'draft', 'resume'):
+            answer = RawAnswer(STREAM_HEAD + b'\r\n')
+            response = await self.play(route, answer, method='HEAD')
+            self.assertEqual(response.status, 200, route)
+            self.assertEqual(response.headers[b'upstream-signature'], b'raw')
+            self.assertTrue(response.complete)
--- a/persimmonroute/tests/sidecar/endpoints_tests.py
+++ b/persimmonroute/tests/sidecar/endpoints_tests.py
@@ -153,6 +153,14 @@
         self.assertTrue(self._failure().sent)
         self.assertEqual(self._ended(), [])
 
+    async def test_head_of_a_stream_is_a_whole_response(self):
+        """Guards against 502 for a response to HEAD without a length."""
+        self.response = (
+            b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n'
+        )
+        await self._run('HEAD')
+        self.assertIsInstance(self.events[-1], messages.EndpointEnded)
+
     async def test_reset_response_without_a_length_failed(self):
         """A reset is not the end of a body without a length."""
         self.response = b'HTTP/1.1 200 OK\r\n\r\npart'
