Relay streams whose body is encoded

Callers that accept gzip got 502 "the stream ends in an event" though the endpoint had sent its whole stream: an encoded body holds no event that can be found, so it counted as broken. On routes that resume streams a second endpoint ran the request, too.

An encoded body is relayed as any other body that is no stream.

Before: test_encoded_stream_is_relayed failed with 502; it passes now.

--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -42,6 +42,9 @@
 STATUS_UNAVAILABLE = 503
 # Longer pauses are likely errors of the endpoint.
 MAX_RETRY_AFTER_S = 300.0
+IDENTITY = b'identity'
+# Type of a body that cannot be read here; it is relayed as it is.
+ENCODED_TYPE = b'application/octet-stream'
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d{1,9})')
 
 
@@ -366,6 +369,9 @@
 
 
 def _read_content_type(headers):
+    if headers.get(b'content-encoding', IDENTITY).lower() != IDENTITY:
+        # Events cannot be found in an encoded body.
+        return ENCODED_TYPE
     value = headers.get(b'content-type')
     return None if value is None else value.strip().lower()
 
--- a/persimmonroute/tests/gateway/request_ending_tests.py
+++ b/persimmonroute/tests/gateway/request_ending_tests.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import gzip
 import unittest
 
 from persimmonroute.gateway import model
@@ -140,6 +141,26 @@
         self.assertEqual(response.body, COMPLETE_STREAM)
         self.assertTrue(response.complete)
 
+    async def test_encoded_stream_is_relayed(self):
+        """Guards against 502 for a stream whose events cannot be read."""
+        body = gzip.compress(COMPLETE_STREAM)
+        raw = head(
+            b'200 OK',
+            b'content-type: text/event-stream',
+            b'content-encoding: gzip',
+            b'content-length: %d' % len(body),
+        )
+        encoding = ('accept-encoding', 'gzip')
+        for path in ('/draft/x', '/resume/x'):
+            self._answer_with('raw', raw=raw + body)
+            response = await self.deployment.call(
+                path, headers=(*STREAM, encoding)
+            )
+            self.assertEqual(response.status, 200)
+            self.assertEqual(response.headers[b'content-encoding'], b'gzip')
+            self.assertEqual(response.body, body)
+            self.assertTrue(response.complete)
+
     async def test_endless_keep_alive_time_loses_no_answer(self):
         """Guards against an answer that is dropped for its Keep-Alive."""
         keep_alive = f'keep-alive: timeout={MANY_DIGITS}'.encode()
