Accept heads of requests that arrive in parts

Callers got 400 "Invalid HTTP request received" for a head that the limits of the configuration allow, if it was longer than 16 KB with its first line and arrived in more than one part: the server's parser keeps no more of an incomplete head. The limit of the configuration, which is 16 KB of fields if it names none, answered 431 only for heads that arrived at once.

The parser keeps up to 1 MB; the limit of the configuration decides.

Before: test_long_head_in_parts_is_answered failed with 400; it passes now.

--- a/persimmonroute/http_server.py
+++ b/persimmonroute/http_server.py
@@ -14,6 +14,9 @@
 # Longer than load balancers and clients keep idle connections, so that no
 # request is sent on a connection that the server is closing.
 KEEP_ALIVE_S = 90
+# Head of a request that is not complete yet. What callers may send is limited
+# by the configuration, which allows less.
+MAX_PARTIAL_HEAD_BYTES = 1_048_576
 # Time for connections of callers that were just accepted to deliver their
 # request.
 ACCEPTED_GRACE_S = 0.4
@@ -99,5 +102,6 @@
         timeout_keep_alive=KEEP_ALIVE_S,
         timeout_graceful_shutdown=int(grace_s),
         backlog=ACCEPTS_PER_STEP,
+        h11_max_incomplete_event_size=MAX_PARTIAL_HEAD_BYTES,
     )
     return SignalFreeServer(config, accepted_grace_s)
--- a/persimmonroute/tests/gateway/request_ending_tests.py
+++ b/persimmonroute/tests/gateway/request_ending_tests.py
@@ -23,6 +23,8 @@
 MANY_DIGITS = '9' * 5000
 # More than fits into the buffers of a connection that is not read.
 LONG_BODY_BYTES = 4_000_000
+# More than parsers of HTTP keep of a head by default.
+LONG_HEAD_BYTES = 30_000
 # Longer than TCP_USER_TIMEOUT, in seconds.
 UNREAD_S = 3.0
 QUOTA = model.Quota(10.0, 5.0, 1.0)
@@ -203,6 +205,30 @@
         )
         self.assertEqual(response.status, 200)
 
+    async def test_long_head_in_parts_is_answered(self):
+        """Guards against 400 for a head that the limits allow."""
+        document = deployments.configuration(2)
+        document['Limits']['MaxHeaderBytes'] = 65_536
+        self.deployment.platform.put_row('op', 'config', document)
+        await asyncio.sleep(0.3)
+        data = (
+            b'POST /book/x HTTP/1.1\r\nhost: %s\r\nattempt-id: a1\r\n'
+            b'authorization: Bearer %s\r\nconnection: close\r\nx-long: %s\r\n'
+            b'content-length: 0\r\n\r\n'
+        ) % (
+            deployments.HOST.encode(),
+            deployments.KEY.encode(),
+            b'x' * LONG_HEAD_BYTES,
+        )
+        host, _, port = self.deployment.settings[0].address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        for part in (data[:-1000], data[-1000:]):
+            writer.write(part)
+            await asyncio.sleep(0.1)
+        received = await reader.read()
+        writer.close()
+        self.assertTrue(received.startswith(b'HTTP/1.1 200 '), received)
+
     async def test_endless_prompt_part_is_served(self):
         """Guards against a failure for a part of too many tokens."""
         part = ('prompt-prefix', 'ab:' + '9' * 3000)
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -19,6 +19,7 @@
 HANG_S = 30.0
 SIGNATURE = b'signature'
 READ_BYTES = 65_536
+MAX_HEAD_BYTES = 65_536
 # Interval at which a silent endpoint looks whether its peer has closed.
 SILENCE_STEP_S = 0.002
 # Bytes after which a response without end gives up.
@@ -158,7 +159,7 @@
             writer.close()
 
     async def _serve(self, reader, writer):
-        http = h11.Connection(h11.SERVER)
+        http = h11.Connection(h11.SERVER, MAX_HEAD_BYTES)
         used = False
         while True:
             request, body = await _read_request(http, reader)
