Show a stream that is cut off for a repeated id

Callers of a stream that no other endpoint may go on with lose each event whose id is not above the last one, and with a declared length their connection is closed after an unexpected error (790): what was left out is missing from the length.

--- a/persimmonroute/tests/gateway/error_in_stream_tests.py
+++ b/persimmonroute/tests/gateway/error_in_stream_tests.py
@@ -183,3 +183,12 @@
             answers = [RawAnswer(error)] * 2
             await self._assert_sound(*answers, headers=taken_up)
             await self._assert_sound(answers[0], headers=taken_up)
+
+    async def test_repeated_id_does_not_cut_off_a_stream(self):
+        """Guards against a whole stream that is sent without an event."""
+        body = EVENTS + b'id: 4\ndata: piece 5\n\n'
+        for framing in ('length', 'chunks'):
+            answer = RawAnswer(frame(START + STREAM_TYPE, body, framing))
+            response = await self.play('draft', answer)
+            self.assertEqual(response.body, body, framing)
+            self.assertTrue(response.complete)
