Reset the connection of an HTTP/1.0 caller at a break

A caller of HTTP/1.0 took a response that broke off for a whole one: it knows no chunks, so the connection ends a body without a length, and the gateway closed it in order.

At both doors the server resets such a connection if the application has begun a response and not finished it. Callers of HTTP/1.1 are closed as before: their framing tells.

At the own door it was not tried with an HTTP/1.0 caller.

--- a/persimmonroute/http_server.py
+++ b/persimmonroute/http_server.py
@@ -6,8 +6,10 @@
 import contextlib
 import os
 import socket
+import struct
 
 import uvicorn
+from uvicorn.protocols.http import h11_impl
 
 from persimmonroute import clock
 
@@ -29,6 +31,58 @@
 BACKLOG = 2048
 
 
+# SO_LINGER: close with a reset.
+LINGER_RESET = struct.pack('ii', 1, 0)
+
+
+class CallerProtocol(h11_impl.H11Protocol):
+    """Serve a connection and let the application reset it."""
+
+    def connection_made(self, transport):
+        """Hand the means to reset the connection to the application."""
+        super().connection_made(transport)
+
+        def reset():
+            if transport.is_closing():
+                return
+            sock = transport.get_extra_info('socket')
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+            transport.abort()
+
+        self.app_state = {**self.app_state, 'reset': reset}
+
+
+class ResetWhenIncomplete:
+    """Reset connections whose end would make a response look complete.
+
+    Callers of HTTP/1.0 know no chunks: their connection ends a response that
+    has no length.
+    """
+
+    def __init__(self, app):
+        self._app = app
+
+    async def __call__(self, scope, receive, send):
+        """Serve one request."""
+        if scope['type'] != 'http' or scope['http_version'] != '1.0':
+            await self._app(scope, receive, send)
+            return
+        incomplete = False
+
+        async def send_noting(message):
+            nonlocal incomplete
+            incomplete = message['type'] == 'http.response.start' or (
+                message.get('more_body', False)
+            )
+            await send(message)
+
+        try:
+            await self._app(scope, receive, send_noting)
+        finally:
+            if incomplete:
+                scope['state']['reset']()
+
+
 class SignalFreeServer(uvicorn.Server):
     """Run uvicorn without its signal handlers.
 
@@ -89,11 +143,11 @@
     """Build a server whose shutdown waits up to grace_s for open requests."""
     host, _, port = address.rpartition(':')
     config = uvicorn.Config(
-        app,
+        ResetWhenIncomplete(app),
         host=host.strip('[]'),
         port=int(port),
         log_config=None,
-        http='h11',
+        http=CallerProtocol,
         ws='none',
         loop='asyncio',
         log_level='critical',
--- a/persimmonroute/tests/gateway/request_ending_tests.py
+++ b/persimmonroute/tests/gateway/request_ending_tests.py
@@ -105,6 +105,29 @@
         response = await self.deployment.call('/book/x')
         self.assertEqual(response.status, 200)
 
+    async def test_broken_off_answer_is_reset_for_old_callers(self):
+        """Guards against a part that ends like a whole body in HTTP/1.0."""
+        event = COMPLETE_STREAM[: COMPLETE_STREAM.index(b'id: 2')]
+        chunk = b'%x\r\n%s\r\n' % (len(event), event)
+        raw = head(
+            b'200 OK',
+            b'content-type: text/event-stream',
+            b'transfer-encoding: chunked',
+        )
+        address = self.deployment.settings[0].address
+        request = (
+            b'POST /draft/x HTTP/1.0\r\nhost: api.example\r\n'
+            b'authorization: Bearer key-1\r\ncontent-length: 0\r\n'
+            b'attempt-id: a1\r\n\r\n'
+        )
+        self._answer_with('raw', raw=raw + chunk)
+        with self.assertRaises(ConnectionResetError):
+            await exchange(address, request)
+        self._answer_with('raw', raw=raw + chunk + b'0\r\n\r\n')
+        received, ended = await exchange(address, request)
+        self.assertTrue(ended)
+        self.assertTrue(received.endswith(b'\r\n\r\n' + event))
+
     async def test_status_out_of_range_is_answered(self):
         """Guards against a connection that is closed without any answer."""
         self._answer_with(
