Show a request that fails when it crosses a close

Callers of a route that may repeat get 502 "no usable endpoint" if the only endpoint closes the idle connection that their request was sent on: an endpoint whose pause outlasts its idle timeout does so, and goes on. The attempt counts as broken, the endpoint is left out, and no other is there.

--- a/persimmonroute/tests/gateway/request_ending_tests.py
+++ b/persimmonroute/tests/gateway/request_ending_tests.py
@@ -27,6 +27,8 @@
 LONG_HEAD_BYTES = 30_000
 # Longer than TCP_USER_TIMEOUT, in seconds.
 UNREAD_S = 3.0
+# Of an endpoint that goes on afterwards, in seconds.
+SILENCE_S = 0.5
 QUOTA = model.Quota(10.0, 5.0, 1.0)
 # Requests that share the slot of an endpoint; the last ones wait for it.
 WAITING = 4
@@ -363,6 +365,35 @@
         self.assertEqual(response.status, 200)
 
 
+class ClosingRunner(platform_runner.RunnerStandIn):
+    """Close each connection after one answer, when its next request comes."""
+
+    def __init__(self, runner_id):
+        super().__init__(runner_id)
+        self.answered = set()
+
+    async def _respond(self, http, writer, request, body):
+        if http in self.answered:
+            await asyncio.sleep(SILENCE_S)
+            return False
+        self.answered.add(http)
+        return await super()._respond(http, writer, request, body)
+
+
+class IdleConnectionTests(unittest.IsolatedAsyncioTestCase):
+    """Let the only endpoint close an idle connection after a silence."""
+
+    async def test_request_that_crosses_a_close_is_sent_again(self):
+        """Guards against 502 though the only endpoint is sound."""
+        deployment = deployments.GatewayDeployment(endpoints=1)
+        deployment.runners = [ClosingRunner('r0')]
+        self.addAsyncCleanup(deployment.stop)
+        await deployment.start()
+        for attempt in ('a1', 'a2'):
+            response = await deployment.call('/find/x', attempt=attempt)
+            self.assertEqual(response.status, 200)
+
+
 class HandOverTests(unittest.IsolatedAsyncioTestCase):
     """Let an endpoint refuse what was taken from a silent one."""
 
