--- a/persimmonroute/http_server.py
+++ b/persimmonroute/http_server.py
@@ -6,6 +6,7 @@
 import contextlib
 import os
 import socket
+import struct
 
 import uvicorn
 from uvicorn.protocols.http import h11_impl
@@ -16,6 +17,9 @@
 # Longer than load balancers and clients keep idle connections, so that no
 # request is sent on a connection that the server is closing.
 KEEP_ALIVE_S = 90
+# Head of a request that is not complete yet. What callers may send is limited
+# by the configuration, which allows less.
+MAX_PARTIAL_HEAD_BYTES = 262_144
 # Time for connections of callers that were just accepted to deliver their
 # request.
 ACCEPTED_GRACE_S = 0.4
@@ -26,21 +30,67 @@
 ACCEPTS_PER_STEP = 32
 # Connections that a listening socket queues.
 BACKLOG = 2048
+# SO_LINGER: close with a reset.
+LINGER_RESET = struct.pack('ii', 1, 0)
 
 
-class CatchUpProtocol(h11_impl.H11Protocol):
-    """Close an idle connection only after what has arrived on it is read.
+class CallerProtocol(h11_impl.H11Protocol):
+    """Serve a connection, which the application may reset."""
 
-    In a process that was suspended, timers run before the sockets are read.
-    """
+    def connection_made(self, transport):
+        """Hand the means to reset the connection to the application."""
+        super().connection_made(transport)
+
+        def reset():
+            if transport.is_closing():
+                return
+            sock = transport.get_extra_info('socket')
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+            transport.abort()
+
+        self.app_state = {**self.app_state, 'reset': reset}
 
     def timeout_keep_alive_handler(self):
-        """Close the connection soon, unless a request is read before."""
+        """Close an idle connection, unless a request is read before.
+
+        In a process that was suspended, timers run before sockets are read.
+        """
         self.timeout_keep_alive_task = self.loop.call_later(
             timeouts.CATCH_UP_S, super().timeout_keep_alive_handler
         )
 
 
+class ResetWhenIncomplete:
+    """Reset connections whose end would make a response look complete.
+
+    Callers of HTTP/1.0 know no chunks: their connection ends a response that
+    has no length.
+    """
+
+    def __init__(self, app):
+        self._app = app
+
+    async def __call__(self, scope, receive, send):
+        """Serve one request."""
+        if scope['type'] != 'http' or scope['http_version'] != '1.0':
+            await self._app(scope, receive, send)
+            return
+        incomplete = False
+
+        async def send_noting(message):
+            nonlocal incomplete
+            incomplete = message['type'] == 'http.response.start' or (
+                message.get('more_body', False)
+            )
+            await send(message)
+
+        try:
+            await self._app(scope, receive, send_noting)
+        finally:
+            if incomplete:
+                scope['state']['reset']()
+
+
 class SignalFreeServer(uvicorn.Server):
     """Run uvicorn without its signal handlers.
 
@@ -111,11 +161,11 @@
     """Build a server whose shutdown waits up to grace_s for open requests."""
     host, _, port = address.rpartition(':')
     config = uvicorn.Config(
-        app,
+        ResetWhenIncomplete(app),
         host=host.strip('[]'),
         port=int(port),
         log_config=None,
-        http=CatchUpProtocol,
+        http=CallerProtocol,
         ws='none',
         loop='asyncio',
         log_level='critical',
@@ -124,5 +174,6 @@
         timeout_keep_alive=KEEP_ALIVE_S,
         timeout_graceful_shutdown=int(grace_s),
         backlog=ACCEPTS_PER_STEP,
+        h11_max_incomplete_event_size=MAX_PARTIAL_HEAD_BYTES,
     )
     return SignalFreeServer(config, accepted_grace_s)
--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -41,6 +41,9 @@
 STATUS_UNAVAILABLE = 503
 # Longer pauses are likely errors of the endpoint.
 MAX_RETRY_AFTER_S = 300.0
+IDENTITY = b'identity'
+# Type of a body that cannot be read here; it is relayed as it is.
+ENCODED_TYPE = b'application/octet-stream'
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d{1,9})')
 
 
@@ -118,7 +121,7 @@
             not_run=not_run,
             misdirected=event.status_code == STATUS_MISDIRECTED,
             load=_read_load(headers.get(names.RUNNER_LOAD)),
-            ends_with_connection=http_connection.ends_with_connection(event),
+            ends_with_connection=self._conn.ends_response(event),
             content_type=_read_content_type(headers),
             leaving=headers.get(names.SERVER_LEAVING) == b'1',
             retry_after_s=_read_retry_after(event.status_code, headers),
@@ -367,6 +370,9 @@
 
 
 def _read_content_type(headers):
+    if headers.get(b'content-encoding', IDENTITY).lower() != IDENTITY:
+        # Events cannot be found in an encoded body.
+        return ENCODED_TYPE
     value = headers.get(b'content-type')
     return None if value is None else value.strip().lower()
 
--- a/persimmonroute/tests/gateway/request_ending_tests.py
+++ b/persimmonroute/tests/gateway/request_ending_tests.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import gzip
 import unittest
 
 from persimmonroute.gateway import model
@@ -22,8 +23,12 @@
 MANY_DIGITS = '9' * 5000
 # More than fits into the buffers of a connection that is not read.
 LONG_BODY_BYTES = 4_000_000
+# More than parsers of HTTP keep of a head by default.
+LONG_HEAD_BYTES = 30_000
 # Longer than TCP_USER_TIMEOUT, in seconds.
 UNREAD_S = 3.0
+# Of an endpoint that goes on afterwards, in seconds.
+SILENCE_S = 0.5
 QUOTA = model.Quota(10.0, 5.0, 1.0)
 # Requests that share the slot of an endpoint; the last ones wait for it.
 WAITING = 4
@@ -102,6 +107,29 @@
         response = await self.deployment.call('/book/x')
         self.assertEqual(response.status, 200)
 
+    async def test_broken_off_answer_is_reset_for_old_callers(self):
+        """Guards against a part that ends like a whole body in HTTP/1.0."""
+        event = COMPLETE_STREAM[: COMPLETE_STREAM.index(b'id: 2')]
+        chunk = b'%x\r\n%s\r\n' % (len(event), event)
+        raw = head(
+            b'200 OK',
+            b'content-type: text/event-stream',
+            b'transfer-encoding: chunked',
+        )
+        address = self.deployment.settings[0].address
+        request = (
+            b'POST /draft/x HTTP/1.0\r\nhost: api.example\r\n'
+            b'authorization: Bearer key-1\r\ncontent-length: 0\r\n'
+            b'attempt-id: a1\r\n\r\n'
+        )
+        self._answer_with('raw', raw=raw + chunk)
+        with self.assertRaises(ConnectionResetError):
+            await exchange(address, request)
+        self._answer_with('raw', raw=raw + chunk + b'0\r\n\r\n')
+        received, ended = await exchange(address, request)
+        self.assertTrue(ended)
+        self.assertTrue(received.endswith(b'\r\n\r\n' + event))
+
     async def test_status_out_of_range_is_answered(self):
         """Guards against a connection that is closed without any answer."""
         self._answer_with(
@@ -140,6 +168,26 @@
         self.assertEqual(response.body, COMPLETE_STREAM)
         self.assertTrue(response.complete)
 
+    async def test_encoded_stream_is_relayed(self):
+        """Guards against 502 for a stream whose events cannot be read."""
+        body = gzip.compress(COMPLETE_STREAM)
+        raw = head(
+            b'200 OK',
+            b'content-type: text/event-stream',
+            b'content-encoding: gzip',
+            b'content-length: %d' % len(body),
+        )
+        encoding = ('accept-encoding', 'gzip')
+        for path in ('/draft/x', '/resume/x'):
+            self._answer_with('raw', raw=raw + body)
+            response = await self.deployment.call(
+                path, headers=(*STREAM, encoding)
+            )
+            self.assertEqual(response.status, 200)
+            self.assertEqual(response.headers[b'content-encoding'], b'gzip')
+            self.assertEqual(response.body, body)
+            self.assertTrue(response.complete)
+
     async def test_endless_keep_alive_time_loses_no_answer(self):
         """Guards against an answer that is dropped for its Keep-Alive."""
         keep_alive = f'keep-alive: timeout={MANY_DIGITS}'.encode()
@@ -182,6 +230,30 @@
         )
         self.assertEqual(response.status, 200)
 
+    async def test_long_head_in_parts_is_answered(self):
+        """Guards against 400 for a head that the limits allow."""
+        document = deployments.configuration(2)
+        document['Limits']['MaxHeaderBytes'] = 65_536
+        self.deployment.platform.put_row('op', 'config', document)
+        await asyncio.sleep(0.3)
+        data = (
+            b'POST /book/x HTTP/1.1\r\nhost: %s\r\nattempt-id: a1\r\n'
+            b'authorization: Bearer %s\r\nconnection: close\r\nx-long: %s\r\n'
+            b'content-length: 0\r\n\r\n'
+        ) % (
+            deployments.HOST.encode(),
+            deployments.KEY.encode(),
+            b'x' * LONG_HEAD_BYTES,
+        )
+        host, _, port = self.deployment.settings[0].address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        for part in (data[:-1000], data[-1000:]):
+            writer.write(part)
+            await asyncio.sleep(0.1)
+        received = await reader.read()
+        writer.close()
+        self.assertTrue(received.startswith(b'HTTP/1.1 200 '), received)
+
     async def test_endless_prompt_part_is_served(self):
         """Guards against a failure for a part of too many tokens."""
         part = ('prompt-prefix', 'ab:' + '9' * 3000)
@@ -250,6 +322,78 @@
         self.assertEqual(response.status, 200)
 
 
+class EarlyRunner(platform_runner.RunnerStandIn):
+    """Answer its first request before it reads the body of it."""
+
+    async def _accept(self, reader, writer):
+        if self.requests:
+            await super()._accept(reader, writer)
+            return
+        request = await reader.readuntil(b'\r\n\r\n')
+        self.requests.append(request)
+        answer = head(b'200 OK', b'content-length: 5') + b'early'
+        writer.write(answer.replace(b'$ATTEMPT', b'a1'))
+        writer.transport.pause_reading()
+        await asyncio.sleep(UNREAD_S)
+        writer.transport.resume_reading()
+        await reader.readexactly(LONG_BODY_BYTES)
+        await super()._accept(reader, writer)
+
+
+class EarlyAnswerTests(unittest.IsolatedAsyncioTestCase):
+    """Send a request behind a long body that is not read yet."""
+
+    async def test_request_behind_an_unread_body_is_answered(self):
+        """Guards against a time limit of TCP that ends sound connections."""
+        deployment = deployments.GatewayDeployment(endpoints=1)
+        deployment.runners = [EarlyRunner('r0')]
+        self.addAsyncCleanup(deployment.stop)
+        await deployment.start()
+        document = deployments.configuration(2)
+        document['Limits']['MaxBodyBytes'] = 2 * LONG_BODY_BYTES
+        for route in document['Routes']:
+            route['TimeoutMs'] = 6000
+        deployment.platform.put_row('op', 'config', document)
+        await asyncio.sleep(0.3)
+        response = await deployment.call(
+            '/book/x', body=b'x' * LONG_BODY_BYTES
+        )
+        self.assertEqual(response.body, b'early')
+        response = await deployment.call(
+            '/book/x', attempt='a2', remaining_ms=6000
+        )
+        self.assertEqual(response.status, 200)
+
+
+class ClosingRunner(platform_runner.RunnerStandIn):
+    """Close each connection after one answer, when its next request comes."""
+
+    def __init__(self, runner_id):
+        super().__init__(runner_id)
+        self.answered = set()
+
+    async def _respond(self, http, writer, request, body):
+        if http in self.answered:
+            await asyncio.sleep(SILENCE_S)
+            return False
+        self.answered.add(http)
+        return await super()._respond(http, writer, request, body)
+
+
+class IdleConnectionTests(unittest.IsolatedAsyncioTestCase):
+    """Let the only endpoint close an idle connection after a silence."""
+
+    async def test_request_that_crosses_a_close_is_sent_again(self):
+        """Guards against 502 though the only endpoint is sound."""
+        deployment = deployments.GatewayDeployment(endpoints=1)
+        deployment.runners = [ClosingRunner('r0')]
+        self.addAsyncCleanup(deployment.stop)
+        await deployment.start()
+        for attempt in ('a1', 'a2'):
+            response = await deployment.call('/find/x', attempt=attempt)
+            self.assertEqual(response.status, 200)
+
+
 class HandOverTests(unittest.IsolatedAsyncioTestCase):
     """Let an endpoint refuse what was taken from a silent one."""
 
