Try an endpoint again that closed an idle connection

Callers got 502 "no usable endpoint" for a request that may repeat, though the only endpoint was sound.

Cause: the endpoint closed an idle connection while the request was sent on it, as after a pause that outlasts its idle timeout. The attempt counted as broken off, and the endpoint was excluded for the rest of the request.

Change: an endpoint is not excluded if nothing came back on a connection that had been used before. The retry counts in the budget as ever, and requests that may run once are not sent again.

--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -56,6 +56,11 @@
 class EndpointCall(abc.ABC):
     """Represent one attempt at an endpoint."""
 
+    @property
+    @abc.abstractmethod
+    def crossed_close(self):
+        """Return whether nothing came back on a connection in use before."""
+
     @abc.abstractmethod
     async def head(self):
         """Return the ResponseHead."""
@@ -284,7 +289,7 @@
             ending = _ending_of(outcome)
         except exceptions.EndpointBrokenError as error:
             ending = Ending.BROKEN
-            outcome = Failed(ending, True, error.problem)
+            outcome = Failed(ending, True, error.problem, call.crossed_close)
         finally:
             if call is not None:
                 call.abandon()
@@ -597,7 +602,8 @@
             )
             return
         progress.failed = outcome
-        pending.excluded.add(view.id)
+        if not (isinstance(outcome, Failed) and outcome.crossed_close):
+            pending.excluded.add(view.id)
         now = clock.now_s()
         answered = progress.has_answered_for(
             crash_attribution.HARMLESS_RESPONSE_S, now
--- a/persimmonroute/gateway/outcomes.py
+++ b/persimmonroute/gateway/outcomes.py
@@ -21,6 +21,8 @@
     ending: Ending
     may_have_run: bool
     problem: str
+    # True if the endpoint may just have closed an idle connection.
+    crossed_close: bool = False
 
 
 class Replaced(typing.NamedTuple):
--- a/persimmonroute/http_connection.py
+++ b/persimmonroute/http_connection.py
@@ -58,6 +58,7 @@
         self._last_request = None
         self._interim_count = 0
         self._user_timeout_ms = USER_TIMEOUT_MS
+        self._responding = False
         self.request_count = 0
         # True if the other end is known to be the process that was meant.
         self.verified = False
@@ -75,6 +76,11 @@
             and not self._http.trailing_data[0]
         )
 
+    @property
+    def responding(self):
+        """Return whether bytes have come since the last request was sent."""
+        return self._responding
+
     def connection_made(self, transport):
         """Configure the socket to detect a lost peer."""
         self._transport = transport
@@ -83,6 +89,7 @@
 
     def data_received(self, data):
         """Buffer received bytes until the reader takes them."""
+        self._responding = True
         self._unread.append(data)
         self._unread_bytes += len(data)
         if self._unread_bytes > MAX_READ_AHEAD_BYTES:
@@ -106,6 +113,7 @@
         request = h11.Request(method=method, target=target, headers=headers)
         self._last_request = request
         self._interim_count = 0
+        self._responding = False
         self.request_count += 1
         data = self._http.send(request)
         if body:
--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -63,6 +63,11 @@
         self._skipping = False
         self._skipped_bytes = 0
 
+    @property
+    def crossed_close(self):
+        """Return whether nothing came back on a connection in use before."""
+        return self._reused and not self._conn.responding
+
     async def head(self):
         """Return the status and headers of the response to this attempt.
 
