Relay each event of a stream that no other endpoint wrote

Callers of streams that cannot be resumed missed an event whose id was not above the last one; with a declared length their connection was closed by an unexpected error.

Cause: what a second endpoint repeats was sorted out of every stream.

Change: only streams that may be resumed are sorted.

Evidence: test_repeated_id_does_not_cut_off_a_stream failed before, was listed, and passes.

--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -518,7 +518,9 @@
                 progress.record_event(idle_since)
                 self._end_silence(pending, standby)
             for event in events:
-                if not goes_on.is_new(event):
+                new = goes_on.is_new(event)
+                # Without a second response nothing can come twice.
+                if not new and pending.route.resumable:
                     continue
                 await self._begin(head, caller, progress)
                 self._record_begun(pending, progress)
