Suspend real entries and sidecars in turn beside orders

The tests of stand-stills suspend cores in simulated time. This one stops an entry and a sidecar by signals, for about as long as their limits, in a seeded order, and asks for each order to be completed once.

--- a/persimmonroute/tests/processes/faults_tests.py
+++ b/persimmonroute/tests/processes/faults_tests.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import pathlib
+import random
 import signal
 import tempfile
 import unittest
@@ -18,6 +19,10 @@
 
 TIMEOUT_S = 30.0
 SILENCES_S = (0.5, 1.0, 1.7)
+SEED = 7301
+SUSPENSIONS = 10
+# Limits of entries and sidecars within the target of an order.
+LIMITS_S = (0.5, 1.0, 1.4)
 # Longer than an entry waits for a sidecar that sends nothing.
 SUSPENSION_S = 3.5
 
@@ -239,6 +244,27 @@
                 self.assertEqual(result.outcome, 'completed', result)
                 self.assertEqual(await self._count_runs(key), 1)
 
+    async def test_processes_suspended_in_turn_complete_orders(self):
+        """Guards against orders given up as a limit ends on waking up."""
+        rng = random.Random(SEED)
+        entry = self.deployment.entries[0]
+        for number in range(SUSPENSIONS):
+            name = ('entry-1', 'sidecar-trade-desk-1')[number % 2]
+            silence_s = rng.choice(LIMITS_S) + rng.choice((0.0, 0.01, 0.03))
+            keys = [f'k{number}-{n}' for n in range(3)]
+            responses = [
+                asyncio.create_task(self.caller.send(entry, order(1, key)))
+                for key in keys
+            ]
+            await asyncio.sleep(rng.choice((0.0, 0.005, 0.01, 0.02)))
+            self.deployment.send_signal(name, signal.SIGSTOP)
+            await asyncio.sleep(silence_s)
+            self.deployment.send_signal(name, signal.SIGCONT)
+            for key, response in zip(keys, responses, strict=True):
+                result = await response
+                self.assertEqual(result.outcome, 'completed', result)
+                self.assertEqual(await self._count_runs(key), 1)
+
     async def test_bad_requests_get_typed_errors(self):
         """Reject each kind of bad request with its status and error type."""
         good = draft('a')
