Wait for the link to a moved sidecar by its address

Cause: the test waited for the moment between the two links, in which the entry has none. The new link may be open before the next look at it.

Change: it waits until the open link leads to the new address, which is what it is about; a link to the former address would have passed before.

--- a/persimmonroute/tests/sidecar/stop_tests.py
+++ b/persimmonroute/tests/sidecar/stop_tests.py
@@ -114,6 +114,5 @@
         await asyncio.sleep(0.3)
         await self.entry.move_sidecar(ENGINE)
         self.assertEqual((await call).events, STREAM)
-        await self.entry.wait_linked(ENGINE, False)
-        await self.entry.wait_linked(ENGINE)
+        await self.entry.wait_moved(ENGINE)
         self.assertEqual((await self.entry.complete()).events, STREAM)
--- a/standins/entry_fixtures.py
+++ b/standins/entry_fixtures.py
@@ -185,6 +185,17 @@
             while self.shell.core.board.sidecars[name].linked != linked:
                 await asyncio.sleep(POLL_S)
 
+    async def wait_moved(self, name):
+        """Wait until the entry is linked to the present address."""
+        (address,) = {i.sidecar for i in self.instances if i.name == name}
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while not self._is_linked_to(name, address):
+                await asyncio.sleep(POLL_S)
+
+    def _is_linked_to(self, name, address):
+        link = self.shell._links[name]
+        return link._address == address and link._outbox is not None
+
     async def complete(self, stream=True, size=0):
         """Send a completion with a prompt of its own; return its Answer.
 
