Run the soak by hand again

`make soak` ended with BrokenProcessPool before its first seed.

Cause: since its processes are spawned, and a spawned process does not import the __main__ of a package, in which run_seed was defined. Tests import that module under its full name, so they passed.

Change: what processes run is in tools/soak/seeds.py.

--- a/persimmonroute/tests/soak_tests.py
+++ b/persimmonroute/tests/soak_tests.py
@@ -6,6 +6,8 @@
 import json
 import pathlib
 import random
+import subprocess
+import sys
 import tempfile
 import time
 import unittest
@@ -13,7 +15,6 @@
 from persimmonroute import http_connection
 from standins import gateway_deployment as deployments
 from standins import platform
-from tools.soak import __main__ as soak
 from tools.soak import attribution
 from tools.soak import callers
 from tools.soak import checks
@@ -23,6 +24,8 @@
 from tools.soak import operators
 from tools.soak import records
 from tools.soak import schedule
+from tools.soak import seed_run
+from tools.soak import seeds
 
 # Seeds that had a finding in the past, with its cause:
 # 108: the recovery check covered a planned stop that began late;
@@ -600,9 +603,20 @@
         self.assertGreaterEqual(min(durations_s), 0.5)
         self.assertLessEqual(max(durations_s), 2.2)
 
+    def test_command_runs_seeds_in_processes_of_their_own(self):
+        """Guards against a soak that cannot be started by hand."""
+        options = ['--seeds', '1', '--first', '1', '--jobs', '1']
+        ended = subprocess.run(
+            [sys.executable, '-m', 'tools.soak', *options],
+            cwd=seed_run.ROOT,
+            capture_output=True,
+            text=True,
+        )
+        self.assertIn('1 seeds from 1: ', ended.stdout, ended.stderr)
+
     def test_regression_seeds_keep_the_promises(self):
         """Seeds that had a finding in the past have none now."""
-        for result in soak.run_seeds(REGRESSION_SEEDS, JOBS):
+        for result in seeds.run_seeds(REGRESSION_SEEDS, JOBS):
             with self.subTest(seed=result.seed):
                 self.assertEqual(result.findings, [])
                 self.assertGreater(result.served, 0)
