--- a/persimmonroute/tests/gateway/request_ending_tests.py
+++ b/persimmonroute/tests/gateway/request_ending_tests.py
@@ -291,6 +291,24 @@
         self.assertTrue(ended)
 
 
+class LongBodyCase(unittest.IsolatedAsyncioTestCase):
+    """Allow long bodies, and requests that last for a while."""
+
+    async def start(self, runner):
+        """Return a started deployment with one endpoint."""
+        deployment = deployments.GatewayDeployment(endpoints=1)
+        deployment.runners = [runner]
+        self.addAsyncCleanup(deployment.stop)
+        await deployment.start()
+        document = deployments.configuration(2)
+        document['Limits']['MaxBodyBytes'] = 2 * LONG_BODY_BYTES
+        for route in document['Routes']:
+            route['TimeoutMs'] = 6000
+        deployment.platform.put_row('op', 'config', document)
+        await asyncio.sleep(0.3)
+        return deployment
+
+
 class LateReader(platform_runner.RunnerStandIn):
     """Read nothing of what comes on a connection for a while."""
 
@@ -301,21 +319,12 @@
         await super()._accept(reader, writer)
 
 
-class LateReaderTests(unittest.IsolatedAsyncioTestCase):
+class LateReaderTests(LongBodyCase):
     """Send long bodies to an endpoint that does not read them at once."""
 
     async def test_body_that_is_read_late_is_answered(self):
         """Guards against a time limit of TCP that ends sound connections."""
-        deployment = deployments.GatewayDeployment(endpoints=1)
-        deployment.runners = [LateReader('r0')]
-        self.addAsyncCleanup(deployment.stop)
-        await deployment.start()
-        document = deployments.configuration(2)
-        document['Limits']['MaxBodyBytes'] = 2 * LONG_BODY_BYTES
-        for route in document['Routes']:
-            route['TimeoutMs'] = 6000
-        deployment.platform.put_row('op', 'config', document)
-        await asyncio.sleep(0.3)
+        deployment = await self.start(LateReader('r0'))
         response = await deployment.call(
             '/book/x', body=b'x' * LONG_BODY_BYTES, remaining_ms=6000
         )
@@ -340,21 +349,12 @@
         await super()._accept(reader, writer)
 
 
-class EarlyAnswerTests(unittest.IsolatedAsyncioTestCase):
+class EarlyAnswerTests(LongBodyCase):
     """Send a request behind a long body that is not read yet."""
 
     async def test_request_behind_an_unread_body_is_answered(self):
         """Guards against a time limit of TCP that ends sound connections."""
-        deployment = deployments.GatewayDeployment(endpoints=1)
-        deployment.runners = [EarlyRunner('r0')]
-        self.addAsyncCleanup(deployment.stop)
-        await deployment.start()
-        document = deployments.configuration(2)
-        document['Limits']['MaxBodyBytes'] = 2 * LONG_BODY_BYTES
-        for route in document['Routes']:
-            route['TimeoutMs'] = 6000
-        deployment.platform.put_row('op', 'config', document)
-        await asyncio.sleep(0.3)
+        deployment = await self.start(EarlyRunner('r0'))
         response = await deployment.call(
             '/book/x', body=b'x' * LONG_BODY_BYTES
         )
--- a/persimmonroute/tests/processes/descriptor_tests.py
+++ b/persimmonroute/tests/processes/descriptor_tests.py
@@ -3,18 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import pathlib
 import signal
-import tempfile
-import unittest
 
 from persimmonroute.events import Event
-from persimmonroute.tests.processes import faults_tests
+from persimmonroute.tests.processes import process_case
 from standins import callers
 from standins import descriptors
-from tools import demo
-from tools import deployment as deployments
-from tools import small_deployment
 
 # Descriptors that a process may open beside those that it has.
 FEW = 2
@@ -28,26 +22,12 @@
 OUTCOMES = {'completed', 'not-run', callers.LOST}
 
 
-class DescriptorTests(unittest.IsolatedAsyncioTestCase):
+class DescriptorTests(process_case.DeploymentCase):
     """Use up the descriptors of a process while it has requests."""
 
-    async def asyncSetUp(self):
-        """Start a small deployment."""
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        small_deployment.write_deployment(folder.name)
-        self.logs = pathlib.Path(folder.name) / 'logs'
-        self.deployment = deployments.Deployment(folder.name, self.logs)
-        self.addAsyncCleanup(self.deployment.stop)
-        self.deployment.start_all()
-        await asyncio.to_thread(demo.apply_declarations, self.deployment)
-        await self.deployment.wait_serving()
-        self.caller = callers.Caller()
-        self.addAsyncCleanup(self.caller.close)
-
     async def _send_orders(self, name):
         entry = self.deployment.entries[0]
-        orders = [faults_tests.order(n, f'{name}{n}') for n in range(ORDERS)]
+        orders = [process_case.order(n, f'{name}{n}') for n in range(ORDERS)]
         return [await self.caller.send(entry, order) for order in orders]
 
     async def _begin_stream(self, name):
@@ -55,7 +35,7 @@
         stream = asyncio.create_task(
             self.caller.send(
                 self.deployment.entries[0],
-                faults_tests.draft(name, STREAM_TOKENS),
+                process_case.draft(name, STREAM_TOKENS),
                 begun.set,
             )
         )
--- a/persimmonroute/tests/processes/faults_tests.py
+++ b/persimmonroute/tests/processes/faults_tests.py
@@ -3,19 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import json
-import pathlib
 import random
 import signal
-import tempfile
-import unittest
 
 from persimmonroute.events import Event
+from persimmonroute.tests.processes import process_case
 from standins import callers
 from standins import small_simulation
-from tools import demo
-from tools import deployment as deployments
-from tools import small_deployment
 
 TIMEOUT_S = 30.0
 SILENCES_S = (0.5, 1.0, 1.7)
@@ -27,52 +21,9 @@
 SUSPENSION_S = 3.5
 
 
-def order(number, key):
-    """Plan a purchase order; its retries have the same key."""
-    body = json.dumps({'id': key, 'quantity': number}).encode()
-    return callers.PlannedCall(
-        key,
-        small_simulation.WORKSPACE,
-        'purchase-order',
-        small_simulation.PLAIN,
-        True,
-        'POST',
-        '/purchase-orders',
-        body,
-        False,
-        '',
-        0,
-    )
-
-
-def draft(name, tokens=60):
-    """Plan a streamed completion."""
-    return callers.plan_completion(
-        name,
-        small_simulation.WORKSPACE,
-        'counter-offer',
-        small_simulation.MODEL,
-        tokens,
-    )
-
-
-class ProcessFaultTests(unittest.IsolatedAsyncioTestCase):
+class ProcessFaultTests(process_case.DeploymentCase):
     """Inject a fault into a running deployment."""
 
-    async def asyncSetUp(self):
-        """Start a small deployment."""
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        small_deployment.write_deployment(folder.name)
-        self.logs = pathlib.Path(folder.name) / 'logs'
-        self.deployment = deployments.Deployment(folder.name, self.logs)
-        self.addAsyncCleanup(self.deployment.stop)
-        self.deployment.start_all()
-        await asyncio.to_thread(demo.apply_declarations, self.deployment)
-        await self.deployment.wait_serving()
-        self.caller = callers.Caller()
-        self.addAsyncCleanup(self.caller.close)
-
     async def _count_runs(self, request_id):
         runs, _, _ = await self.deployment.count_runs()
         return runs.get(request_id, 0)
@@ -108,7 +59,7 @@
         begun = asyncio.Event()
         entry = self.deployment.entries[0]
         response = asyncio.create_task(
-            self.caller.send(entry, draft(name), begun.set)
+            self.caller.send(entry, process_case.draft(name), begun.set)
         )
         await begun.wait()
         await fault(await self._find_busy_endpoint())
@@ -154,27 +105,31 @@
         self.assertEqual(result.outcome, 'unknown')
         self.assertFalse(result.complete)
         entry = self.deployment.entries[0]
-        after = await self.caller.send(entry, draft('b'))
+        after = await self.caller.send(entry, process_case.draft('b'))
         self.assertEqual(after.outcome, 'completed')
 
     async def test_killed_entry_and_order_sent_again(self):
         """Run an order only once if resent after its entry was killed."""
         first, second = self.deployment.entries
-        response = asyncio.create_task(self.caller.send(first, order(1, 'k')))
+        response = asyncio.create_task(
+            self.caller.send(first, process_case.order(1, 'k'))
+        )
         await self._wait_until_run('k')
         self.deployment.send_signal('entry-1', signal.SIGKILL)
         self.assertEqual((await response).outcome, callers.LOST)
-        retry = await self.caller.send(second, order(1, 'k'))
+        retry = await self.caller.send(second, process_case.order(1, 'k'))
         self.assertEqual((retry.outcome, retry.problem), ('completed', ''))
         self.assertEqual(await self._count_runs('k'), 1)
 
     async def test_frozen_entry_and_order_sent_again(self):
         """Run an order only once if resent while its entry is suspended."""
         first, second = self.deployment.entries
-        response = asyncio.create_task(self.caller.send(first, order(1, 'k')))
+        response = asyncio.create_task(
+            self.caller.send(first, process_case.order(1, 'k'))
+        )
         await self._wait_until_run('k')
         self.deployment.send_signal('entry-1', signal.SIGSTOP)
-        retry = await self.caller.send(second, order(1, 'k'))
+        retry = await self.caller.send(second, process_case.order(1, 'k'))
         self.deployment.send_signal('entry-1', signal.SIGCONT)
         self.assertEqual((retry.outcome, retry.problem), ('completed', ''))
         self.assertEqual((await response).outcome, 'completed')
@@ -190,7 +145,9 @@
             await asyncio.sleep(0.5)
         unlinked = Event.SIDECAR_UNLINKED.value.summary
         self.assertNotIn(unlinked, log.read_text())
-        result = await self.caller.send(self.deployment.entries[0], draft('a'))
+        result = await self.caller.send(
+            self.deployment.entries[0], process_case.draft('a')
+        )
         self.assertEqual(result.outcome, 'completed')
 
     async def _fall_silent(self, endpoint, seconds):
@@ -215,7 +172,7 @@
         for number, silence_s in enumerate(SILENCES_S):
             key = f'k{number}'
             response = asyncio.create_task(
-                self.caller.send(entry, order(number, key))
+                self.caller.send(entry, process_case.order(number, key))
             )
             await self._wait_until_run(key)
             await self._fall_silent('trade-desk-1', silence_s)
@@ -234,7 +191,7 @@
             for delay_s in (0.0, 0.01, 0.2):
                 key = f'k{number}-{delay_s}'
                 response = asyncio.create_task(
-                    self.caller.send(entry, order(number, key))
+                    self.caller.send(entry, process_case.order(number, key))
                 )
                 await asyncio.sleep(delay_s)
                 self.deployment.send_signal(name, signal.SIGSTOP)
@@ -253,7 +210,9 @@
             silence_s = rng.choice(LIMITS_S) + rng.choice((0.0, 0.01, 0.03))
             keys = [f'k{number}-{n}' for n in range(3)]
             responses = [
-                asyncio.create_task(self.caller.send(entry, order(1, key)))
+                asyncio.create_task(
+                    self.caller.send(entry, process_case.order(1, key))
+                )
                 for key in keys
             ]
             await asyncio.sleep(rng.choice((0.0, 0.005, 0.01, 0.02)))
@@ -267,8 +226,8 @@
 
     async def test_bad_requests_get_typed_errors(self):
         """Reject each kind of bad request with its status and error type."""
-        good = draft('a')
-        lookup = order(1, 'k')._replace(class_name='stock-lookup')
+        good = process_case.draft('a')
+        lookup = process_case.order(1, 'k')._replace(class_name='stock-lookup')
         cases = (
             (good._replace(class_name='x'), 400, 'unknown_class'),
             (good._replace(workspace='x'), 403, 'unknown_workspace'),
@@ -276,7 +235,7 @@
             (good._replace(body=b' ' * 5_000_000), 413, 'body_too_large'),
             (lookup._replace(service='llm-pool'), 400, 'wrong_service'),
             (
-                order(1, 'k')._replace(request_id=''),
+                process_case.order(1, 'k')._replace(request_id=''),
                 400,
                 'missing_idempotency_key',
             ),
@@ -296,10 +255,10 @@
         await self.deployment.post_json(
             f'http://{address}/control', {'request_limit': 1.0}
         )
-        await self.caller.send(entry, order(0, 'first'))
+        await self.caller.send(entry, process_case.order(0, 'first'))
         calls = []
         for number in range(40):
-            call = order(number, f'k{number}')
+            call = process_case.order(number, f'k{number}')
             calls.append(asyncio.create_task(self.caller.send(entry, call)))
             await asyncio.sleep(0.1)
         outcomes = [result.outcome for result in await asyncio.gather(*calls)]
@@ -314,14 +273,14 @@
         """Reject an order while the store is down and run its retry later."""
         entry = self.deployment.entries[0]
         await self._set_fault('down')
-        refused = await self.caller.send(entry, order(1, 'k'))
+        refused = await self.caller.send(entry, process_case.order(1, 'k'))
         self.assertEqual(refused.outcome, 'not-run')
         self.assertGreater(refused.retry_after_s, 0)
-        completion = await self.caller.send(entry, draft('b'))
+        completion = await self.caller.send(entry, process_case.draft('b'))
         self.assertEqual(completion.outcome, 'completed')
         self.assertEqual(await self._count_runs('k'), 0)
         await self._set_fault('none')
-        retry = await self.caller.send(entry, order(1, 'k'))
+        retry = await self.caller.send(entry, process_case.order(1, 'k'))
         self.assertEqual((retry.outcome, retry.problem), ('completed', ''))
         self.assertEqual(await self._count_runs('k'), 1)
 
@@ -333,14 +292,16 @@
         self.deployment.start_daemon('entry-1')
         await self.deployment.wait_serving()
         entry = self.deployment.entries[0]
-        result = await self.caller.send(entry, draft('a'))
+        result = await self.caller.send(entry, process_case.draft('a'))
         self.assertEqual((result.outcome, result.problem), ('completed', ''))
 
     async def test_store_response_lost(self):
         """Confirm a claim whose response was lost and run the order once."""
         entry = self.deployment.entries[0]
         await self._set_fault('lose_answers')
-        response = asyncio.create_task(self.caller.send(entry, order(1, 'k')))
+        response = asyncio.create_task(
+            self.caller.send(entry, process_case.order(1, 'k'))
+        )
         url = f'http://{self.deployment.platform}/control/counts'
 
         async def written():
