Name the requests that are open at the end of a stop

Cause: the log of a request that the end of a stop cut off ends with 700 or with nothing, so its hypotheses cannot be told apart. Change: event 708 names it, how often it was sent and whether it may have run; event 700 says how long a stop still lasts.

--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -130,6 +130,9 @@
     SILENCE_ENDED = EventKind(
         707, 'INFO', 'endpoint goes on after a silence; the request stays'
     )
+    REQUEST_ENDED_BY_STOP = EventKind(
+        708, 'WARNING', 'request was open at the end of a graceful shutdown'
+    )
     RUNNER_CHANGED = EventKind(710, 'INFO', 'endpoint added or changed')
     RUNNER_CLOSED = EventKind(
         712, 'INFO', 'endpoint asked for a pause; nothing is sent to it'
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -191,6 +191,9 @@
                 await self._serve_pending(pending, caller, progress)
         except TimeoutError:
             await self._time_out(pending, caller, progress)
+        except asyncio.CancelledError:
+            self._record_ended_by_stop(pending, progress)
+            raise
         finally:
             if pending.workspace is not None and not pending.sends:
                 self._board.quotas.refund(pending.workspace, request)
@@ -359,10 +362,16 @@
             send=pending.sends,
             load=view.load,
             waited_s=round(now - pending.arrived_at, 4),
+            stop_left_s=self._find_stop_left_s(now),
             version=self._board.version,
         )
         return call
 
+    def _find_stop_left_s(self, now):
+        """Return how long a stop lasts from now; None if there is none."""
+        drain = self._board.drain
+        return None if drain is None else round(drain.ends_at - now, 3)
+
     async def _relay(self, pending, call, caller, progress, standby):
         head = await standby.read(
             call.head,
@@ -685,6 +694,21 @@
         self._record_rejected(pending.attempt, pending.route.name, rejection)
         await caller.reject(rejection)
 
+    def _record_ended_by_stop(self, pending, progress):
+        drain = self._board.drain
+        if drain is None or clock.now_s() < drain.ends_at:
+            # The caller has left.
+            return
+        log.emit(
+            Event.REQUEST_ENDED_BY_STOP,
+            request=pending.attempt,
+            route=pending.route.name,
+            sends=pending.sends,
+            begun=progress.begun,
+            may_have_run=progress.may_have_run,
+            age_s=round(clock.now_s() - pending.arrived_at, 3),
+        )
+
     def _abort_response(self, pending, caller, progress, problem):
         self._metrics.on_ended(
             pending.route.name, 'broken off', _label_of(problem)
