Show requests that a stopping gateway passes on and cuts off

Cause: a gateway asks about its stop when a request arrives and not when it is sent, at first or again; at the end the HTTP server answers 500 for all.

--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -276,6 +276,11 @@
         await asyncio.sleep(self.answer_pause_s)
         return await self._do_answer(reply, headers)
 
+    async def _do_late_fail(self, reply, headers):
+        """Fail after a pause."""
+        await asyncio.sleep(self.answer_pause_s)
+        return await self._do_fail(reply, headers)
+
     async def _do_silent(self, reply, headers):
         """Begin a stream, fall silent for a while, and go on."""
         if not _wants_stream(headers):
