Ask before each send whether a request ends within the stop

Callers saw: orders and streams that came 1 s after the signal waited, were sent 2.8 s later and got 500 when the stop ended, after they had run; streams sent after the signal broke off at its end. Cause: the stop was asked about once, when a request arrived, and until the removal from the load balancer not at all. What waits, is tried again or searches beside a silent endpoint was sent whatever was left. What cannot be sent and has not run is refused at once with 503.

--- a/persimmonroute/draining.py
+++ b/persimmonroute/draining.py
@@ -1,4 +1,4 @@
-"""Decide what a process that stops still accepts."""
+"""Decide what a process that stops still passes on."""
 
 from __future__ import annotations
 
@@ -17,21 +17,25 @@
 class Drain(typing.NamedTuple):
     """Describe a graceful stop, in seconds of the process's clock."""
 
-    # The load balancer has removed the process by then. Later requests come
-    # on connections that callers keep open.
+    # The load balancer has removed the process by then.
     removed_at: float
     # Requests that are still open are cancelled then.
     ends_at: float
 
-    def accepts(self, deadline_at, now):
-        """Return whether to take a request that may last until a deadline.
+    @property
+    def answers_until(self):
+        """Return when requests that are still open get their last answer."""
+        return self.ends_at - ANSWER_MARGIN_S
 
-        Callers cannot know of the stop before the removal. After it, a
-        request is refused if its answer could be cut off at the end.
+    def find_latest_send(self, deadline_at, expected_s):
+        """Return until when a request may be passed on, at first or again.
+
+        It is passed on only if it ends within the stop: at its deadline, or
+        after the time that it is expected to take. Infinity for unknown.
         """
-        if now < self.removed_at:
-            return True
-        return deadline_at + ANSWER_MARGIN_S <= self.ends_at
+        if deadline_at <= self.answers_until:
+            return deadline_at
+        return self.answers_until - expected_s
 
 
 def begin(now, removal_s, drain_s, grace_s):
--- a/persimmonroute/entry/dispatch.py
+++ b/persimmonroute/entry/dispatch.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import math
-
 from persimmonroute.entry import board as boards
 from persimmonroute.entry.call_states import advance
 from persimmonroute.entry import messages
@@ -63,7 +61,7 @@
         self._board.calls[call.request_id] = record
         drain = self._board.drain
         # Calls have no deadline, so none surely ends within the grace period.
-        if drain is not None and not drain.accepts(math.inf, now):
+        if drain is not None and now >= drain.removed_at:
             self._finalizer.end_not_run(record, STOPPING, STOPPING_RETRY_S)
             return
         if self._board.quarantine.is_refused(call):
--- a/persimmonroute/gateway/admission.py
+++ b/persimmonroute/gateway/admission.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from persimmonroute.gateway import messages
 from persimmonroute.gateway import model
 from persimmonroute.gateway import routes
@@ -9,15 +11,10 @@
 # Share of the revocation bound after which keys are no longer trusted; the
 # rest covers the time from the check to the send.
 REVOCATION_SHARE = 0.9
-# Short, since another gateway may be able to serve the caller.
-OTHER_GATEWAY_RETRY_S = 0.1
 QUARANTINE_RETRY_S = 30.0
 CRASHES_ENDPOINTS = model.Rejection(
     503, 'the request or a part of it crashes endpoints', QUARANTINE_RETRY_S
 )
-STOPPING = model.Rejection(
-    503, 'the gateway is stopping', OTHER_GATEWAY_RETRY_S
-)
 # Age of a request from which its key is checked again before it is sent.
 RECHECK_S = 0.5
 # Smaller differences of the remaining time are network delays.
@@ -86,13 +83,16 @@
     def check_again(self, pending, now):
         """Return a Rejection if a request must not be sent any more.
 
-        The process may have been suspended since the request was admitted,
-        and other requests like it may have crashed endpoints.
+        The process may have been suspended or asked to stop since the request
+        was admitted, and other requests like it may have crashed endpoints.
         """
         if now >= pending.deadline_at:
             return model.TIMEOUT_WHILE_QUEUED
         if self._board.quarantine.is_quarantined(pending.request):
             return CRASHES_ENDPOINTS
+        rejection = self.find_stop_rejection(pending, now)
+        if rejection is not None:
+            return rejection
         if pending.workspace is None or now - pending.arrived_at < RECHECK_S:
             return None
         table = self._board.route_table
@@ -100,6 +100,22 @@
             return None
         return self._check_key(table.find_workspace(pending.request.key), now)
 
+    def find_stop_rejection(self, pending, now):
+        """Return a Rejection if a stop would cut off a request sent now."""
+        if now > self.find_latest_send(pending):
+            return model.STOPPING
+        return None
+
+    def find_latest_send(self, pending):
+        """Return until when a request may be sent; infinity for no limit."""
+        drain = self._board.drain
+        if drain is None:
+            return math.inf
+        expected_s = self._board.durations.estimate_s(
+            pending.route.name, pending.request.output_tokens
+        )
+        return drain.find_latest_send(pending.deadline_at, expected_s)
+
     def _find_current_route(self, pending):
         """Return the newest version of a route that may have been removed."""
         request = pending.request
@@ -119,9 +135,9 @@
 
     def _check_limits(self, pending, now):
         board = self._board
-        drain = board.drain
-        if drain is not None and not drain.accepts(pending.deadline_at, now):
-            return STOPPING
+        rejection = self.find_stop_rejection(pending, now)
+        if rejection is not None:
+            return rejection
         if board.quarantine.is_quarantined(pending.request):
             return CRASHES_ENDPOINTS
         if pending.workspace is not None:
@@ -143,4 +159,4 @@
 
 
 def _unavailable(reason):
-    return model.Rejection(503, reason, OTHER_GATEWAY_RETRY_S)
+    return model.Rejection(503, reason, model.OTHER_GATEWAY_RETRY_S)
--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -6,6 +6,7 @@
 import typing
 
 from persimmonroute import draining
+from persimmonroute import durations
 from persimmonroute.gateway import change_tracking
 from persimmonroute.gateway import freshness
 from persimmonroute.gateway import peer_reading
@@ -88,6 +89,8 @@
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
         )
         self.quarantine = quarantine.Quarantine()
+        # How long requests of each route take at endpoints.
+        self.durations = durations.Durations()
         # How the gateway stops; None while it serves.
         self.drain: draining.Drain | None = None
         # Newest configuration version that a peer has reported.
--- a/persimmonroute/gateway/dispatcher.py
+++ b/persimmonroute/gateway/dispatcher.py
@@ -48,6 +48,8 @@
         self._timer = None
         self._summarized_at = 0.0
         self.on_change = lambda: None
+        # Returns the Rejection of a request that must not wait any longer.
+        self.find_rejection = lambda pending, now: None
         # Sends an admission message to another gateway.
         self.send = lambda peer, message: None
 
@@ -136,6 +138,7 @@
 
     def tick(self, now):
         """Repeat and expire what is due, in this gateway and as a host."""
+        self._reject_waiting(now)
         self._offers.tick(now)
         self._origins.tick(now)
         self._host.tick(now)
@@ -145,6 +148,13 @@
             self._send_summaries(now)
         self.deliver_decisions()
 
+    def _reject_waiting(self, now):
+        """Reject what a stop of this gateway would cut off."""
+        for pending, future in self._waiting.items():
+            rejection = self.find_rejection(pending, now)
+            if rejection is not None and not future.done():
+                future.set_result(rejection)
+
     def set_services(self, services):
         """Apply the services of a configuration."""
         self._scheduler.set_services(services)
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -266,6 +266,8 @@
             return False
         if rejection is not None and rejection.status != 503:
             return False
+        if rejection is model.STOPPING:
+            return False
         if not self._has_attempts_left(pending):
             return False
         if progress.begun:
@@ -602,6 +604,7 @@
             )
             now = clock.now_s()
             first_byte_at = pending.first_byte_at or now
+            self._record_duration(pending, first_byte_at, now)
             log.emit(
                 Event.GATEWAY_ANSWERED,
                 request=pending.attempt,
@@ -637,6 +640,14 @@
             prompt=[part.id for part in pending.request.prompt],
         )
 
+    def _record_duration(self, pending, first_byte_at, now):
+        self._board.durations.record(
+            pending.route.name,
+            pending.request.output_tokens,
+            max(first_byte_at - pending.sent_at, 0.0),
+            now - pending.sent_at,
+        )
+
     async def _relay_kept(self, pending, caller, progress):
         """Deliver an endpoint's error response; return if there is one."""
         kept = progress.kept
--- a/persimmonroute/gateway/model.py
+++ b/persimmonroute/gateway/model.py
@@ -189,6 +189,9 @@
 STREAM_UNKNOWN = Rejection(
     503, 'the version that began the stream is not known', 0.5
 )
+# Short, since another gateway may be able to serve the caller.
+OTHER_GATEWAY_RETRY_S = 0.1
+STOPPING = Rejection(503, 'the gateway is stopping', OTHER_GATEWAY_RETRY_S)
 # Short, since capacity may become free at any time.
 TIMEOUT_WHILE_QUEUED = Rejection(503, 'timeout while queued', 0.1)
 
--- a/persimmonroute/gateway/places.py
+++ b/persimmonroute/gateway/places.py
@@ -27,11 +27,13 @@
 
     pending: messages.PendingRequest
     connection: object
+    # Until when a request may be sent there.
+    valid_until: float
 
     @property
     def valid(self):
         """Return whether a request may still be sent there."""
-        return clock.now_s() - self.pending.sent_at <= PLACE_VALID_S
+        return clock.now_s() <= self.valid_until
 
     def close(self):
         """Close the connection, which may be stale."""
@@ -69,10 +71,14 @@
             try:
                 rejection = self._admission.check_again(pending, clock.now_s())
                 if rejection is None:
-                    place = Place(pending, await self._connect(pending))
+                    connection = await self._connect(pending)
+                    place = self._build_place(pending, connection)
                     if place.valid:
                         return place
                     place.close()
+                    rejection = self._admission.check_again(
+                        pending, clock.now_s()
+                    )
             except (
                 exceptions.EndpointUnreachableError,
                 exceptions.EndpointReplacedError,
@@ -86,6 +92,16 @@
             if rejection is not None:
                 return rejection
 
+    def _build_place(self, pending, connection):
+        return Place(
+            pending,
+            connection,
+            min(
+                pending.sent_at + PLACE_VALID_S,
+                self._admission.find_latest_send(pending),
+            ),
+        )
+
     async def search(self, pending):
         """Return a Place at another endpoint than that of a request.
 
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -108,9 +108,11 @@
     dispatcher.on_change = link.schedule_reports
     dispatcher.send = link.send_admission
     gateway_metrics = metrics.GatewayMetrics(board, scheduler)
+    checks = admission.Admission(board)
+    dispatcher.find_rejection = checks.find_stop_rejection
     forwarder = forwarding.Forwarder(
         board,
-        admission.Admission(board),
+        checks,
         dispatcher,
         client,
         gateway_metrics,
--- a/persimmonroute/tests/draining_tests.py
+++ b/persimmonroute/tests/draining_tests.py
@@ -1,7 +1,8 @@
-"""Test which requests a stopping process accepts."""
+"""Test what a stopping process still passes on."""
 
 from __future__ import annotations
 
+import math
 import unittest
 
 from persimmonroute import draining
@@ -10,16 +11,24 @@
 class DrainTests(unittest.TestCase):
     """Ask a drain that began at 100 s about requests."""
 
-    def test_all_is_taken_until_the_removal(self):
-        """Callers that cannot know of the stop are not refused."""
-        drain = draining.begin(100.0, 2.6, 1.4, 7.3)
-        self.assertTrue(drain.accepts(1000.0, 102.5))
+    def setUp(self):
+        """Begin a stop with a grace period of 7.3 s."""
+        self.drain = draining.begin(100.0, 2.6, 1.4, 7.3)
 
-    def test_only_what_ends_in_time_is_taken_later(self):
-        """A request may last until the end less the time of its answer."""
-        drain = draining.begin(100.0, 2.6, 1.4, 7.3)
-        self.assertTrue(drain.accepts(106.9, 102.6))
-        self.assertFalse(drain.accepts(107.1, 102.6))
+    def _may_send(self, deadline_at, expected_s, now):
+        return now <= self.drain.find_latest_send(deadline_at, expected_s)
+
+    def test_request_of_unknown_length_ends_by_its_deadline(self):
+        """Its deadline, less the time of its answer, is within the stop."""
+        for now in (100.0, 102.5, 104.0):
+            self.assertTrue(self._may_send(106.9, math.inf, now))
+            self.assertFalse(self._may_send(107.1, math.inf, now))
+
+    def test_request_of_known_length_is_sent_if_it_ends_in_time(self):
+        """A later deadline does not count against it."""
+        self.assertTrue(self._may_send(1000.0, 2.0, 104.9))
+        self.assertFalse(self._may_send(1000.0, 2.0, 105.1))
+        self.assertFalse(self._may_send(1000.0, 8.0, 100.0))
 
     def test_short_grace_period_leaves_time_to_drain(self):
         """Requests get some time even if the grace period has none left."""
