End the open requests of a stop before the server cancels them

Callers saw: 500 without a word at the end of a stop, alike for requests that may have run, that waited, and whose body had not arrived. Cause: nobody ended what was open but the HTTP server, which cancels its tasks. Change: 0.3 s before the end of its stop a gateway times out what is open: streams break off, an order that was sent gets 502, a request that was not sent or not read gets 503 with Retry-After. The end is by the clock that counts suspension.

--- a/persimmonroute/draining.py
+++ b/persimmonroute/draining.py
@@ -7,6 +7,7 @@
 
 from persimmonroute.events import Event
 from persimmonroute import logs
+from persimmonroute import timeouts
 
 log = logs.EventLog(__name__)
 
@@ -19,7 +20,7 @@
 
     # The load balancer has removed the process by then.
     removed_at: float
-    # Requests that are still open are cancelled then.
+    # No connection is open any more.
     ends_at: float
 
     @property
@@ -48,6 +49,34 @@
     return Drain(removed_at, max(now + grace_s, removed_at + drain_s))
 
 
+class OpenRequests:
+    """End the requests that are still open at the end of a stop."""
+
+    def __init__(self):
+        self._limits = set()
+        self._ended = False
+
+    @property
+    def ended(self):
+        """Return whether the end of the stop has come."""
+        return self._ended
+
+    @contextlib.contextmanager
+    def hold(self, limit):
+        """Let end_all() time out the body, whose time limit is given."""
+        self._limits.add(limit)
+        try:
+            yield
+        finally:
+            self._limits.discard(limit)
+
+    def end_all(self):
+        """Time out all requests that are open."""
+        self._ended = True
+        for limit in self._limits:
+            timeouts.end(limit)
+
+
 @contextlib.contextmanager
 def guard(step):
     """Log an error in a step of a stop, which goes on without it."""
--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -91,6 +91,7 @@
         self.quarantine = quarantine.Quarantine()
         # How long requests of each route take at endpoints.
         self.durations = durations.Durations()
+        self.open_requests = draining.OpenRequests()
         # How the gateway stops; None while it serves.
         self.drain: draining.Drain | None = None
         # Newest configuration version that a peer has reported.
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -181,23 +181,23 @@
             request.last_event_id if pending.route.resumable else None
         )
         try:
-            async with timeouts.timeout(max(pending.deadline_at - now, 0)):
-                rejection = await self._find_version(pending)
-                if rejection is not None:
-                    await self._finish_rejected(
-                        pending, caller, progress, rejection
-                    )
-                    return
-                await self._serve_pending(pending, caller, progress)
+            limit_s = max(pending.deadline_at - now, 0)
+            async with timeouts.timeout(limit_s) as limit:
+                with self._board.open_requests.hold(limit):
+                    await self._serve_admitted(pending, caller, progress)
         except TimeoutError:
             await self._time_out(pending, caller, progress)
-        except asyncio.CancelledError:
-            self._record_ended_by_stop(pending, progress)
-            raise
         finally:
             if pending.workspace is not None and not pending.sends:
                 self._board.quotas.refund(pending.workspace, request)
 
+    async def _serve_admitted(self, pending, caller, progress):
+        rejection = await self._find_version(pending)
+        if rejection is None:
+            await self._serve_pending(pending, caller, progress)
+        else:
+            await self._finish_rejected(pending, caller, progress, rejection)
+
     async def _find_version(self, pending):
         """Find the version of a stream that a caller takes up again.
 
@@ -693,23 +693,27 @@
         await caller.reject(rejection)
 
     async def _time_out(self, pending, caller, progress):
+        stopped = self._board.open_requests.ended
+        if stopped:
+            self._record_ended_by_stop(pending, progress)
         if progress.begun:
-            self._abort_response(pending, caller, progress, 'timeout')
+            problem = model.STOPPED.reason if stopped else 'timeout'
+            self._abort_response(pending, caller, progress, problem)
             return
         if await self._relay_kept(pending, caller, progress):
             return
         if progress.may_have_run:
-            rejection = model.Rejection(504, 'timeout at the endpoint')
+            rejection = model.TIMEOUT_AT_ENDPOINT
+            if stopped:
+                rejection = model.STOPPED
         else:
             rejection = model.TIMEOUT_WHILE_QUEUED
+            if stopped:
+                rejection = model.STOPPING
         self._record_rejected(pending.attempt, pending.route.name, rejection)
         await caller.reject(rejection)
 
     def _record_ended_by_stop(self, pending, progress):
-        drain = self._board.drain
-        if drain is None or clock.now_s() < drain.ends_at:
-            # The caller has left.
-            return
         log.emit(
             Event.REQUEST_ENDED_BY_STOP,
             request=pending.attempt,
--- a/persimmonroute/gateway/model.py
+++ b/persimmonroute/gateway/model.py
@@ -192,8 +192,12 @@
 # Short, since another gateway may be able to serve the caller.
 OTHER_GATEWAY_RETRY_S = 0.1
 STOPPING = Rejection(503, 'the gateway is stopping', OTHER_GATEWAY_RETRY_S)
+STOPPED = Rejection(
+    502, 'the gateway stopped before the response was complete'
+)
 # Short, since capacity may become free at any time.
 TIMEOUT_WHILE_QUEUED = Rejection(503, 'timeout while queued', 0.1)
+TIMEOUT_AT_ENDPOINT = Rejection(504, 'timeout at the endpoint')
 
 
 class Ending(enum.Enum):
--- a/persimmonroute/gateway/server.py
+++ b/persimmonroute/gateway/server.py
@@ -29,6 +29,8 @@
 # Time that open requests get after the removal, however short the grace
 # period is.
 MIN_DRAIN_S = 1.4
+# Interval at which a stop looks whether its end has come.
+END_CHECK_S = 0.1
 
 
 class GatewayServer:
@@ -85,9 +87,11 @@
             self._shell.stop_hosting()
         with draining.guard('announce'):
             self._shell.announce_stop()
-        await asyncio.sleep(BALANCER_REMOVAL_S)
+        ending = asyncio.create_task(self._end_requests(drain))
+        await asyncio.sleep(max(drain.removed_at - clock.now_s(), 0.0))
         self._front.stop(drain.ends_at - clock.now_s())
         await serving[0]
+        ending.cancel()
         self._ready.should_exit = True
         self._metrics.should_exit = True
         self._peers.should_exit = True
@@ -96,6 +100,14 @@
         log.emit(Event.PROCESS_STOPPED)
         await asyncio.gather(*serving)
 
+    async def _end_requests(self, drain):
+        """Answer the requests that the end of the stop would cut off."""
+        while (left_s := drain.answers_until - clock.now_s()) > 0:
+            # The event loop's clock stands still in a suspended process.
+            await asyncio.sleep(min(left_s, END_CHECK_S))
+        with draining.guard('end requests'):
+            self._board.open_requests.end_all()
+
     def _begin_drain(self):
         return draining.begin(
             clock.now_s(),
--- a/persimmonroute/platform/ingress.py
+++ b/persimmonroute/platform/ingress.py
@@ -44,7 +44,12 @@
         if rejection is not None:
             await caller.reject(rejection)
             return
-        body = await _read_body(receive, limits.body_bytes)
+        try:
+            body = await self._read_body(receive, limits.body_bytes)
+        except TimeoutError:
+            log.emit(Event.REQUEST_ENDED_BY_STOP, may_have_run=False)
+            await caller.reject(model.STOPPING)
+            return
         if body is None:
             return
         if body is TOO_LARGE:
@@ -54,6 +59,12 @@
         caller.attempt = request.attempt.encode('latin-1')
         await self._serve(request, caller, receive)
 
+    async def _read_body(self, receive, max_bytes):
+        """Read a body, or raise TimeoutError at the end of a stop."""
+        async with asyncio.timeout(None) as limit:
+            with self._board.open_requests.hold(limit):
+                return await _read_body(receive, max_bytes)
+
     async def _serve(self, request, caller, receive):
         serving = asyncio.ensure_future(self._forwarder.serve(request, caller))
         watching = asyncio.ensure_future(_wait_for_disconnect(receive))
--- a/persimmonroute/tests/draining_tests.py
+++ b/persimmonroute/tests/draining_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import unittest
 
@@ -34,3 +35,20 @@
         """Requests get some time even if the grace period has none left."""
         drain = draining.begin(100.0, 2.6, 1.4, 0.3)
         self.assertEqual(drain.ends_at, 104.0)
+
+
+class OpenRequestsTests(unittest.IsolatedAsyncioTestCase):
+    """End what is open at the end of a stop."""
+
+    async def test_only_what_is_open_is_ended(self):
+        """Requests that have ended are let alone."""
+        requests = draining.OpenRequests()
+        async with asyncio.timeout(None) as limit:
+            with requests.hold(limit):
+                await asyncio.sleep(0)
+        requests.end_all()
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(None) as limit:
+                with requests.hold(limit):
+                    requests.end_all()
+                    await asyncio.sleep(1.0)
--- a/persimmonroute/timeouts.py
+++ b/persimmonroute/timeouts.py
@@ -77,6 +77,12 @@
         return now < self._until
 
 
+def end(scope):
+    """Time out the body of timeout() or asyncio.timeout() now."""
+    if not scope.expired():
+        scope.reschedule(asyncio.get_running_loop().time())
+
+
 @contextlib.asynccontextmanager
 async def timeout(seconds, find_extension_s=lambda: 0.0):
     """Raise TimeoutError if the body takes longer; None for no limit.
@@ -92,7 +98,7 @@
         limit = Limit(loop.time() + seconds, seconds)
 
         def end_body():
-            scope.reschedule(loop.time())
+            end(scope)
 
         def on_due():
             nonlocal timer
