End a stop within its grace period however short that is

Callers saw: the process killed in the middle of their answers, where the grace period is shorter than the removal from the load balancer and 1.4 s. Change: the end is the end of the grace period less what the shutdown itself takes, and connections are closed before it. The same for entries.

--- a/persimmonroute/draining.py
+++ b/persimmonroute/draining.py
@@ -18,8 +18,9 @@
 class Drain(typing.NamedTuple):
     """Describe a graceful stop, in seconds of the process's clock."""
 
-    # The load balancer has removed the process by then.
-    removed_at: float
+    # The load balancer has removed the process by then, and it begins to
+    # close its connections.
+    closes_at: float
     # No connection is open any more.
     ends_at: float
 
@@ -39,14 +40,15 @@
         return self.answers_until - expected_s
 
 
-def begin(now, removal_s, drain_s, grace_s):
+def begin(now, removal_s, close_s, grace_s):
     """Return the Drain of a process that is asked to stop.
 
-    After the removal open requests get drain_s at least, and as long as the
-    grace period lasts.
+    It never outlasts the grace period. The load balancer needs removal_s, and
+    connections that were just accepted may take close_s to deliver a request.
     """
-    removed_at = now + removal_s
-    return Drain(removed_at, max(now + grace_s, removed_at + drain_s))
+    ends_at = now + max(grace_s, 0.0)
+    closes_at = min(now + removal_s, ends_at - close_s)
+    return Drain(max(closes_at, now), ends_at)
 
 
 class OpenRequests:
--- a/persimmonroute/entry/dispatch.py
+++ b/persimmonroute/entry/dispatch.py
@@ -61,7 +61,7 @@
         self._board.calls[call.request_id] = record
         drain = self._board.drain
         # Calls have no deadline, so none surely ends within the grace period.
-        if drain is not None and now >= drain.removed_at:
+        if drain is not None and now >= drain.closes_at:
             self._finalizer.end_not_run(record, STOPPING, STOPPING_RETRY_S)
             return
         if self._board.quarantine.is_refused(call):
--- a/persimmonroute/entry/server.py
+++ b/persimmonroute/entry/server.py
@@ -17,9 +17,6 @@
 BALANCER_NOTICE_S = 1.0
 # Part of the grace period reserved for shutdown after the last request.
 SHUTDOWN_RESERVE_S = 0.7
-# Time that open requests get after the notice, however short the grace period
-# is.
-MIN_DRAIN_S = 1.4
 
 
 class EntryServer:
@@ -42,7 +39,7 @@
         drain = begin_drain(time.monotonic(), self._settings.stop_grace_s)
         with draining.guard('announce'):
             self._shell.handle(messages.StopRequested(drain))
-        await asyncio.sleep(BALANCER_NOTICE_S)
+        await asyncio.sleep(max(drain.closes_at - time.monotonic(), 0.0))
         self._server.stop(drain.ends_at - time.monotonic())
         ending = asyncio.create_task(self._end_calls(drain))
         await serving
@@ -53,8 +50,7 @@
 
     async def _end_calls(self, drain):
         """Tell the outcome of open requests before they are cancelled."""
-        end_at = drain.ends_at - draining.ANSWER_MARGIN_S
-        await asyncio.sleep(end_at - time.monotonic())
+        await asyncio.sleep(drain.answers_until - time.monotonic())
         with draining.guard('end requests'):
             self._shell.handle(messages.StopExpired())
 
@@ -62,5 +58,8 @@
 def begin_drain(now, stop_grace_s):
     """Return the Drain of an entry that is asked to stop."""
     return draining.begin(
-        now, BALANCER_NOTICE_S, MIN_DRAIN_S, stop_grace_s - SHUTDOWN_RESERVE_S
+        now,
+        BALANCER_NOTICE_S,
+        http_server.CLOSE_S,
+        stop_grace_s - SHUTDOWN_RESERVE_S,
     )
--- a/persimmonroute/gateway/server.py
+++ b/persimmonroute/gateway/server.py
@@ -26,9 +26,6 @@
 BALANCER_REMOVAL_S = 2.6
 # Part of the grace period reserved for shutdown after the last request.
 SHUTDOWN_RESERVE_S = 0.7
-# Time that open requests get after the removal, however short the grace
-# period is.
-MIN_DRAIN_S = 1.4
 # Interval at which a stop looks whether its end has come.
 END_CHECK_S = 0.1
 
@@ -88,7 +85,7 @@
         with draining.guard('announce'):
             self._shell.announce_stop()
         ending = asyncio.create_task(self._end_requests(drain))
-        await asyncio.sleep(max(drain.removed_at - clock.now_s(), 0.0))
+        await asyncio.sleep(max(drain.closes_at - clock.now_s(), 0.0))
         self._front.stop(drain.ends_at - clock.now_s())
         await serving[0]
         ending.cancel()
@@ -112,7 +109,7 @@
         return draining.begin(
             clock.now_s(),
             BALANCER_REMOVAL_S,
-            MIN_DRAIN_S,
+            http_server.CLOSE_S,
             self._settings.stop_grace_s - SHUTDOWN_RESERVE_S,
         )
 
--- a/persimmonroute/http_server.py
+++ b/persimmonroute/http_server.py
@@ -25,6 +25,8 @@
 ACCEPTED_GRACE_S = 0.4
 # Time to accept what is left in the backlog of a socket.
 BACKLOG_DRAIN_S = 0.02
+# Time from the beginning of a shutdown until idle connections are closed.
+CLOSE_S = ACCEPTED_GRACE_S + BACKLOG_DRAIN_S
 # Connections accepted in one step of the event loop. It tries as many also
 # when no descriptor is left.
 ACCEPTS_PER_STEP = 32
--- a/persimmonroute/tests/draining_tests.py
+++ b/persimmonroute/tests/draining_tests.py
@@ -14,7 +14,7 @@
 
     def setUp(self):
         """Begin a stop with a grace period of 7.3 s."""
-        self.drain = draining.begin(100.0, 2.6, 1.4, 7.3)
+        self.drain = draining.begin(100.0, 2.6, 0.4, 7.3)
 
     def _may_send(self, deadline_at, expected_s, now):
         return now <= self.drain.find_latest_send(deadline_at, expected_s)
@@ -31,10 +31,15 @@
         self.assertFalse(self._may_send(1000.0, 2.0, 105.1))
         self.assertFalse(self._may_send(1000.0, 8.0, 100.0))
 
-    def test_short_grace_period_leaves_time_to_drain(self):
-        """Requests get some time even if the grace period has none left."""
-        drain = draining.begin(100.0, 2.6, 1.4, 0.3)
-        self.assertEqual(drain.ends_at, 104.0)
+    def test_stop_never_outlasts_its_grace_period(self):
+        """A process that is killed at its end cuts off what is open."""
+        for grace_s in (0.0, 0.3, 2.3, 7.3):
+            drain = draining.begin(100.0, 2.6, 0.4, grace_s)
+            self.assertEqual(drain.ends_at, 100.0 + grace_s)
+            self.assertGreaterEqual(drain.closes_at, 100.0)
+            self.assertLessEqual(
+                drain.closes_at, max(drain.ends_at - 0.4, 100.0)
+            )
 
 
 class OpenRequestsTests(unittest.IsolatedAsyncioTestCase):
--- a/standins/datagram_simulation.py
+++ b/standins/datagram_simulation.py
@@ -339,7 +339,7 @@
                 continue
             if kind == 'stop':
                 now = clock.now_s()
-                gateway.board.drain = draining.begin(now, 1.0, 1.0, 3.0)
+                gateway.board.drain = draining.begin(now, 1.0, 0.4, 3.0)
                 gateway.dispatcher.stop_hosting()
                 gateway.link.send_stopping()
                 await asyncio.sleep(self._rng.uniform(0.1, 1.5))
