Ask at each grant whether a call ends within the stop of its entry

Callers saw: calls that waited at sidecars when their entry was stopped were granted a start late and cut off, with an unknown outcome after they had run. Cause: the entry asked about its stop when a call arrived, and only by the time since the signal. Change: entries learn how long calls of each class take from their grant on; until then the declared target stands for it. A call is granted, at first or after another offer, only if that lies within the stop. What cannot is ended as not run with Retry-After as soon as that is known, and calls that end in time are accepted after the connections begin to close, too.

--- a/persimmonroute/entry/board.py
+++ b/persimmonroute/entry/board.py
@@ -7,6 +7,7 @@
 from persimmonroute import blackboard
 from persimmonroute.config import declarations
 from persimmonroute import draining
+from persimmonroute import durations
 from persimmonroute.entry import messages
 from persimmonroute.entry import quarantine
 from persimmonroute.generated import exchange_pb2 as pb
@@ -91,6 +92,10 @@
         # Sidecars that disconnected or timed out during this request.
         self.excluded = set()
         self.received_bytes = 0
+        # When the request was granted its start, and when its response began;
+        # None before.
+        self.granted_at = None
+        self.first_byte_at = None
         # Deadline of the current state, in seconds.
         self.deadline = 0.0
 
@@ -115,6 +120,8 @@
         # Requests that await the response of an attempt, by attempt id.
         self._subscribers: dict[str, list[CallRecord]] = {}
         self.quarantine = quarantine.QuarantineView()
+        # How long calls of each class take from their grant on.
+        self.durations = durations.Durations()
         # How the entry stops; None while it serves.
         self.drain: draining.Drain | None = None
 
--- a/persimmonroute/entry/core.py
+++ b/persimmonroute/entry/core.py
@@ -52,7 +52,7 @@
             messages.StoreReplied: [self._claims.on_reply],
             messages.ConfigurationReceived: [self._configuration.on_received],
             messages.TimePassed: [self._on_time],
-            messages.StopRequested: [self._on_stop],
+            messages.StopRequested: [self._dispatcher.on_stop],
             messages.StopExpired: [self._dispatcher.on_stop_expired],
         }
 
@@ -96,6 +96,3 @@
         if now >= self._next_expiry_at:
             self._next_expiry_at = now + EXPIRY_INTERVAL_S
             self._board.quarantine.expire(now)
-
-    def _on_stop(self, event, now):
-        self._board.drain = event.drain
--- a/persimmonroute/entry/dispatch.py
+++ b/persimmonroute/entry/dispatch.py
@@ -5,6 +5,7 @@
 from persimmonroute.entry import board as boards
 from persimmonroute.entry.call_states import advance
 from persimmonroute.entry import messages
+from persimmonroute.entry import stopping
 from persimmonroute import event_stream
 from persimmonroute.events import Event
 from persimmonroute import exceptions
@@ -12,10 +13,6 @@
 
 RESUME_TIMEOUT_S = 20.0
 ATTACH_TIMEOUT_S = 5.0
-STOPPING = 'the entry is stopping'
-STOPPED = 'the entry stopped before the response was complete'
-# Other entries may serve the caller at once.
-STOPPING_RETRY_S = 0.1
 
 
 class Dispatcher:
@@ -23,6 +20,7 @@
 
     def __init__(self, board, claims, offer_sender, finalizer):
         self._board = board
+        self._stopping = stopping.StopController(board, self.fail_unstarted)
         self._claims = claims
         self._offer_sender = offer_sender
         self._finalizer = finalizer
@@ -59,15 +57,18 @@
         call = event.call
         record = boards.CallRecord(call, self.validate_call(call), now)
         self._board.calls[call.request_id] = record
-        drain = self._board.drain
-        # Calls have no deadline, so none surely ends within the grace period.
-        if drain is not None and now >= drain.closes_at:
-            self._finalizer.end_not_run(record, STOPPING, STOPPING_RETRY_S)
+        if not self._stopping.may_accept(record, now):
+            self._stopping.refuse(record)
             return
         if self._board.quarantine.is_refused(call):
             self._finalizer.end_quarantined(record)
             return
         self._offer_sender.offer(record, now)
+        self._stopping.watch(record, now)
+
+    def on_stop(self, event, now):
+        """End calls that cannot start and end within the stop."""
+        self._stopping.on_stop(event, now)
 
     def on_caller_disconnected(self, event, now):
         """Abort a request whose caller disconnected."""
@@ -88,10 +89,17 @@
     def on_stop_expired(self, event, now):
         """End the requests that the end of the process would cut off."""
         for record in list(self._board.calls.values()):
-            if record.state in ('granted', 'interrupted', 'attached'):
-                self._finalizer.end_unknown(record, STOPPED)
+            may_have_run = record.state not in stopping.UNGRANTED
+            self._board.log(
+                Event.REQUEST_ENDED_BY_STOP,
+                request=record.request_id,
+                work_class=record.call.class_name,
+                may_have_run=may_have_run,
+            )
+            if may_have_run:
+                self._finalizer.end_unknown(record, stopping.STOPPED)
             else:
-                self.fail_unstarted(record, STOPPING, STOPPING_RETRY_S)
+                self._stopping.refuse(record)
 
     def on_frame(self, sidecar, frame, now):
         """Handle one frame from a sidecar."""
@@ -137,6 +145,7 @@
 
     def on_timer(self, timer, now):
         """Handle an expired offer, resume or attach deadline."""
+        self._stopping.on_timer(timer, now)
         record = self._board.calls.get(timer.subject)
         if record is None or now < record.deadline:
             return
@@ -237,7 +246,11 @@
         if record.state != 'queued' or not claimed:
             self._board.send(record, withdraw=pb.Withdraw())
             return
+        if not self._stopping.may_grant(record, now):
+            self._stopping.refuse(record)
+            return
         advance(record, 'grant')
+        record.granted_at = now
         self._board.send(record, grant=pb.Grant())
         self._board.log(
             Event.REQUEST_GRANTED,
@@ -254,6 +267,7 @@
             return
         data = chunk.data[skip:]
         if data:
+            record.first_byte_at = record.first_byte_at or now
             record.received_bytes += len(data)
             self._claims.buffer_response(record, data)
             self._board.put(
@@ -278,6 +292,7 @@
             return
         self._board.quarantine.clear(record.call, now)
         self._claims.record_outcome(record, finished, now)
+        self._stopping.record_ended(record, now)
         self._finalizer.end_completed(
             record, finished.status, finished.content_type
         )
--- /dev/null
+++ b/persimmonroute/entry/stopping.py
@@ -0,0 +1,103 @@
+"""Decide which calls a stopping entry still grants a start."""
+
+from __future__ import annotations
+
+import math
+
+STOPPING = 'the entry is stopping'
+STOPPED = 'the entry stopped before the response was complete'
+# Other entries may serve the caller at once.
+STOPPING_RETRY_S = 0.1
+# Assumed of classes that declare no target for it.
+TOKEN_GAP_S = 0.05
+UNGRANTED = ('new', 'offered', 'queued')
+
+
+class StopController:
+    """End calls that have not started and would outlast a stop.
+
+    Calls have no deadline, so only the time that their class takes tells
+    whether they end within the grace period. While that is not known, the
+    class's target stands for it.
+    """
+
+    def __init__(self, board, fail_unstarted):
+        self._board = board
+        # Withdraws a call that was not granted, and ends it as not run.
+        self._fail_unstarted = fail_unstarted
+
+    def on_stop(self, event, now):
+        """Watch the calls that wait."""
+        self._board.drain = event.drain
+        for record in list(self._board.calls.values()):
+            self.watch(record, now)
+
+    def watch(self, record, now):
+        """End a call that waits once it cannot end within the stop."""
+        if self._board.drain is None or record.state not in UNGRANTED:
+            return
+        latest_at = self._find_latest_grant(record)
+        if now > latest_at:
+            self.refuse(record)
+        else:
+            self._board.timers.schedule(latest_at, 'stop', record.request_id)
+
+    def on_timer(self, timer, now):
+        """Look again at a call that waits."""
+        record = self._board.calls.get(timer.subject)
+        if timer.kind == 'stop' and record is not None:
+            if record.state in UNGRANTED:
+                self.refuse(record)
+
+    def may_accept(self, record, now):
+        """Return whether to accept a call that has just arrived.
+
+        Callers can know of the stop once connections are closed. Of them only
+        calls that surely end in time are accepted.
+        """
+        drain = self._board.drain
+        if drain is not None and now >= drain.closes_at:
+            if self._estimate_s(record) == math.inf:
+                return False
+        return self.may_grant(record, now)
+
+    def may_grant(self, record, now):
+        """Return whether a call that starts now ends within the stop."""
+        if self._board.drain is None:
+            return True
+        return now <= self._find_latest_grant(record)
+
+    def refuse(self, record):
+        """End a call that has not started."""
+        self._fail_unstarted(record, STOPPING, STOPPING_RETRY_S)
+
+    def record_ended(self, record, now):
+        """Learn from a call whose response is complete."""
+        if record.granted_at is None:
+            return
+        first_byte_at = record.first_byte_at or now
+        self._board.durations.record(
+            record.call.class_name,
+            record.call.output_tokens,
+            first_byte_at - record.granted_at,
+            now - record.granted_at,
+        )
+
+    def _estimate_s(self, record):
+        call = record.call
+        return self._board.durations.estimate_s(
+            call.class_name, call.output_tokens
+        )
+
+    def _find_latest_grant(self, record):
+        expected_s = self._estimate_s(record)
+        if expected_s == math.inf:
+            expected_s = _find_declared_s(record)
+        return self._board.drain.find_latest_send(math.inf, expected_s)
+
+
+def _find_declared_s(record):
+    """Return how long a call takes by the target of its class."""
+    target = record.work_class.target
+    gap_s = target.token_gap_s or TOKEN_GAP_S
+    return target.start_s + record.call.output_tokens * gap_s
