Say in the log why a stopping gateway refuses a request

Cause: event 703 of a stop tells neither how long the stop lasts nor how long the request is expected to take, so refusals cannot be judged. Change: both stand in its detail. No decision changes.

--- a/persimmonroute/gateway/admission.py
+++ b/persimmonroute/gateway/admission.py
@@ -102,19 +102,28 @@
 
     def find_stop_rejection(self, pending, now):
         """Return a Rejection if a stop would cut off a request sent now."""
-        if now > self.find_latest_send(pending):
-            return model.STOPPING
-        return None
+        latest_at = self.find_latest_send(pending)
+        if now <= latest_at:
+            return None
+        ends_at = self._board.drain.ends_at
+        return model.STOPPING._replace(
+            detail=f'{ends_at - now:.3f} s left of the stop,'
+            f' {self._estimate_s(pending):.3f} s expected'
+        )
 
     def find_latest_send(self, pending):
         """Return until when a request may be sent; infinity for no limit."""
         drain = self._board.drain
         if drain is None:
             return math.inf
-        expected_s = self._board.durations.estimate_s(
+        return drain.find_latest_send(
+            pending.deadline_at, self._estimate_s(pending)
+        )
+
+    def _estimate_s(self, pending):
+        return self._board.durations.estimate_s(
             pending.route.name, pending.request.output_tokens
         )
-        return drain.find_latest_send(pending.deadline_at, expected_s)
 
     def _find_current_route(self, pending):
         """Return the newest version of a route that may have been removed."""
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -264,9 +264,7 @@
         """
         if not progress.handed_over or progress.kept is not None:
             return False
-        if rejection is not None and rejection.status != 503:
-            return False
-        if rejection is model.STOPPING:
+        if rejection is not None and not _may_pass(rejection):
             return False
         if not self._has_attempts_left(pending):
             return False
@@ -790,6 +788,13 @@
     return 'gateway' if progress.handed_over else 'endpoint'
 
 
+def _may_pass(rejection):
+    """Return whether there may be a place a moment later."""
+    if rejection.reason == model.STOPPING.reason:
+        return False
+    return rejection.status == 503
+
+
 def _find_look_on_s(pending, now):
     """Return for how long to look for a place after a handover."""
     return min(
