Send callers back when the load balancer has removed a stopping gateway

Callers saw: refused by a stopping gateway, they came back after 0.1 s to the same one and were refused for good, where it serves its failure domain alone or nearly so. Cause: Retry-After assumed that another gateway gets the next request, which the load balancer does only once it has removed the stopping one. Change: with fewer than three other gateways in the failure domain callers come back 0.2 s after the removal, with two thirds of their time left at the least; otherwise, and after the removal, at once as before.

--- a/persimmonroute/gateway/admission.py
+++ b/persimmonroute/gateway/admission.py
@@ -15,6 +15,13 @@
 CRASHES_ENDPOINTS = model.Rejection(
     503, 'the request or a part of it crashes endpoints', QUARANTINE_RETRY_S
 )
+# With as many other gateways in the failure domain a caller that comes back
+# at once hardly meets the stopping one again. With fewer it waits until the
+# load balancer has removed that one.
+MIN_NEIGHBOURS = 3
+RETURN_MARGIN_S = 0.2
+# Share of a caller's time after which it comes back in any case.
+MAX_RETRY_SHARE = 1 / 3
 # Age of a request from which its key is checked again before it is sent.
 RECHECK_S = 0.5
 # Smaller differences of the remaining time are network delays.
@@ -105,12 +112,23 @@
         latest_at = self.find_latest_send(pending)
         if now <= latest_at:
             return None
-        ends_at = self._board.drain.ends_at
+        left_s = self._board.drain.ends_at - now
         return model.STOPPING._replace(
-            detail=f'{ends_at - now:.3f} s left of the stop,'
-            f' {self._estimate_s(pending):.3f} s expected'
+            retry_after_s=self._find_stop_retry_s(pending, now),
+            detail=f'{left_s:.3f} s left of the stop,'
+            f' {self._estimate_s(pending):.3f} s expected',
         )
 
+    def _find_stop_retry_s(self, pending, now):
+        """Return when a caller reaches another gateway that can serve it."""
+        if self._board.peers.count_neighbours() >= MIN_NEIGHBOURS:
+            return model.OTHER_GATEWAY_RETRY_S
+        closes_in_s = self._board.drain.closes_at - now
+        if closes_in_s <= 0:
+            return model.OTHER_GATEWAY_RETRY_S
+        left_s = pending.deadline_at - now
+        return min(closes_in_s + RETURN_MARGIN_S, MAX_RETRY_SHARE * left_s)
+
     def find_latest_send(self, pending):
         """Return until when a request may be sent; infinity for no limit."""
         drain = self._board.drain
--- a/persimmonroute/gateway/peers.py
+++ b/persimmonroute/gateway/peers.py
@@ -166,6 +166,13 @@
             if peer.failure_domain and not peer.stopping
         ]
 
+    def count_neighbours(self):
+        """Return how many other gateways of the failure domain serve."""
+        return sum(
+            member.failure_domain == self._locality.failure_domain
+            for member in self.members()
+        )
+
     def update_peer(self, name, address, now, failure_domain='', cores=0.0):
         """Add a gateway or update its description."""
         if name == self._own_name:
