Check a request once more when its endpoint is connected to

Callers could see: a request that ran with a key taken away, or that crashes endpoints, up to a second after that was known. Cause: the key, the quarantine and the deadline were checked at the grant; connecting and confirming a version come after it. Change: they are checked again right before the send. Tests: place_tests, test_key_that_is_lost_meanwhile_sends_no_request fails on the code before (it returned a place).

--- a/persimmonroute/gateway/places.py
+++ b/persimmonroute/gateway/places.py
@@ -73,12 +73,13 @@
                 if rejection is None:
                     connection = await self._connect(pending)
                     place = self._build_place(pending, connection)
-                    if place.valid:
-                        return place
-                    place.close()
+                    # Connecting takes up to a second.
                     rejection = self._admission.check_again(
                         pending, clock.now_s()
                     )
+                    if place.valid and rejection is None:
+                        return place
+                    place.close()
             except (
                 exceptions.EndpointUnreachableError,
                 exceptions.EndpointReplacedError,
--- a/persimmonroute/tests/gateway/place_tests.py
+++ b/persimmonroute/tests/gateway/place_tests.py
@@ -194,6 +194,34 @@
         self.assertTrue(searching.done())
 
 
+class NewsTests(PlaceCase):
+    """Change what is known while a granted endpoint is connected to."""
+
+    async def asyncSetUp(self):
+        """Grant what is asked for."""
+        await super().asyncSetUp()
+        self.dispatcher.open.set()
+        self.connection = mock.Mock()
+
+    async def test_key_that_is_lost_meanwhile_sends_no_request(self):
+        """Guards against a request that is sent with a revoked key."""
+
+        async def connect(*args, **options):
+            self._advance(admission.RECHECK_S)
+            workspace = fixtures.workspace(key='another')
+            self.board.adopt_configuration(
+                fixtures.configuration([self.route], [workspace], 2), self.now
+            )
+            return self.connection
+
+        self.client.connect.side_effect = connect
+        rejection = await self.finder.find(self._build_request())
+        self.assertIsInstance(rejection, model.Rejection)
+        self.assertEqual(rejection.status, 401)
+        self.assertEqual(len(self.dispatcher.released), 1)
+        self.connection.close.assert_called_once()
+
+
 class SuspensionTests(PlaceCase):
     """Let the gateway stand still between a grant and the send."""
 
