Send nothing to an endpoint that is leaving by the time it is connected to

Callers could see: requests sent to an endpoint that was known to leave, for as long as connecting takes. Cause: whether an endpoint is leaving was asked at the grant only, like the stop of the gateway itself. Change: it is asked again before the send; the request looks for another one. Tests: place_tests, test_endpoint_that_leaves_meanwhile_gets_no_request fails on the code before.

--- a/persimmonroute/gateway/places.py
+++ b/persimmonroute/gateway/places.py
@@ -77,9 +77,12 @@
                     rejection = self._admission.check_again(
                         pending, clock.now_s()
                     )
-                    if place.valid and rejection is None:
+                    leaving = pending.runner.leaving
+                    if place.valid and not leaving and rejection is None:
                         return place
                     place.close()
+                    if leaving:
+                        pending.excluded.add(pending.runner.id)
             except (
                 exceptions.EndpointUnreachableError,
                 exceptions.EndpointReplacedError,
--- a/persimmonroute/tests/gateway/place_tests.py
+++ b/persimmonroute/tests/gateway/place_tests.py
@@ -203,6 +203,24 @@
         self.dispatcher.open.set()
         self.connection = mock.Mock()
 
+    async def test_endpoint_that_leaves_meanwhile_gets_no_request(self):
+        """Guards against new work for an endpoint that is leaving."""
+
+        async def connect(*args, **options):
+            self.view.announced_leaving = True
+            self.dispatcher.open.clear()
+            return self.connection
+
+        self.client.connect.side_effect = connect
+        pending = self._build_request()
+        finding = asyncio.create_task(self.finder.find(pending))
+        self.addCleanup(finding.cancel)
+        await asyncio.sleep(SETTLE_S)
+        self.assertFalse(finding.done())
+        self.assertEqual(self.dispatcher.asked, 2)
+        self.assertEqual(pending.excluded, {self.view.id})
+        self.connection.close.assert_called_once()
+
     async def test_key_that_is_lost_meanwhile_sends_no_request(self):
         """Guards against a request that is sent with a revoked key."""
 
