--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -364,15 +364,17 @@
             send=pending.sends,
             load=view.load,
             waited_s=round(now - pending.arrived_at, 4),
-            stop_left_s=self._find_stop_left_s(now),
             version=self._board.version,
+            **self._describe_stop(now),
         )
         return call
 
-    def _find_stop_left_s(self, now):
-        """Return how long a stop lasts from now; None if there is none."""
+    def _describe_stop(self, now):
+        """Return the log fields of a send during a stop."""
         drain = self._board.drain
-        return None if drain is None else round(drain.ends_at - now, 3)
+        if drain is None:
+            return {}
+        return {'stop_left_s': round(drain.ends_at - now, 3)}
 
     async def _relay(self, pending, call, caller, progress, standby):
         head = await standby.read(
