Show urgent orders that a stop refuses before others

What callers saw: a gateway that has served fewer than 10 requests of a route refuses all of them from the signal on if their deadline is later than its end, though they take 0.1 s and its endpoints are idle; requests of a lower tier that are common are served meanwhile. Cause: Durations.estimate_s is infinite below MIN_REQUESTS, and the gateway has nothing in its place; an entry takes the target of the class. No product code is changed.

--- a/persimmonroute/tests/gateway/stop_estimate_tests.py
+++ b/persimmonroute/tests/gateway/stop_estimate_tests.py
@@ -11,6 +11,14 @@
 # When a request that takes LONG_RUN_S cannot end within the stop any more.
 LATE_S = 2.0
 OTHER_SERVICE = 'slow'
+# Route of the first tier, and one of a lower tier.
+RARE = 'book'
+COMMON = 'find'
+LOWER_TIER = 3
+# Requests from which a gateway does not yet learn.
+RARE_REQUESTS = 9
+# When a late request is sent after the signal.
+SOON_S = 0.3
 # Events of a stream, and the time for it.
 EVENTS = 32
 EVENT_PAUSE_S = 0.05
@@ -135,3 +143,32 @@
         self.assertEqual(self._count_runs('a1'), 2)
         self.assertTrue(ended.response.complete)
         self.assertEqual(ended.response.body.count(b'id: '), EVENTS)
+
+
+class RareRouteTests(late_send_tests.LateSendCase):
+    """Stop a gateway that has served few requests of its first tier."""
+
+    async def _configure_tiers(self):
+        document = deployments.configuration(3)
+        for route in document['Routes']:
+            route['TimeoutMs'] = late_send_tests.TIMEOUT_MS
+            route['TargetLatencyMs'] = late_send_tests.SHORT_OBJECTIVE_MS
+            route['Priority'] = 0 if route['Name'] == RARE else LOWER_TIER
+        del document['Tenants'][0]['Priority']
+        self.deployment.platform.put_row('op', 'config', document)
+        await asyncio.sleep(0.3)
+
+    async def test_urgent_order_is_not_refused_before_others(self):
+        """Guards against refusing urgent orders since they are rare."""
+        await self._configure_tiers()
+        self._set_runs(late_send_tests.SHORT_RUN_S)
+        for number in range(late_send_tests.LEARNED):
+            await self._send(COMMON, f'learned-{number}')
+        for number in range(RARE_REQUESTS):
+            await self._send(RARE, f'rare-{number}')
+        self._stop()
+        await asyncio.sleep(SOON_S)
+        common = await self._send(COMMON, 'common')
+        rare = await self._send(RARE, 'rare')
+        self.assertEqual(common.response.status, 200)
+        self.assertEqual(rare.response.status, 200)
