--- a/persimmonroute/tests/gateway/stop_estimate_tests.py
+++ b/persimmonroute/tests/gateway/stop_estimate_tests.py
@@ -8,8 +8,12 @@
 from persimmonroute.tests.gateway import late_send_tests
 from standins import gateway_deployment as deployments
 
-# When a request that takes LONG_RUN_S cannot end within the stop any more.
-LATE_S = 2.0
+# Of requests that cannot end within GRACE_S if they are sent LATE_S after the
+# signal.
+GRACE_S = 3
+LATE_S = 0.8
+LONG_RUN_S = 1.5
+SHORT_RUN_S = 0.02
 OTHER_SERVICE = 'slow'
 # Route of the first tier, and one of a lower tier.
 RARE = 'book'
@@ -32,12 +36,18 @@
 class EstimateCase(late_send_tests.LateSendCase):
     """Send long requests late, after many that were short."""
 
+    async def asyncSetUp(self):
+        """Start a second gateway, with a short grace period."""
+        await super().asyncSetUp()
+        await self.deployment.add_gateway(stop_grace_s=GRACE_S)
+
     async def _learn(self, behaviour, headers=()):
         """Let a gateway learn from orders that end at once."""
-        self._set_runs(late_send_tests.SHORT_RUN_S, behaviour)
+        self._set_runs(SHORT_RUN_S, behaviour)
         for number in range(late_send_tests.LEARNED):
             await self.deployment.call(
                 '/book/x',
+                gateway=1,
                 attempt=f'learned-{number}',
                 headers=headers,
                 remaining_ms=late_send_tests.TIMEOUT_MS,
@@ -45,12 +55,13 @@
 
     async def _check_late_order(self, headers=()):
         """Send an order that takes long, and check that it is not cut off."""
-        self._set_runs(late_send_tests.LONG_RUN_S)
-        self._stop()
+        self._set_runs(LONG_RUN_S)
+        self.deployment.stop_events[1].set()
         await asyncio.sleep(LATE_S)
         sent_at = time.monotonic()
         response = await self.deployment.call(
             '/book/x',
+            gateway=1,
             attempt='late',
             headers=headers,
             remaining_ms=late_send_tests.TIMEOUT_MS,
