Withdraw a request in the moment in which a stop refuses it

Callers saw: places of endpoints that stayed taken after a stopping gateway had refused requests, until it ended; others found one place less for each. Cause: the refusal was given to the request's task, and its offer was withdrawn only when that ran; a grant in between held a place for nobody. Change: the offer and the place in the queue are withdrawn with the refusal.

--- a/persimmonroute/gateway/dispatcher.py
+++ b/persimmonroute/gateway/dispatcher.py
@@ -153,6 +153,9 @@
         for pending, future in self._waiting.items():
             rejection = self.find_rejection(pending, now)
             if rejection is not None and not future.done():
+                # Before anything can be granted to it.
+                self._scheduler.withdraw(pending)
+                self._offers.withdraw(pending)
                 future.set_result(rejection)
 
     def set_services(self, services):
