Learn only from successful responses how long requests take

Callers saw: orders cut off by a stop after quick failures of their endpoints, which counted as the time that such requests take. Cause: every response was learned from, at both doors. Change: only those with a status below 300 are.

--- a/persimmonroute/entry/dispatch.py
+++ b/persimmonroute/entry/dispatch.py
@@ -13,6 +13,8 @@
 
 RESUME_TIMEOUT_S = 20.0
 ATTACH_TIMEOUT_S = 5.0
+# Responses of a lower status are successful.
+FIRST_REDIRECT_STATUS = 300
 
 
 class Dispatcher:
@@ -292,7 +294,8 @@
             return
         self._board.quarantine.clear(record.call, now)
         self._claims.record_outcome(record, finished, now)
-        self._stopping.record_ended(record, now)
+        if finished.status < FIRST_REDIRECT_STATUS:
+            self._stopping.record_ended(record, now)
         self._finalizer.end_completed(
             record, finished.status, finished.content_type
         )
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -601,12 +601,12 @@
                 self._board.quarantine.record_response(
                     pending.request, clock.now_s()
                 )
+                self._record_duration(pending)
             self._metrics.on_ended(
                 pending.route.name, str(outcome.status), 'endpoint'
             )
             now = clock.now_s()
             first_byte_at = pending.first_byte_at or now
-            self._record_duration(pending, first_byte_at, now)
             log.emit(
                 Event.GATEWAY_ANSWERED,
                 request=pending.attempt,
@@ -642,7 +642,10 @@
             prompt=[part.id for part in pending.request.prompt],
         )
 
-    def _record_duration(self, pending, first_byte_at, now):
+    def _record_duration(self, pending):
+        """Learn from a successful response how long such requests take."""
+        now = clock.now_s()
+        first_byte_at = pending.first_byte_at or now
         self._board.durations.record(
             pending.route.name,
             pending.request.output_tokens,
