Learn for each service of a route how long its requests take

Callers saw: orders cut off by a stop at a slow service, as their route had led to a faster one before. Cause: times were kept by the name of the route alone. Change: they are kept by route and service.

--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -647,7 +647,7 @@
         now = clock.now_s()
         first_byte_at = pending.first_byte_at or now
         self._board.durations.record(
-            pending.route.name,
+            pending.kind,
             pending.request.output_tokens,
             max(first_byte_at - pending.sent_at, 0.0),
             now - pending.sent_at,
--- a/persimmonroute/gateway/messages.py
+++ b/persimmonroute/gateway/messages.py
@@ -77,6 +77,11 @@
         """Return the id of the caller's request."""
         return self.request.attempt
 
+    @property
+    def kind(self):
+        """Return what the requests have in common that take similar times."""
+        return self.route.name, self.service
+
     def build_successor(self):
         """Return a copy that can be granted another endpoint meanwhile."""
         successor = copy.copy(self)
