Take the time of a whole response as that of its tokens

Callers saw: a long whole answer cut off by a stop after many short ones. Cause: an answer without events has its first byte at its end, and the time until the first byte does not grow with the stated tokens. Change: responses that were no streams have no time until a first byte.

--- a/persimmonroute/durations.py
+++ b/persimmonroute/durations.py
@@ -72,7 +72,8 @@
     def record(self, kind, tokens, first_byte_s, took_s):
         """Record the times of a request that ended, in seconds.
 
-        tokens is the stated length of its response, 0 without one.
+        tokens is the stated length of its response, 0 without one. The whole
+        time grows with them if the response was no stream: first_byte_s is 0.
         """
         if kind not in self._kinds and len(self._kinds) >= MAX_KINDS:
             return
--- a/persimmonroute/entry/stopping.py
+++ b/persimmonroute/entry/stopping.py
@@ -75,11 +75,13 @@
         """Learn from a call whose response is complete."""
         if record.granted_at is None:
             return
-        first_byte_at = record.first_byte_at or now
+        first_byte_s = 0.0
+        if record.call.stream and record.first_byte_at is not None:
+            first_byte_s = record.first_byte_at - record.granted_at
         self._board.durations.record(
             record.call.class_name,
             record.call.output_tokens,
-            first_byte_at - record.granted_at,
+            first_byte_s,
             now - record.granted_at,
         )
 
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -601,7 +601,7 @@
                 self._board.quarantine.record_response(
                     pending.request, clock.now_s()
                 )
-                self._record_duration(pending)
+                self._record_duration(pending, progress)
             self._metrics.on_ended(
                 pending.route.name, str(outcome.status), 'endpoint'
             )
@@ -642,15 +642,16 @@
             prompt=[part.id for part in pending.request.prompt],
         )
 
-    def _record_duration(self, pending):
+    def _record_duration(self, pending, progress):
         """Learn from a successful response how long such requests take."""
-        now = clock.now_s()
-        first_byte_at = pending.first_byte_at or now
+        first_byte_s = 0.0
+        if progress.event_relayed:
+            first_byte_s = max(pending.first_byte_at - pending.sent_at, 0.0)
         self._board.durations.record(
             pending.kind,
             pending.request.output_tokens,
-            max(first_byte_at - pending.sent_at, 0.0),
-            now - pending.sent_at,
+            first_byte_s,
+            clock.now_s() - pending.sent_at,
         )
 
     async def _relay_kept(self, pending, caller, progress):
