Expect of a stream that goes on only its rest

Callers saw: a resumable stream whose endpoint broke off during a stop was broken off, though its rest would have taken 0.4 s of the 1.4 s that were left. Cause: the next endpoint was expected to take as long as for the whole stream. Change: the time for which events were relayed is deducted.

--- a/persimmonroute/durations.py
+++ b/persimmonroute/durations.py
@@ -54,10 +54,10 @@
             max(took_s - first_byte_s, 0.0) / (tokens + EXTRA_TOKENS)
         )
 
-    def estimate_s(self, tokens):
+    def estimate_s(self, tokens, done_s):
         """Return how long a request takes, in seconds."""
-        rest_s = self._per_token.value * (tokens + EXTRA_TOKENS)
-        return self._first_byte.value + rest_s
+        rest_s = self._per_token.value * (tokens + EXTRA_TOKENS) - done_s
+        return self._first_byte.value + max(rest_s, 0.0)
 
 
 class Durations:
@@ -80,9 +80,13 @@
         times = self._kinds.setdefault(kind, KindTimes())
         times.add(tokens, first_byte_s, took_s)
 
-    def estimate_s(self, kind, tokens):
-        """Return how long a request takes; infinity if that is unknown."""
+    def estimate_s(self, kind, tokens, done_s=0.0):
+        """Return how long a request takes; infinity if that is unknown.
+
+        done_s is how long its response has been relayed already, if another
+        endpoint is to go on with it.
+        """
         times = self._kinds.get(kind)
         if times is None or times.requests < MIN_REQUESTS:
             return math.inf
-        return times.estimate_s(tokens)
+        return times.estimate_s(tokens, done_s)
--- a/persimmonroute/gateway/admission.py
+++ b/persimmonroute/gateway/admission.py
@@ -140,7 +140,7 @@
 
     def _estimate_s(self, pending):
         return self._board.durations.estimate_s(
-            pending.kind, pending.request.output_tokens
+            pending.kind, pending.request.output_tokens, pending.relayed_s
         )
 
     def _find_current_route(self, pending):
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -529,6 +529,8 @@
             if events:
                 idle_since = clock.now_s()
                 progress.record_event(idle_since)
+                if pending.first_byte_at is not None:
+                    pending.relayed_s = idle_since - pending.first_byte_at
                 self._end_silence(pending, standby)
             for event in events:
                 new = goes_on.is_new(event)
--- a/persimmonroute/gateway/messages.py
+++ b/persimmonroute/gateway/messages.py
@@ -71,6 +71,8 @@
         self.runner = None
         self.sent_at = None
         self.first_byte_at = None
+        # For how long events of the stream have been relayed.
+        self.relayed_s = 0.0
 
     @property
     def attempt(self):
