Assume the declared target of requests whose times are not known

Callers saw: a gateway that had served fewer than ten requests of a route, as after a start, refused all of them from the signal on, urgent ones before common ones of a lower tier, though its endpoints were idle. Cause: such requests were expected to last for ever. A stream without stated tokens stays unknown.

--- a/persimmonroute/gateway/admission.py
+++ b/persimmonroute/gateway/admission.py
@@ -4,6 +4,7 @@
 
 import math
 
+from persimmonroute import durations
 from persimmonroute.gateway import messages
 from persimmonroute.gateway import model
 from persimmonroute.gateway import routes
@@ -139,8 +140,13 @@
         )
 
     def _estimate_s(self, pending):
+        route, tokens = pending.route, pending.request.output_tokens
+        assumed_s = durations.assume_s(route.objective_s, tokens)
+        if route.streaming and not tokens:
+            # The objective is that of the first byte.
+            assumed_s = math.inf
         return self._board.durations.estimate_s(
-            pending.kind, pending.request.output_tokens, pending.relayed_s
+            pending.kind, tokens, assumed_s, pending.relayed_s
         )
 
     def _find_current_route(self, pending):
