End what is read after the end of a stop's open requests

Callers saw: 500 for a request whose body was late, if its head came after the gateway had ended its open requests. Cause: only what was open then was ended. Change: whatever is held later is ended at once.

--- a/persimmonroute/draining.py
+++ b/persimmonroute/draining.py
@@ -76,6 +76,8 @@
     def hold(self, limit, has_begun=lambda: False):
         """Let the end of a stop time out the body, whose limit is given."""
         self._limits[limit] = has_begun
+        if self._ended:
+            timeouts.end(limit)
         try:
             yield
         finally:
