Watch calls that wait again during a stop

Callers saw: a call whose sidecar never started it waited for the end of the stop of its entry, though it could not end in time any more. Cause: only calls that waited at the signal, or came after it, were watched. Change: calls that are offered again are watched, too.

--- a/persimmonroute/entry/dispatch.py
+++ b/persimmonroute/entry/dispatch.py
@@ -194,6 +194,7 @@
         """Offer a request again when the earlier attempt can never start."""
         record.attached = False
         self._offer_sender.offer(record, now)
+        self._stopping.watch(record, now)
 
     def fail_unstarted(self, record, problem, retry_after_s):
         """Withdraw a request that was not granted and end it as not run."""
@@ -307,6 +308,7 @@
             advance(record, 'requeue')
             record.excluded.add(record.sidecar)
             self._offer_sender.reroute(record, 'attempt was not started', now)
+            self._stopping.watch(record, now)
 
     def _on_lost(self, record, lost, now):
         if record.state in ('granted', 'attached', 'interrupted'):
--- a/persimmonroute/tests/entry/late_grant_tests.py
+++ b/persimmonroute/tests/entry/late_grant_tests.py
@@ -142,7 +142,7 @@
         effects = self._reply(attempt, 3.5, never_starts=pb.NeverStarts())
         for frame in _frames(effects):
             if frame.HasField('offer'):
-                effects = self._reply(frame.request_id, 3.5, ready=pb.Ready())
+                effects += self._reply(frame.request_id, 3.5, ready=pb.Ready())
         self._check_not_run(effects)
 
 
