End what a stopping sidecar still runs within its grace period

Callers saw: calls that ran at the end of a sidecar's stop were cut off when the sidecar was killed, and waited up to 20 s for their outcome; no event named them. Cause: the sidecar let attempts run for the whole grace period and needed up to 1.25 s more to close its links. Its time stood still in a suspended process. Change: the stop is a draining.Drain, counted with the suspensions. It ends 0.7 s before the grace period, and 0.3 s earlier the sidecar ends what still runs: its entry gets the end of the attempt, the caller an unknown outcome, and event 708 names the attempt. After that no retained stream is resumed. As with streams, an attempt that would be resumed by the next incarnation is ended, too.

--- a/persimmonroute/sidecar/board.py
+++ b/persimmonroute/sidecar/board.py
@@ -99,6 +99,8 @@
         self.links: set[str] = set()
         self.admitted_tier = LOWEST_TIER
         self.leaving = False
+        # Set at the end of a stop, when nothing is sent to the endpoint.
+        self.stop_expired = False
         self.endpoint_up = True
         # Requests per second that the endpoint says it takes.
         self.rate_limit = pacing.RateLimit()
--- a/persimmonroute/sidecar/core.py
+++ b/persimmonroute/sidecar/core.py
@@ -40,6 +40,7 @@
             messages.StreamsListed: self._on_streams_listed,
             messages.TimePassed: self._on_time,
             messages.StopRequested: self._executor.on_stop,
+            messages.StopExpired: self._executor.on_stop_expired,
         }
 
     @property
--- a/persimmonroute/sidecar/execution.py
+++ b/persimmonroute/sidecar/execution.py
@@ -19,6 +19,7 @@
 REFUSAL_RETRY_AFTER_S = 1.0
 ENDPOINT_DOWN_RETRY_AFTER_S = 2.0
 BAD_GATEWAY_STATUS = 502
+STOPPED = 'the sidecar stopped before the response was complete'
 
 ATTEMPT_MACHINE = transitions.Machine(
     model=None,
@@ -170,6 +171,20 @@
         self._board.leaving = True
         self._refuse_waiting(pb.LEAVING, REFUSAL_RETRY_AFTER_S, now)
 
+    def on_stop_expired(self, event, now):
+        """End the attempts that the end of the process would cut off."""
+        self._board.stop_expired = True
+        for attempt in list(self._board.running.values()):
+            if attempt.state != 'started':
+                continue
+            self._board.log(
+                Event.REQUEST_ENDED_BY_STOP,
+                attempt=attempt.attempt_id,
+                work_class=attempt.offer.class_name,
+                may_have_run=True,
+            )
+            self._finish_incomplete(attempt, STOPPED, now)
+
     def on_timer(self, timer, now):
         """Handle a timer of the executor."""
         if timer.kind == 'room':
@@ -361,6 +376,9 @@
         self.request_grants(now)
 
     def _resume_retained_stream(self, link, attempt_id, now):
+        if self._board.stop_expired:
+            # The next incarnation of the sidecar resumes it.
+            return
         offer = pb.Offer(idempotent=True, tier=1)
         attempt = boards.Attempt(attempt_id, offer, link, now)
         attempt.state = 'started'
--- a/persimmonroute/sidecar/messages.py
+++ b/persimmonroute/sidecar/messages.py
@@ -93,6 +93,10 @@
     """Report that a graceful shutdown began."""
 
 
+class StopExpired(typing.NamedTuple):
+    """Report that the process ends soon, whatever still runs."""
+
+
 class SendFrame(typing.NamedTuple):
     """Send a frame to an entry."""
 
--- a/persimmonroute/sidecar/shell.py
+++ b/persimmonroute/sidecar/shell.py
@@ -10,6 +10,7 @@
 
 from persimmonroute import background
 from persimmonroute import blackboard
+from persimmonroute import clock
 from persimmonroute import draining
 from persimmonroute.events import Event
 from persimmonroute.generated import exchange_pb2 as pb
@@ -26,6 +27,13 @@
 IDLE_REPORT_INTERVAL_S = 1.0
 PROBE_INTERVAL_S = 0.5
 DRAIN_POLL_S = 0.05
+# Part of the grace period reserved for shutdown after the last response.
+SHUTDOWN_RESERVE_S = 0.7
+# Time for entries to receive the ends of the last responses.
+FLUSH_S = BUSY_REPORT_INTERVAL_S
+# Time to close the links, and the part of it that a stop always has.
+CLOSE_S = 1.0
+MIN_CLOSE_S = 0.1
 
 
 class SidecarShell(exchange_pb2_grpc.ExchangeServicer):
@@ -66,10 +74,10 @@
         log.emit(Event.PROCESS_STARTED, address=self._settings.address)
         self._spawn(background.run_forever(self._probe))
         await stop.wait()
-        await self._drain()
+        drain = await self._drain()
         for box in self._outboxes.values():
             box.close()
-        await server.stop(1.0)
+        await server.stop(max(_bound(CLOSE_S, drain.ends_at), MIN_CLOSE_S))
         self._wakeup.cancel()
         for task in list(self._tasks):
             task.cancel()
@@ -116,16 +124,20 @@
             box.close()
 
     async def _drain(self):
+        """Let attempts end, and end what is left; return the Drain."""
         log.emit(Event.PROCESS_STOPPING)
+        grace_s = self._settings.stop_grace_s - SHUTDOWN_RESERVE_S
+        drain = draining.begin(clock.now_s(), 0.0, 0.0, grace_s)
         with draining.guard('refuse what waits'):
             self.handle(messages.StopRequested())
-        deadline = time.monotonic() + self._settings.stop_grace_s
-        while time.monotonic() < deadline:
+        while (left_s := drain.answers_until - clock.now_s()) > 0:
             if self._core.is_drained(time.monotonic()):
                 break
-            await asyncio.sleep(DRAIN_POLL_S)
-        # Lets entries receive the ends of the last responses.
-        await asyncio.sleep(BUSY_REPORT_INTERVAL_S)
+            await asyncio.sleep(min(left_s, DRAIN_POLL_S))
+        with draining.guard('end attempts'):
+            self.handle(messages.StopExpired())
+        await asyncio.sleep(_bound(FLUSH_S, drain.ends_at - MIN_CLOSE_S))
+        return drain
 
     def _on_wakeup(self):
         self.handle(messages.TimePassed())
@@ -178,3 +190,8 @@
 
     def _log_event(self, effect):
         log.emit(effect.event, **effect.fields)
+
+
+def _bound(seconds, ends_at):
+    """Return a time in seconds, or what is left of it until ends_at."""
+    return max(min(seconds, ends_at - clock.now_s()), 0.0)
