Tell callers whose bodies come too late that a stop ends their requests

Callers saw: a request whose body had not arrived at the end of an entry's stop got a 500 that says nothing, though it had not run. Cause: such requests are not known to the core, so the HTTP server cancelled them as the first to end them.

--- a/persimmonroute/entry/board.py
+++ b/persimmonroute/entry/board.py
@@ -124,6 +124,8 @@
         self.durations = durations.Durations()
         # How the entry stops; None while it serves.
         self.drain: draining.Drain | None = None
+        # Requests whose bodies have not arrived yet.
+        self.open_requests = draining.OpenRequests()
 
     @property
     def stopping(self):
--- a/persimmonroute/entry/http_api.py
+++ b/persimmonroute/entry/http_api.py
@@ -16,10 +16,15 @@
 from persimmonroute.entry import intake
 from persimmonroute.entry import messages
 from persimmonroute.entry.messages import Outcome
+from persimmonroute.entry import stopping
 from persimmonroute import event_stream
+from persimmonroute.events import Event
 from persimmonroute import exceptions
+from persimmonroute import logs
 from persimmonroute import metrics_text
 
+log = logs.EventLog(__name__)
+
 OUTCOME_HEADER = 'Persimmon-Outcome'
 REQUEST_ID_HEADER = 'Persimmon-Request-Id'
 STATUS_CLIENT_CLOSED_REQUEST = 499
@@ -84,7 +89,8 @@
                 ),
             ],
             exception_handlers={
-                exceptions.BadRequestError: self._refuse_bad_request
+                exceptions.BadRequestError: self._refuse_bad_request,
+                exceptions.EntryStoppingError: self._refuse_late_body,
             },
             middleware=[
                 middleware.Middleware(
@@ -118,6 +124,16 @@
         return await self._serve(request, call)
 
     async def _read_body(self, request):
+        """Return a body, or raise EntryStoppingError at the end of a stop."""
+        try:
+            async with asyncio.timeout(None) as limit:
+                with self._shell.core.board.open_requests.hold(limit):
+                    return await self._read_parts(request)
+        except TimeoutError as error:
+            log.emit(Event.REQUEST_ENDED_BY_STOP, may_have_run=False)
+            raise exceptions.EntryStoppingError(stopping.STOPPING) from error
+
+    async def _read_parts(self, request):
         parts, size = [], 0
         async for part in request.stream():
             size += len(part)
@@ -209,9 +225,11 @@
         )
 
     async def _refuse_bad_request(self, request, error):
-        headers = {OUTCOME_HEADER: Outcome.NOT_RUN.value}
-        body = {'error': {'type': error.kind, 'message': str(error)}}
-        return responses.JSONResponse(body, error.status, headers)
+        return _refuse(error, {})
+
+    async def _refuse_late_body(self, request, error):
+        retry_after_s = math.ceil(stopping.STOPPING_RETRY_S)
+        return _refuse(error, {'Retry-After': str(retry_after_s)})
 
     async def _ready(self, request):
         stopping = self._shell.core.board.stopping
@@ -262,6 +280,13 @@
         }
 
 
+def _refuse(error, headers):
+    """Return the response to a request that has not run."""
+    headers = {OUTCOME_HEADER: Outcome.NOT_RUN.value, **headers}
+    body = {'error': {'type': error.kind, 'message': str(error)}}
+    return responses.JSONResponse(body, error.status, headers)
+
+
 def _read_service_path(raw_path):
     """Return the path below that of a service, as the caller encoded it."""
     return '/' + raw_path.decode('ascii').split('/', 3)[3]
--- a/persimmonroute/entry/server.py
+++ b/persimmonroute/entry/server.py
@@ -51,6 +51,8 @@
     async def _end_calls(self, drain):
         """Tell the outcome of open requests before they are cancelled."""
         await asyncio.sleep(drain.answers_until - time.monotonic())
+        with draining.guard('end bodies'):
+            self._shell.core.board.open_requests.end_all()
         with draining.guard('end requests'):
             self._shell.handle(messages.StopExpired())
 
--- a/persimmonroute/exceptions.py
+++ b/persimmonroute/exceptions.py
@@ -160,6 +160,14 @@
     remedy = 'call the path of the service that the class names'
 
 
+class EntryStoppingError(PersimmonRouteError):
+    """Report a request that an entry no longer passes on while it stops."""
+
+    status = 503
+    kind = 'not-run'
+    remedy = 'send the request again after the time in Retry-After'
+
+
 class DocumentError(PersimmonRouteError):
     """Report a document of the platform's store that cannot be parsed."""
 
--- a/persimmonroute/tests/entry/http_api_tests.py
+++ b/persimmonroute/tests/entry/http_api_tests.py
@@ -7,6 +7,7 @@
 import types
 import unittest
 
+from persimmonroute import draining
 from persimmonroute.entry import http_api
 from persimmonroute.entry import messages
 from persimmonroute.entry.messages import Outcome
@@ -27,7 +28,9 @@
         self._items = items
         self.calls = []
         self.core = self
-        self.board = types.SimpleNamespace(stopping=False)
+        self.board = types.SimpleNamespace(
+            stopping=False, open_requests=draining.OpenRequests()
+        )
 
     def validate_call(self, call):
         """Return the class of a call."""
