Count the suspensions of an entry into its stop

Callers would see: an entry whose machine was suspended during its stop goes on for as long as it was suspended, and is killed with calls open. Cause: the stop was timed with a clock that stands still in a suspended process. Change: as at the gateway, the server looks at the clock with the suspensions every 0.1 s, from the signal on. The core, which decides on grants, keeps the clock of its timers: what it grants after a suspension may still be ended early, with an unknown outcome.

--- a/persimmonroute/entry/server.py
+++ b/persimmonroute/entry/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 
+from persimmonroute import clock
 from persimmonroute import draining
 from persimmonroute.entry import messages
 from persimmonroute.events import Event
@@ -17,6 +18,8 @@
 BALANCER_NOTICE_S = 1.0
 # Part of the grace period reserved for shutdown after the last request.
 SHUTDOWN_RESERVE_S = 0.7
+# Time between two looks at the clock in a stop.
+END_CHECK_S = 0.1
 
 
 class EntryServer:
@@ -36,12 +39,15 @@
         log.emit(Event.PROCESS_STARTED, address=self._settings.address)
         await stop.wait()
         log.emit(Event.PROCESS_STOPPING)
-        drain = begin_drain(time.monotonic(), self._settings.stop_grace_s)
+        grace_s = self._settings.stop_grace_s
+        drain = begin_drain(clock.now_s(), grace_s)
         with draining.guard('announce'):
-            self._shell.handle(messages.StopRequested(drain))
-        await asyncio.sleep(max(drain.closes_at - time.monotonic(), 0.0))
-        self._server.stop(drain.ends_at - time.monotonic())
+            # The core's clock is that of its timers.
+            core_drain = begin_drain(time.monotonic(), grace_s)
+            self._shell.handle(messages.StopRequested(core_drain))
         ending = asyncio.create_task(self._end_calls(drain))
+        await asyncio.sleep(max(drain.closes_at - clock.now_s(), 0.0))
+        self._server.stop(drain.ends_at - clock.now_s())
         await serving
         ending.cancel()
         with draining.guard('close'):
@@ -50,7 +56,9 @@
 
     async def _end_calls(self, drain):
         """Tell the outcome of open requests before they are cancelled."""
-        await asyncio.sleep(drain.answers_until - time.monotonic())
+        while (left_s := drain.answers_until - clock.now_s()) > 0:
+            # The event loop's clock stands still in a suspended process.
+            await asyncio.sleep(min(left_s, END_CHECK_S))
         with draining.guard('end bodies'):
             self._shell.core.board.open_requests.end_all()
         with draining.guard('end requests'):
--- a/persimmonroute/tests/entry/stop_outcome_tests.py
+++ b/persimmonroute/tests/entry/stop_outcome_tests.py
@@ -10,6 +10,7 @@
 import unittest
 from unittest import mock
 
+from persimmonroute import clock
 from persimmonroute.entry import http_api
 from persimmonroute.entry import server
 from persimmonroute import http_connection
@@ -19,6 +20,8 @@
 from standins import small_simulation
 
 GRACE_S = 4.0
+# Of a stop that ends only because the process was suspended.
+LONG_GRACE_S = 60.0
 # Orders that the sidecar runs at the same time.
 RUNNING = 8
 WAITING = 4
@@ -167,6 +170,25 @@
         self.assertEqual(answer.outcome, 'unknown')
         self.assertFalse(answer.complete)
 
+    async def test_suspended_entry_ends_in_time(self):
+        """Guards against a stop that is counted without a suspension."""
+        endpoint = await self._start(grace_s=LONG_GRACE_S)
+        endpoint.calls = [(40.0, ANSWER)]
+        call = asyncio.create_task(self.entry.order('k'))
+        reader, _ = await self._send_half()
+        await self._wait_for(lambda: endpoint.attempts)
+        self.stop.set()
+        await asyncio.sleep(0.3)
+        now_s = clock.now_s
+        with mock.patch.object(
+            clock, 'now_s', lambda: now_s() + LONG_GRACE_S - 1.0
+        ):
+            answer = await asyncio.wait_for(call, LIMIT_S)
+            await self._check_not_run(reader)
+            await asyncio.wait_for(self.running, LIMIT_S)
+        self.assertEqual(answer.outcome, 'unknown')
+        self.assertTrue(answer.complete)
+
     async def test_kept_connections_are_closed_and_lose_no_call(self):
         """Guards against calls on kept connections that a stop cuts off."""
         endpoint = await self._start(grace_s=5.0)
