End a stop in time though the process stood still in it

A gateway that was suspended over the moment at which it closes its connections ended later than its grace period: 4.19 s after the signal with a grace period of 4 s. It would be killed in the middle of its last steps.

The shutdown of the HTTP server waited its full time for connections that were just accepted, however late it began. It now waits no longer than open requests have. This holds for entries too, which use the same server.

process_stop_tests.py stops gateway processes beside other signals and stand-stills. test_stand_still_over_the_close_of_connections and test_stand_still_up_to_the_end_of_open_requests failed on the code before (one run of each) and pass now (one run of each, at a load of 15). The other tests of the file found nothing on the code before: a second SIGTERM and a SIGINT, SIGHUP before and during a stop with other grace periods and a broken file, SIGTERM as a process begins to serve, kept connections, late bodies.

--- a/persimmonroute/http_server.py
+++ b/persimmonroute/http_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import os
 import socket
 import struct
@@ -146,12 +147,20 @@
         await asyncio.sleep(BACKLOG_DRAIN_S)
         for server in self.servers:
             server.close()
-        await asyncio.sleep(self._accepted_grace_s)
+        await asyncio.sleep(min(self._accepted_grace_s, self._find_left_s()))
         if self._ends_at is not None:
-            left_s = max(self._ends_at - clock.now_s(), 0.0)
-            self.config.timeout_graceful_shutdown = left_s
+            self.config.timeout_graceful_shutdown = self._find_left_s()
         await super().shutdown(sockets)
 
+    def _find_left_s(self):
+        """Return the time until open requests are cancelled.
+
+        A process that stood still may have begun its shutdown late.
+        """
+        if self._ends_at is None:
+            return math.inf
+        return max(self._ends_at - clock.now_s(), 0.0)
+
 
 def _set_backlog(descriptor, connections):
     """Set how many connections a listening socket queues."""
