Read what arrived in a stand-still before a stop ends its requests

A gateway that was suspended over the end of its open requests gave 502 to orders that had run, though their answers had arrived while it stood still and 0.8 s of its grace period were left.

After a suspension timers are due before sockets are read, so the end of the stop came before the answers. The cancelling of what is left had a timer of its own in the HTTP server, and could come at the same moment.

draining.end_open now runs both in one sequence, at both doors: after a stand-still it waits until what has arrived is read (0.2 s, and no longer than the stop has, but 0.05 s), ends the requests, and cancels what is left once the last answers are written.

No test suspends an entry yet.

--- a/persimmonroute/draining.py
+++ b/persimmonroute/draining.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import typing
 
@@ -13,6 +14,14 @@
 
 # Time to write the answer to a request that ends at its deadline.
 ANSWER_MARGIN_S = 0.3
+# Interval at which a stop looks whether its end has come.
+END_CHECK_S = 0.1
+# Time to read what arrived while the process stood still, if a stop has no
+# other left, and time to write the last answers.
+READ_S = 0.05
+WRITE_S = 0.1
+# A longer one between two looks is a stand-still.
+MAX_GAP_S = END_CHECK_S + timeouts.MAX_TIMER_DELAY_S
 
 
 class Drain(typing.NamedTuple):
@@ -79,6 +88,29 @@
             timeouts.end(limit)
 
 
+async def end_open(drain, read_clock, end, cancel):
+    """Call end() when open requests get their last answer, then cancel().
+
+    After a stand-still timers are due before the answers that have arrived
+    meanwhile are read.
+    """
+    end_at, ran_at = drain.answers_until, read_clock()
+    while True:
+        now = read_clock()
+        if now - ran_at > MAX_GAP_S and ran_at < drain.ends_at:
+            latest_at = max(drain.ends_at, now + READ_S)
+            end_at = max(end_at, min(now + timeouts.CATCH_UP_S, latest_at))
+        if now >= end_at:
+            break
+        ran_at = now
+        # The event loop's clock stands still in a suspended machine.
+        await asyncio.sleep(min(end_at - now, END_CHECK_S))
+    with guard('end requests'):
+        end()
+    await asyncio.sleep(max(drain.ends_at - read_clock(), WRITE_S))
+    cancel()
+
+
 @contextlib.contextmanager
 def guard(step):
     """Log an error in a step of a stop, which goes on without it."""
--- a/persimmonroute/entry/server.py
+++ b/persimmonroute/entry/server.py
@@ -39,20 +39,25 @@
         drain = begin_drain(time.monotonic(), self._settings.stop_grace_s)
         with draining.guard('announce'):
             self._shell.handle(messages.StopRequested(drain))
+        ending = asyncio.create_task(
+            draining.end_open(
+                drain,
+                time.monotonic,
+                self._end_calls,
+                self._server.cancel_open,
+            )
+        )
         await asyncio.sleep(max(drain.closes_at - time.monotonic(), 0.0))
         self._server.stop(drain.ends_at - time.monotonic())
-        ending = asyncio.create_task(self._end_calls(drain))
         await serving
         ending.cancel()
         with draining.guard('close'):
             await self._shell.close()
         log.emit(Event.PROCESS_STOPPED)
 
-    async def _end_calls(self, drain):
+    def _end_calls(self):
         """Tell the outcome of open requests before they are cancelled."""
-        await asyncio.sleep(drain.answers_until - time.monotonic())
-        with draining.guard('end requests'):
-            self._shell.handle(messages.StopExpired())
+        self._shell.handle(messages.StopExpired())
 
 
 def begin_drain(now, stop_grace_s):
--- a/persimmonroute/gateway/server.py
+++ b/persimmonroute/gateway/server.py
@@ -26,8 +26,6 @@
 BALANCER_REMOVAL_S = 2.6
 # Part of the grace period reserved for shutdown after the last request.
 SHUTDOWN_RESERVE_S = 0.7
-# Interval at which a stop looks whether its end has come.
-END_CHECK_S = 0.1
 
 
 class GatewayServer:
@@ -84,7 +82,14 @@
             self._shell.stop_hosting()
         with draining.guard('announce'):
             self._shell.announce_stop()
-        ending = asyncio.create_task(self._end_requests(drain))
+        ending = asyncio.create_task(
+            draining.end_open(
+                drain,
+                clock.now_s,
+                self._board.open_requests.end_all,
+                self._front.cancel_open,
+            )
+        )
         await asyncio.sleep(max(drain.closes_at - clock.now_s(), 0.0))
         self._front.stop(drain.ends_at - clock.now_s())
         await serving[0]
@@ -97,14 +102,6 @@
         log.emit(Event.PROCESS_STOPPED)
         await asyncio.gather(*serving)
 
-    async def _end_requests(self, drain):
-        """Answer the requests that the end of the stop would cut off."""
-        while (left_s := drain.answers_until - clock.now_s()) > 0:
-            # The event loop's clock stands still in a suspended process.
-            await asyncio.sleep(min(left_s, END_CHECK_S))
-        with draining.guard('end requests'):
-            self._board.open_requests.end_all()
-
     def _begin_drain(self):
         return draining.begin(
             clock.now_s(),
--- a/persimmonroute/http_server.py
+++ b/persimmonroute/http_server.py
@@ -104,8 +104,8 @@
     def __init__(self, config, accepted_grace_s):
         super().__init__(config)
         self._accepted_grace_s = accepted_grace_s
-        # When open requests are cancelled; None for the configured time after
-        # the shutdown began.
+        # Until when accepted connections may deliver a request; None for no
+        # limit.
         self._ends_at = None
 
     async def startup(self, sockets=None):
@@ -116,10 +116,20 @@
                 _set_backlog(listener.fileno(), BACKLOG)
 
     def stop(self, within_s):
-        """Begin a shutdown that cancels what is still open within_s later."""
+        """Begin a shutdown, after which cancel_open() is called in within_s.
+
+        Until then it waits for open requests.
+        """
         self._ends_at = clock.now_s() + within_s
+        self.config.timeout_graceful_shutdown = None
         self.should_exit = True
 
+    def cancel_open(self):
+        """Cancel the requests that are open in a shutdown, and end it."""
+        for task in list(self.server_state.tasks):
+            task.cancel()
+        self.force_exit = True
+
     def abort(self):
         """Close all sockets and cancel all requests at once."""
         # Set when the server has started.
@@ -148,12 +158,10 @@
         for server in self.servers:
             server.close()
         await asyncio.sleep(min(self._accepted_grace_s, self._find_left_s()))
-        if self._ends_at is not None:
-            self.config.timeout_graceful_shutdown = self._find_left_s()
         await super().shutdown(sockets)
 
     def _find_left_s(self):
-        """Return the time until open requests are cancelled.
+        """Return the time until open requests end.
 
         A process that stood still may have begun its shutdown late.
         """
--- a/persimmonroute/tests/gateway/process_stop_tests.py
+++ b/persimmonroute/tests/gateway/process_stop_tests.py
@@ -368,6 +368,10 @@
         """Guards against requests that are passed on after a stand-still."""
         await self._check_waiting(0.8, 2.6)
 
+    async def test_stand_still_after_waiting_requests_are_refused(self):
+        """Guards against requests that are passed on after a stand-still."""
+        await self._check_waiting(2.2, 3.2)
+
     async def _check_open(self, begin_s, end_s):
         """Suspend it while requests are open that do not end."""
         await self._learn(SHORT_RUN_S)
