Stop two of three gateways, one of them the host, under load

Guards against requests that wait at a gateway whose host stops at the same time, and are then passed on and cut off, or run after a refusal. Twelve callers on kept connections send orders, repeatable requests and streams of 0.1 to 1 s, and come back elsewhere after a refusal.

--- a/persimmonroute/tests/gateway/process_stop_tests.py
+++ b/persimmonroute/tests/gateway/process_stop_tests.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import collections
+import json
 import pathlib
+import random
 import signal
 import tempfile
 import time
@@ -13,6 +16,7 @@
 from persimmonroute import exceptions
 from persimmonroute import http_connection
 from standins import gateway_deployment as deployments
+from standins import platform_runner
 from tools.soak import gateways
 
 SOURCES = pathlib.Path(__file__).parents[3]
@@ -27,6 +31,15 @@
 SETTLE_S = 0.4
 POLL_S = 0.01
 EXIT_TIMEOUT_S = 30.0
+# A request that crosses the close of its connection learns of it by then.
+CROSSING_S = 0.5
+SENT_EVENT = 700
+CALLERS = 12
+# Runs of the endpoints under a steady load, in seconds.
+VARYING_RUN_S = (0.1, 1.0)
+# Of the load before and after the signals, in seconds.
+LOAD_BEFORE_S = 1.5
+LOAD_AFTER_S = 4.5
 STARTED = '"event": 100,'
 STOPPING = '"event": 101,'
 STOPPED = '"event": 102,'
@@ -49,12 +62,24 @@
     ended_s: float
 
 
+class VaryingRunner(platform_runner.RunnerStandIn):
+    """Answer after a pause that differs for each request."""
+
+    _rng = random.Random(42)
+
+    @property
+    def answer_pause_s(self):
+        """Return the pause before the next answer."""
+        return self._rng.uniform(*VARYING_RUN_S)
+
+
 class ProcessStopCase(unittest.IsolatedAsyncioTestCase):
     """Stop gateway processes; the store and the endpoints do not stop."""
 
     endpoints = 1
     gateways = 1
     grace_s = GRACE_S
+    runner_class = platform_runner.RunnerStandIn
 
     async def asyncSetUp(self):
         """Start the store, the endpoints and the gateways."""
@@ -62,6 +87,9 @@
         self.addCleanup(folder.cleanup)
         self._folder = folder.name
         self.deployment = deployments.GatewayDeployment(self.endpoints, 0)
+        self.deployment.runners = [
+            self.runner_class(f'r{n}') for n in range(self.endpoints)
+        ]
         self.addAsyncCleanup(self.deployment.stop)
         await self.deployment.start()
         document = deployments.configuration(2)
@@ -206,6 +234,7 @@
         response = ended.response
         if response.status is None:
             self.assertEqual(self._count_runs(ended.attempt), 0, ended)
+            self.assertLess(ended.ended_s - ended.sent_s, CROSSING_S, ended)
         elif response.status == 200:
             self.assertTrue(response.complete, ended)
             self.assertEqual(self._count_runs(ended.attempt), 1, ended)
@@ -498,3 +527,72 @@
         for _, status, _ in statuses[:2]:
             self.assertTrue(status.startswith(b'HTTP/1.1 200'), statuses)
         await self._check_ends_in_order()
+
+
+class TwoOfThreeTests(ProcessStopCase):
+    """Stop two gateways at the same time under a steady load."""
+
+    endpoints = 2
+    gateways = 3
+    grace_s = 6.0
+    runner_class = VaryingRunner
+
+    def _find_host(self):
+        """Return the number of the gateway that grants the endpoints."""
+        hosts = collections.Counter()
+        for number in range(self.gateways):
+            for line in self._read_log(number).splitlines():
+                fields = json.loads(line)
+                if fields['event'] == SENT_EVENT:
+                    hosts[fields['host']] += 1
+        names = [gateway.name for gateway in self.processes]
+        return names.index(hosts.most_common(1)[0][0])
+
+    async def _run_caller(self, name, ends_at):
+        """Send requests on kept connections; return what became of them."""
+        rng, conns, ended = random.Random(name), {}, []
+        gateway = rng.randrange(self.gateways)
+        while time.monotonic() < ends_at:
+            route = rng.choice(('book', 'find', 'draft'))
+            try:
+                conn = conns.pop(gateway, None) or await self._connect(gateway)
+            except (OSError, exceptions.EndpointUnreachableError):
+                gateway = (gateway + 1) % self.gateways
+                continue
+            last = await self._call(
+                route, f'{name}-{len(ended)}', gateway, conn
+            )
+            ended.append(last)
+            closing = last.response.headers.get(b'connection') == b'close'
+            if last.response.complete and not closing and conn.finish():
+                conns[gateway] = conn
+            else:
+                conn.abort()
+            if last.response.status != 200:
+                await asyncio.sleep(0.1)
+                gateway = (gateway + 1) % self.gateways
+        return ended
+
+    async def test_two_gateways_with_the_host_under_load(self):
+        """Guards against requests that are lost between stopping gateways."""
+        for runner in self.deployment.runners:
+            runner.default_behaviour = 'pause'
+        ends_at = time.monotonic() + LOAD_BEFORE_S + LOAD_AFTER_S
+        calls = [
+            asyncio.create_task(self._run_caller(f'c{n}', ends_at))
+            for n in range(CALLERS)
+        ]
+        await asyncio.sleep(LOAD_BEFORE_S)
+        host = self._find_host()
+        stopping = (host, (host + 1) % self.gateways)
+        self.stopped_at = time.monotonic()
+        for number in stopping:
+            self.processes[number].send_signal(signal.SIGTERM)
+        counts = collections.Counter()
+        for call in calls:
+            for ended in await call:
+                counts[ended.response.status] += 1
+                self._check_ended(ended)
+        for number in stopping:
+            await self._check_ends_in_order(number)
+        self.assertGreater(counts[200], counts[503] + counts[None], counts)
