Test the end of a stop beside stand-stills

draining.end_open has tests of its own, with a clock that goes on while nothing runs: the last answers come after what has arrived could be read, and before what is left is cancelled.

--- a/persimmonroute/tests/draining_tests.py
+++ b/persimmonroute/tests/draining_tests.py
@@ -57,3 +57,55 @@
                 with requests.hold(limit):
                     requests.end_all()
                     await asyncio.sleep(1.0)
+
+
+class EndOpenTests(unittest.IsolatedAsyncioTestCase):
+    """End what is open at the end of a stop, beside stand-stills."""
+
+    async def asyncSetUp(self):
+        """Begin a stop of 0.6 s, whose last answers are due at 0.3 s."""
+        self.loop = asyncio.get_running_loop()
+        self.began_at = self.loop.time()
+        # Time for which the clock went on while nothing ran.
+        self.stood_still_s = 0.0
+        # Steps with the times at which they were called.
+        self.steps = []
+        self.drain = draining.begin(0.0, 0.0, 0.0, 0.6)
+
+    def _read_clock(self):
+        return self.loop.time() - self.began_at + self.stood_still_s
+
+    def _stand_still(self, seconds):
+        self.stood_still_s = seconds
+
+    def _record(self, step):
+        self.steps.append((step, self._read_clock()))
+
+    async def _end_open(self):
+        await draining.end_open(
+            self.drain,
+            self._read_clock,
+            lambda: self._record('end'),
+            lambda: self._record('cancel'),
+        )
+        (end, ended_at), (cancel, cancelled_at) = self.steps
+        self.assertEqual((end, cancel), ('end', 'cancel'))
+        self.assertGreaterEqual(cancelled_at, ended_at + draining.WRITE_S)
+        self.assertGreaterEqual(cancelled_at, self.drain.ends_at)
+        return ended_at
+
+    async def test_requests_end_at_the_last_answer(self):
+        """They are answered before what is left is cancelled."""
+        ended_at = await self._end_open()
+        self.assertGreaterEqual(ended_at, self.drain.answers_until)
+
+    async def test_requests_end_after_what_arrived_is_read(self):
+        """Guards against an end as a process wakes up."""
+        for stood_still_s in (0.35, 3.0):
+            with self.subTest(stood_still_s=stood_still_s):
+                await self.asyncSetUp()
+                self.loop.call_later(0.05, self._stand_still, stood_still_s)
+                ended_at = await self._end_open()
+                self.assertGreaterEqual(
+                    ended_at, 0.05 + stood_still_s + draining.READ_S
+                )
