Fit a mutant to the time limit of a request again

test_mutants_fit_the_sources failed for the mutant that waits beyond the deadline: the text that it replaces has had a name since the open requests of a stop are held.

The mutant replaces the same limit under that name. The test passes again; it failed on the code before.

--- a/tools/soak/mutants.py
+++ b/tools/soak/mutants.py
@@ -116,8 +116,8 @@
         (
             Edit(
                 FORWARDING,
-                'timeouts.timeout(max(pending.deadline_at - now, 0))',
-                'timeouts.timeout(60)',
+                'limit_s = max(pending.deadline_at - now, 0)',
+                'limit_s = 60',
             ),
             Edit(
                 FORWARDING,
