Check in the soak that stops send nothing that they cut off

The soak excused whatever ended in the last sixth of a grace period, also what a gateway had taken and sent after its SIGTERM, and looked for refusals that had run only among requests that may not repeat.

It is a finding now if a request that was taken after the SIGTERM is sent and cut off and no fault of the gateway or its endpoint, and no silence, met it, and if a request of any kind ran that a gateway refused because of its stop. How many it refused so is printed for each seed. Two faults are new: a stop with SIGTERM three times more, and one with SIGHUP before and during it and other grace periods in the settings. They are drawn last, so that the seeds of before keep their faults.

test_end_of_a_grace_period expected the excuse for a request that the stop had taken itself; it now has the pause that excuses it, and a new test shows that without one there is no excuse.

--- a/persimmonroute/tests/soak_tests.py
+++ b/persimmonroute/tests/soak_tests.py
@@ -303,6 +303,31 @@
             {'graceful stop', 'answer or refusal'},
         )
 
+    def test_request_that_is_sent_in_a_stop_and_cut_off(self):
+        """Guards against requests that a stopping gateway takes and cuts."""
+        late = gateways.STOP_GRACE_S * (1 - attribution.LAST_GRACE_SHARE)
+        self.journal.stops.append(
+            records.Stop('gateway-0', 10.1 - late, 10.2, in_time=True)
+        )
+        self._execute()
+        self._visit(records.Ending.CLOSED)
+        self._disturb('gateway-0', 'stop_beside_reload')
+        self.assertEqual(
+            self._check(outcome(complete=False, status=502, headers={})),
+            {'graceful stop', 'nothing is sent in a stop and cut off'},
+        )
+
+    def test_request_that_runs_and_is_refused_in_a_stop(self):
+        """Guards against refusals of a stop that have run."""
+        body = b'{"error": "the gateway is stopping"}'
+        refused = outcome(route='find', status=503, body=body)
+        self.assertEqual(self._check(refused), set())
+        self.assertEqual(self.journal.stop_refusals, 1)
+        self._execute(attempt='b')
+        self.assertEqual(
+            self._check(refused._replace(attempt='b')), {'refused in a stop'}
+        )
+
     def test_stop_that_exceeds_its_grace_period(self):
         """An undisturbed gateway exits within its grace period."""
         self.journal.stops.append(
@@ -388,8 +413,9 @@
         self.assertIsNone(self._find_cause(cut()))
 
     def test_end_of_a_grace_period(self):
-        """A stop may end what is unfinished late in its grace period."""
+        """A stop may end late what a fault has held up."""
         self._visit(records.Ending.CLOSED)
+        self._disturb('gateway-0', 'pause')
         late = gateways.STOP_GRACE_S * (1 - attribution.LAST_GRACE_SHARE)
         for begin, expected in (
             (10.1 - late, attribution.Cause.GRACE),
@@ -401,6 +427,16 @@
                 ]
                 self.assertIs(self._find_cause(cut()), expected)
 
+    def test_request_that_a_sound_stop_takes_and_cuts_off(self):
+        """Guards against an excuse of what a stop sent itself."""
+        self._visit(records.Ending.CLOSED)
+        late = gateways.STOP_GRACE_S * (1 - attribution.LAST_GRACE_SHARE)
+        self.journal.stops.append(
+            records.Stop('gateway-0', 10.1 - late, 10.2, True)
+        )
+        self._disturb('gateway-0', 'stop_again')
+        self.assertIsNone(self._find_cause(cut()))
+
     def test_reset_of_the_caller(self):
         """A caller whose link was reset gets no answer."""
         self._visit(records.Ending.CLOSED)
@@ -603,6 +639,16 @@
         self.assertGreaterEqual(min(durations_s), 0.5)
         self.assertLessEqual(max(durations_s), 2.2)
 
+    def test_signals_beside_a_stop_leave_the_other_faults_alone(self):
+        """Half of the schedules have one, among the faults of before."""
+        signals = {kind.name for kind in schedule.SIGNAL_KINDS}
+        drawn = []
+        for seed in range(100):
+            faults = schedule.draw_faults(random.Random(seed), 3, 3)
+            drawn += [f.kind for f in faults if f.kind in signals]
+        self.assertEqual(set(drawn), signals)
+        self.assertGreater(len(drawn), 35)
+
     def test_command_runs_seeds_in_processes_of_their_own(self):
         """Guards against a soak that cannot be started by hand."""
         options = ['--seeds', '1', '--first', '1', '--jobs', '1']
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -33,6 +33,7 @@
     print(
         f'seed {result.seed}: {result.requests} requests, {result.served} '
         f'served, {result.executions} executions, '
+        f'{result.stop_refusals} refused in stops, '
         f'{len(result.findings)} findings',
         flush=True,
     )
--- a/tools/soak/attribution.py
+++ b/tools/soak/attribution.py
@@ -4,9 +4,11 @@
 
 import enum
 
+from persimmonroute.gateway import model
 from tools.soak import callers
 from tools.soak import gateways
 from tools.soak import records
+from tools.soak import schedule
 
 # A connection that a gateway closes may cross a request; it has not read the
 # request if it is closed this soon after it was sent.
@@ -80,6 +82,26 @@
             for silence in self._journal.silences
         )
 
+    def was_sent_in_stop(self, outcome):
+        """Return whether a request was taken and sent in a sound stop.
+
+        A stop cannot know that what it sends will be held up by a fault.
+        """
+        return any(
+            self._was_taken_in(stop, outcome)
+            and any(v.executed for v in self.visits_of(outcome.attempt))
+            and not self._was_held_up(stop, outcome)
+            for stop in self._stops_of(outcome)
+        )
+
+    def was_refused_in_stop(self, outcome):
+        """Return whether a gateway refused a request because of its stop."""
+        return (
+            outcome.complete
+            and outcome.status == model.STOPPING.status
+            and model.STOPPING.reason.encode() in outcome.body
+        )
+
     def reached_deadline(self, outcome):
         """Return whether the time of a request was over at its end."""
         limit_s = callers.deadline_s(outcome.route)
@@ -118,13 +140,30 @@
             (outcome.gateway,), ('kill',), outcome.sent_at, outcome.ended_at
         )
 
+    def _stops_of(self, outcome):
+        return [s for s in self._journal.stops if s.gateway == outcome.gateway]
+
+    def _was_taken_in(self, stop, outcome):
+        return stop.begin + DELIVERY_S < outcome.sent_at < stop.end
+
+    def _was_held_up(self, stop, outcome):
+        """Return whether a fault met a request that a stop had taken."""
+        visits = self.visits_of(outcome.attempt)
+        components = {outcome.gateway, *(visit.endpoint for visit in visits)}
+        kinds = {d.kind for d in self._journal.disturbances}
+        return self.fell_silent(outcome) or self._has_disturbance(
+            components,
+            kinds.difference(schedule.STOP_KINDS),
+            stop.begin,
+            outcome.ended_at,
+        )
+
     def _outlasted_stop(self, outcome):
         share = (1 - LAST_GRACE_SHARE) * gateways.STOP_GRACE_S
         return any(
-            stop.gateway == outcome.gateway
-            and outcome.sent_at <= stop.begin + share <= outcome.ended_at
-            for stop in self._journal.stops
-        )
+            outcome.sent_at <= stop.begin + share <= outcome.ended_at
+            for stop in self._stops_of(outcome)
+        ) and not self.was_sent_in_stop(outcome)
 
     def _find_endpoint_cause(self, visits, outcome):
         ended = (records.Ending.BROKE_OFF, records.Ending.STOPPED)
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -9,6 +9,7 @@
 from tools.soak import attribution
 from tools.soak import callers
 from tools.soak import endpoints
+from tools.soak import schedule
 from tools.soak import starvation
 
 # Time bounds from the settings of the gateways.
@@ -65,6 +66,7 @@
             self._check_deadline(outcome)
             self._check_unanswered(outcome)
             self._check_handover(outcome)
+            self._check_stop_refusal(outcome)
         for stop in self._journal.stops:
             self._check_stop(stop)
         self._check_streams()
@@ -211,11 +213,22 @@
         if cause is not None:
             self._journal.excused[cause.value] += 1
             return
-        silent = self._attributor.fell_silent(outcome)
-        self._add_finding(
-            'silence ends no answer' if silent else 'answer or refusal',
-            self._attributor.describe(outcome),
-        )
+        promise = 'answer or refusal'
+        if self._attributor.fell_silent(outcome):
+            promise = 'silence ends no answer'
+        elif self._attributor.was_sent_in_stop(outcome):
+            promise = 'nothing is sent in a stop and cut off'
+        self._add_finding(promise, self._attributor.describe(outcome))
+
+    def _check_stop_refusal(self, outcome):
+        """Check that nothing ran that a stopping gateway refused."""
+        if not self._attributor.was_refused_in_stop(outcome):
+            return
+        self._journal.stop_refusals += 1
+        if self._executions[outcome.attempt]:
+            self._add_finding(
+                'refused in a stop', self._attributor.describe(outcome)
+            )
 
     def _check_handover(self, outcome):
         """Check that no two endpoints worked on a request at a time."""
@@ -244,7 +257,7 @@
     def _check_stop(self, stop):
         """Check that a planned stop was in time and broke off no request."""
         if not self._gateway_undisturbed(
-            stop.gateway, stop.begin, stop.end, ignored_kind='stop'
+            stop.gateway, stop.begin, stop.end, schedule.STOP_KINDS
         ):
             return
         if not stop.in_time:
@@ -417,11 +430,11 @@
             for disturbance in self._journal.disturbances
         )
 
-    def _gateway_undisturbed(self, gateway, begin, end, ignored_kind=None):
+    def _gateway_undisturbed(self, gateway, begin, end, ignored_kinds=()):
         """Return whether a gateway was stable throughout an interval."""
         return not any(
             disturbance.component in (gateway, '*')
-            and disturbance.kind != ignored_kind
+            and disturbance.kind not in ignored_kinds
             and disturbance.begin <= end
             and disturbance.end + STABILIZATION_S >= begin
             for disturbance in self._journal.disturbances
--- a/tools/soak/records.py
+++ b/tools/soak/records.py
@@ -158,6 +158,8 @@
         self.changes = []
         self.disturbances = []
         self.stops = []
+        # Requests that stopping gateways refused because of their stop.
+        self.stop_refusals = 0
         self.limits = []
         self.visits = []
         self.silences = []
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -86,6 +86,13 @@
     # The strength is the pause between two changes, in seconds.
     (Kind('storm', 6.0, 0.4),),
 )
+# Stops beside other signals, drawn last of all. The strength is the time from
+# the stop to the next signal, in seconds.
+SIGNAL_KINDS = (
+    Kind('stop_again', 0.3, 3.0),
+    Kind('stop_beside_reload', 0.3, 3.0),
+)
+STOP_KINDS = ('stop', *(kind.name for kind in SIGNAL_KINDS))
 # Silences of one endpoint, of all but one and of all, drawn as a series.
 SILENT_KINDS = (
     'endpoint_silent',
@@ -125,6 +132,10 @@
     later = random.Random(repr(faults) + 'silences')
     if later.random() < SILENT_SHARE:
         faults += _draw_silences(later, endpoints)
+    later = random.Random(repr(faults) + 'signals')
+    if later.random() < LATER_SHARE:
+        kind = later.choice(SIGNAL_KINDS)
+        faults.append(_draw_fault(later, kind, gateways, endpoints))
     return sorted(faults)
 
 
--- a/tools/soak/seed_run.py
+++ b/tools/soak/seed_run.py
@@ -39,6 +39,9 @@
 # Time that a gateway has to notice that an endpoint asks for a pause.
 PAUSE_NOTICE_S = 0.6
 MAX_SENDS_PER_PAUSE = 2
+# Signals during a stop, and grace periods that settings name meanwhile.
+SIGNALS_AGAIN = 3
+OTHER_GRACES_S = (0.5, 1.0, 60.0)
 # Requests per second that a limited endpoint names, well below its share of
 # the load.
 LIMIT_PER_S = 2.0
@@ -426,20 +429,55 @@
             await self._replace(gateway, signal.SIGKILL, fault.duration_s)
 
     async def _do_stop(self, fault):
+        await self._stop_and_replace(fault)
+
+    async def _do_stop_again(self, fault):
+        await self._stop_and_replace(fault, self._stop_again)
+
+    async def _do_stop_beside_reload(self, fault):
+        gateway = self._gateways[fault.target]
+        if gateway.running and not gateway.restarting:
+            self._change_grace(gateway)
+        await self._stop_and_replace(fault, self._reload_in_stop)
+
+    async def _stop_again(self, gateway, fault):
+        for _ in range(SIGNALS_AGAIN):
+            gateway.send_signal(signal.SIGTERM)
+            await asyncio.sleep(fault.strength)
+
+    async def _reload_in_stop(self, gateway, fault):
+        for _ in range(SIGNALS_AGAIN):
+            self._change_grace(gateway)
+            await asyncio.sleep(fault.strength)
+
+    def _change_grace(self, gateway):
+        """Reload a gateway with a grace period that needs a restart."""
+        gateway.write_settings(stop_grace_s=self._rng.choice(OTHER_GRACES_S))
+        gateway.send_signal(signal.SIGHUP)
+
+    async def _stop_and_replace(self, fault, beside=None):
+        """Stop a gateway as planned, with other signals beside the stop."""
         gateway = self._gateways[fault.target]
         if not gateway.running or gateway.restarting:
             return
         begin = self.now()
+        signalling = []
+        if beside is not None:
+            signalling.append(asyncio.create_task(beside(gateway, fault)))
         in_time = await self._replace(
-            gateway, signal.SIGTERM, fault.duration_s
+            gateway, signal.SIGTERM, fault.duration_s, signalling
         )
         self.journal.stops.append(
             records.Stop(gateway.name, begin, self.now(), in_time)
         )
 
-    async def _replace(self, gateway, signal_number, pause_s):
+    async def _replace(self, gateway, signal_number, pause_s, signalling=()):
+        """Replace a process, and end the tasks that send it signals."""
         gateway.restarting = True
         in_time = await gateway.terminate(signal_number)
+        for task in signalling:
+            task.cancel()
+        gateway.write_settings(stop_grace_s=gateway_module.STOP_GRACE_S)
         await asyncio.sleep(pause_s)
         gateway.start()
         gateway.restarting = False
--- a/tools/soak/seeds.py
+++ b/tools/soak/seeds.py
@@ -28,6 +28,8 @@
     findings: list
     # Requests that got neither an answer nor a refusal, by what excuses it.
     excused: dict[str, int]
+    # Requests that stopping gateways refused because of their stop.
+    stop_refusals: int
     # Seconds for which processes were ready and not run, by process.
     starved: dict[str, float]
 
@@ -50,6 +52,7 @@
             [fault.kind for fault in run.faults],
             findings,
             dict(run.journal.excused),
+            run.journal.stop_refusals,
             starvation.sum_s(run.journal),
         )
     finally:
