--- a/persimmonroute/entry/server.py
+++ b/persimmonroute/entry/server.py
@@ -18,8 +18,6 @@
 BALANCER_NOTICE_S = 1.0
 # Part of the grace period reserved for shutdown after the last request.
 SHUTDOWN_RESERVE_S = 0.7
-# Time between two looks at the clock in a stop.
-END_CHECK_S = 0.1
 
 
 class EntryServer:
@@ -45,7 +43,9 @@
             # The core's clock is that of its timers.
             core_drain = begin_drain(time.monotonic(), grace_s)
             self._shell.handle(messages.StopRequested(core_drain))
-        ending = asyncio.create_task(self._end_calls(drain))
+        ending = asyncio.create_task(
+            draining.end_open(drain, self._end_calls, self._server.cancel_open)
+        )
         await asyncio.sleep(max(drain.closes_at - clock.now_s(), 0.0))
         self._server.stop(drain.ends_at - clock.now_s())
         await serving
@@ -54,15 +54,11 @@
             await self._shell.close()
         log.emit(Event.PROCESS_STOPPED)
 
-    async def _end_calls(self, drain):
+    def _end_calls(self):
         """Tell the outcome of open requests before they are cancelled."""
-        while (left_s := drain.answers_until - clock.now_s()) > 0:
-            # The event loop's clock stands still in a suspended process.
-            await asyncio.sleep(min(left_s, END_CHECK_S))
         with draining.guard('end bodies'):
             self._shell.core.board.open_requests.end_all()
-        with draining.guard('end requests'):
-            self._shell.handle(messages.StopExpired())
+        self._shell.handle(messages.StopExpired())
 
 
 def begin_drain(now, stop_grace_s):
