Name the planned stop as the cause of what it refused or cut off

Operators saw: explain called an order that a stop had cut off silent at its endpoint, a stream broken off at its time limit, a process killed in its stop ended unexpectedly, and had no word for calls of entries at all. Cause: no finder knew events 708, 101 and 204 or the reasons of a stop. Change: explain says that the process was stopped as planned and when, how long after or before the signal the request was taken and ended, and whether it may have run. The final event of an entry (204) has a finder.

--- a/persimmonroute/commands/causes.py
+++ b/persimmonroute/commands/causes.py
@@ -5,7 +5,31 @@
 import datetime
 import typing
 
+from persimmonroute.entry import endings
+from persimmonroute.entry import stopping
 from persimmonroute.events import Event
+from persimmonroute.gateway import model
+
+STOP_REASONS = frozenset(
+    (
+        model.STOPPING.reason,
+        model.STOPPED.reason,
+        stopping.STOPPING,
+        stopping.STOPPED,
+    )
+)
+# Route of requests that were rejected on arrival.
+NO_ROUTE = '-'
+# Problem of calls whose caller left an entry.
+CALLER_CLOSED = 'caller closed the connection'
+# Events of a process that tell how long ago a request arrived.
+ARRIVAL_EVENTS = frozenset(
+    event.name for event in (Event.GATEWAY_SENT, Event.REQUEST_ENDED_BY_STOP)
+)
+# Events after which no request of before is in progress.
+PROCESS_ENDS = frozenset(
+    event.name for event in (Event.PROCESS_STARTED, Event.PROCESS_STOPPED)
+)
 
 
 class Line(typing.NamedTuple):
@@ -38,13 +62,16 @@
     finder = FINDERS.get(last.name)
     if finder is not None:
         return finder(last, lines, context)
-    return _find_interrupted(last, context)
+    return _find_interrupted(last, lines, context)
 
 
 def _find_rejected(last, lines, context):
     fields = last.fields
     status, reason = fields['status'], fields['reason']
     detail = f' ({fields["detail"]})' if fields.get('detail') else ''
+    if reason in STOP_REASONS:
+        arrived_at = last.time if fields.get('route') == NO_ROUTE else None
+        return _find_stopped(last, lines, context, arrived_at, status != 503)
     if status == 429:
         return Cause(
             'quota', f'the workspace exceeded its quota{detail}', True
@@ -124,6 +151,8 @@
 
 
 def _find_broken_off(last, lines, context):
+    if last.fields['problem'] in STOP_REASONS:
+        return _find_stopped(last, lines, context, None, True)
     failed_attempts = _of_event(lines, Event.GATEWAY_ATTEMPT_FAILED)
     if failed_attempts:
         ending = failed_attempts[-1].fields['ending']
@@ -160,20 +189,131 @@
     )
 
 
-def _find_interrupted(last, context):
+def _find_call_ended(last, lines, context):
+    """Return the Cause of the final response of an entry."""
+    fields = last.fields
+    outcome, status, problem = (
+        fields[name] for name in ('outcome', 'status', 'problem')
+    )
+    if outcome == 'completed':
+        kind = 'endpoint failed' if status >= 500 else 'answered'
+        return Cause(kind, f'answered with status {status}', True)
+    may_have_run = outcome == 'unknown'
+    if problem in STOP_REASONS:
+        return _find_stopped(last, lines, context, lines[0].time, may_have_run)
+    if may_have_run:
+        kind = 'outcome unknown'
+    elif problem == endings.NO_ENDPOINT:
+        kind = 'overload'
+    else:
+        kind = 'refused' if status == 503 else 'denied'
+    if problem == CALLER_CLOSED:
+        kind = 'caller gone'
+    return Cause(
+        kind, f'{problem}; the request {_tell_run(may_have_run)}', True
+    )
+
+
+def _find_ended_by_stop(last, lines, context):
+    return _find_stopped(
+        last, lines, context, None, last.fields['may_have_run']
+    )
+
+
+def _find_stopped(last, lines, context, arrived_at, may_have_run):
+    """Return the Cause of a request that a planned stop ended.
+
+    arrived_at is None if only other lines tell when the request arrived.
+    """
+    name = last.instance
+    run = f'the request {_tell_run(may_have_run)}'
+    sent = _of_event(lines, Event.GATEWAY_SENT)
+    if sent and may_have_run:
+        run += f' at endpoint {sent[-1].fields["runner"]}'
+    signal = _find_signal(last, context)
+    if signal is None:
+        return Cause(
+            'stop',
+            f'{name} was stopped as planned, no line tells when; {run}',
+            True,
+        )
+    signal_s = signal.time
+    if arrived_at is None:
+        arrived_at = _find_arrival(lines)
+    what = (
+        'stream' if last.name == Event.GATEWAY_BROKEN_OFF.name else 'request'
+    )
+    ended = f'the {what} was ended' if may_have_run else 'it was refused'
+    parts = [f'{name} was stopped as planned at {format_time(signal_s)}']
+    if arrived_at is not None:
+        parts.append(
+            f'the request was taken {_tell_distance(arrived_at, signal_s)}'
+        )
+    else:
+        ended = f'the {what} waited and was refused'
+    if last.name in PROCESS_ENDS:
+        ended = 'it was open when the process ended, at the latest'
+    parts.append(f'{ended} {_tell_distance(last.time, signal_s)}')
+    parts.append(run)
+    return Cause('stop', '; '.join(parts), True)
+
+
+def _find_signal(last, context):
+    """Return the line of the stop of a process before a line, or None."""
+    before = [
+        line
+        for line in context
+        if line.instance == last.instance and line.time <= last.time
+    ]
+    signal = None
+    for line in sorted(before, key=lambda line: line.time):
+        if line.name == Event.PROCESS_STOPPING.name:
+            signal = line
+        elif line.name == Event.PROCESS_STARTED.name:
+            signal = None
+    return signal
+
+
+def _find_arrival(lines):
+    """Return when a request arrived at a gateway; None if no line tells."""
+    for line in lines:
+        for field in ('waited_s', 'age_s'):
+            if line.name in ARRIVAL_EVENTS and field in line.fields:
+                return line.time - line.fields[field]
+    return None
+
+
+def _tell_distance(time, signal_s):
+    if time < signal_s:
+        return f'{signal_s - time:.3f} s before the signal'
+    return f'{time - signal_s:.3f} s after the signal'
+
+
+def _tell_run(may_have_run):
+    return 'may have run' if may_have_run else 'did not run'
+
+
+def _find_interrupted(last, lines, context):
     later = [
         line
         for line in context
-        if line.instance == last.instance and line.time >= last.time
+        if line.instance == last.instance
+        and line.time >= last.time
+        and line.name in PROCESS_ENDS
     ]
-    for line in sorted(later, key=lambda line: line.time):
-        if line.name == Event.PROCESS_STARTED.name:
-            return Cause(
-                'gateway restarted',
-                f'{last.instance} ended unexpectedly and was restarted at'
-                f' {format_time(line.time)} with the request in progress',
-                True,
-            )
+    ended = min(later, key=lambda line: line.time, default=None)
+    if ended is not None:
+        earlier = [line for line in context if line is not ended]
+        signal = _find_signal(ended, earlier)
+        if signal is not None:
+            sent = _of_event(lines, Event.GATEWAY_SENT)
+            return _find_stopped(ended, lines, earlier, None, bool(sent))
+        return Cause(
+            'gateway restarted',
+            f'{last.instance} ended unexpectedly and was restarted at'
+            f' {format_time(ended.time)} with the request in progress',
+            True,
+        )
     return Cause(
         'unknown',
         f'the log of {last.instance} ends with the request in progress:'
@@ -187,6 +327,8 @@
     'GATEWAY_ANSWERED': _find_answered,
     'GATEWAY_BROKEN_OFF': _find_broken_off,
     'CALLER_GONE': _find_disconnected,
+    'REQUEST_ENDED': _find_call_ended,
+    'REQUEST_ENDED_BY_STOP': _find_ended_by_stop,
 }
 
 
--- a/persimmonroute/commands/explain.py
+++ b/persimmonroute/commands/explain.py
@@ -19,6 +19,7 @@
         Event.PLATFORM_UNAVAILABLE,
         Event.PROCESS_STARTED,
         Event.PROCESS_STOPPING,
+        Event.PROCESS_STOPPED,
         Event.RUNNER_GONE,
         Event.LINES_DROPPED,
     )
