Name the last attempt of a request, not the last that failed

Operators saw: a lookup whose second endpoint did not answer was explained by the reset at the first, stated with certainty. Cause: explain took the last failed attempt, though a later one was open. Change: an attempt that was sent after the last failure is the one that was silent, of streams as of whole answers.

--- a/persimmonroute/commands/causes.py
+++ b/persimmonroute/commands/causes.py
@@ -83,9 +83,9 @@
             f'{reason}, according to configuration {configuration}',
             True,
         )
-    failed_attempts = _of_event(lines, Event.GATEWAY_ATTEMPT_FAILED)
     if status in (502, 504):
-        return _find_unknown_outcome(last, lines, failed_attempts)
+        return _find_unknown_outcome(last, lines)
+    failed_attempts = _of_event(lines, Event.GATEWAY_ATTEMPT_FAILED)
     if reason in ('keys cannot be confirmed', 'no configuration is known yet'):
         return _find_old_configuration(last, context)
     if failed_attempts:
@@ -103,9 +103,10 @@
     )
 
 
-def _find_unknown_outcome(last, lines, failed_attempts):
-    if failed_attempts:
-        fields = failed_attempts[-1].fields
+def _find_unknown_outcome(last, lines):
+    failed = _find_failed_attempt(lines)
+    if failed is not None:
+        fields = failed.fields
         return Cause(
             f'endpoint {fields["ending"]}',
             f'the request was sent to endpoint {fields["runner"]}, then:'
@@ -153,14 +154,13 @@
 def _find_broken_off(last, lines, context):
     if last.fields['problem'] in STOP_REASONS:
         return _find_stopped(last, lines, context, None, True)
-    failed_attempts = _of_event(lines, Event.GATEWAY_ATTEMPT_FAILED)
-    if failed_attempts:
-        ending = failed_attempts[-1].fields['ending']
-        runner = failed_attempts[-1].fields['runner']
+    failed = _find_failed_attempt(lines)
+    if failed is not None:
+        fields = failed.fields
         return Cause(
-            f'endpoint {ending}',
-            f'the stream was interrupted: endpoint {runner}:'
-            f' {failed_attempts[-1].fields["problem"]}',
+            f'endpoint {fields["ending"]}',
+            f'the stream was interrupted: endpoint {fields["runner"]}:'
+            f' {fields["problem"]}',
             True,
         )
     return Cause(
@@ -171,6 +171,16 @@
     )
 
 
+def _find_failed_attempt(lines):
+    """Return the line of the last attempt if it failed; None if it did not."""
+    for line in reversed(lines):
+        if line.name == Event.GATEWAY_ATTEMPT_FAILED.name:
+            return line
+        if line.name == Event.GATEWAY_SENT.name:
+            return None
+    return None
+
+
 def _find_disconnected(last, lines, context):
     sent = _of_event(lines, Event.GATEWAY_SENT)
     if sent:
