Name the endpoints that a request did without

Operators saw: 'no usable endpoint' as the cause, stated with certainty, where the endpoints had asked for a pause, were leaving, or had been removed. Cause: explain did not read events 710 to 712. Change: for each endpoint the last of them tells why it was not usable; 723 before it names a restored store. It is a probable cause only, since the line of the request does not name its service.

--- a/persimmonroute/commands/causes.py
+++ b/persimmonroute/commands/causes.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import collections
 import datetime
+import math
 import typing
 
 from persimmonroute.entry import endings
@@ -10,6 +12,7 @@
 from persimmonroute.events import Event
 from persimmonroute.gateway import admission
 from persimmonroute.gateway import model
+from persimmonroute.gateway import runners
 from persimmonroute.gateway import scheduler
 
 STOP_REASONS = frozenset(
@@ -29,6 +32,16 @@
     (admission.UNCONFIRMED_KEYS, admission.NO_CONFIGURATION)
 )
 UNCONFIRMED = admission.TOO_OLD
+# Time after which endpoints that a restored store lacks have been removed, and
+# a margin.
+RESTORED_LAPSE_S = 2 * runners.LAPSE_S
+# What became of an endpoint that is not usable.
+MISSING = {
+    'gone': 'was removed',
+    'lost': 'was removed after the store came back from an older copy',
+    'leaves': 'said that it leaves',
+    'pauses': 'asked for a pause',
+}
 # Events of a process that tell how long ago a request arrived.
 ARRIVAL_EVENTS = frozenset(
     event.name for event in (Event.GATEWAY_SENT, Event.REQUEST_ENDED_BY_STOP)
@@ -104,12 +117,52 @@
             ' not run',
             True,
         )
+    if reason == scheduler.NO_ENDPOINT:
+        cause = _find_missing_endpoints(last, context)
+        if cause is not None:
+            return cause
     kind = 'overload' if reason == scheduler.OVERLOADED else 'refused'
     return Cause(
         kind, f'the request was rejected before it ran: {reason}{detail}', True
     )
 
 
+def _find_missing_endpoints(last, context):
+    """Return the Cause of a request that found no endpoint.
+
+    None if no line tells why. The line of the request does not name its
+    service, so the cause is only probable.
+    """
+    reasons = {}
+    restored_at = -math.inf
+    for line in _of_instance(context, last):
+        runner = line.fields.get('runner')
+        if line.name == Event.STORE_RESTORED.name:
+            restored_at = line.time
+        elif line.name == Event.RUNNER_GONE.name:
+            reasons[runner] = 'gone'
+            if line.time - restored_at <= RESTORED_LAPSE_S:
+                reasons[runner] = 'lost'
+        elif line.name == Event.RUNNER_CHANGED.name:
+            reasons[runner] = 'leaves' if line.fields['leaving'] else None
+        elif line.name == Event.RUNNER_CLOSED.name:
+            if line.time + line.fields['retry_after_s'] > last.time:
+                reasons[runner] = reasons.get(runner) or 'pauses'
+        elif line.name == Event.PROCESS_STARTED.name:
+            reasons.clear()
+    named = {name: why for name, why in reasons.items() if why is not None}
+    if not named:
+        return None
+    why = collections.Counter(named.values()).most_common(1)[0][0]
+    listed = ', '.join(f'{name} {MISSING[w]}' for name, w in named.items())
+    return Cause(
+        'store restored' if why == 'lost' else f'endpoint {why}',
+        f'{last.instance} knew no usable endpoint: {listed}; the request did'
+        ' not run',
+        False,
+    )
+
+
 def _find_unknown_outcome(last, lines):
     failed = _find_failed_attempt(lines)
     if failed is not None:
--- a/persimmonroute/commands/explain.py
+++ b/persimmonroute/commands/explain.py
@@ -19,6 +19,8 @@
         Event.PLATFORM_UNAVAILABLE,
         Event.PLATFORM_AVAILABLE,
         Event.STORE_RESTORED,
+        Event.RUNNER_CHANGED,
+        Event.RUNNER_CLOSED,
         Event.PROCESS_STARTED,
         Event.PROCESS_STOPPING,
         Event.PROCESS_STOPPED,
