Explain an error response that was kept

Operators saw: explain ended with a KeyError for a request whose only endpoint had failed and whose error was passed on after a search for another one. Cause: event 701 of such a response names no endpoint. Change: the endpoint is that of the attempt that failed. Tests: OnlyEndpointFails of counted_causes_tests, which follows; it ends with the KeyError on the code before.

--- a/persimmonroute/commands/causes.py
+++ b/persimmonroute/commands/causes.py
@@ -245,9 +245,14 @@
 def _find_answered(last, lines, context):
     status = last.fields['status']
     if status >= 500:
+        runner = last.fields.get('runner')
+        failed = _find_failed_attempt(lines)
+        if runner is None and failed is not None:
+            # The answer was kept while another endpoint was looked for.
+            runner = failed.fields['runner']
         return Cause(
             'endpoint failed',
-            f'endpoint {last.fields["runner"]} returned status {status}',
+            f'endpoint {runner} returned status {status}',
             True,
         )
     return Cause('answered', f'answered with status {status}', True)
