--- a/persimmonroute/commands/causes.py
+++ b/persimmonroute/commands/causes.py
@@ -152,7 +152,15 @@
             reasons.clear()
     named = {name: why for name, why in reasons.items() if why is not None}
     if not named:
-        return None
+        if last.time - restored_at > RESTORED_LAPSE_S:
+            return None
+        return Cause(
+            'store restored',
+            f'{last.instance} knew no usable endpoint after the store came'
+            f' back from an older copy at {format_time(restored_at)}; the'
+            ' request did not run',
+            False,
+        )
     why = collections.Counter(named.values()).most_common(1)[0][0]
     listed = ', '.join(f'{name} {MISSING[w]}' for name, w in named.items())
     return Cause(
