Read the logs of many gateways with bounded memory

Operators saw: explain took gigabytes and half a minute for the logs of 68 gateways, without a sign of life, and had no end of the time range. Cause: it parsed and kept each line of each request. Tests: two new ones of explain_tests.LogFilesTests, which the code before has no interface for; the time range is checked at both ends. Two tests call the new interface and want what they did before.

--- a/persimmonroute/cli.py
+++ b/persimmonroute/cli.py
@@ -11,7 +11,8 @@
   persimmonroute keygen FILE
   persimmonroute handover PUBLIC_KEY --key FILE [--platform ADDRESS]
                             [--change ID]
-  persimmonroute explain REQUEST FILE... [--since TIME] [--json]
+  persimmonroute explain REQUEST FILE... [--since TIME] [--until TIME]
+                         [--json]
   persimmonroute --version
 
 Options:
@@ -21,6 +22,7 @@
   --change ID         ID of this change; makes a retry idempotent.
   --base N            Revision that the change was made against.
   --since TIME        Ignore log lines before this time, in ISO 8601.
+  --until TIME        Ignore log lines after this time, in ISO 8601.
   --json              Print the explanation as JSON.
   --wait SECONDS      Wait at most this long until all instances have applied
                       the current revision.
@@ -77,6 +79,7 @@
             arguments['REQUEST'],
             arguments['FILE'],
             arguments['--since'],
+            arguments['--until'],
             arguments['--json'],
         )
         return
--- a/persimmonroute/commands/explain.py
+++ b/persimmonroute/commands/explain.py
@@ -5,7 +5,9 @@
 import datetime
 import glob
 import json
+import math
 import os
+import sys
 import typing
 
 from persimmonroute.commands import causes
@@ -28,6 +30,8 @@
         Event.LINES_DROPPED,
     )
 )
+# What a line of such an event holds.
+CONTEXT_MARKS = tuple(f'"{name}"' for name in sorted(CONTEXT_EVENTS))
 # Files that are read of a directory.
 LOG_PATTERN = '*.log'
 # Assumed maximum clock skew between instances.
@@ -44,41 +48,47 @@
 
 
 class LogFiles:
-    """Index the log lines of several processes by request."""
+    """Index the log lines of several processes by request.
 
-    def __init__(self):
+    Of one request only its lines are kept; the others are not even parsed.
+    """
+
+    def __init__(self, request=None, since=None, until=None):
+        """Keep the lines of one or all requests, in POSIX times."""
         self.by_request: dict[str, list[causes.Line]] = {}
         self.context: list[causes.Line] = []
         self.torn_lines = 0
+        self._since = -math.inf if since is None else since
+        self._until = math.inf if until is None else until
+        self._wanted = None
+        if request is not None:
+            # As JSON writes it in a line.
+            self._wanted = (json.dumps(request), *CONTEXT_MARKS)
 
-    def read(self, path, since=None):
-        """Read a log file, or all of a directory, from a POSIX time on.
+    def read(self, path):
+        """Read a log file.
 
-        Raises LogFileError if a file cannot be read.
+        Raises LogFileError if it cannot be read.
         """
-        if os.path.isdir(path):
-            for name in sorted(glob.glob(os.path.join(path, LOG_PATTERN))):
-                self.read(name, since)
-            return
         try:
             with open(path, encoding='utf-8', errors='replace') as file:
                 for text in file:
-                    self.add(text, since)
+                    self.add(text)
         except OSError as error:
             raise exceptions.LogFileError(
                 f'cannot read the log file {path}: {error}'
             )
 
-    def add(self, text, since=None):
+    def add(self, text):
         """Add one line, ignoring any text before its JSON object."""
         start = text.find('{"')
-        if start < 0:
+        if start < 0 or not self._is_wanted(text):
             return
         line = _parse_line(text[start:])
         if line is None:
             self.torn_lines += 1
             return
-        if since is not None and line.time < since:
+        if not self._since <= line.time <= self._until:
             return
         request = line.fields.get('request')
         if request is not None:
@@ -98,17 +108,50 @@
             self.torn_lines,
         )
 
+    def _is_wanted(self, text):
+        if self._wanted is None or not text.rstrip().endswith('}'):
+            return True
+        return any(mark in text for mark in self._wanted)
 
-async def explain(request, paths, since=None, as_json=False):
+
+async def explain(request, paths, since=None, until=None, as_json=False):
     """Print the log lines of a request and the cause of its outcome."""
-    files = LogFiles()
-    since_s = None if since is None else _parse_time(since)
-    for path in paths:
-        files.read(path, since_s)
+    files = LogFiles(
+        request, _parse_time(since, 'since'), _parse_time(until, 'until')
+    )
+    for path in _show_progress(list_files(paths)):
+        files.read(path)
     explanation = files.explain(request)
     print(_format_json(explanation) if as_json else _format_text(explanation))
 
 
+def list_files(paths):
+    """Return the paths of log files, of directories all their files."""
+    listed = []
+    for path in paths:
+        if os.path.isdir(path):
+            listed += sorted(glob.glob(os.path.join(path, LOG_PATTERN)))
+        else:
+            listed.append(path)
+    return listed
+
+
+def _show_progress(paths):
+    """Yield paths, and show on a terminal how many have been read."""
+    shown = sys.stderr.isatty() and len(paths) > 1
+    for number, path in enumerate(paths, 1):
+        if shown:
+            print(
+                f'\rreading file {number} of {len(paths)}',
+                end='',
+                file=sys.stderr,
+                flush=True,
+            )
+        yield path
+    if shown:
+        print(file=sys.stderr)
+
+
 def _parse_line(text):
     try:
         fields = json.loads(text)
@@ -118,13 +161,16 @@
         return None
 
 
-def _parse_time(text):
+def _parse_time(text, option):
+    """Return the POSIX time of an option; None if it is not given."""
+    if text is None:
+        return None
     try:
         return datetime.datetime.fromisoformat(text).timestamp()
     except ValueError:
         raise exceptions.LogFileError(
             f'{text!r} is not an ISO 8601 time',
-            'pass --since as YYYY-MM-DDTHH:MM:SS+00:00',
+            f'pass --{option} as YYYY-MM-DDTHH:MM:SS+00:00',
         )
 
 
--- a/persimmonroute/tests/commands/explain_tests.py
+++ b/persimmonroute/tests/commands/explain_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import io
 import json
 import pathlib
@@ -10,6 +11,7 @@
 import tempfile
 import threading
 import unittest
+from unittest import mock
 
 from persimmonroute.commands import explain
 from persimmonroute import exceptions
@@ -139,7 +141,8 @@
                 line = self._line(number, 'CALLER_GONE', request='a')
                 path.write_text(line + '\n', encoding='utf-8')
             files = explain.LogFiles()
-            files.read(directory)
+            for path in explain.list_files([directory]):
+                files.read(path)
         self.assertEqual(len(files.explain('a').lines), 3)
 
     def test_missing_request_is_not_guessed(self):
@@ -223,13 +226,51 @@
         with tempfile.NamedTemporaryFile('w', suffix='.log') as file:
             file.write(self._line(1, 'CALLER_GONE', request='a') + '\n')
             file.flush()
-            files = explain.LogFiles()
-            files.read(file.name, 4e9)
+            files = explain.LogFiles(since=4e9)
+            files.read(file.name)
+            self.assertEqual(files.explain('a').lines, ())
+            files = explain.LogFiles(until=1e9)
+            files.read(file.name)
             self.assertEqual(files.explain('a').lines, ())
+            files = explain.LogFiles(since=1e9, until=4e9)
+            files.read(file.name)
+            self.assertEqual(len(files.explain('a').lines), 1)
         with self.assertRaises(exceptions.LogFileError):
             explain.LogFiles().read('/no/such/file')
         with self.assertRaises(exceptions.LogFileError):
             asyncio.run(explain.explain('a', [], since='yesterday'))
+        with self.assertRaisesRegex(exceptions.LogFileError, 'tomorrow'):
+            asyncio.run(explain.explain('a', [], until='tomorrow'))
+
+    def test_only_lines_that_can_matter_are_kept(self):
+        """Guards against memory that grows with the logs of other requests."""
+        files = explain.LogFiles('a"ä')
+        for number in range(1000):
+            files.add(self._line(1, 'GATEWAY_SENT', request=f'b{number}'))
+            files.add(self._line(1, 'PEERS_LISTED', gateways=number))
+        files.add(self._line(1, 'PROCESS_STARTED'))
+        files.add(self._line(2, 'CALLER_GONE', request='a"ä'))
+        files.add(self._line(3, 'CALLER_GONE', request='b')[:-2])
+        self.assertEqual(list(files.by_request), ['a"ä'])
+        self.assertEqual(len(files.context), 1)
+        self.assertEqual(files.explain('a"ä').cause.kind, 'caller gone')
+        self.assertEqual(files.torn_lines, 1)
+
+    def test_progress_is_shown_on_a_terminal_alone(self):
+        """Guards against a command that is silent over many files."""
+        with tempfile.TemporaryDirectory() as directory:
+            for number in range(3):
+                pathlib.Path(directory, f'{number}.log').touch()
+            for terminal in (True, False):
+                stream = io.StringIO()
+                stream.isatty = lambda shown=terminal: shown
+                with (
+                    mock.patch('sys.stderr', stream),
+                    contextlib.redirect_stdout(io.StringIO()),
+                ):
+                    asyncio.run(explain.explain('a', [directory]))
+                shown = 'file 3 of 3' in stream.getvalue()
+                self.assertEqual(shown, terminal)
 
 
 class BoundedWriterTests(unittest.TestCase):
