Name the endpoint that failed in a stop

Operators saw: the stop named as the cause where an endpoint had reset a request, and the stop only kept it from being sent to another one. Cause: the reason of the stop was taken for the cause of a 502, too. Change: the endpoint's failure is the cause, and the stop why none followed. Tests: test_endpoint_that_failed_in_a_stop; it fails on the code before.

--- a/persimmonroute/commands/causes.py
+++ b/persimmonroute/commands/causes.py
@@ -80,15 +80,20 @@
         )
     last = lines[-1]
     finder = FINDERS.get(last.name)
-    if finder is not None:
-        return finder(last, lines, context)
-    return _find_interrupted(last, lines, context)
+    if finder is None:
+        return _find_interrupted(last, lines, context)
+    return finder(last, lines, context)
 
 
 def _find_rejected(last, lines, context):
     fields = last.fields
     status, reason = fields['status'], fields['reason']
     detail = f' ({fields["detail"]})' if fields.get('detail') else ''
+    failed = _find_failed_attempt(lines)
+    if status == 502 and reason == model.STOPPING.reason and failed:
+        cause = _find_unknown_outcome(last, lines)
+        untried = 'no other endpoint was tried, since the gateway was stopping'
+        return cause._replace(sentence=f'{cause.sentence}; {untried}')
     if reason in STOP_REASONS:
         arrived_at = last.time if fields.get('route') == NO_ROUTE else None
         return _find_stopped(last, lines, context, arrived_at, status != 503)
@@ -428,17 +433,7 @@
     ]
     ended = min(later, key=lambda line: line.time, default=None)
     if ended is not None:
-        earlier = [line for line in context if line is not ended]
-        signal = _find_signal(ended, earlier)
-        if signal is not None:
-            sent = _of_event(lines, Event.GATEWAY_SENT)
-            return _find_stopped(ended, lines, earlier, None, bool(sent))
-        return Cause(
-            'gateway restarted',
-            f'{last.instance} ended unexpectedly and was restarted at'
-            f' {format_time(ended.time)} with the request in progress',
-            True,
-        )
+        return _find_ended_process(ended, last, lines, context)
     return Cause(
         'unknown',
         f'the log of {last.instance} ends with the request in progress:'
@@ -447,6 +442,21 @@
     )
 
 
+def _find_ended_process(ended, last, lines, context):
+    """Return the Cause of a request that was open when its process ended."""
+    earlier = [line for line in context if line is not ended]
+    signal = _find_signal(ended, earlier)
+    if signal is not None:
+        sent = _of_event(lines, Event.GATEWAY_SENT)
+        return _find_stopped(ended, lines, earlier, None, bool(sent))
+    return Cause(
+        'gateway restarted',
+        f'{last.instance} ended unexpectedly and was restarted at'
+        f' {format_time(ended.time)} with the request in progress',
+        True,
+    )
+
+
 FINDERS = {
     'GATEWAY_REJECTED': _find_rejected,
     'GATEWAY_ANSWERED': _find_answered,
--- a/persimmonroute/tests/commands/stop_causes_tests.py
+++ b/persimmonroute/tests/commands/stop_causes_tests.py
@@ -133,6 +133,20 @@
         self._add_rejected(12.5, model.STOPPING, route='-')
         self._check('no line tells when')
 
+    def test_endpoint_that_failed_in_a_stop(self):
+        """Guards against a stop that hides the failure of an endpoint."""
+        self._add_sent(11.0, waited_s=0.0)
+        self._add(
+            12.0,
+            'GATEWAY_ATTEMPT_FAILED',
+            request='a',
+            runner='r',
+            ending='broken',
+            problem='connection lost',
+        )
+        self._add_rejected(12.0, model.STOPPING._replace(status=502))
+        self._check('connection lost', 'may have run', kind='endpoint broken')
+
     def test_served_request_of_a_stop(self):
         """Guards against a stop as the cause of what was served."""
         self._add_sent(11.0, waited_s=0.0, stop_left_s=4.3)
