Explain the last try of a request that was sent again

Operators saw: an endpoint that had refused an earlier try named as the cause of a later refusal of the same request. Cause: explain looked at all lines with the id of the request. Change: only the lines of the last process since its last response count.

--- a/persimmonroute/commands/causes.py
+++ b/persimmonroute/commands/causes.py
@@ -46,6 +46,17 @@
 ARRIVAL_EVENTS = frozenset(
     event.name for event in (Event.GATEWAY_SENT, Event.REQUEST_ENDED_BY_STOP)
 )
+# Events of the last response to a request.
+FINAL_EVENTS = frozenset(
+    event.name
+    for event in (
+        Event.GATEWAY_ANSWERED,
+        Event.GATEWAY_REJECTED,
+        Event.GATEWAY_BROKEN_OFF,
+        Event.CALLER_GONE,
+        Event.REQUEST_ENDED,
+    )
+)
 # Events after which no request of before is in progress.
 PROCESS_ENDS = frozenset(
     event.name for event in (Event.PROCESS_STARTED, Event.PROCESS_STOPPED)
@@ -78,6 +89,7 @@
             ' processes whose logs were read, or its lines were dropped',
             False,
         )
+    lines = _find_last_try(lines)
     last = lines[-1]
     finder = FINDERS.get(last.name)
     if finder is None:
@@ -85,6 +97,18 @@
     return finder(last, lines, context)
 
 
+def _find_last_try(lines):
+    """Return the lines since the last response to the same request.
+
+    Callers may send it again, and to other processes.
+    """
+    own = [line for line in lines if line.instance == lines[-1].instance]
+    for index in range(len(own) - 1, 0, -1):
+        if own[index - 1].name in FINAL_EVENTS:
+            return own[index:]
+    return own
+
+
 def _find_rejected(last, lines, context):
     fields = last.fields
     status, reason = fields['status'], fields['reason']
--- a/persimmonroute/tests/commands/explain_tests.py
+++ b/persimmonroute/tests/commands/explain_tests.py
@@ -242,6 +242,21 @@
         with self.assertRaisesRegex(exceptions.LogFileError, 'tomorrow'):
             asyncio.run(explain.explain('a', [], until='tomorrow'))
 
+    def test_earlier_try_of_the_same_request_is_left_out(self):
+        """Guards against an endpoint of an earlier try as the cause."""
+        files = explain.LogFiles()
+        rejected = {'request': 'a', 'status': 503, 'age_s': 0.1}
+        sent = {'request': 'a', 'runner': 'r'}
+        refused = {**sent, 'ending': 'refused', 'problem': 'full'}
+        for second, name, fields in (
+            (1, 'GATEWAY_SENT', sent),
+            (1, 'GATEWAY_ATTEMPT_FAILED', refused),
+            (1, 'GATEWAY_REJECTED', {**rejected, 'reason': 'full'}),
+            (2, 'GATEWAY_REJECTED', {**rejected, 'reason': 'overloaded'}),
+        ):
+            files.add(self._line(second, name, **fields))
+        self.assertEqual(files.explain('a').cause.kind, 'overload')
+
     def test_only_lines_that_can_matter_are_kept(self):
         """Guards against memory that grows with the logs of other requests."""
         files = explain.LogFiles('a"ä')
