State no restart as certain if lines were dropped

Operators saw: a request whose last line had been dropped called interrupted by the next restart, with certainty; the line that counts dropped lines was reported as incomplete. Cause: that line (110) had no time, so explain could not place it. Change: it has one, and a drop before the end of the process makes the cause a probable one. Tests: test_restart_after_dropped_lines_is_no_certain_cause; it fails on the code before.

--- a/persimmonroute/commands/causes.py
+++ b/persimmonroute/commands/causes.py
@@ -457,7 +457,20 @@
     ]
     ended = min(later, key=lambda line: line.time, default=None)
     if ended is not None:
-        return _find_ended_process(ended, last, lines, context)
+        cause = _find_ended_process(ended, last, lines, context)
+        dropped = [
+            line
+            for line in context
+            if line.instance == last.instance
+            and line.name == Event.LINES_DROPPED.name
+            and last.time <= line.time <= ended.time
+        ]
+        if not dropped:
+            return cause
+        return cause._replace(
+            sentence=f'{cause.sentence}, unless its last line was dropped',
+            certain=False,
+        )
     return Cause(
         'unknown',
         f'the log of {last.instance} ends with the request in progress:'
--- a/persimmonroute/logs.py
+++ b/persimmonroute/logs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import datetime
 import json
 import sys
 
@@ -63,6 +64,7 @@
 def _json_dropped(instance, count):
     kind = Event.LINES_DROPPED.value
     fields = {
+        'time': datetime.datetime.now(datetime.UTC).isoformat(),
         'level': kind.level,
         'instance': instance,
         'event': kind.number,
--- a/persimmonroute/tests/commands/explain_tests.py
+++ b/persimmonroute/tests/commands/explain_tests.py
@@ -14,6 +14,7 @@
 from unittest import mock
 
 from persimmonroute.commands import explain
+from persimmonroute.events import Event
 from persimmonroute import exceptions
 from persimmonroute.gateway import admission
 from persimmonroute import log_writer
@@ -257,6 +258,26 @@
             files.add(self._line(second, name, **fields))
         self.assertEqual(files.explain('a').cause.kind, 'overload')
 
+    def test_restart_after_dropped_lines_is_no_certain_cause(self):
+        """Guards against a dropped answer that is called a restart."""
+        output = io.StringIO()
+        logs.setup_logs('g', 'INFO', 'json', output)
+        self.addCleanup(logs.setup_logs, 'tests', 'WARNING')
+        log = logs.EventLog('tests')
+        log.emit(Event.GATEWAY_SENT, request='a', runner='r', waited_s=0.0)
+        while not logs.count_dropped():
+            log.emit(Event.GATEWAY_ANSWERED, request='b', status=200)
+        logs.close_logs()
+        files = explain.LogFiles()
+        for text in output.getvalue().splitlines():
+            files.add(text)
+        restart = self._line(1, 'PROCESS_STARTED').replace('2026', '2999')
+        files.add(restart)
+        self.assertEqual(files.torn_lines, 0)
+        cause = files.explain('a').cause
+        self.assertFalse(cause.certain, cause)
+        self.assertIn('dropped', cause.sentence)
+
     def test_only_lines_that_can_matter_are_kept(self):
         """Guards against memory that grows with the logs of other requests."""
         files = explain.LogFiles('a"ä')
