Name an unexpected error of a gateway

Operators saw: a request that an error of the gateway had ended called in progress when the process crashed. Change: it is the probable cause if it is the last line of the request. Tests: test_unexpected_error_of_the_gateway_is_named; it fails on the code before.

--- a/persimmonroute/commands/causes.py
+++ b/persimmonroute/commands/causes.py
@@ -494,11 +494,23 @@
     )
 
 
+def _find_fault(last, lines, context):
+    may_have_run = bool(_of_event(lines, Event.GATEWAY_SENT))
+    return Cause(
+        'gateway fault',
+        f'an unexpected error of {last.instance}: {last.fields["problem"]};'
+        f' the request {_tell_run(may_have_run)}',
+        # The request may have gone on.
+        False,
+    )
+
+
 FINDERS = {
     'GATEWAY_REJECTED': _find_rejected,
     'GATEWAY_ANSWERED': _find_answered,
     'GATEWAY_BROKEN_OFF': _find_broken_off,
     'CALLER_GONE': _find_disconnected,
+    'GATEWAY_FAULT': _find_fault,
     'REQUEST_ENDED': _find_call_ended,
     'REQUEST_ENDED_BY_STOP': _find_ended_by_stop,
 }
--- a/persimmonroute/tests/commands/explain_tests.py
+++ b/persimmonroute/tests/commands/explain_tests.py
@@ -278,6 +278,16 @@
         self.assertFalse(cause.certain, cause)
         self.assertIn('dropped', cause.sentence)
 
+    def test_unexpected_error_of_the_gateway_is_named(self):
+        """Guards against an error that is called a crash of the process."""
+        files = explain.LogFiles()
+        files.add(self._line(1, 'GATEWAY_SENT', request='a', runner='r'))
+        fault = {'request': 'a', 'problem': 'KeyError()'}
+        files.add(self._line(2, 'GATEWAY_FAULT', **fault))
+        cause = files.explain('a').cause
+        self.assertEqual(cause.kind, 'gateway fault')
+        self.assertIn('may have run', cause.sentence)
+
     def test_only_lines_that_can_matter_are_kept(self):
         """Guards against memory that grows with the logs of other requests."""
         files = explain.LogFiles('a"ä')
