Do not end explain at a line that lacks a field

Operators saw: a traceback if a line had been written by another release. Cause: a finder took each field for granted. Change: the missing field is named, and the cause is unknown. Tests: test_line_that_lacks_a_field_does_not_end_the_command; it fails on the code before.

--- a/persimmonroute/commands/causes.py
+++ b/persimmonroute/commands/causes.py
@@ -94,7 +94,15 @@
     finder = FINDERS.get(last.name)
     if finder is None:
         return _find_interrupted(last, lines, context)
-    return finder(last, lines, context)
+    try:
+        return finder(last, lines, context)
+    except KeyError as error:
+        return Cause(
+            'unknown',
+            f'the line {last.name} or one before it lacks the field'
+            f' {error.args[0]}: another release may have written it',
+            False,
+        )
 
 
 def _find_last_try(lines):
--- a/persimmonroute/tests/commands/explain_tests.py
+++ b/persimmonroute/tests/commands/explain_tests.py
@@ -288,6 +288,14 @@
         self.assertEqual(cause.kind, 'gateway fault')
         self.assertIn('may have run', cause.sentence)
 
+    def test_line_that_lacks_a_field_does_not_end_the_command(self):
+        """Guards against a traceback at the line of another release."""
+        files = explain.LogFiles()
+        files.add(self._line(1, 'GATEWAY_REJECTED', request='a'))
+        cause = files.explain('a').cause
+        self.assertFalse(cause.certain)
+        self.assertIn('status', cause.sentence)
+
     def test_only_lines_that_can_matter_are_kept(self):
         """Guards against memory that grows with the logs of other requests."""
         files = explain.LogFiles('a"ä')
