Say of a cut call no more than its lines tell

Operators saw (in the new causes of stops): a call of an entry that was killed in its stop said not to have run, and a request that was cut off said to have waited if its other lines had been dropped; a refusal on arrival told twice how long after the signal it came. Cause: entries log a grant at the level DEBUG only, and the lack of a line was taken for a request that waited. Change: an offered call may have run, only a refused request waited, and a refusal on arrival is told once. Tests: two more of stop_causes_tests; both fail on the code before.

--- a/persimmonroute/commands/causes.py
+++ b/persimmonroute/commands/causes.py
@@ -407,12 +407,14 @@
     )
     ended = f'the {what} was ended' if may_have_run else 'it was refused'
     parts = [f'{name} was stopped as planned at {format_time(signal_s)}']
-    if arrived_at is not None:
+    if arrived_at == last.time:
+        ended = 'the request arrived and was refused'
+    elif arrived_at is not None:
         parts.append(
             f'the request was taken {_tell_distance(arrived_at, signal_s)}'
         )
-    else:
-        ended = f'the {what} waited and was refused'
+    elif not may_have_run:
+        ended = 'the request waited and was refused'
     if last.name in PROCESS_ENDS:
         ended = 'it was open when the process ended, at the latest'
     parts.append(f'{ended} {_tell_distance(last.time, signal_s)}')
@@ -493,7 +495,11 @@
     signal = _find_signal(ended, earlier)
     if signal is not None:
         sent = _of_event(lines, Event.GATEWAY_SENT)
-        return _find_stopped(ended, lines, earlier, None, bool(sent))
+        # Entries do not log by default that a call was granted.
+        offered = _of_event(lines, Event.REQUEST_ROUTED)
+        return _find_stopped(
+            ended, lines, earlier, None, bool(sent or offered)
+        )
     return Cause(
         'gateway restarted',
         f'{last.instance} ended unexpectedly and was restarted at'
--- a/persimmonroute/tests/commands/stop_causes_tests.py
+++ b/persimmonroute/tests/commands/stop_causes_tests.py
@@ -56,7 +56,9 @@
     def test_refusal_on_arrival(self):
         """Guards against a refusal without the signal that led to it."""
         self._add_rejected(12.5, model.STOPPING, route='-')
-        self._check('2.500 s after', '00:00:10', 'did not run')
+        self._check(
+            'arrived and was refused 2.500 s after', '00:00:10', 'did not run'
+        )
 
     def test_refusal_of_a_request_that_waited(self):
         """Guards against taking the refusal for the arrival."""
@@ -133,6 +135,11 @@
         self._add_rejected(12.5, model.STOPPING, route='-')
         self._check('no line tells when')
 
+    def test_cut_request_whose_other_lines_were_dropped(self):
+        """Guards against a cut request that is said to have waited."""
+        self._add_rejected(15.0, model.STOPPED)
+        self._check('request was ended 5.000 s after', 'may have run')
+
     def test_endpoint_that_failed_in_a_stop(self):
         """Guards against a stop that hides the failure of an endpoint."""
         self._add_sent(11.0, waited_s=0.0)
@@ -184,6 +191,12 @@
         self._add_ended(15.0, 'unknown', 502, stopping.STOPPED)
         self._check('0.500 s after', 'may have run')
 
+    def test_call_of_an_entry_that_was_killed_in_its_stop(self):
+        """Guards against saying that a call did not run that may have."""
+        self._add(9.0, 'REQUEST_ROUTED', request='a')
+        self._add(20.0, 'PROCESS_STARTED')
+        self._check('may have run')
+
     def test_final_event_of_an_entry(self):
         """Guards against an ended call that is said to be in progress."""
         for outcome, status, problem, kind in (
