State a restart as probable, since a kill loses the newest lines

Operators saw: a request that its gateway had answered just before it was killed called interrupted by the restart, with certainty. Cause: lines are written every 0.1 s, so those of a killed process that were not written yet are missing. Change: without event 102 a restart is a probable cause, and a request without a line of its send may have run.

--- a/persimmonroute/commands/causes.py
+++ b/persimmonroute/commands/causes.py
@@ -475,8 +475,9 @@
             and line.name == Event.LINES_DROPPED.name
             and last.time <= line.time <= ended.time
         ]
-        if not dropped:
+        if ended.name == Event.PROCESS_STOPPED.name and not dropped:
             return cause
+        # A process that is killed has not written its newest lines.
         return cause._replace(
             sentence=f'{cause.sentence}, unless its last line was dropped',
             certain=False,
@@ -497,8 +498,9 @@
         sent = _of_event(lines, Event.GATEWAY_SENT)
         # Entries do not log by default that a call was granted.
         offered = _of_event(lines, Event.REQUEST_ROUTED)
+        killed = ended.name == Event.PROCESS_STARTED.name
         return _find_stopped(
-            ended, lines, earlier, None, bool(sent or offered)
+            ended, lines, earlier, None, bool(sent or offered or killed)
         )
     return Cause(
         'gateway restarted',
--- a/persimmonroute/tests/commands/explain_tests.py
+++ b/persimmonroute/tests/commands/explain_tests.py
@@ -162,6 +162,17 @@
         cause = files.explain('a').cause
         self.assertEqual(cause.kind, 'gateway restarted')
 
+    def test_lines_that_a_killed_process_had_not_written_are_kept_in_mind(
+        self,
+    ):
+        """Guards against an unwritten answer that is called a restart."""
+        files = explain.LogFiles()
+        files.add(
+            self._line(1, 'GATEWAY_SENT', request='a', runner='r', send=1)
+        )
+        files.add(self._line(3, 'PROCESS_STARTED'))
+        self.assertFalse(files.explain('a').cause.certain)
+
     def test_old_configuration_names_the_lost_store(self):
         """An unconfirmed key is attributed to the store outage."""
         files = explain.LogFiles()
