Keep what happened before the time range in view

Cause: the time range left out lines without a request, too. Tests: test_signal_of_before_the_time_range; it fails on the code before.

--- a/persimmonroute/cli.py
+++ b/persimmonroute/cli.py
@@ -21,7 +21,7 @@
   --key FILE          Private key of the operator, in PEM.
   --change ID         ID of this change; makes a retry idempotent.
   --base N            Revision that the change was made against.
-  --since TIME        Ignore log lines before this time, in ISO 8601.
+  --since TIME        Ignore lines of the request before this time (ISO 8601).
   --until TIME        Ignore log lines after this time, in ISO 8601.
   --json              Print the explanation as JSON.
   --wait SECONDS      Wait at most this long until all instances have applied
--- a/persimmonroute/commands/explain.py
+++ b/persimmonroute/commands/explain.py
@@ -88,13 +88,15 @@
         if line is None:
             self.torn_lines += 1
             return
-        if not self._since <= line.time <= self._until:
+        if line.time > self._until:
             return
         request = line.fields.get('request')
-        if request is not None:
+        if request is None:
+            # What led to the outcome may lie before the time range.
+            if line.name in CONTEXT_EVENTS:
+                self.context.append(line)
+        elif line.time >= self._since:
             self.by_request.setdefault(request, []).append(line)
-        elif line.name in CONTEXT_EVENTS:
-            self.context.append(line)
 
     def explain(self, request):
         """Return the Explanation of a request's outcome."""
--- a/persimmonroute/tests/commands/stop_causes_tests.py
+++ b/persimmonroute/tests/commands/stop_causes_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import datetime
 import json
 import unittest
 
@@ -159,6 +160,15 @@
         self._add_rejected(12.0, model.STOPPING._replace(status=502))
         self._check('connection lost', 'may have run', kind='endpoint broken')
 
+    def test_signal_of_before_the_time_range(self):
+        """Guards against a time range that hides the signal."""
+        first = '2026-01-01T00:00:12+00:00'
+        since = datetime.datetime.fromisoformat(first).timestamp()
+        self.files = explain.LogFiles('a', since)
+        self._add(SIGNAL_S, 'PROCESS_STOPPING')
+        self._add_rejected(12.5, model.STOPPING, route='-')
+        self._check('2.500 s after')
+
     def test_served_request_of_a_stop(self):
         """Guards against a stop as the cause of what was served."""
         self._add_sent(11.0, waited_s=0.0, stop_left_s=4.3)
