Tell when an outage of the store ended

Operators saw: a store said to be away that was back, for refusals until the configuration was confirmed again. Cause: only the beginning of the outage (600) was told. Change: if it has ended (601), its end is told, too. Tests: test_outage_that_has_just_ended_is_named_with_its_end; it fails on the code before.

--- a/persimmonroute/commands/causes.py
+++ b/persimmonroute/commands/causes.py
@@ -243,12 +243,15 @@
     ]
     down = _find_outage(own, since)
     if down is not None and not restored:
-        return Cause(
-            'store unreachable',
-            f'{told}; it cannot reach the store, unavailable since'
-            f' {format_time(down.time)}',
-            True,
-        )
+        began = format_time(down.time)
+        outage = f'it cannot reach the store, unavailable since {began}'
+        back = _find_return(own, down)
+        if back is not None:
+            outage = (
+                f'the store was unavailable from {began} to'
+                f' {format_time(back.time)}'
+            )
+        return Cause('store unreachable', f'{told}; {outage}', True)
     if restored:
         return Cause(
             'store restored',
@@ -275,6 +278,18 @@
     return min(began.values(), key=lambda line: line.time, default=None)
 
 
+def _find_return(lines, down):
+    """Return the line of the end of an outage, or None if it goes on."""
+    for line in lines:
+        if (
+            line.name == Event.PLATFORM_AVAILABLE.name
+            and line.time >= down.time
+            and line.fields.get('table') == down.fields.get('table')
+        ):
+            return line
+    return None
+
+
 def _of_instance(context, last):
     """Return the lines of a process before one of it, by time."""
     return sorted(
--- a/persimmonroute/tests/commands/explain_tests.py
+++ b/persimmonroute/tests/commands/explain_tests.py
@@ -217,6 +217,16 @@
         self.assertFalse(cause.certain)
         self.assertNotIn('since', cause.sentence)
 
+    def test_outage_that_has_just_ended_is_named_with_its_end(self):
+        """Guards against a store that is said to be away and is back."""
+        cause = self._explain_old(
+            admission.UNCONFIRMED_KEYS,
+            (14, 'PLATFORM_UNAVAILABLE'),
+            (19, 'PLATFORM_AVAILABLE'),
+        )
+        self.assertEqual(cause.kind, 'store unreachable')
+        self.assertIn('from 00:00:14.000 to 00:00:19.000', cause.sentence)
+
     def test_unknown_key_in_an_outage_names_the_lost_store(self):
         """Guards against a refusal of an outage that is called an overload."""
         cause = self._explain_old(
