Tell refusals apart by their kind

Operators saw: kind 'refused' in the JSON of explain for a quarantined request, a stream whose version is gone or not known, and a timeout in the queue. Cause: only 'overloaded' had a kind. Change: each reason of a refusal before a send has its own. Tests: test_refusal_is_told_by_its_kind; 4 of its 5 parts fail on the code before.

--- a/persimmonroute/commands/causes.py
+++ b/persimmonroute/commands/causes.py
@@ -32,6 +32,14 @@
     (admission.UNCONFIRMED_KEYS, admission.NO_CONFIGURATION)
 )
 UNCONFIRMED = admission.TOO_OLD
+# Kinds of requests that were refused before they ran, by the reason.
+REFUSALS = {
+    scheduler.OVERLOADED: 'overload',
+    model.TIMEOUT_WHILE_QUEUED.reason: 'queue timeout',
+    admission.CRASHES_ENDPOINTS.reason: 'quarantine',
+    model.VERSION_GONE.reason: 'version gone',
+    model.STREAM_UNKNOWN.reason: 'version unknown',
+}
 # Time after which endpoints that a restored store lacks have been removed, and
 # a margin.
 RESTORED_LAPSE_S = 2 * runners.LAPSE_S
@@ -158,7 +166,7 @@
         cause = _find_missing_endpoints(last, context)
         if cause is not None:
             return cause
-    kind = 'overload' if reason == scheduler.OVERLOADED else 'refused'
+    kind = REFUSALS.get(reason, 'refused')
     return Cause(
         kind, f'the request was rejected before it ran: {reason}{detail}', True
     )
--- a/persimmonroute/tests/commands/explain_tests.py
+++ b/persimmonroute/tests/commands/explain_tests.py
@@ -17,6 +17,7 @@
 from persimmonroute.events import Event
 from persimmonroute import exceptions
 from persimmonroute.gateway import admission
+from persimmonroute.gateway import model
 from persimmonroute import log_writer
 from persimmonroute import logs
 from standins import gateway_deployment as deployments
@@ -227,6 +228,20 @@
         self.assertEqual(cause.kind, 'store unreachable')
         self.assertIn('from 00:00:14.000 to 00:00:19.000', cause.sentence)
 
+    def test_refusal_is_told_by_its_kind(self):
+        """Guards against refusals of any kind that look alike."""
+        for reason, kind in (
+            (admission.CRASHES_ENDPOINTS.reason, 'quarantine'),
+            (model.VERSION_GONE.reason, 'version gone'),
+            (model.STREAM_UNKNOWN.reason, 'version unknown'),
+            (model.TIMEOUT_WHILE_QUEUED.reason, 'queue timeout'),
+            ('anything else', 'refused'),
+        ):
+            with self.subTest(kind=kind):
+                cause = self._explain_old(reason)
+                self.assertEqual(cause.kind, kind)
+                self.assertIn(reason, cause.sentence)
+
     def test_unknown_key_in_an_outage_names_the_lost_store(self):
         """Guards against a refusal of an outage that is called an overload."""
         cause = self._explain_old(
