Count a gateway as ready once it has read the registrations

Callers saw: 503 'no usable endpoint' from a gateway that had just started and said that it was ready, up to ten at once. Cause: /readyz asked for a configuration only. While the registrations of the endpoints were still on their way from the store, requests waited for half of their latency objective and were refused. Such a gateway also passed the unread table to its peers as an empty one. Change: a gateway is ready once it has read the configuration and all registrations, from the store or a peer, and answers peers 404 for a table that it has not read.

--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -80,6 +80,8 @@
         # When the configuration was last confirmed to be the newest.
         self.configuration_freshness = freshness.Freshness()
         self.runner_registry = runners.RunnerRegistry()
+        # True once all registrations of endpoints have been read.
+        self.registrations_read = False
         # How far the registrations have been read, here and by peers.
         self.registration_changes = change_tracking.ChangeTracker()
         self.peers = peers.PeerRegistry(name, locality)
--- a/persimmonroute/gateway/following.py
+++ b/persimmonroute/gateway/following.py
@@ -67,7 +67,10 @@
 
     @abc.abstractmethod
     def export_rows(self):
-        """Return the values of all rows by key, for a peer."""
+        """Return the values of all rows by key, for a peer.
+
+        None if the table has not been read.
+        """
 
     @abc.abstractmethod
     def import_rows(self, values, responded_at):
@@ -282,6 +285,7 @@
             self._interrupted.set()
 
     def _apply_changes(self, changes, now):
+        self._board.registrations_read |= changes.complete
         if changes.complete_to:
             self._board.registration_changes.record_read(
                 changes.era, changes.complete_to, changes.newest_change
--- a/persimmonroute/gateway/server.py
+++ b/persimmonroute/gateway/server.py
@@ -133,10 +133,11 @@
         source = self._sources.get(request.path_params['table'])
         if source is None or self._board.route_table is None:
             return responses.JSONResponse({'error': 'not known'}, 404)
+        rows = source.export_rows()
+        if rows is None:
+            return responses.JSONResponse({'error': 'not read yet'}, 404)
         age_s = self._board.configuration_freshness.age_s(clock.now_s())
-        return responses.JSONResponse(
-            peer_rows.encode_rows(source.export_rows(), age_s)
-        )
+        return responses.JSONResponse(peer_rows.encode_rows(rows, age_s))
 
     async def _serve_ready(self, request):
         problem = self._find_unready_reason()
@@ -150,6 +151,8 @@
             return 'stopping'
         if board.route_table is None:
             return 'no configuration'
+        if not board.registrations_read:
+            return 'no list of endpoints'
         age = board.configuration_freshness.age_s(clock.now_s())
         if age > READY_AGE_SHARE * board.bounds.revocation_s:
             return 'configuration is old'
--- a/persimmonroute/platform/sources.py
+++ b/persimmonroute/platform/sources.py
@@ -31,8 +31,8 @@
         self._wait_s = wait_s
         self._version = 0
         self._era = None
-        # Latest known value of every row, by key.
-        self._values = {}
+        # Latest known value of every row, by key; None before the first read.
+        self._values = None
         self.name = table
 
     def set_wait_s(self, wait_s):
@@ -50,7 +50,10 @@
         return changes._replace(restored=restored)
 
     def export_rows(self):
-        """Return the values of all rows by key, to send to a peer."""
+        """Return the values of all rows by key, to send to a peer.
+
+        None if the table has not been read.
+        """
         return self._values
 
     def import_rows(self, values, responded_at):
