Bound the memory of the request bodies that a gateway keeps

Callers saw: nothing yet; a gateway whose machine allows 128 MB would be killed by 40 callers with bodies of 4 MB that have not sent the last byte (38 to 211 MB resident), or by 30 such requests at endpoints (37 to 207 MB). Cause: each body is kept until its request ends, and their number had no bound. What is beyond gets 503 with Retry-After and is not run; the rest of its body is discarded and the connection goes on.

--- a/persimmonroute/config/settings.py
+++ b/persimmonroute/config/settings.py
@@ -89,6 +89,13 @@
         ' with more host the admission of the others.',
         default=1,
     ),
+    'body_memory_mb': options.Number(
+        0.1,
+        1_000_000,
+        'Megabytes of request bodies that a gateway keeps at a time; requests'
+        ' beyond are refused.',
+        default=48,
+    ),
     'regions': options.TextMap(
         'Region of each failure domain; used by gateways.'
     ),
@@ -174,6 +181,7 @@
     peer_address: str | None
     cpu_share: float
     cores: float
+    body_memory_mb: float
     regions: dict[str, str] | None
     revocation_s: float
     configuration_s: float
--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -7,6 +7,7 @@
 
 from persimmonroute import draining
 from persimmonroute import durations
+from persimmonroute.gateway import body_memory
 from persimmonroute.gateway import change_tracking
 from persimmonroute.gateway import freshness
 from persimmonroute.gateway import peer_reading
@@ -94,6 +95,7 @@
         # How long requests of each route take at endpoints.
         self.durations = durations.Durations()
         self.open_requests = draining.OpenRequests()
+        self.body_memory = body_memory.BodyMemory()
         # How the gateway stops; None while it serves.
         self.drain: draining.Drain | None = None
         # Newest configuration version that a peer has reported.
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -173,8 +173,7 @@
         now = clock.now_s()
         decision = self._admission.evaluate(request, now)
         if isinstance(decision, model.Rejection):
-            self._record_rejected(request.attempt, NO_ROUTE, decision)
-            await caller.reject(decision)
+            await self.reject(request.attempt, caller, decision)
             return
         pending = decision
         progress = Progress(
@@ -191,6 +190,11 @@
             if pending.workspace is not None and not pending.sends:
                 self._board.quotas.refund(pending.workspace, request)
 
+    async def reject(self, attempt, caller, rejection):
+        """Reject a request that is not admitted."""
+        self._record_rejected(attempt, NO_ROUTE, rejection)
+        await caller.reject(rejection)
+
     async def _serve_admitted(self, pending, caller, progress):
         rejection = await self._find_version(pending)
         if rejection is None:
--- a/persimmonroute/gateway/model.py
+++ b/persimmonroute/gateway/model.py
@@ -192,6 +192,9 @@
 # Short, since another gateway may be able to serve the caller.
 OTHER_GATEWAY_RETRY_S = 0.1
 STOPPING = Rejection(503, 'the gateway is stopping', OTHER_GATEWAY_RETRY_S)
+NO_MEMORY = Rejection(
+    503, 'no memory for the body of the request', OTHER_GATEWAY_RETRY_S
+)
 STOPPED = Rejection(
     502, 'the gateway stopped before the response was complete'
 )
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -5,6 +5,7 @@
 from persimmonroute.gateway import admission
 from persimmonroute.gateway import admission_host
 from persimmonroute.gateway import board as boards
+from persimmonroute.gateway import body_memory
 from persimmonroute.gateway import dispatcher as dispatchers
 from persimmonroute.gateway import following
 from persimmonroute.gateway import forwarding
@@ -37,9 +38,11 @@
 def build_board(settings):
     """Build the board of a gateway."""
     bounds = boards.read_bounds(settings)
-    return boards.GatewayBoard(
+    board = boards.GatewayBoard(
         settings.instance, bounds, build_locality(settings)
     )
+    board.body_memory.set_limit(settings.body_memory_mb * body_memory.MEGABYTE)
+    return board
 
 
 def build_scheduler(board, settings):
--- a/persimmonroute/platform/ingress.py
+++ b/persimmonroute/platform/ingress.py
@@ -19,6 +19,7 @@
 # read the response only after they have sent the complete body.
 MAX_DISCARDED_BYTES = 1_048_576
 TOO_LARGE = object()
+NO_MEMORY = object()
 # Larger values of callers are taken for these, so that they fit into messages
 # between gateways.
 MAX_TOKENS = 1_000_000_000
@@ -44,8 +45,13 @@
         if rejection is not None:
             await caller.reject(rejection)
             return
+        with self._board.body_memory.hold() as held:
+            await self._serve_body(scope, caller, receive, limits, held)
+
+    async def _serve_body(self, scope, caller, receive, limits, held):
+        """Serve a request whose body is held until the request ends."""
         try:
-            body = await self._read_body(receive, limits.body_bytes)
+            body = await self._read_body(receive, limits.body_bytes, held)
         except TimeoutError:
             log.emit(Event.REQUEST_ENDED_BY_STOP, may_have_run=False)
             await caller.reject(model.STOPPING)
@@ -55,15 +61,23 @@
         if body is TOO_LARGE:
             await caller.reject(model.Rejection(413, 'body is too large'))
             return
+        if body is NO_MEMORY:
+            # The server discards the rest of the body.
+            request = read_request(scope, b'')
+            caller.attempt = request.attempt.encode('latin-1')
+            await self._forwarder.reject(
+                request.attempt, caller, model.NO_MEMORY
+            )
+            return
         request = read_request(scope, body)
         caller.attempt = request.attempt.encode('latin-1')
         await self._serve(request, caller, receive)
 
-    async def _read_body(self, receive, max_bytes):
+    async def _read_body(self, receive, max_bytes, held):
         """Read a body, or raise TimeoutError at the end of a stop."""
         async with asyncio.timeout(None) as limit:
             with self._board.open_requests.hold(limit):
-                return await _read_body(receive, max_bytes)
+                return await _read_body(receive, max_bytes, held)
 
     async def _serve(self, request, caller, receive):
         serving = asyncio.ensure_future(self._forwarder.serve(request, caller))
@@ -213,8 +227,11 @@
     return None
 
 
-async def _read_body(receive, max_bytes):
-    """Return the body, TOO_LARGE, or None if the caller disconnected."""
+async def _read_body(receive, max_bytes, held):
+    """Return the body, or None if the caller disconnected.
+
+    TOO_LARGE if it is larger than allowed, NO_MEMORY if too much is held.
+    """
     parts, size = [], 0
     while True:
         message = await receive()
@@ -223,6 +240,8 @@
         data = message['body']
         size += len(data)
         if size <= max_bytes:
+            if not held.take(len(data)):
+                return NO_MEMORY
             parts.append(data)
         elif size > max_bytes + MAX_DISCARDED_BYTES:
             return TOO_LARGE
