Keep no keys of configurations that were replaced

Callers saw: nothing yet; with 2000 workspaces of three keys and 200 routes a gateway grew by 1.2 MB with each version, for up to 256 versions, and kept the keys that had been revoked. Cause: the whole tables of the latest 256 configurations were kept, to tell to which services the route of a begun stream has led, however old they were. Change: only the routes of replaced configurations are kept, once for versions with the same routes, and none that was replaced longer ago than a stream lasts.

--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -76,7 +76,8 @@
         self.name = name
         self.bounds = bounds
         self.route_table: routes.RouteTable | None = None
-        # Earlier tables, with the time at which each was replaced.
+        # Earlier tables without keys, with the time at which each was
+        # replaced.
         self._former_tables = collections.deque(maxlen=MAX_FORMER_TABLES)
         # When the configuration was last confirmed to be the newest.
         self.configuration_freshness = freshness.Freshness()
@@ -141,11 +142,22 @@
         if configuration.version <= self.version:
             return False
         if self.route_table is not None:
-            self._former_tables.append((self.route_table, now))
+            self._remember_routes(self.route_table.configuration, now)
         self.route_table = routes.RouteTable(configuration)
         self.quotas.apply(configuration.workspaces, now)
         return True
 
+    def _remember_routes(self, replaced, now):
+        """Remember the routes of a replaced configuration, not its keys."""
+        former = self._former_tables
+        while former and now - former[0][1] > stream_origins.STREAM_LIFE_S:
+            former.popleft()
+        if former and former[-1][0].configuration.routes == replaced.routes:
+            table, _ = former.pop()
+        else:
+            table = routes.RouteTable(replaced._replace(workspaces=()))
+        former.append((table, now))
+
     def find_stream_services(self, host, path, now):
         """Return the services that can have begun a stream of a path."""
         tables = [
