Tell the core of an entry when a suspension shortens its stop

Callers would see: orders that wait at a sidecar while their entry stops and its machine is suspended are granted a start by the time before the suspension, run, and end with an unknown outcome. Cause: the core's clock, that of its timers, stands still in a suspended process, and so did the end of the stop that it was told. Change: the server looks at both clocks every 0.1 s, and tells the core of the stop again if they have moved apart by 0.05 s. What is granted within 0.1 s after a suspension may still be ended early.

--- a/persimmonroute/entry/server.py
+++ b/persimmonroute/entry/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 
 from persimmonroute import clock
@@ -20,6 +21,8 @@
 SHUTDOWN_RESERVE_S = 0.7
 # Time between two looks at the clock in a stop.
 END_CHECK_S = 0.1
+# Part of a suspension that the core may not know of.
+MAX_CLOCK_SHIFT_S = 0.05
 
 
 class EntryServer:
@@ -28,6 +31,8 @@
     def __init__(self, shell, app, settings):
         self._shell = shell
         self._settings = settings
+        # Between the clocks of the core and of the server, as announced.
+        self._announced_shift_s = math.inf
         self._server = http_server.build_server(
             app, settings.address, settings.stop_grace_s
         )
@@ -41,10 +46,7 @@
         log.emit(Event.PROCESS_STOPPING)
         grace_s = self._settings.stop_grace_s
         drain = begin_drain(clock.now_s(), grace_s)
-        with draining.guard('announce'):
-            # The core's clock is that of its timers.
-            core_drain = begin_drain(time.monotonic(), grace_s)
-            self._shell.handle(messages.StopRequested(core_drain))
+        self._announce(drain)
         ending = asyncio.create_task(self._end_calls(drain))
         await asyncio.sleep(max(drain.closes_at - clock.now_s(), 0.0))
         self._server.stop(drain.ends_at - clock.now_s())
@@ -54,11 +56,28 @@
             await self._shell.close()
         log.emit(Event.PROCESS_STOPPED)
 
+    def _announce(self, drain):
+        """Tell the core of the stop, unless it knows when that ends.
+
+        The clock of the core and its timers stands still in a suspended
+        process.
+        """
+        shift_s = time.monotonic() - clock.now_s()
+        if abs(shift_s - self._announced_shift_s) < MAX_CLOCK_SHIFT_S:
+            return
+        self._announced_shift_s = shift_s
+        core_drain = draining.Drain(
+            drain.closes_at + shift_s, drain.ends_at + shift_s
+        )
+        with draining.guard('announce'):
+            self._shell.handle(messages.StopRequested(core_drain))
+
     async def _end_calls(self, drain):
         """Tell the outcome of open requests before they are cancelled."""
         while (left_s := drain.answers_until - clock.now_s()) > 0:
             # The event loop's clock stands still in a suspended process.
             await asyncio.sleep(min(left_s, END_CHECK_S))
+            self._announce(drain)
         with draining.guard('end bodies'):
             self._shell.core.board.open_requests.end_all()
         with draining.guard('end requests'):
--- a/persimmonroute/tests/entry/stop_outcome_tests.py
+++ b/persimmonroute/tests/entry/stop_outcome_tests.py
@@ -189,6 +189,28 @@
         self.assertEqual(answer.outcome, 'unknown')
         self.assertTrue(answer.complete)
 
+    async def test_suspended_entry_grants_nothing_that_is_cut_off(self):
+        """Guards against orders that are granted late by a suspension."""
+        endpoint = await self._start(grace_s=LONG_GRACE_S)
+        endpoint.calls = [(RUN_S, ANSWER)]
+        calls = [
+            asyncio.create_task(self.entry.order(f'k{number}'))
+            for number in range(RUNNING + WAITING)
+        ]
+        await self._wait_for(lambda: len(endpoint.attempts) == RUNNING)
+        await self._wait_for(self._are_all_queued)
+        self.stop.set()
+        await asyncio.sleep(0.2)
+        now_s = clock.now_s
+        suspended_s = LONG_GRACE_S - GRACE_S
+        with mock.patch.object(clock, 'now_s', lambda: now_s() + suspended_s):
+            answers = await asyncio.gather(*calls)
+            await self.running
+        outcomes = [answer.outcome for answer in answers]
+        self.assertEqual(outcomes.count('not-run'), WAITING)
+        self.assertEqual(outcomes.count('completed'), RUNNING)
+        self.assertEqual(len(endpoint.attempts), RUNNING)
+
     async def test_kept_connections_are_closed_and_lose_no_call(self):
         """Guards against calls on kept connections that a stop cuts off."""
         endpoint = await self._start(grace_s=5.0)
