Leave retained streams to the next incarnation of their sidecar

Callers would see: a stream that its engine retains ended as unknown at the end of a planned stop of its sidecar, though a restarted one goes on with it. Cause: the end of a stop ended all attempts alike. Tests: stop_end_tests, test_running_stream_outlives_its_sidecar in place of the one that wanted an unknown outcome; it is whole now, which is stricter.

--- a/persimmonroute/sidecar/execution.py
+++ b/persimmonroute/sidecar/execution.py
@@ -183,7 +183,10 @@
                 work_class=attempt.offer.class_name,
                 may_have_run=True,
             )
-            self._finish_incomplete(attempt, STOPPED, now)
+            # The next incarnation of the sidecar goes on with a stream that
+            # its engine retains.
+            if not attempt.offer.stream and not attempt.resumed:
+                self._finish_incomplete(attempt, STOPPED, now)
 
     def on_timer(self, timer, now):
         """Handle a timer of the executor."""
