--- a/persimmonroute/commands/explain.py
+++ b/persimmonroute/commands/explain.py
@@ -5,9 +5,12 @@
 import datetime
 import glob
 import json
+import math
 import os
+import sys
 import typing
 
+from persimmonroute.commands import causes
 from persimmonroute.events import Event
 from persimmonroute import exceptions
 
@@ -16,86 +19,84 @@
     event.name
     for event in (
         Event.PLATFORM_UNAVAILABLE,
+        Event.PLATFORM_AVAILABLE,
+        Event.STORE_RESTORED,
+        Event.RUNNER_CHANGED,
+        Event.RUNNER_CLOSED,
         Event.PROCESS_STARTED,
         Event.PROCESS_STOPPING,
+        Event.PROCESS_STOPPED,
         Event.RUNNER_GONE,
         Event.LINES_DROPPED,
     )
 )
+# What a line of such an event holds.
+CONTEXT_MARKS = tuple(f'"{name}"' for name in sorted(CONTEXT_EVENTS))
 # Files that are read of a directory.
 LOG_PATTERN = '*.log'
 # Assumed maximum clock skew between instances.
 MAX_CLOCK_SKEW_S = 5.0
 
 
-class Line(typing.NamedTuple):
-    """Store one parsed log line."""
-
-    time: float
-    instance: str
-    name: str
-    fields: dict
-
-
-class Cause(typing.NamedTuple):
-    """Describe the cause of a request's outcome."""
-
-    kind: str
-    sentence: str
-    certain: bool
-
-
 class Explanation(typing.NamedTuple):
     """Store the log lines of one request and the cause found in them."""
 
     request: str
-    lines: tuple[Line, ...]
-    cause: Cause
+    lines: tuple[causes.Line, ...]
+    cause: causes.Cause
     torn_lines: int
 
 
 class LogFiles:
-    """Index the log lines of several processes by request."""
+    """Index the log lines of several processes by request.
+
+    Of one request only its lines are kept; the others are not even parsed.
+    """
 
-    def __init__(self):
-        self.by_request: dict[str, list[Line]] = {}
-        self.context: list[Line] = []
+    def __init__(self, request=None, since=None, until=None):
+        """Keep the lines of one or all requests, in POSIX times."""
+        self.by_request: dict[str, list[causes.Line]] = {}
+        self.context: list[causes.Line] = []
         self.torn_lines = 0
+        self._since = -math.inf if since is None else since
+        self._until = math.inf if until is None else until
+        self._wanted = None
+        if request is not None:
+            # As JSON writes it in a line.
+            self._wanted = (json.dumps(request), *CONTEXT_MARKS)
 
-    def read(self, path, since=None):
-        """Read a log file, or all of a directory, from a POSIX time on.
+    def read(self, path):
+        """Read a log file.
 
-        Raises LogFileError if a file cannot be read.
+        Raises LogFileError if it cannot be read.
         """
-        if os.path.isdir(path):
-            for name in sorted(glob.glob(os.path.join(path, LOG_PATTERN))):
-                self.read(name, since)
-            return
         try:
             with open(path, encoding='utf-8', errors='replace') as file:
                 for text in file:
-                    self.add(text, since)
+                    self.add(text)
         except OSError as error:
             raise exceptions.LogFileError(
                 f'cannot read the log file {path}: {error}'
             )
 
-    def add(self, text, since=None):
+    def add(self, text):
         """Add one line, ignoring any text before its JSON object."""
         start = text.find('{"')
-        if start < 0:
+        if start < 0 or not self._is_wanted(text):
             return
         line = _parse_line(text[start:])
         if line is None:
             self.torn_lines += 1
             return
-        if since is not None and line.time < since:
+        if line.time > self._until:
             return
         request = line.fields.get('request')
-        if request is not None:
+        if request is None:
+            # What led to the outcome may lie before the time range.
+            if line.name in CONTEXT_EVENTS:
+                self.context.append(line)
+        elif line.time >= self._since:
             self.by_request.setdefault(request, []).append(line)
-        elif line.name in CONTEXT_EVENTS:
-            self.context.append(line)
 
     def explain(self, request):
         """Return the Explanation of a request's outcome."""
@@ -105,219 +106,79 @@
         return Explanation(
             request,
             tuple(lines),
-            find_cause(lines, self.context),
+            causes.find_cause(lines, self.context),
             self.torn_lines,
         )
 
+    def _is_wanted(self, text):
+        if self._wanted is None or not text.rstrip().endswith('}'):
+            return True
+        return any(mark in text for mark in self._wanted)
+
 
-async def explain(request, paths, since=None, as_json=False):
+async def explain(request, paths, since=None, until=None, as_json=False):
     """Print the log lines of a request and the cause of its outcome."""
-    files = LogFiles()
-    since_s = None if since is None else _parse_time(since)
-    for path in paths:
-        files.read(path, since_s)
+    files = LogFiles(
+        request, _parse_time(since, 'since'), _parse_time(until, 'until')
+    )
+    for path in _show_progress(list_files(paths)):
+        files.read(path)
     explanation = files.explain(request)
     print(_format_json(explanation) if as_json else _format_text(explanation))
 
 
-def find_cause(lines, context):
-    """Return the Cause of a request's outcome."""
-    if not lines:
-        return Cause(
-            'unknown',
-            'no log line mentions this request: it reached none of the'
-            ' processes whose logs were read, or its lines were dropped',
-            False,
-        )
-    last = lines[-1]
-    finder = FINDERS.get(last.name)
-    if finder is not None:
-        return finder(last, lines, context)
-    return _find_interrupted(last, context)
-
-
-def _find_rejected(last, lines, context):
-    fields = last.fields
-    status, reason = fields['status'], fields['reason']
-    detail = f' ({fields["detail"]})' if fields.get('detail') else ''
-    if status == 429:
-        return Cause(
-            'quota', f'the workspace exceeded its quota{detail}', True
-        )
-    if status in (401, 404):
-        configuration = f'version {fields["version"]}, {fields["age_s"]} s old'
-        return Cause(
-            'denied',
-            f'{reason}, according to configuration {configuration}',
-            True,
-        )
-    failed_attempts = _of_event(lines, Event.GATEWAY_ATTEMPT_FAILED)
-    if status in (502, 504):
-        return _find_unknown_outcome(last, lines, failed_attempts)
-    if reason in ('keys cannot be confirmed', 'no configuration is known yet'):
-        return _find_old_configuration(last, context)
-    if failed_attempts:
-        ending = failed_attempts[-1].fields['ending']
-        return Cause(
-            f'endpoint {ending}',
-            f'endpoint {failed_attempts[-1].fields["runner"]}: '
-            f'{failed_attempts[-1].fields["problem"]}; the request did'
-            ' not run',
-            True,
-        )
-    kind = 'overload' if reason == 'overloaded' else 'refused'
-    return Cause(
-        kind, f'the request was rejected before it ran: {reason}{detail}', True
-    )
-
-
-def _find_unknown_outcome(last, lines, failed_attempts):
-    if failed_attempts:
-        fields = failed_attempts[-1].fields
-        return Cause(
-            f'endpoint {fields["ending"]}',
-            f'the request was sent to endpoint {fields["runner"]}, then:'
-            f' {fields["problem"]}; the request may have run',
-            True,
-        )
-    sent = _of_event(lines, Event.GATEWAY_SENT)
-    runner = sent[-1].fields['runner'] if sent else 'no endpoint'
-    return Cause(
-        'endpoint silent',
-        f'{runner} did not respond within the time limit; the request may'
-        ' have run',
-        True,
-    )
-
-
-def _find_old_configuration(last, context):
-    down = [
-        line
-        for line in context
-        if line.instance == last.instance
-        and line.name == Event.PLATFORM_UNAVAILABLE.name
-        and line.time <= last.time
-    ]
-    since = (
-        f', unavailable since {_format_time(down[-1].time)}' if down else ''
-    )
-    return Cause(
-        'store unreachable',
-        f'{last.instance} has not confirmed its configuration for'
-        f' {last.fields["age_s"]} s; it cannot reach the store{since}',
-        bool(down),
-    )
-
-
-def _find_answered(last, lines, context):
-    status = last.fields['status']
-    if status >= 500:
-        return Cause(
-            'endpoint failed',
-            f'endpoint {last.fields["runner"]} returned status {status}',
-            True,
-        )
-    return Cause('answered', f'answered with status {status}', True)
-
-
-def _find_broken_off(last, lines, context):
-    failed_attempts = _of_event(lines, Event.GATEWAY_ATTEMPT_FAILED)
-    if failed_attempts:
-        ending = failed_attempts[-1].fields['ending']
-        runner = failed_attempts[-1].fields['runner']
-        return Cause(
-            f'endpoint {ending}',
-            f'the stream was interrupted: endpoint {runner}:'
-            f' {failed_attempts[-1].fields["problem"]}',
-            True,
-        )
-    return Cause(
-        'time limit',
-        'the stream was terminated at its time limit; the last bytes'
-        f' arrived {last.fields["quiet_s"]} s earlier',
-        True,
-    )
-
-
-def _find_disconnected(last, lines, context):
-    sent = _of_event(lines, Event.GATEWAY_SENT)
-    if sent:
-        progress = (
-            f'{last.time - sent[-1].time:.3f} s after the request was sent to'
-            f' endpoint {sent[-1].fields["runner"]}'
-        )
-    else:
-        progress = 'before the request was sent; it did not run'
-        silent = _of_event(lines, Event.ADMISSION_HOST_SILENT)
-        if silent:
-            host = silent[-1].fields.get('host')
-            progress += f'; gateway {host} had not granted an endpoint'
-    return Cause(
-        'caller gone', f'the caller closed its connection {progress}', True
-    )
-
-
-def _find_interrupted(last, context):
-    later = [
-        line
-        for line in context
-        if line.instance == last.instance and line.time >= last.time
-    ]
-    for line in sorted(later, key=lambda line: line.time):
-        if line.name == Event.PROCESS_STARTED.name:
-            return Cause(
-                'gateway restarted',
-                f'{last.instance} ended unexpectedly and was restarted at'
-                f' {_format_time(line.time)} with the request in progress',
-                True,
+def list_files(paths):
+    """Return the paths of log files, of directories all their files."""
+    listed = []
+    for path in paths:
+        if os.path.isdir(path):
+            listed += sorted(glob.glob(os.path.join(path, LOG_PATTERN)))
+        else:
+            listed.append(path)
+    return listed
+
+
+def _show_progress(paths):
+    """Yield paths, and show on a terminal how many have been read."""
+    shown = sys.stderr.isatty() and len(paths) > 1
+    for number, path in enumerate(paths, 1):
+        if shown:
+            print(
+                f'\rreading file {number} of {len(paths)}',
+                end='',
+                file=sys.stderr,
+                flush=True,
             )
-    return Cause(
-        'unknown',
-        f'the log of {last.instance} ends with the request in progress:'
-        ' the process crashed, or its lines were dropped',
-        False,
-    )
-
-
-FINDERS = {
-    'GATEWAY_REJECTED': _find_rejected,
-    'GATEWAY_ANSWERED': _find_answered,
-    'GATEWAY_BROKEN_OFF': _find_broken_off,
-    'CALLER_GONE': _find_disconnected,
-}
-
-
-def _of_event(lines, event):
-    return [line for line in lines if line.name == event.name]
+        yield path
+    if shown:
+        print(file=sys.stderr)
 
 
 def _parse_line(text):
     try:
         fields = json.loads(text)
         time = datetime.datetime.fromisoformat(fields['time']).timestamp()
-        return Line(time, fields['instance'], fields['name'], fields)
+        return causes.Line(time, fields['instance'], fields['name'], fields)
     except (ValueError, KeyError, TypeError):
         return None
 
 
-def _parse_time(text):
+def _parse_time(text, option):
+    """Return the POSIX time of an option; None if it is not given."""
+    if text is None:
+        return None
     try:
         return datetime.datetime.fromisoformat(text).timestamp()
     except ValueError:
         raise exceptions.LogFileError(
             f'{text!r} is not an ISO 8601 time',
-            'pass --since as YYYY-MM-DDTHH:MM:SS+00:00',
+            f'pass --{option} as YYYY-MM-DDTHH:MM:SS+00:00',
         )
 
 
-def _format_time(seconds):
-    moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
-    return moment.strftime('%H:%M:%S.%f')[:-3]
-
-
 def _format_text(explanation):
     lines = [
-        f'{_format_time(line.time)}  {line.instance}  {line.name}  '
+        f'{causes.format_time(line.time)}  {line.instance}  {line.name}  '
         + ' '.join(f'{k}={v}' for k, v in _extra_fields(line).items())
         for line in explanation.lines
     ]
--- a/persimmonroute/draining.py
+++ b/persimmonroute/draining.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import typing
 
+from persimmonroute import clock
 from persimmonroute.events import Event
 from persimmonroute import logs
 from persimmonroute import timeouts
@@ -15,6 +17,14 @@
 ANSWER_MARGIN_S = 0.3
 # Time to close the connections of responses that are broken off.
 CLOSE_MARGIN_S = 0.05
+# Interval at which a stop looks whether its end has come.
+END_CHECK_S = 0.1
+# Time to read what arrived while the process stood still, if a stop has no
+# other left, and time to write the last answers.
+READ_S = 0.05
+WRITE_S = 0.1
+# A longer one between two looks is a stand-still.
+MAX_GAP_S = END_CHECK_S + timeouts.MAX_TIMER_DELAY_S
 
 
 class Drain(typing.NamedTuple):
@@ -31,11 +41,6 @@
         """Return when requests without a response are told that it ends."""
         return self.ends_at - ANSWER_MARGIN_S
 
-    @property
-    def relays_until(self):
-        """Return when responses that have begun are broken off."""
-        return self.ends_at - CLOSE_MARGIN_S
-
     def find_latest_send(self, deadline_at, expected_s):
         """Return until when a request may be passed on, at first or again.
 
@@ -76,6 +81,8 @@
     def hold(self, limit, has_begun=lambda: False):
         """Let the end of a stop time out the body, whose limit is given."""
         self._limits[limit] = has_begun
+        if self._ended:
+            timeouts.end(limit)
         try:
             yield
         finally:
@@ -95,6 +102,35 @@
             timeouts.end(limit)
 
 
+async def end_open(drain, end, cancel, break_off=lambda: None):
+    """End what is open at the end of a stop, in three steps.
+
+    end() is called when requests get their last answer, break_off() when
+    responses that have begun end, and cancel() for what is still left. After a
+    stand-still timers are due before the answers that have arrived meanwhile
+    are read.
+    """
+    end_at, ran_at = drain.answers_until, clock.now_s()
+    while True:
+        now = clock.now_s()
+        if now - ran_at > MAX_GAP_S and ran_at < drain.ends_at:
+            latest_at = max(drain.ends_at, now + READ_S)
+            end_at = max(end_at, min(now + timeouts.CATCH_UP_S, latest_at))
+        if now >= end_at:
+            break
+        ran_at = now
+        # The event loop's clock stands still in a suspended machine.
+        await asyncio.sleep(min(end_at - now, END_CHECK_S))
+    with guard('end requests'):
+        end()
+    left_s = max(drain.ends_at - clock.now_s(), WRITE_S)
+    await asyncio.sleep(left_s - CLOSE_MARGIN_S)
+    with guard('end responses'):
+        break_off()
+    await asyncio.sleep(CLOSE_MARGIN_S)
+    cancel()
+
+
 @contextlib.contextmanager
 def guard(step):
     """Log an error in a step of a stop, which goes on without it."""
--- a/persimmonroute/durations.py
+++ b/persimmonroute/durations.py
@@ -8,6 +8,8 @@
 MIN_REQUESTS = 10
 # Requests over which the longest time is kept, up to twice as many.
 WINDOW_REQUESTS = 64
+# Assumed time between two tokens where no target is declared for it.
+TOKEN_GAP_S = 0.05
 # Kinds whose times are kept.
 MAX_KINDS = 256
 # Added to the tokens of a response, whose time per token is uncertain if it
@@ -54,10 +56,10 @@
             max(took_s - first_byte_s, 0.0) / (tokens + EXTRA_TOKENS)
         )
 
-    def estimate_s(self, tokens):
+    def estimate_s(self, tokens, done_s):
         """Return how long a request takes, in seconds."""
-        rest_s = self._per_token.value * (tokens + EXTRA_TOKENS)
-        return self._first_byte.value + rest_s
+        rest_s = self._per_token.value * (tokens + EXTRA_TOKENS) - done_s
+        return self._first_byte.value + max(rest_s, 0.0)
 
 
 class Durations:
@@ -72,16 +74,35 @@
     def record(self, kind, tokens, first_byte_s, took_s):
         """Record the times of a request that ended, in seconds.
 
-        tokens is the stated length of its response, 0 without one.
+        tokens is the stated length of its response, 0 without one. The whole
+        time grows with them if the response was no stream: first_byte_s is 0.
         """
         if kind not in self._kinds and len(self._kinds) >= MAX_KINDS:
             return
         times = self._kinds.setdefault(kind, KindTimes())
         times.add(tokens, first_byte_s, took_s)
 
-    def estimate_s(self, kind, tokens):
-        """Return how long a request takes; infinity if that is unknown."""
+    def is_known(self, kind):
+        """Return whether enough requests of a kind have ended."""
         times = self._kinds.get(kind)
-        if times is None or times.requests < MIN_REQUESTS:
-            return math.inf
-        return times.estimate_s(tokens)
+        return times is not None and times.requests >= MIN_REQUESTS
+
+    def estimate_s(self, kind, tokens, assumed_s=math.inf, done_s=0.0):
+        """Return how long a request takes, in seconds.
+
+        assumed_s is the least for a kind that is not known. done_s is how
+        long the response has been relayed already, if another endpoint is to
+        go on with it.
+        """
+        times = self._kinds.get(kind)
+        if times is None:
+            return assumed_s
+        estimate_s = times.estimate_s(tokens, done_s)
+        return (
+            estimate_s if self.is_known(kind) else max(estimate_s, assumed_s)
+        )
+
+
+def assume_s(start_s, tokens, token_gap_s=None):
+    """Return how long a request takes that meets its declared target."""
+    return start_s + tokens * (token_gap_s or TOKEN_GAP_S)
--- a/persimmonroute/entry/dispatch.py
+++ b/persimmonroute/entry/dispatch.py
@@ -13,6 +13,8 @@
 
 RESUME_TIMEOUT_S = 20.0
 ATTACH_TIMEOUT_S = 5.0
+# Responses of a lower status are successful.
+FIRST_REDIRECT_STATUS = 300
 
 
 class Dispatcher:
@@ -192,6 +194,7 @@
         """Offer a request again when the earlier attempt can never start."""
         record.attached = False
         self._offer_sender.offer(record, now)
+        self._stopping.watch(record, now)
 
     def fail_unstarted(self, record, problem, retry_after_s):
         """Withdraw a request that was not granted and end it as not run."""
@@ -292,7 +295,8 @@
             return
         self._board.quarantine.clear(record.call, now)
         self._claims.record_outcome(record, finished, now)
-        self._stopping.record_ended(record, now)
+        if finished.status < FIRST_REDIRECT_STATUS:
+            self._stopping.record_ended(record, now)
         self._finalizer.end_completed(
             record, finished.status, finished.content_type
         )
@@ -304,6 +308,7 @@
             advance(record, 'requeue')
             record.excluded.add(record.sidecar)
             self._offer_sender.reroute(record, 'attempt was not started', now)
+            self._stopping.watch(record, now)
 
     def _on_lost(self, record, lost, now):
         if record.state in ('granted', 'attached', 'interrupted'):
--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -7,6 +7,7 @@
 
 from persimmonroute import draining
 from persimmonroute import durations
+from persimmonroute.gateway import body_memory
 from persimmonroute.gateway import change_tracking
 from persimmonroute.gateway import freshness
 from persimmonroute.gateway import peer_reading
@@ -75,11 +76,14 @@
         self.name = name
         self.bounds = bounds
         self.route_table: routes.RouteTable | None = None
-        # Earlier tables, with the time at which each was replaced.
+        # Earlier tables without keys, with the time at which each was
+        # replaced.
         self._former_tables = collections.deque(maxlen=MAX_FORMER_TABLES)
         # When the configuration was last confirmed to be the newest.
         self.configuration_freshness = freshness.Freshness()
         self.runner_registry = runners.RunnerRegistry()
+        # True once all registrations of endpoints have been read.
+        self.registrations_read = False
         # How far the registrations have been read, here and by peers.
         self.registration_changes = change_tracking.ChangeTracker()
         self.peers = peers.PeerRegistry(name, locality)
@@ -92,6 +96,7 @@
         # How long requests of each route take at endpoints.
         self.durations = durations.Durations()
         self.open_requests = draining.OpenRequests()
+        self.body_memory = body_memory.BodyMemory()
         # How the gateway stops; None while it serves.
         self.drain: draining.Drain | None = None
         # Newest configuration version that a peer has reported.
@@ -137,11 +142,22 @@
         if configuration.version <= self.version:
             return False
         if self.route_table is not None:
-            self._former_tables.append((self.route_table, now))
+            self._remember_routes(self.route_table.configuration, now)
         self.route_table = routes.RouteTable(configuration)
         self.quotas.apply(configuration.workspaces, now)
         return True
 
+    def _remember_routes(self, replaced, now):
+        """Remember the routes of a replaced configuration, not its keys."""
+        former = self._former_tables
+        while former and now - former[0][1] > stream_origins.STREAM_LIFE_S:
+            former.popleft()
+        if former and former[-1][0].configuration.routes == replaced.routes:
+            table, _ = former.pop()
+        else:
+            table = routes.RouteTable(replaced._replace(workspaces=()))
+        former.append((table, now))
+
     def find_stream_services(self, host, path, now):
         """Return the services that can have begun a stream of a path."""
         tables = [
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -173,8 +173,7 @@
         now = clock.now_s()
         decision = self._admission.evaluate(request, now)
         if isinstance(decision, model.Rejection):
-            self._record_rejected(request.attempt, NO_ROUTE, decision)
-            await caller.reject(decision)
+            await self.reject(request.attempt, caller, decision)
             return
         pending = decision
         progress = Progress(
@@ -193,6 +192,11 @@
             if pending.workspace is not None and not pending.sends:
                 self._board.quotas.refund(pending.workspace, request)
 
+    async def reject(self, attempt, caller, rejection):
+        """Reject a request that is not admitted."""
+        self._record_rejected(attempt, NO_ROUTE, rejection)
+        await caller.reject(rejection)
+
     async def _serve_admitted(self, pending, caller, progress):
         rejection = await self._find_version(pending)
         if rejection is None:
@@ -364,15 +368,17 @@
             send=pending.sends,
             load=view.load,
             waited_s=round(now - pending.arrived_at, 4),
-            stop_left_s=self._find_stop_left_s(now),
             version=self._board.version,
+            **self._describe_stop(now),
         )
         return call
 
-    def _find_stop_left_s(self, now):
-        """Return how long a stop lasts from now; None if there is none."""
+    def _describe_stop(self, now):
+        """Return the log fields of a send during a stop."""
         drain = self._board.drain
-        return None if drain is None else round(drain.ends_at - now, 3)
+        if drain is None:
+            return {}
+        return {'stop_left_s': round(drain.ends_at - now, 3)}
 
     async def _relay(self, pending, call, caller, progress, standby):
         head = await standby.read(
@@ -527,6 +533,8 @@
             if events:
                 idle_since = clock.now_s()
                 progress.record_event(idle_since)
+                if pending.first_byte_at is not None:
+                    pending.relayed_s = idle_since - pending.first_byte_at
                 self._end_silence(pending, standby)
             for event in events:
                 new = goes_on.is_new(event)
@@ -599,12 +607,12 @@
                 self._board.quarantine.record_response(
                     pending.request, clock.now_s()
                 )
+                self._record_duration(pending, progress)
             self._metrics.on_ended(
                 pending.route.name, str(outcome.status), 'endpoint'
             )
             now = clock.now_s()
             first_byte_at = pending.first_byte_at or now
-            self._record_duration(pending, first_byte_at, now)
             log.emit(
                 Event.GATEWAY_ANSWERED,
                 request=pending.attempt,
@@ -640,12 +648,16 @@
             prompt=[part.id for part in pending.request.prompt],
         )
 
-    def _record_duration(self, pending, first_byte_at, now):
+    def _record_duration(self, pending, progress):
+        """Learn from a successful response how long such requests take."""
+        first_byte_s = 0.0
+        if progress.event_relayed:
+            first_byte_s = max(pending.first_byte_at - pending.sent_at, 0.0)
         self._board.durations.record(
-            pending.route.name,
+            pending.kind,
             pending.request.output_tokens,
-            max(first_byte_at - pending.sent_at, 0.0),
-            now - pending.sent_at,
+            first_byte_s,
+            clock.now_s() - pending.sent_at,
         )
 
     async def _relay_kept(self, pending, caller, progress):
--- a/persimmonroute/gateway/messages.py
+++ b/persimmonroute/gateway/messages.py
@@ -71,12 +71,19 @@
         self.runner = None
         self.sent_at = None
         self.first_byte_at = None
+        # For how long events of the stream have been relayed.
+        self.relayed_s = 0.0
 
     @property
     def attempt(self):
         """Return the id of the caller's request."""
         return self.request.attempt
 
+    @property
+    def kind(self):
+        """Return what the requests have in common that take similar times."""
+        return self.route.name, self.service
+
     def build_successor(self):
         """Return a copy that can be granted another endpoint meanwhile."""
         successor = copy.copy(self)
--- a/persimmonroute/gateway/server.py
+++ b/persimmonroute/gateway/server.py
@@ -26,8 +26,6 @@
 BALANCER_REMOVAL_S = 2.6
 # Part of the grace period reserved for shutdown after the last request.
 SHUTDOWN_RESERVE_S = 0.7
-# Interval at which a stop looks whether its end has come.
-END_CHECK_S = 0.1
 
 
 class GatewayServer:
@@ -84,7 +82,15 @@
             self._shell.stop_hosting()
         with draining.guard('announce'):
             self._shell.announce_stop()
-        ending = asyncio.create_task(self._end_requests(drain))
+        requests = self._board.open_requests
+        ending = asyncio.create_task(
+            draining.end_open(
+                drain,
+                requests.end_unanswered,
+                self._front.cancel_open,
+                requests.end_all,
+            )
+        )
         await asyncio.sleep(max(drain.closes_at - clock.now_s(), 0.0))
         self._front.stop(drain.ends_at - clock.now_s())
         await serving[0]
@@ -97,16 +103,6 @@
         log.emit(Event.PROCESS_STOPPED)
         await asyncio.gather(*serving)
 
-    async def _end_requests(self, drain):
-        """Answer the requests that the end of the stop would cut off."""
-        requests = self._board.open_requests
-        await _sleep_until(drain.answers_until)
-        with draining.guard('end requests'):
-            requests.end_unanswered()
-        await _sleep_until(drain.relays_until)
-        with draining.guard('end responses'):
-            requests.end_all()
-
     def _begin_drain(self):
         return draining.begin(
             clock.now_s(),
@@ -135,10 +131,11 @@
         source = self._sources.get(request.path_params['table'])
         if source is None or self._board.route_table is None:
             return responses.JSONResponse({'error': 'not known'}, 404)
+        rows = source.export_rows()
+        if rows is None:
+            return responses.JSONResponse({'error': 'not read yet'}, 404)
         age_s = self._board.configuration_freshness.age_s(clock.now_s())
-        return responses.JSONResponse(
-            peer_rows.encode_rows(source.export_rows(), age_s)
-        )
+        return responses.JSONResponse(peer_rows.encode_rows(rows, age_s))
 
     async def _serve_ready(self, request):
         problem = self._find_unready_reason()
@@ -152,6 +149,8 @@
             return 'stopping'
         if board.route_table is None:
             return 'no configuration'
+        if not board.registrations_read:
+            return 'no list of endpoints'
         age = board.configuration_freshness.age_s(clock.now_s())
         if age > READY_AGE_SHARE * board.bounds.revocation_s:
             return 'configuration is old'
@@ -161,9 +160,3 @@
         return responses.PlainTextResponse(
             metrics_text.format_metrics(self._collector)
         )
-
-
-async def _sleep_until(at):
-    """Sleep until a time of the clock that runs in a suspended process."""
-    while (left_s := at - clock.now_s()) > 0:
-        await asyncio.sleep(min(left_s, END_CHECK_S))
--- a/persimmonroute/http_server.py
+++ b/persimmonroute/http_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import os
 import socket
 import struct
@@ -103,8 +104,8 @@
     def __init__(self, config, accepted_grace_s):
         super().__init__(config)
         self._accepted_grace_s = accepted_grace_s
-        # When open requests are cancelled; None for the configured time after
-        # the shutdown began.
+        # Until when accepted connections may deliver a request; None for no
+        # limit.
         self._ends_at = None
 
     async def startup(self, sockets=None):
@@ -115,10 +116,20 @@
                 _set_backlog(listener.fileno(), BACKLOG)
 
     def stop(self, within_s):
-        """Begin a shutdown that cancels what is still open within_s later."""
+        """Begin a shutdown, after which cancel_open() is called in within_s.
+
+        Until then it waits for open requests.
+        """
         self._ends_at = clock.now_s() + within_s
+        self.config.timeout_graceful_shutdown = None
         self.should_exit = True
 
+    def cancel_open(self):
+        """Cancel the requests that are open in a shutdown, and end it."""
+        for task in list(self.server_state.tasks):
+            task.cancel()
+        self.force_exit = True
+
     def abort(self):
         """Close all sockets and cancel all requests at once."""
         # Set when the server has started.
@@ -146,12 +157,18 @@
         await asyncio.sleep(BACKLOG_DRAIN_S)
         for server in self.servers:
             server.close()
-        await asyncio.sleep(self._accepted_grace_s)
-        if self._ends_at is not None:
-            left_s = max(self._ends_at - clock.now_s(), 0.0)
-            self.config.timeout_graceful_shutdown = left_s
+        await asyncio.sleep(min(self._accepted_grace_s, self._find_left_s()))
         await super().shutdown(sockets)
 
+    def _find_left_s(self):
+        """Return the time until open requests end.
+
+        A process that stood still may have begun its shutdown late.
+        """
+        if self._ends_at is None:
+            return math.inf
+        return max(self._ends_at - clock.now_s(), 0.0)
+
 
 def _set_backlog(descriptor, connections):
     """Set how many connections a listening socket queues."""
