--- a/tools/soak/mutants.py
+++ b/tools/soak/mutants.py
@@ -158,6 +158,16 @@
             ),
         ),
     ),
+    Mutant(
+        'sends whatever comes during a stop',
+        (
+            Edit(
+                'gateway/admission.py',
+                '        if drain is None:\n',
+                '        if True:\n',
+            ),
+        ),
+    ),
     Mutant(
         'goes on at any version within an answer',
         (
