Take only complete registrations for endpoints

Cause: rows without Sequence and ColdRemainingMs were read, though the platform's protocol says that an entry has both, and that one with fields missing or of another type names no endpoint to use. Change: Sequence has to be an integer and ColdRemainingMs a number; their values are not judged. Tests: documents_tests; test_missing_fields now asks for each field but born, and a new test for other types; 12 cases fail on the code before. deployment_tests called a row without the two fields sound; the row now has them, the refusals that follow are unchanged.

--- a/persimmonroute/platform/documents.py
+++ b/persimmonroute/platform/documents.py
@@ -83,6 +83,9 @@
         if not _RUNNER_ID.fullmatch(runner_id):
             raise ValueError('the id has characters that are not allowed')
         document = json_text.parse(data)
+        # Rows without them, or with others, are not written by endpoints.
+        _integer(document['Sequence'])
+        _duration_ms(document['ColdRemainingMs'])
         return model.Runner(
             id=runner_id,
             started_at_ms=_integer(document.get('born', 0), 0),
@@ -273,6 +276,12 @@
     return number
 
 
+def _duration_ms(value):
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f'not a number but {type(value)}')
+    return _number(value)
+
+
 def _address(value):
     """Return an IP address with a port."""
     host, _, port = _text(value).rpartition(':')
--- a/persimmonroute/tests/platform/deployment_tests.py
+++ b/persimmonroute/tests/platform/deployment_tests.py
@@ -136,6 +136,8 @@
             'Slots': 2,
             'State': 'ready',
             'Version': 'v1',
+            'ColdRemainingMs': 0,
+            'Sequence': 1,
         }
         good = documents.read_runner('r', json.dumps(registration).encode())
         self.assertEqual(good.slots, 2)
--- a/persimmonroute/tests/platform/documents_tests.py
+++ b/persimmonroute/tests/platform/documents_tests.py
@@ -140,13 +140,21 @@
 
     def test_missing_fields(self):
         """Each field that tells what an endpoint is has to be there."""
-        for field in FIELDS_TO_USE:
+        for field in SOUND:
             if field == 'born':
                 continue
             document = {k: v for k, v in SOUND.items() if k != field}
             with self.subTest(field=field):
                 self._assert_unreadable(json.dumps(document).encode())
 
+    def test_rows_of_other_writers_name_no_endpoint(self):
+        """Guards against requests that are sent to any web server."""
+        for field in ('ColdRemainingMs', 'Sequence'):
+            for value in (None, True, '1', [], {}):
+                with self.subTest(field=field, value=value):
+                    self._assert_unreadable(encode(**{field: value}))
+        documents.read_runner('i-1', encode(ColdRemainingMs=12.5))
+
     def test_odd_addresses(self):
         """Guards against ports out of range and addresses that are names."""
         for address in ODD_ADDRESSES:
