Play a stop that refuses orders by their declared target

Cause: the counted test of explain sent orders of an unknown route that hang; they count as short by their declared objective now, are sent and cut off. Change: their objective does not fit into the stop. What is checked is the same.

--- a/persimmonroute/tests/commands/counted_causes_tests.py
+++ b/persimmonroute/tests/commands/counted_causes_tests.py
@@ -410,7 +410,10 @@
         await QuotaSpent.configure(
             self,
             Routes=[
-                deployments.route('book', TimeoutMs=20_000),
+                # Not expected to end within the stop.
+                deployments.route(
+                    'book', TimeoutMs=20_000, TargetLatencyMs=20_000
+                ),
                 deployments.route('draft', TimeoutMs=20_000, Kind='streaming'),
             ],
         )
