Forget the times of kinds that are not seen any more

Callers would see: a gateway whose configuration had changed for long knows nothing of new routes, and judges their requests by the declared target alone. Cause: once 256 kinds were known, no other was learned. Change: the kind that was seen longest ago is forgotten for a new one. Tests: durations_tests; the test of the bound asks for exactly the latest kinds now, and failed before, as did the new one's premise. Result: they pass.

--- a/persimmonroute/durations.py
+++ b/persimmonroute/durations.py
@@ -77,10 +77,12 @@
         tokens is the stated length of its response, 0 without one. The whole
         time grows with them if the response was no stream: first_byte_s is 0.
         """
-        if kind not in self._kinds and len(self._kinds) >= MAX_KINDS:
-            return
-        times = self._kinds.setdefault(kind, KindTimes())
+        times = self._kinds.pop(kind, None) or KindTimes()
         times.add(tokens, first_byte_s, took_s)
+        # The last one is the one that was seen last.
+        self._kinds[kind] = times
+        if len(self._kinds) > MAX_KINDS:
+            del self._kinds[next(iter(self._kinds))]
 
     def is_known(self, kind):
         """Return whether enough requests of a kind have ended."""
--- a/persimmonroute/tests/durations_tests.py
+++ b/persimmonroute/tests/durations_tests.py
@@ -57,5 +57,18 @@
         for number in range(2 * durations.MAX_KINDS):
             for _ in range(durations.MIN_REQUESTS):
                 self.durations.record(str(number), 0, 0.0, 1.0)
-        last = str(2 * durations.MAX_KINDS - 1)
-        self.assertEqual(self.durations.estimate_s(last, 0), math.inf)
+        last = 2 * durations.MAX_KINDS
+        known = [
+            number
+            for number in range(last)
+            if self.durations.is_known(str(number))
+        ]
+        self.assertEqual(known, list(range(durations.MAX_KINDS, last)))
+
+    def test_kind_in_use_outlives_others(self):
+        """Guards against kinds that stay unknown after many changes."""
+        for number in range(2 * durations.MAX_KINDS):
+            self._record(1)
+            self.durations.record(str(number), 0, 0.0, 1.0)
+        self._record(durations.MIN_REQUESTS)
+        self.assertTrue(self.durations.is_known(KIND))
