Send nothing for a retained stream at the end of its sidecar's stop

Callers would see: a stream that is resumed in the last moments of a planned stop, and cut off at once. Cause: since retained streams are left to the next incarnation, one whose connection breaks after that was resumed by the process that ends. Change: it is left, too.

--- a/persimmonroute/sidecar/execution.py
+++ b/persimmonroute/sidecar/execution.py
@@ -125,6 +125,9 @@
         if not event.sent and not attempt.resumed:
             self._revert_start(attempt, now)
         elif event.resumable and attempt.advanced and not attempt.cancelled:
+            if self._board.stop_expired:
+                # The next incarnation of the sidecar resumes it.
+                return
             offset = len(attempt.response)
             attempt.resumed_from = offset
             self._board.put(messages.ResumeCall(attempt.attempt_id, offset))
--- a/persimmonroute/tests/sidecar/late_start_tests.py
+++ b/persimmonroute/tests/sidecar/late_start_tests.py
@@ -133,14 +133,26 @@
         self._start('a', STARTED_AT)
         self._stop()
         self._handle(messages.EndpointData('a', b'x', 1), STOPPED_AT)
-        (finished,) = _frames(self._expire())
-        self.assertFalse(finished.finished.complete)
+        self.assertEqual(_frames(self._expire()), [])
         failed = messages.EndpointFailed('a', True, 'broken')
-        self.assertEqual(_sent(self._handle(failed, EXPIRED_AT)), [])
+        effects = self._handle(failed, EXPIRED_AT)
+        self.assertEqual(_sent(effects), [])
+        self.assertEqual(_frames(effects), [])
         resume = pb.Resume(incarnation='i0')
         effects = self._send('r', EXPIRED_AT, resume=resume)
         self.assertEqual(_sent(effects), [])
         self.assertEqual(_frames(effects), [])
+
+    def test_order_that_runs_at_the_end_of_a_stop_ends_once(self):
+        """Guards against two ends of an order that outlasts a stop."""
+        offer = pb.Offer(tier=1, patience_s=30.0)
+        self._send('a', STARTED_AT, offer=offer)
+        self._send('a', STARTED_AT, grant=pb.Grant())
+        self._stop()
+        (finished,) = _frames(self._expire())
+        self.assertFalse(finished.finished.complete)
+        failed = messages.EndpointFailed('a', True, 'broken')
+        self.assertEqual(_sent(self._handle(failed, EXPIRED_AT)), [])
         self._check_ended('a')
 
     def _check_ended(self, attempt):
