Add fields for callers, workspaces and loads to admission messages

Cause: hosts of groups know neither who asks nor what endpoints report of their load. Offers get hashes of the caller and of the workspace and the most output tokens; the end of an attempt gets the reported load. Nothing fills or reads them yet. Verified by the codec tests.

--- a/persimmonroute/gateway/admission_codec.py
+++ b/persimmonroute/gateway/admission_codec.py
@@ -26,12 +26,7 @@
         elif isinstance(message, messages.Reply):
             _add_reply(encoded, message)
         elif isinstance(message, messages.OfferEnd):
-            encoded.ends.add(
-                offer_id=message.offer_id,
-                ending=message.ending.value,
-                first_byte_ms_plus_one=_plus_one(message.first_byte_s),
-                endpoint=message.runner_id,
-            )
+            _add_end(encoded, message)
         elif isinstance(message, messages.LeaseList):
             _add_lease_list(encoded, message)
         elif isinstance(message, messages.StreamMessage):
@@ -77,6 +72,34 @@
         model.Ending(end.ending),
         _minus_one(end.first_byte_ms_plus_one),
         read_optional_text(end.endpoint),
+        _read_load(end.load) if end.HasField('load') else None,
+    )
+
+
+def _add_end(encoded, message):
+    added = encoded.ends.add(
+        offer_id=message.offer_id,
+        ending=message.ending.value,
+        first_byte_ms_plus_one=_plus_one(message.first_byte_s),
+        endpoint=message.runner_id,
+    )
+    load = message.load
+    if load is None:
+        return
+    added.load.running = _count(load.running)
+    added.load.waiting = _count(load.waiting)
+    added.load.slots = _count(load.slots)
+    if load.cost_percent is not None:
+        added.load.cost_percent_plus_one = _count(load.cost_percent) + 1
+
+
+def _read_load(load):
+    cost_percent = load.cost_percent_plus_one - 1
+    return model.RunnerLoad(
+        load.running,
+        load.waiting,
+        load.slots,
+        cost_percent if cost_percent >= 0 else None,
     )
 
 
@@ -142,6 +165,9 @@
         redirected=offer.redirected,
         limits=[encode_limit(limit) for limit in offer.limits],
         version=offer.version or '',
+        caller=offer.caller,
+        workspace=offer.workspace,
+        output_tokens=_count(offer.output_tokens),
     )
 
 
@@ -163,6 +189,9 @@
         redirected=offer.redirected,
         limits=tuple(decode_limit(limit) for limit in offer.limits),
         version=read_optional_text(offer.version) or None,
+        caller=offer.caller,
+        workspace=offer.workspace,
+        output_tokens=offer.output_tokens,
     )
 
 
@@ -244,6 +273,11 @@
         encoded.stream_replies.add(**message._asdict())
 
 
+def _count(number):
+    """Return a count that fits, also with one added."""
+    return min(max(number, 0), MAX_MS)
+
+
 def _ms(seconds):
     # Not a number is sent as zero, too.
     return round(min(seconds * 1000, MAX_MS)) if seconds > 0 else 0
--- a/persimmonroute/gateway/admission_messages.py
+++ b/persimmonroute/gateway/admission_messages.py
@@ -36,6 +36,12 @@
     limits: tuple[endpoint_limits.LimitReport, ...] = ()
     # Software version that began the stream, or None.
     version: str | None = None
+    # Hash that retries of one caller have in common; 0 if it is not known.
+    caller: int = 0
+    # Hash of the workspace; 0 for none.
+    workspace: int = 0
+    # Most tokens that the response may have; 0 if it is not known.
+    output_tokens: int = 0
 
 
 class Grant(typing.NamedTuple):
@@ -88,6 +94,8 @@
     # The only endpoint that is given up, of a grant that is returned; empty
     # if the request occupies none any more.
     runner_id: str = ''
+    # What the endpoint said of its load with the response, if it did.
+    load: model.RunnerLoad | None = None
 
 
 class Lease(typing.NamedTuple):
--- a/persimmonroute/gateway/model.py
+++ b/persimmonroute/gateway/model.py
@@ -148,6 +148,9 @@
     running: int
     waiting: int
     slots: int
+    # Time that work takes on the endpoint's machine at this moment, in percent
+    # of the usual; None if the endpoint does not report it.
+    cost_percent: int | None = None
 
 
 class ResponseHead(typing.NamedTuple):
--- a/persimmonroute/tests/gateway/admission_host_tests.py
+++ b/persimmonroute/tests/gateway/admission_host_tests.py
@@ -624,6 +624,9 @@
                 prompt=(part,), excluded=('r2',), due_s=-0.25, redirected=True
             ),
             _offer(4)._replace(limits=limits, version='v1'),
+            _offer(5)._replace(
+                caller=2**64 - 1, workspace=2**63, output_tokens=300
+            ),
             messages.Grant(1, 'r1', 1_700_000_000_000),
             messages.Queued(2),
             messages.Refusal(3, 'overloaded', 0.125),
@@ -633,6 +636,18 @@
             messages.OfferEnd(7, model.Ending.ANSWERED, 0.0),
             messages.OfferEnd(8, model.Ending.SILENT),
             messages.OfferEnd(9, model.Ending.ABANDONED, None, 'r1'),
+            messages.OfferEnd(
+                10,
+                model.Ending.ANSWERED,
+                0.1,
+                load=model.RunnerLoad(3, 0, 8, 250),
+            ),
+            messages.OfferEnd(
+                11,
+                model.Ending.ANSWERED,
+                0.1,
+                load=model.RunnerLoad(0, 0, 8),
+            ),
             messages.LeaseList('llm', 'riga', (messages.Lease(9, 'r1'),)),
             messages.GroupSummary('llm', 'riga', {0: 0.5, 2: 1.0}),
             messages.StreamBegun(2**63, 'llm', 'v1'),
--- a/persimmonroute/tests/gateway/message_range_tests.py
+++ b/persimmonroute/tests/gateway/message_range_tests.py
@@ -90,9 +90,15 @@
                             remaining_s=number,
                             age_s=number,
                             prompt=(model.PromptPart('a', tokens),),
+                            output_tokens=tokens,
                         ),
                         messages.Refusal(1, 'x', number),
                         messages.OfferEnd(1, model.Ending.ANSWERED, number),
+                        messages.OfferEnd(
+                            1,
+                            model.Ending.ANSWERED,
+                            load=model.RunnerLoad(tokens, -1, tokens, tokens),
+                        ),
                         messages.GroupSummary('llm', 'riga', {tokens: number}),
                     ]
                 )
