--- /dev/null
+++ b/persimmonroute/gateway/rollout_evidence.py
@@ -0,0 +1,320 @@
+"""Judge a version of a service by its responses beside the other versions.
+
+It answers the load of a rollout: few requests reach the new version, and
+bursts, slow endpoints or an outage affect the other versions as well. So
+responses are compared within the same route and the same short time slice.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+import typing
+
+# Responses that arrived in the same slice were exposed to the same load.
+SLICE_S = 0.5
+# Shorter times cannot be distinguished from network delay.
+MIN_TIME_S = 0.002
+# Standard deviation of the logarithm of the times of one route, at least;
+# prompts of one route differ by a factor of ten.
+MIN_LOG_DEVIATION = 0.5
+# Weight of a typical deviation beside the observed ones, in samples.
+DEVIATION_PRIOR = 10
+# Failures of the other versions that are assumed beside those observed, in
+# responses, at the rate that they have over all slices.
+RATE_PRIOR = 8.0
+# Failure rate that the other versions have at least in the comparison.
+MIN_FAILURE_RATE = 0.005
+# Failures of a bad version, beyond the rate of the others.
+EXCESS_FAILURE_RATE = 0.05
+MIN_FAILURES = 3
+# Ratio of the times from which a version is slow. A bad one is slower several
+# times; a good one may run on slower machines.
+SLOW_RATIO = 1.7
+# The same without responses of others in the same slices: a burst may have
+# come in between.
+UNMATCHED_SLOW_RATIO = 2.5
+UNMATCHED_EXCESS_RATE = 0.15
+MIN_TIMES = 8
+# Widens the confidence interval of few times: their deviation is uncertain,
+# and without matching responses they share one reference.
+FEW_TIMES = 6.0
+# Probability, over all routes, of taking a good version for a bad one at one
+# look. Looks are correlated, but there are many of them.
+BAD_PROBABILITY = 2e-4
+# The same for a version that is merely suspected.
+SUSPECT_PROBABILITY = 0.02
+# A version is good if it has this many responses, and its failures and times
+# are below the thresholds with some certainty.
+MIN_GOOD_ANSWERS = 40
+GOOD_DEVIATIONS = 1.6
+
+
+class Verdict(enum.Enum):
+    """Enumerate what the responses say of a version."""
+
+    UNDECIDED = 'undecided'
+    GOOD = 'good'
+    SUSPECT = 'suspect'
+    BAD = 'bad'
+
+
+class Judgement(typing.NamedTuple):
+    """Store a verdict with the numbers that led to it."""
+
+    verdict: Verdict
+    reason: str
+
+
+class Key(typing.NamedTuple):
+    """Identify the responses that are counted together."""
+
+    slice: int
+    route: str
+    version: str
+
+
+class Tally(typing.NamedTuple):
+    """Count responses; times are sums of natural logarithms of seconds."""
+
+    answered: int = 0
+    failed: int = 0
+    log_sum: float = 0.0
+    log_square_sum: float = 0.0
+
+    @property
+    def total(self):
+        """Return the number of responses."""
+        return self.answered + self.failed
+
+    @property
+    def mean_log(self):
+        """Return the mean logarithm of the times."""
+        return self.log_sum / self.answered
+
+    def plus(self, other):
+        """Return the sum of two tallies."""
+        return Tally(*(a + b for a, b in zip(self, other, strict=True)))
+
+
+class Comparison(typing.NamedTuple):
+    """Compare a version with the others on some routes."""
+
+    answers: int
+    failures: int
+    # Failures of the version if it failed as often as the others.
+    expected_failures: float
+    # Times that were compared, the mean difference of their logarithms, and
+    # the standard error of that difference.
+    times: int
+    log_ratio: float
+    log_error: float
+    # Whether there were responses of others in the same slices.
+    matched: bool
+
+
+class VersionEvidence:
+    """Count the responses of the versions of one service."""
+
+    def __init__(self):
+        self._tallies = {}
+
+    @property
+    def tallies(self):
+        """Return the tallies by Key."""
+        return self._tallies
+
+    def record(self, version, route, failed, time_s, now):
+        """Count a response; time_s is None if it says nothing of the speed."""
+        if failed:
+            added = Tally(failed=1)
+        elif time_s is None:
+            added = Tally()
+        else:
+            log_s = math.log(max(time_s, MIN_TIME_S))
+            added = Tally(1, 0, log_s, log_s * log_s)
+        self.add(Key(math.floor(now / SLICE_S), route, version), added)
+
+    def add(self, key, tally):
+        """Add counts, which another process may have made."""
+        self._tallies[key] = self._tallies.get(key, Tally()).plus(tally)
+
+    def merge(self, other):
+        """Add all counts of other evidence."""
+        for key, tally in other.tallies.items():
+            self.add(key, tally)
+
+    def count(self, version):
+        """Return the Tally of a version over all routes and slices."""
+        return _sum(
+            t for k, t in self._tallies.items() if k.version == version
+        )
+
+    def judge(self, target):
+        """Return the Judgement of a version beside all others."""
+        routes = sorted(
+            {k.route for k in self._tallies if k.version == target}
+        )
+        groups = [(route,) for route in routes]
+        if len(routes) > 1:
+            groups.append(tuple(routes))
+        worst = Judgement(Verdict.UNDECIDED, '')
+        for group in groups:
+            compared = self.compare(target, group)
+            for verdict, probability in (
+                (Verdict.BAD, BAD_PROBABILITY),
+                (Verdict.SUSPECT, SUSPECT_PROBABILITY),
+            ):
+                reason = _find_fault(compared, probability / len(groups))
+                if reason is None:
+                    continue
+                if verdict is Verdict.BAD:
+                    return Judgement(verdict, f'{reason} ({", ".join(group)})')
+                worst = Judgement(verdict, f'{reason} ({", ".join(group)})')
+        if worst.verdict is Verdict.UNDECIDED and routes:
+            return _confirm_good(self.compare(target, tuple(routes)))
+        return worst
+
+    def compare(self, target, routes):
+        """Return the Comparison of a version with all others."""
+        overall = {
+            route: _sum(
+                t
+                for k, t in self._tallies.items()
+                if k.route == route and k.version != target
+            )
+            for route in routes
+        }
+        deviations = {
+            route: self._find_log_deviation(route) for route in routes
+        }
+        answers = failures = times = unmatched = 0
+        expected = weights = weighted = variance = 0.0
+        for key, tally in self._tallies.items():
+            if key.version != target or key.route not in overall:
+                continue
+            others = self._others(key)
+            matched = others.total > 0
+            unmatched += 0 if matched else tally.total
+            answers += tally.total
+            failures += tally.failed
+            expected += tally.total * _find_rate(others, overall[key.route])
+            reference = others if others.answered else overall[key.route]
+            if not tally.answered or not reference.answered:
+                continue
+            times += tally.answered
+            # Inverse variance weights.
+            spread = deviations[key.route] ** 2 * (
+                1 / tally.answered + 1 / reference.answered
+            )
+            weights += 1 / spread
+            weighted += (tally.mean_log - reference.mean_log) / spread
+            variance += 1 / spread
+        return Comparison(
+            answers,
+            failures,
+            expected,
+            times,
+            weighted / weights if weights else 0.0,
+            math.sqrt(variance) / weights if weights else math.inf,
+            unmatched * 2 <= answers,
+        )
+
+    def _others(self, key):
+        return _sum(
+            t
+            for k, t in self._tallies.items()
+            if k.slice == key.slice
+            and k.route == key.route
+            and k.version != key.version
+        )
+
+    def _find_log_deviation(self, route):
+        """Return the deviation of log times within slices and versions."""
+        squares, count = (
+            MIN_LOG_DEVIATION**2 * DEVIATION_PRIOR,
+            DEVIATION_PRIOR,
+        )
+        for key, tally in self._tallies.items():
+            if key.route != route or tally.answered < 2:
+                continue
+            mean = tally.mean_log
+            squares += tally.log_square_sum - tally.answered * mean * mean
+            count += tally.answered - 1
+        return max(math.sqrt(max(squares, 0.0) / count), MIN_LOG_DEVIATION)
+
+
+def _sum(tallies):
+    total = Tally()
+    for tally in tallies:
+        total = total.plus(tally)
+    return total
+
+
+def _find_rate(others, overall):
+    """Return the failure rate of others in a slice, smoothed."""
+    usual = overall.failed / overall.total if overall.total else 0.0
+    usual = max(usual, MIN_FAILURE_RATE)
+    return (others.failed + RATE_PRIOR * usual) / (others.total + RATE_PRIOR)
+
+
+def _find_fault(compared, probability):
+    """Return what is wrong with a version, or None."""
+    excess = EXCESS_FAILURE_RATE if compared.matched else UNMATCHED_EXCESS_RATE
+    ratio = SLOW_RATIO if compared.matched else UNMATCHED_SLOW_RATIO
+    least = compared.expected_failures + excess * compared.answers
+    if compared.failures >= max(MIN_FAILURES, least):
+        chance = _poisson_tail(compared.failures, compared.expected_failures)
+        if chance < probability:
+            return (
+                f'{compared.failures} of {compared.answers} failed where'
+                f' {compared.expected_failures:.1f} were expected'
+            )
+    deviations = _find_deviations(probability)
+    widened = 1.0 + FEW_TIMES / max(compared.times, 1)
+    lower = compared.log_ratio - deviations * widened * compared.log_error
+    # The version has to be slow, and certainly slower than the others.
+    slow = compared.log_ratio > math.log(ratio) and lower > 0.0
+    if compared.times >= MIN_TIMES and slow:
+        return (
+            f'{math.exp(compared.log_ratio):.2f} times slower over'
+            f' {compared.times} responses'
+        )
+    return None
+
+
+def _confirm_good(compared):
+    """Return GOOD if a fault would have been seen."""
+    if compared.answers < MIN_GOOD_ANSWERS:
+        return Judgement(
+            Verdict.UNDECIDED, f'{compared.answers} responses are too few'
+        )
+    deviation = math.sqrt(max(compared.expected_failures, 1.0))
+    most = (
+        compared.expected_failures
+        + EXCESS_FAILURE_RATE * compared.answers
+        - GOOD_DEVIATIONS * deviation
+    )
+    upper = compared.log_ratio + GOOD_DEVIATIONS * compared.log_error
+    good = compared.failures <= max(most, 0) and upper < math.log(
+        UNMATCHED_SLOW_RATIO
+    )
+    return Judgement(
+        Verdict.GOOD if good else Verdict.UNDECIDED,
+        f'{compared.failures} of {compared.answers} failed,'
+        f' {math.exp(compared.log_ratio):.2f} times the time',
+    )
+
+
+def _find_deviations(probability):
+    """Return the one-sided normal quantile, by a bound on its tail."""
+    return math.sqrt(-2.0 * math.log(2.0 * probability))
+
+
+def _poisson_tail(count, expected):
+    """Return the probability of at least count events."""
+    term = below = math.exp(-expected)
+    for number in range(1, count):
+        term *= expected / number
+        below += term
+    return max(1.0 - below, 0.0)
