Decode the cost of work that endpoints report, and tell it to hosts

Cause: a load header with a fourth figure was not decoded at all, and no host knew who asks. Loads reach the host with the end of each attempt. Where endpoints report the cost of work, offers carry hashes of caller and workspace and the output tokens; elsewhere offers are as before. Nothing decides by it yet.

--- a/persimmonroute/gateway/admission_host.py
+++ b/persimmonroute/gateway/admission_host.py
@@ -184,6 +184,7 @@
             hosted.first_byte_at = min(
                 hosted.sent_at + message.first_byte_s, now
             )
+        self.runner_registry.record_load(hosted.runner, message.load, now)
         ending = message.ending
         if ending in WITNESSED_ENDINGS:
             self._record_failure(hosted, ending, now)
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -425,6 +425,8 @@
         view = pending.runner
         view.record_response(now)
         record = view.record
+        pending.reported_load = head.load
+        self._board.runner_registry.record_load(view, head.load, now)
         if head.leaving and self._board.runner_registry.record_leaving(
             record.id, record.started_at_ms, now
         ):
--- a/persimmonroute/gateway/messages.py
+++ b/persimmonroute/gateway/messages.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import copy
+import functools
 import typing
 
+from persimmonroute.gateway import caller_identity
 from persimmonroute.gateway import model
 
 
@@ -71,6 +73,8 @@
         self.runner = None
         self.sent_at = None
         self.first_byte_at = None
+        # What the endpoint reported of its load with the response.
+        self.reported_load = None
         # For how long events of the stream have been relayed.
         self.relayed_s = 0.0
 
@@ -84,13 +88,18 @@
         """Return what the requests have in common that take similar times."""
         return self.route.name, self.service
 
+    @functools.cached_property
+    def caller_hash(self):
+        """Return what the retries of the caller have in common."""
+        return caller_identity.hash_caller(self.request, self.workspace)
+
     def build_successor(self):
         """Return a copy that can be granted another endpoint meanwhile."""
         successor = copy.copy(self)
         successor.current_id = self.runner.id
         successor.excluded = self.excluded | {successor.current_id}
         successor.runner = successor.host = successor.offer_id = None
-        successor.sent_at = None
+        successor.sent_at = successor.reported_load = None
         return successor
 
     def readmit(self, runner_ids):
--- a/persimmonroute/gateway/offers.py
+++ b/persimmonroute/gateway/offers.py
@@ -11,6 +11,7 @@
 from persimmonroute import blackboard
 from persimmonroute.events import Event
 from persimmonroute.gateway import admission_messages
+from persimmonroute.gateway import caller_identity
 from persimmonroute.gateway import groups
 from persimmonroute.gateway import messages
 from persimmonroute.gateway import model
@@ -203,7 +204,13 @@
         first_byte_s = None
         if ending is Ending.ANSWERED:
             first_byte_s = runners.find_first_byte_s(pending, now)
-        self._end(pending.host, pending.offer_id, ending, first_byte_s)
+        self._end(
+            pending.host,
+            pending.offer_id,
+            ending,
+            first_byte_s,
+            load=pending.reported_load,
+        )
 
     def tick(self, now):
         """Repeat offers and lease lists that are due."""
@@ -293,7 +300,7 @@
 
     def _build_offer(self, state, now):
         pending = state.pending
-        return admission_messages.Offer(
+        offer = admission_messages.Offer(
             offer_id=pending.offer_id,
             service=pending.service,
             region=state.group.region,
@@ -309,6 +316,13 @@
             version=pending.version,
             limits=self._report_limits(state.group, now),
         )
+        if not self._runner_registry.reports_cost(pending.service):
+            return offer
+        return offer._replace(
+            caller=pending.caller_hash,
+            workspace=caller_identity.hash_workspace(pending.workspace),
+            output_tokens=pending.request.output_tokens,
+        )
 
     def _report_limits(self, group, now):
         """Return what is known of the limits of a group's endpoints."""
@@ -378,10 +392,18 @@
             host, grant.offer_id, Ending.ABANDONED, runner_id=grant.runner_id
         )
 
-    def _end(self, host, offer_id, ending, first_byte_s=None, runner_id=''):
+    def _end(
+        self,
+        host,
+        offer_id,
+        ending,
+        first_byte_s=None,
+        runner_id='',
+        load=None,
+    ):
         if host is not None:
             message = admission_messages.OfferEnd(
-                offer_id, ending, first_byte_s, runner_id
+                offer_id, ending, first_byte_s, runner_id, load
             )
             self.put(Send(host, message))
 
--- a/persimmonroute/gateway/runners.py
+++ b/persimmonroute/gateway/runners.py
@@ -77,6 +77,9 @@
         self.last_sent_at = -math.inf
         # Moving average of service time here relative to the route's mean.
         self.slowness = 1.0
+        # Newest RunnerLoad that a gateway heard, and when.
+        self.reported_load = None
+        self.load_reported_at = -math.inf
         self._prompt_parts = collections.OrderedDict()
 
     @property
@@ -231,6 +234,8 @@
         # endpoint, and how long until the first byte of its response.
         self.service_time_s = {}
         self.first_byte_s = {}
+        # Services whose endpoints report what work costs on their machines.
+        self._cost_services = set()
         # Mean time by service that a request occupies an endpoint.
         self.service_time_by_service_s = {}
 
@@ -409,6 +414,22 @@
         if len(self._former_versions) > MAX_FORMER_INCARNATIONS:
             del self._former_versions[next(iter(self._former_versions))]
 
+    def record_load(self, view, load, now):
+        """Record what an endpoint reported of its load, if it did."""
+        if load is None:
+            return
+        view.reported_load = load
+        view.load_reported_at = now
+        if load.cost_percent is not None:
+            self._cost_services.add(view.record.service)
+
+    def reports_cost(self, service):
+        """Return whether endpoints of a service report what work costs.
+
+        Their machines are shared with others, so what they take changes fast.
+        """
+        return service in self._cost_services
+
     def record_end(self, pending, view, ending, now):
         """Free the slot of an attempt and record how it ended."""
         view.in_flight.pop(pending.attempt, None)
--- a/persimmonroute/platform/names.py
+++ b/persimmonroute/platform/names.py
@@ -20,7 +20,8 @@
 RESUMES = b'resumes'
 # Present if the endpoint did not execute the request.
 NOT_EXECUTED = b'not-executed'
-# Running requests, waiting requests and slots, separated by commas.
+# Running requests, waiting requests and slots, separated by commas. A fourth
+# figure tells how long work takes at present, in percent of the usual.
 RUNNER_LOAD = b'runner-load'
 KEEP_ALIVE = b'keep-alive'
 RETRY_AFTER = b'retry-after'
--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -44,6 +44,7 @@
 IDENTITY = b'identity'
 # Type of a body that cannot be read here; it is relayed as it is.
 ENCODED_TYPE = b'application/octet-stream'
+_FIGURE = re.compile(rb' *\d{1,9} *')
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d{1,9})')
 
 
@@ -383,8 +384,9 @@
 
 
 def _read_load(value):
-    try:
-        running, waiting, slots = (int(part) for part in value.split(b','))
-    except (AttributeError, ValueError):
+    if value is None:
+        return None
+    figures = value.split(b',')
+    if len(figures) not in (3, 4) or not all(map(_FIGURE.fullmatch, figures)):
         return None
-    return model.RunnerLoad(running, waiting, slots)
+    return model.RunnerLoad(*(int(figure) for figure in figures))
