--- a/persimmonroute/config/settings.py
+++ b/persimmonroute/config/settings.py
@@ -138,6 +138,23 @@
         'Units by which a quota may be exceeded, in addition to the fraction.',
         default=0,
     ),
+    'rollout_exposure_share': options.Number(
+        0,
+        1,
+        'Fraction of the requests of a service that a version may get before'
+        ' its rollout is completed. Rollouts are served only if all three'
+        ' settings of rollouts are set.',
+    ),
+    'rollout_exposure_slack': options.Number(
+        0,
+        1e9,
+        'Requests that such a version may get in addition to the fraction.',
+    ),
+    'rollout_rollback_s': options.Number(
+        0.1,
+        3600,
+        'Maximum seconds until a bad version gets no more requests.',
+    ),
 }
 TLS_OPTIONS = ('tls_certificate', 'tls_key', 'tls_authority', 'deployment')
 REQUIRED_BY_ROLE = {
@@ -191,6 +208,9 @@
     quota_window_s: float
     quota_overrun: float
     quota_slack: float
+    rollout_exposure_share: float | None
+    rollout_exposure_slack: float | None
+    rollout_rollback_s: float | None
 
 
 def check_settings(document):
--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -205,6 +205,21 @@
     GATEWAY_ROW_REMOVED = EventKind(
         734, 'INFO', 'row of a gateway that is gone removed'
     )
+    ROLLOUT_ORDERED = EventKind(
+        740, 'INFO', 'order to move a service to another version read'
+    )
+    ROLLOUT_DECIDED = EventKind(
+        741, 'INFO', 'next phase of a rollout decided by its controller'
+    )
+    ROLLOUT_STORED = EventKind(742, 'INFO', 'phase of a rollout stored')
+    ROLLOUT_FOLLOWED = EventKind(
+        743, 'INFO', 'host follows another phase of a rollout'
+    )
+    ROLLOUT_WRITTEN_AGAIN = EventKind(
+        744,
+        'WARNING',
+        'outcome of a rollout written again: the table lacked it',
+    )
     GATEWAY_FAULT = EventKind(
         790, 'ERROR', 'unexpected error; the request or step failed'
     )
--- a/persimmonroute/gateway/admission_codec.py
+++ b/persimmonroute/gateway/admission_codec.py
@@ -7,14 +7,25 @@
 from persimmonroute.gateway import model
 from persimmonroute.gateway import peer_reading
 from persimmonroute.gateway.peer_reading import read_integer
+from persimmonroute.gateway.peer_reading import read_number
 from persimmonroute.gateway.peer_reading import read_optional_text
 from persimmonroute.gateway.peer_reading import read_text
+from persimmonroute.gateway import rollout_control
+from persimmonroute.gateway import rollout_evidence
 from persimmonroute.generated import peers_pb2 as pb
 
 MAX_UINT32 = 2**32 - 1
 # One more still fits, where zero stands for none.
 MAX_MS = MAX_UINT32 - 1
 MAX_SIGNED_MS = 2**31 - 1
+# A report of evidence has hundreds of tallies at most, of the slices of one
+# order.
+MAX_TALLIES = 4096
+MAX_SLICE_AGE = 10_000
+# Logarithms of times in seconds are from -6.3 to 9.
+MAX_LOG = 20.0
+MAX_REGIONS = 256
+MAX_REASON_CHARACTERS = 300
 
 
 def encode(batch):
@@ -31,6 +42,10 @@
             _add_lease_list(encoded, message)
         elif isinstance(message, messages.StreamMessage):
             _add_stream_message(encoded, message)
+        elif isinstance(message, messages.RolloutEvidence):
+            _add_evidence(encoded, message)
+        elif isinstance(message, messages.RolloutDecision):
+            _add_decision(encoded, message)
         else:
             encoded.summaries.add(
                 service=message.service,
@@ -63,6 +78,10 @@
         *parts.read_all(
             'stream reply', encoded.stream_replies, _read_stream_reply
         ),
+        *parts.read_all('evidence', encoded.rollout_evidence, _read_evidence),
+        *parts.read_all(
+            'rollout decision', encoded.rollout_decisions, _read_decision
+        ),
     ]
 
 
@@ -273,6 +292,113 @@
         encoded.stream_replies.add(**message._asdict())
 
 
+def _add_evidence(encoded, message):
+    added = encoded.rollout_evidence.add(
+        service=message.service,
+        revision=message.revision,
+        incarnation=message.incarnation,
+        number=_count(message.number),
+        base=_count(message.base),
+        slice=message.slice,
+        regions=message.regions,
+        requests=_count(message.requests),
+        exposed=_count(message.exposed),
+        others_in_flight=_count(message.others_in_flight),
+        phase=message.phase,
+    )
+    routes = {}
+    for key, tally in message.tallies.items():
+        if key.route not in routes:
+            routes[key.route] = added.routes.add(route=key.route)
+        # All versions but the target are one, without a name.
+        added.target = added.target or key.version
+        routes[key.route].tallies.add(
+            age=_count(message.slice - key.slice),
+            of_target=bool(key.version),
+            answered=_count(tally.answered),
+            failed=_count(tally.failed),
+            log_sum=tally.log_sum,
+            log_square_sum=tally.log_square_sum,
+        )
+
+
+def _read_evidence(evidence):
+    if sum(len(r.tallies) for r in evidence.routes) > MAX_TALLIES:
+        raise ValueError('there are too many tallies')
+    if len(evidence.regions) > MAX_REGIONS:
+        raise ValueError('there are too many regions')
+    present = read_integer(evidence.slice)
+    target = read_optional_text(evidence.target)
+    if not target and any(
+        t.of_target for r in evidence.routes for t in r.tallies
+    ):
+        raise ValueError('the target has no name')
+    tallies = {}
+    for listed in evidence.routes:
+        route = read_text(listed.route)
+        for tally in listed.tallies:
+            age = read_integer(tally.age, MAX_SLICE_AGE)
+            key = rollout_evidence.Key(
+                present - age, route, target if tally.of_target else ''
+            )
+            tallies[key] = _read_tally(tally)
+    return messages.RolloutEvidence(
+        read_text(evidence.service),
+        read_integer(evidence.revision),
+        evidence.incarnation,
+        evidence.number,
+        evidence.base,
+        present,
+        tuple(read_optional_text(region) for region in evidence.regions),
+        evidence.requests,
+        evidence.exposed,
+        evidence.others_in_flight,
+        rollout_control.Phase(evidence.phase).value,
+        tallies,
+    )
+
+
+def _read_tally(tally):
+    most = MAX_LOG * tally.answered
+    return rollout_evidence.Tally(
+        tally.answered,
+        tally.failed,
+        read_number(tally.log_sum, -most, most),
+        read_number(tally.log_square_sum, 0.0, MAX_LOG * most),
+    )
+
+
+def _add_decision(encoded, message):
+    plan = message.plan
+    encoded.rollout_decisions.add(
+        service=plan.service,
+        target=plan.target,
+        revision=plan.revision,
+        phase=plan.phase.value,
+        share=plan.share,
+        endpoints=_count(plan.endpoints),
+        reason=plan.reason[:MAX_REASON_CHARACTERS],
+        incarnation=message.incarnation,
+        number=_count(message.number),
+        confirmed=_count(message.confirmed),
+    )
+
+
+def _read_decision(decision):
+    plan = rollout_control.RolloutPlan(
+        read_text(decision.service),
+        read_text(decision.target),
+        read_integer(decision.revision),
+        rollout_control.Phase(decision.phase),
+        read_number(decision.share, 0.0, 1.0),
+        decision.endpoints,
+        read_optional_text(decision.reason),
+    )
+    return messages.RolloutDecision(
+        plan, decision.incarnation, decision.number, decision.confirmed
+    )
+
+
 def _count(number):
     """Return a count that fits, also with one added."""
     return min(max(number, 0), MAX_MS)
--- a/persimmonroute/gateway/admission_host.py
+++ b/persimmonroute/gateway/admission_host.py
@@ -19,6 +19,7 @@
 from persimmonroute.gateway.model import Ending
 from persimmonroute.gateway import passing
 from persimmonroute.gateway import peers
+from persimmonroute.gateway import rollout_exposure
 from persimmonroute.gateway import runners
 from persimmonroute.gateway import scheduler as schedulers
 from persimmonroute.gateway import slots
@@ -186,6 +187,9 @@
             )
         self.runner_registry.record_load(hosted.runner, message.load, now)
         ending = message.ending
+        self.scheduler.version_policy.record_end(
+            hosted, hosted.runner, ending, message.first_byte_s, now
+        )
         if ending in WITNESSED_ENDINGS:
             self._record_failure(hosted, ending, now)
             ending = Ending.ABANDONED
@@ -328,6 +332,10 @@
         self._summaries = {}
         self._stopping = False
         self._catch_up = timeouts.CatchUp(TICK_S)
+        # Returns the VersionPolicy of a group that is hosted here.
+        self.build_version_policy = lambda group: (
+            rollout_exposure.AllVersions()
+        )
 
     @property
     def groups(self):
@@ -338,6 +346,16 @@
         """Return the HostedGroup of a group, or None."""
         return self._groups.get(group)
 
+    def count_in_flight(self, service, excluded_version):
+        """Return the requests at endpoints of all versions but one."""
+        return sum(
+            view.load
+            for group, hosted_group in self._groups.items()
+            if group.service == service
+            for view in hosted_group.runner_registry
+            if view.record.version != excluded_version
+        )
+
     def set_services(self, services):
         """Apply the services of the configuration."""
         self._services = services
@@ -445,6 +463,9 @@
         if hosted_group is None:
             limits = self._runner_registry.limits
             hosted_group = HostedGroup(group, self._placement, limits, now)
+            hosted_group.scheduler.version_policy = self.build_version_policy(
+                group
+            )
             self._groups[group] = hosted_group
         self._update_runners(hosted_group, now)
         return hosted_group
--- a/persimmonroute/gateway/admission_messages.py
+++ b/persimmonroute/gateway/admission_messages.py
@@ -6,6 +6,8 @@
 
 from persimmonroute.gateway import endpoint_limits
 from persimmonroute.gateway import model
+from persimmonroute.gateway import rollout_control
+from persimmonroute.gateway import rollout_evidence
 
 
 class Offer(typing.NamedTuple):
@@ -153,5 +155,52 @@
     complete: bool = False
 
 
+class RolloutEvidence(typing.NamedTuple):
+    """Report to the controller of a rollout what a host granted and got."""
+
+    service: str
+    # Version of the order's row.
+    revision: int
+    # Distinguishes the starts of the sender, whose counts start again.
+    incarnation: int
+    number: int
+    # Number of the report up to which the addressee has everything.
+    base: int
+    # Present slice of the sender's clock.
+    slice: int
+    # Regions whose groups the sender hosts.
+    regions: tuple[str, ...]
+    # Since the order: granted requests, and those for the target.
+    requests: int
+    exposed: int
+    # Requests in flight at the other versions.
+    others_in_flight: int
+    # Phase that the sender follows.
+    phase: str
+    # Totals that changed since the base. Keys name the target, or no version
+    # for all others.
+    tallies: dict[rollout_evidence.Key, rollout_evidence.Tally]
+
+
+class RolloutDecision(typing.NamedTuple):
+    """Tell a host the plan of a rollout, in answer to its evidence."""
+
+    plan: rollout_control.RolloutPlan
+    # Incarnation and number of the report that is answered, and the number up
+    # to which the controller has everything.
+    incarnation: int
+    number: int
+    confirmed: int
+
+
 StreamMessage = StreamBegun | StreamQuestion | StreamReply
-Message = StreamMessage | Offer | Reply | OfferEnd | LeaseList | GroupSummary
+RolloutMessage = RolloutEvidence | RolloutDecision
+Message = (
+    StreamMessage
+    | RolloutMessage
+    | Offer
+    | Reply
+    | OfferEnd
+    | LeaseList
+    | GroupSummary
+)
--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -15,6 +15,7 @@
 from persimmonroute.gateway import quarantine
 from persimmonroute.gateway import quotas
 from persimmonroute.gateway import retry_budget
+from persimmonroute.gateway import rollouts
 from persimmonroute.gateway import routes
 from persimmonroute.gateway import runners
 from persimmonroute.gateway import stream_origins
@@ -93,6 +94,8 @@
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
         )
         self.quarantine = quarantine.Quarantine()
+        # Orders to move services to other versions.
+        self.rollouts = rollouts.Rollouts()
         # How long requests of each route take at endpoints.
         self.durations = durations.Durations()
         self.open_requests = draining.OpenRequests()
@@ -122,6 +125,13 @@
             self.route_table.configuration.version if self.route_table else 0
         )
 
+    def knows_service(self, name):
+        """Return whether the configuration has a service, if there is one."""
+        if self.route_table is None:
+            return True
+        services = self.route_table.configuration.services
+        return any(service.name == name for service in services)
+
     def raise_store_era(self, era):
         """Record the era of the store as seen by this gateway or a peer."""
         if self.store_era is not None and era > self.store_era:
--- a/persimmonroute/gateway/dispatcher.py
+++ b/persimmonroute/gateway/dispatcher.py
@@ -52,6 +52,8 @@
         self.find_rejection = lambda pending, now: None
         # Sends an admission message to another gateway.
         self.send = lambda peer, message: None
+        # Receives messages about rollouts of versions.
+        self.receive_rollout = lambda peer, message, now: None
 
     async def wait_for_grant(self, pending):
         """Wait for and return the granted endpoint, or a Rejection."""
@@ -224,6 +226,35 @@
         if future is not None and not future.done():
             future.set_result(decision)
 
+    def serve_rollouts(self, build_version_policy, receive):
+        """Limit the grants of hosted groups, and pass messages on."""
+        self._host.build_version_policy = build_version_policy
+        self.receive_rollout = receive
+
+    def send_rollout(self, peer, message, now):
+        """Send a message about a rollout to a gateway."""
+        self._send(peer, message, now)
+
+    def list_regions(self, service):
+        """Return the regions that have endpoints of a service."""
+        return [group.region for group in self._offers.find_groups(service)]
+
+    def list_hosted_regions(self, service, now):
+        """Return the regions whose requests this gateway hosts or should."""
+        return [
+            group.region
+            for group in self._offers.find_groups(service)
+            if self._host.find(group) is not None
+            or self._directory.find_host(group, (), now) == self._name
+        ]
+
+    def count_in_flight(self, service, excluded_version):
+        """Return the requests of groups hosted here at all versions but one.
+
+        Those that other gateways sent without a host are not counted.
+        """
+        return self._host.count_in_flight(service, excluded_version)
+
     def _send(self, peer, message, now):
         """Send a message to a gateway, which may be this one."""
         if peer == self._name:
@@ -237,6 +268,8 @@
             self._offers.receive(peer, message, now)
         elif isinstance(message, admission_messages.StreamMessage):
             self._origins.receive(peer, message, now)
+        elif isinstance(message, admission_messages.RolloutMessage):
+            self.receive_rollout(peer, message, now)
         else:
             self._host.receive(peer, failure_domain, message, now)
 
--- a/persimmonroute/gateway/following.py
+++ b/persimmonroute/gateway/following.py
@@ -11,6 +11,7 @@
 from persimmonroute import exceptions
 from persimmonroute.gateway import model
 from persimmonroute.gateway import polling
+from persimmonroute.gateway import rollout_control
 from persimmonroute import logs
 
 log = logs.EventLog(__name__)
@@ -41,6 +42,8 @@
     # among them; 0 if the rows are not from the store.
     complete_to: int = 0
     newest_change: int = 0
+    # Orders to move services to other versions.
+    orders: tuple[rollout_control.Order, ...] = ()
 
 
 class Source(abc.ABC):
@@ -237,6 +240,8 @@
         super().__init__(board, source, peer_rows, on_change)
         self._poll_s = poll_s
         self._schedule = polling.PollSchedule(poll_s)
+        # Receives the orders in the Changes.
+        self.on_orders = lambda changes: None
 
     def check_age(self, now):
         """Ask the store at once if peers do not confirm often enough."""
@@ -254,6 +259,8 @@
         return self._board.newest_reported_version > self._board.version
 
     def _apply_changes(self, changes, now):
+        if changes.orders:
+            self.on_orders(changes)
         configuration = changes.configuration
         if configuration is not None:
             if self._board.adopt_configuration(configuration, now):
--- a/persimmonroute/gateway/metrics.py
+++ b/persimmonroute/gateway/metrics.py
@@ -172,6 +172,40 @@
         for service, used in self._board.retries.report_used(now).items():
             repeats.add_metric([service], used)
         yield repeats
+        yield from self._collect_rollouts()
+
+    def _collect_rollouts(self):
+        """Yield what the groups hosted here granted and got of rollouts."""
+        rollouts = list(self._board.rollouts)
+        if not rollouts:
+            return
+        phases = prometheus.GaugeMetricFamily(
+            'persimmonroute_rollout_phase',
+            'Phase of the newest rollout of a service, as followed here.',
+            labels=['service', 'version', 'phase'],
+        )
+        shares = prometheus.GaugeMetricFamily(
+            'persimmonroute_rollout_share',
+            'Share of new requests that the version may get.',
+            labels=['service', 'version'],
+        )
+        counts = prometheus.GaugeMetricFamily(
+            'persimmonroute_rollout_requests',
+            'Requests granted here since the order, those exposed to the'
+            ' version, and bad responses of it.',
+            labels=['service', 'version', 'kind'],
+        )
+        for rollout in rollouts:
+            plan, labels = rollout.plan, rollout.order[:2]
+            phases.add_metric([*labels, plan.phase.value], 1)
+            shares.add_metric(labels, plan.share)
+            counts.add_metric([*labels, 'all'], rollout.requests)
+            counts.add_metric([*labels, 'exposed'], rollout.exposed)
+            bad = rollout.evidence.count(rollout.order.target).failed
+            counts.add_metric([*labels, 'bad'], bad)
+        yield phases
+        yield shares
+        yield counts
 
     def _timing_of(self, timings, pending):
         name = pending.route.name
--- a/persimmonroute/gateway/peers.py
+++ b/persimmonroute/gateway/peers.py
@@ -257,7 +257,11 @@
         return reporting / max(self.gateway_count(now), 1)
 
     def is_responsible(self, subject, now):
-        """Return whether this gateway is the one to act on a subject.
+        """Return whether this gateway is the one to act on a subject."""
+        return self.find_responsible(subject, now) == self._own_name
+
+    def find_responsible(self, subject, now):
+        """Return the name of the gateway that is to act on a subject.
 
         The gateways that respond choose the same one.
         """
@@ -267,11 +271,10 @@
             if not peer.stopping
             and peer.has_reported_within(UNRESPONSIVE_AFTER_INTERVALS, now)
         ]
-        chosen = min(
+        return min(
             (self._own_name, *responding),
             key=lambda name: compute_tie_breaker(subject, name),
         )
-        return chosen == self._own_name
 
     def find_gone(self, listed, now):
         """Return the listed gateways whose rows this gateway has to remove.
--- a/persimmonroute/gateway/rollout_control.py
+++ b/persimmonroute/gateway/rollout_control.py
@@ -114,6 +114,9 @@
     store_available: bool
     # Whether the configuration has the service.
     service_known: bool = True
+    # Whether the hosts of all groups of the service report. Without them the
+    # lack of evidence says nothing.
+    hosts_report: bool = True
 
 
 class RolloutControl:
@@ -128,9 +131,15 @@
         self._bounds = bounds
         self._began_at = began_at
         self._phase = phase
+        # A control that goes on in the cutover does not know when it began.
         self._cutover_at = math.inf
+        if phase is Phase.CUTOVER:
+            self._cutover_at = -math.inf
         self._share = 0.0
         self._reason = ''
+        # Why the version is rolled back; hosts already follow this before it
+        # is stored, so it is not taken back.
+        self._rollback_reason = None
 
     @property
     def order(self):
@@ -157,6 +166,11 @@
             self._cutover_at = now
         self._phase = phase
 
+    def roll_back(self, reason):
+        """Roll the version back whatever the evidence says from now on."""
+        if self._rollback_reason is None:
+            self._rollback_reason = reason
+
     def advance(self, situation):
         """Return the RolloutPlan for now.
 
@@ -166,6 +180,8 @@
         if self._phase.final:
             return self._build_plan(self._phase, self._reason)
         phase, reason = self._find_phase(situation)
+        if phase is Phase.ROLLED_BACK:
+            self.roll_back(reason)
         if phase is not self._phase and phase is not Phase.ROLLED_BACK:
             if not situation.store_available:
                 phase, reason = self._phase, 'the store is not available'
@@ -196,6 +212,8 @@
     def _find_phase(self, situation):
         """Return the phase that should be next, and why."""
         now, judgement = situation.now, situation.judgement
+        if self._rollback_reason is not None:
+            return Phase.ROLLED_BACK, self._rollback_reason
         if not situation.service_known:
             return Phase.ROLLED_BACK, 'the service is not configured'
         if judgement.verdict is Verdict.BAD:
@@ -211,6 +229,8 @@
         if self._phase is Phase.CUTOVER:
             return self._find_cutover_end(situation)
         if now >= self._decides_at:
+            if not situation.hosts_report:
+                return self._phase, 'hosts do not report'
             if judgement.verdict is Verdict.SUSPECT:
                 return Phase.ROLLED_BACK, f'suspected: {judgement.reason}'
             return Phase.CUTOVER, judgement.reason or 'no evidence against it'
@@ -228,6 +248,8 @@
         spent = situation.exposed >= self._find_budget(situation)
         if not drained and not spent and now < self._completes_at:
             return Phase.CUTOVER, 'the old endpoints end their requests'
+        if not situation.hosts_report:
+            return Phase.CUTOVER, 'hosts do not report'
         if judgement.verdict is Verdict.SUSPECT:
             return Phase.ROLLED_BACK, f'suspected: {judgement.reason}'
         return Phase.COMPLETED, judgement.reason or 'no evidence against it'
--- a/persimmonroute/gateway/rollout_evidence.py
+++ b/persimmonroute/gateway/rollout_evidence.py
@@ -13,6 +13,8 @@
 
 # Responses that arrived in the same slice were exposed to the same load.
 SLICE_S = 0.5
+# Slices of one order, which bounds the memory and messages of a long one.
+MAX_SLICES = 40
 # Shorter times cannot be distinguished from network delay.
 MIN_TIME_S = 0.002
 # Standard deviation of the logarithm of the times of one route, at least;
@@ -94,7 +96,12 @@
 
     def plus(self, other):
         """Return the sum of two tallies."""
-        return Tally(*(a + b for a, b in zip(self, other, strict=True)))
+        return Tally(
+            self.answered + other.answered,
+            self.failed + other.failed,
+            self.log_sum + other.log_sum,
+            self.log_square_sum + other.log_square_sum,
+        )
 
 
 class Comparison(typing.NamedTuple):
@@ -113,11 +120,31 @@
     matched: bool
 
 
+class Index(typing.NamedTuple):
+    """Group the tallies for the comparison of one version with the others."""
+
+    target: str
+    # Tallies of the version, with their keys, by route.
+    of_target: dict[str, list[tuple[Key, Tally]]]
+    # Sums of the other versions by slice and route, and by route.
+    others: dict[tuple[int, str], Tally]
+    overall: dict[str, Tally]
+    # Deviations of log times within slices and versions by route.
+    deviations: dict[str, float]
+
+
+def find_slice_s(duration_s):
+    """Return the length of the slices of an order that takes this long."""
+    return max(SLICE_S, duration_s / MAX_SLICES)
+
+
 class VersionEvidence:
     """Count the responses of the versions of one service."""
 
-    def __init__(self):
+    def __init__(self, slice_s=SLICE_S):
+        self._slice_s = slice_s
         self._tallies = {}
+        self._index = None
 
     @property
     def tallies(self):
@@ -133,11 +160,16 @@
         else:
             log_s = math.log(max(time_s, MIN_TIME_S))
             added = Tally(1, 0, log_s, log_s * log_s)
-        self.add(Key(math.floor(now / SLICE_S), route, version), added)
+        self.add(Key(self.find_slice(now), route, version), added)
+
+    def find_slice(self, now):
+        """Return the number of the slice of a time."""
+        return math.floor(now / self._slice_s)
 
     def add(self, key, tally):
         """Add counts, which another process may have made."""
         self._tallies[key] = self._tallies.get(key, Tally()).plus(tally)
+        self._index = None
 
     def merge(self, other):
         """Add all counts of other evidence."""
@@ -177,71 +209,72 @@
 
     def compare(self, target, routes):
         """Return the Comparison of a version with all others."""
-        overall = {
-            route: _sum(
-                t
-                for k, t in self._tallies.items()
-                if k.route == route and k.version != target
-            )
-            for route in routes
-        }
-        deviations = {
-            route: self._find_log_deviation(route) for route in routes
-        }
+        index = self._find_index(target)
         answers = failures = times = unmatched = 0
-        expected = weights = weighted = variance = 0.0
-        for key, tally in self._tallies.items():
-            if key.version != target or key.route not in overall:
-                continue
-            others = self._others(key)
-            matched = others.total > 0
-            unmatched += 0 if matched else tally.total
-            answers += tally.total
-            failures += tally.failed
-            expected += tally.total * _find_rate(others, overall[key.route])
-            reference = others if others.answered else overall[key.route]
-            if not tally.answered or not reference.answered:
-                continue
-            times += tally.answered
-            # Inverse variance weights.
-            spread = deviations[key.route] ** 2 * (
-                1 / tally.answered + 1 / reference.answered
-            )
-            weights += 1 / spread
-            weighted += (tally.mean_log - reference.mean_log) / spread
-            variance += 1 / spread
+        expected = weights = weighted = 0.0
+        for route in routes:
+            overall = index.overall.get(route, Tally())
+            for key, tally in index.of_target.get(route, ()):
+                others = index.others.get((key.slice, route), Tally())
+                unmatched += 0 if others.total else tally.total
+                answers += tally.total
+                failures += tally.failed
+                expected += tally.total * _find_rate(others, overall)
+                reference = others if others.answered else overall
+                if not tally.answered or not reference.answered:
+                    continue
+                times += tally.answered
+                # Inverse variance weights.
+                spread = index.deviations[route] ** 2 * (
+                    1 / tally.answered + 1 / reference.answered
+                )
+                weights += 1 / spread
+                weighted += (tally.mean_log - reference.mean_log) / spread
         return Comparison(
             answers,
             failures,
             expected,
             times,
             weighted / weights if weights else 0.0,
-            math.sqrt(variance) / weights if weights else math.inf,
+            1 / math.sqrt(weights) if weights else math.inf,
             unmatched * 2 <= answers,
         )
 
-    def _others(self, key):
-        return _sum(
-            t
-            for k, t in self._tallies.items()
-            if k.slice == key.slice
-            and k.route == key.route
-            and k.version != key.version
-        )
+    def _find_index(self, target):
+        if self._index is None or self._index.target != target:
+            self._index = self._build_index(target)
+        return self._index
 
-    def _find_log_deviation(self, route):
-        """Return the deviation of log times within slices and versions."""
-        squares, count = (
-            MIN_LOG_DEVIATION**2 * DEVIATION_PRIOR,
-            DEVIATION_PRIOR,
-        )
+    def _build_index(self, target):
+        """Sort the tallies in one pass: there are hundreds of them."""
+        of_target, others, overall = {}, {}, {}
+        by_route = {}
         for key, tally in self._tallies.items():
-            if key.route != route or tally.answered < 2:
+            route = key.route
+            by_route.setdefault(route, []).append(tally)
+            if key.version == target:
+                of_target.setdefault(route, []).append((key, tally))
                 continue
-            mean = tally.mean_log
-            squares += tally.log_square_sum - tally.answered * mean * mean
-            count += tally.answered - 1
-        return max(math.sqrt(max(squares, 0.0) / count), MIN_LOG_DEVIATION)
+            place = (key.slice, route)
+            others[place] = others.get(place, Tally()).plus(tally)
+            overall[route] = overall.get(route, Tally()).plus(tally)
+        deviations = {
+            route: _find_log_deviation(tallies)
+            for route, tallies in by_route.items()
+        }
+        return Index(target, of_target, others, overall, deviations)
+
+
+def _find_log_deviation(tallies):
+    """Return the deviation of log times within the tallies."""
+    squares, count = MIN_LOG_DEVIATION**2 * DEVIATION_PRIOR, DEVIATION_PRIOR
+    for tally in tallies:
+        if tally.answered < 2:
+            continue
+        mean = tally.mean_log
+        squares += tally.log_square_sum - tally.answered * mean * mean
+        count += tally.answered - 1
+    return max(math.sqrt(max(squares, 0.0) / count), MIN_LOG_DEVIATION)
 
 
 def _sum(tallies):
--- a/persimmonroute/gateway/rollout_exposure.py
+++ b/persimmonroute/gateway/rollout_exposure.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import abc
 import math
 
 import xxhash
@@ -20,6 +21,44 @@
 MAX_CREDIT = 2.0
 
 
+class VersionPolicy(abc.ABC):
+    """Tell a scheduler which versions of a service it may use."""
+
+    @abc.abstractmethod
+    def filter(self, pending, views, now):
+        """Return the views that a request may be sent to now."""
+
+    @abc.abstractmethod
+    def list_main(self, service, views, now):
+        """Return the views that serve most new requests of a service."""
+
+    @abc.abstractmethod
+    def record_grant(self, pending, view):
+        """Count a request that is sent to an endpoint."""
+
+    @abc.abstractmethod
+    def record_end(self, pending, view, ending, time_s, now):
+        """Record how an attempt ended; time_s is None if it says nothing."""
+
+
+class AllVersions(VersionPolicy):
+    """Use all versions, where rollouts are not served."""
+
+    def filter(self, pending, views, now):
+        """Return all views."""
+        return views
+
+    def list_main(self, service, views, now):
+        """Return all views."""
+        return views
+
+    def record_grant(self, pending, view):
+        """Count nothing."""
+
+    def record_end(self, pending, view, ending, time_s, now):
+        """Record nothing."""
+
+
 class ExposureLimit:
     """Tell which versions of a service the next grant may use."""
 
@@ -33,27 +72,29 @@
         """Return the newest RolloutPlan, or None."""
         return self._plan
 
-    def apply(self, plan, now):
-        """Follow a plan; one of an older order or phase is ignored."""
-        if self._plan is not None:
-            if plan.revision < self._plan.revision:
-                return
-            same = plan.revision == self._plan.revision
-            if (
-                same
-                and self._plan.phase.final
-                and plan.phase != (self._plan.phase)
-            ):
+    def apply(self, plan, confirmed_at):
+        """Follow a plan; one of an older order or phase is ignored.
+
+        A plan that was delayed on its way does not replace a newer one.
+        """
+        known = self._plan
+        if known is not None:
+            if plan.revision < known.revision:
                 return
-            if not same:
+            if plan.revision > known.revision:
                 self._credit = 1.0
+                self._confirmed_at = -math.inf
+            elif _is_settled(known.phase, plan.phase):
+                return
+        if not plan.phase.final and confirmed_at < self._confirmed_at:
+            return
         self._plan = plan
-        self._confirmed_at = now
+        self._confirmed_at = confirmed_at
 
-    def expect(self, plan, now):
+    def expect(self, plan):
         """Follow an order that no controller has confirmed yet."""
         if self._plan is None or plan.revision > self._plan.revision:
-            self.apply(plan._replace(share=0.0), now)
+            self.apply(plan._replace(share=0.0), -math.inf)
 
     def record_grant(self, version):
         """Count a grant of the service."""
@@ -82,10 +123,22 @@
             return [v for v in views if v.record.version == target]
         if plan.phase is Phase.CUTOVER and self._is_confirmed(now):
             return [v for v in views if v.record.version == target]
-        if not self._is_confirmed(now) or self._credit < 1.0:
+        # What is left of the credit is not used after the share became zero.
+        allowed = self._is_confirmed(now) and plan.share > 0.0
+        if not allowed or self._credit < 1.0:
             return [v for v in views if v.record.version != target]
         return self._limit_endpoints(views)
 
+    def list_main(self, views, now):
+        """Return the views that most new requests are sent to."""
+        plan = self._plan
+        if plan is None:
+            return views
+        moved = plan.phase is Phase.COMPLETED or (
+            plan.phase is Phase.CUTOVER and self._is_confirmed(now)
+        )
+        return [v for v in views if (v.record.version == plan.target) is moved]
+
     def _is_confirmed(self, now):
         return now - self._confirmed_at <= PLAN_VALID_S
 
@@ -102,5 +155,16 @@
         return others + of_target[: plan.endpoints]
 
 
+def _is_settled(known, phase):
+    """Return whether a known phase is not replaced by another one.
+
+    A plan only says that a rollout is completed once the store has accepted
+    that, so it replaces a rollback that the store did not accept.
+    """
+    if known is Phase.COMPLETED:
+        return phase is not Phase.COMPLETED
+    return known is Phase.ROLLED_BACK and not phase.final
+
+
 def _rank(revision, runner_id):
     return xxhash.xxh3_64_intdigest(f'{revision}|{runner_id}'.encode())
--- /dev/null
+++ b/persimmonroute/gateway/rollouts.py
@@ -0,0 +1,278 @@
+"""Track the version rollouts that a gateway knows of, as a host and alone.
+
+It answers the load of services that change their version while requests are
+granted: which versions a grant may use is decided from the newest plan, order
+and outcome without asking anybody.
+"""
+
+from __future__ import annotations
+
+import math
+
+from persimmonroute.gateway.model import Ending
+from persimmonroute.gateway.rollout_control import Phase
+from persimmonroute.gateway.rollout_control import RolloutPlan
+from persimmonroute.gateway import rollout_evidence
+from persimmonroute.gateway import rollout_exposure
+
+# Registrations of the old endpoints, which stop at the completion, have
+# lapsed by then. Versions that come later need no order.
+COMPLETED_HOLD_S = 30.0
+# Stands for all versions other than the target in the evidence.
+OTHER_VERSIONS = ''
+# Earlier orders of a service that are remembered, and versions that were not
+# accepted.
+MAX_FORMER = 16
+FAILED_ENDINGS = (Ending.FAILED, Ending.BROKEN, Ending.SILENT)
+
+
+class ServiceRollout:
+    """Track the newest order for one service."""
+
+    def __init__(self, order, given_at, era=0, rejected=()):
+        self.order = order
+        # When the order was given, in the local clock.
+        self.given_at = given_at
+        # Era of the store in which it was first read.
+        self.era = era
+        # Versions of earlier orders that were not accepted.
+        self.rejected = tuple(rejected)
+        # Newest phase that the store is known to have, and why.
+        self.phase = Phase.WAITING
+        self.reason = ''
+        # What the groups hosted here granted and got since the order.
+        self.evidence = rollout_evidence.VersionEvidence(
+            rollout_evidence.find_slice_s(order.duration_s)
+        )
+        self.requests = 0
+        self.exposed = 0
+        self._waiting = RolloutPlan(
+            order.service,
+            order.target,
+            order.revision,
+            Phase.WAITING,
+            0.0,
+            0,
+            'no plan yet',
+        )
+        self._newest = self._build_limit()
+        # Follows outcomes only, for grants without a host.
+        self._outcomes = self._build_limit()
+        self._limits = {}
+        self._confirmed_at = -math.inf
+        self._ended_at = math.inf
+
+    @property
+    def plan(self):
+        """Return the newest RolloutPlan."""
+        return self._newest.plan
+
+    def is_over(self, now):
+        """Return whether the order has no effect any more."""
+        completed = self.plan.phase is Phase.COMPLETED
+        return completed and now > self._ended_at + COMPLETED_HOLD_S
+
+    def apply_plan(self, plan, confirmed_at, now):
+        """Follow a plan for this order, which a controller confirmed."""
+        if plan.revision != self.order.revision:
+            return
+        self._newest.apply(plan, confirmed_at)
+        self._confirmed_at = max(self._confirmed_at, confirmed_at)
+        for limit in self._limits.values():
+            limit.apply(plan, confirmed_at)
+        if plan.phase.final:
+            self._outcomes.apply(plan, confirmed_at)
+            self._ended_at = min(self._ended_at, now)
+
+    def record_stored(self, phase, reason, now):
+        """Record the phase in the store; a final one is never left.
+
+        Completed goes before rolled back: its old endpoints are gone.
+        """
+        if self.phase is Phase.COMPLETED:
+            return
+        if self.phase is Phase.ROLLED_BACK and phase is not Phase.COMPLETED:
+            return
+        self.phase = phase
+        self.reason = reason
+        if phase.final:
+            plan = self._waiting._replace(phase=phase, reason=reason)
+            self.apply_plan(plan, now, now)
+
+    def reject(self, versions):
+        """Do not use versions that earlier orders did not get accepted."""
+        added = [
+            version
+            for version in versions
+            if version != self.order.target and version not in self.rejected
+        ]
+        self.rejected = (*self.rejected, *added)[-MAX_FORMER:]
+
+    def find_limit(self, region):
+        """Return the ExposureLimit of a group that is hosted here."""
+        limit = self._limits.get(region)
+        if limit is None:
+            limit = self._limits[region] = self._build_limit()
+            limit.apply(self.plan, self._confirmed_at)
+        return limit
+
+    @property
+    def ended_at(self):
+        """Return when an outcome was first followed; infinity for never."""
+        return self._ended_at
+
+    @property
+    def outcomes(self):
+        """Return the ExposureLimit of grants without a host."""
+        return self._outcomes
+
+    def list_accepted(self, views):
+        """Return the views whose version was not rejected earlier."""
+        if not self.rejected:
+            return views
+        return [v for v in views if v.record.version not in self.rejected]
+
+    def record_grant(self, region, version):
+        """Count a grant of a group that is hosted here."""
+        self.find_limit(region).record_grant(version)
+        self.requests += 1
+        if version == self.order.target:
+            self.exposed += 1
+
+    def record_end(self, view, route, ending, time_s, now):
+        """Record the response to a request that was granted here.
+
+        Failures to connect and abandoned attempts are no responses. A
+        connection that an endpoint breaks while it stops is no bad one.
+        """
+        failed = ending in FAILED_ENDINGS
+        if not failed and ending is not Ending.ANSWERED:
+            return
+        if ending is Ending.BROKEN and view.leaving:
+            return
+        version = view.record.version
+        if version != self.order.target:
+            version = OTHER_VERSIONS
+        self.evidence.record(version, route, failed, time_s, now)
+
+    def _build_limit(self):
+        limit = rollout_exposure.ExposureLimit()
+        limit.expect(self._waiting)
+        return limit
+
+
+class Rollouts:
+    """Keep the newest order of each service."""
+
+    def __init__(self):
+        self._services = {}
+        # Earlier orders, which a restored store may list again.
+        self._former = {}
+
+    def __iter__(self):
+        return iter(list(self._services.values()))
+
+    def find(self, service):
+        """Return the ServiceRollout of a service, or None."""
+        return self._services.get(service)
+
+    def adopt(self, order, given_at, era):
+        """Follow an order and return True if it is a new one.
+
+        Row versions only grow within one era of the store. In a later era an
+        order is new unless it was known before.
+        """
+        service = order.service
+        known = self._services.get(service)
+        former = self._former.setdefault(service, [])
+        if known is not None:
+            newer = order.revision > known.order.revision or era > known.era
+            if not newer or order == known.order or order in former:
+                return False
+            former.append(known.order)
+            del former[:-MAX_FORMER]
+        rollout = ServiceRollout(order, given_at, era)
+        if known is not None and known.plan.phase is not Phase.COMPLETED:
+            rollout.reject((*known.rejected, known.order.target))
+        self._services[service] = rollout
+        return True
+
+
+class GroupPolicy(rollout_exposure.VersionPolicy):
+    """Limit the grants of a group that is hosted here by the plans."""
+
+    def __init__(self, rollouts, group):
+        self._rollouts = rollouts
+        self._group = group
+
+    def filter(self, pending, views, now):
+        """Return the views that the plan allows."""
+        rollout = self._find(now)
+        if rollout is None:
+            return views
+        limit = rollout.find_limit(self._group.region)
+        views = rollout.list_accepted(views)
+        return limit.filter(views, pending.version, now)
+
+    def list_main(self, service, views, now):
+        """Return the views that serve most new requests of the group."""
+        rollout = self._find(now)
+        if rollout is None:
+            return views
+        limit = rollout.find_limit(self._group.region)
+        return limit.list_main(rollout.list_accepted(views), now)
+
+    def record_grant(self, pending, view):
+        """Count a grant towards the share of the target."""
+        rollout = self._rollouts.find(self._group.service)
+        if rollout is not None:
+            rollout.record_grant(self._group.region, view.record.version)
+
+    def record_end(self, pending, view, ending, time_s, now):
+        """Record the response as evidence while the order is open."""
+        rollout = self._rollouts.find(self._group.service)
+        if rollout is not None and not rollout.phase.final:
+            rollout.record_end(view, pending.route.name, ending, time_s, now)
+
+    def _find(self, now):
+        rollout = self._rollouts.find(self._group.service)
+        if rollout is None or rollout.is_over(now):
+            return None
+        return rollout
+
+
+class OwnPolicy(rollout_exposure.VersionPolicy):
+    """Use the safe versions for grants that no host decides.
+
+    Nobody would count the requests to the target.
+    """
+
+    def __init__(self, rollouts):
+        self._rollouts = rollouts
+
+    def filter(self, pending, views, now):
+        """Return the views that are safe while an order is open."""
+        rollout = self._find(pending.service, now)
+        if rollout is None:
+            return views
+        views = rollout.list_accepted(views)
+        return rollout.outcomes.filter(views, pending.version, now)
+
+    def list_main(self, service, views, now):
+        """Return the views that serve most new requests."""
+        rollout = self._find(service, now)
+        if rollout is None:
+            return views
+        return rollout.outcomes.list_main(rollout.list_accepted(views), now)
+
+    def record_grant(self, pending, view):
+        """Count nothing: the target gets no new requests here."""
+
+    def record_end(self, pending, view, ending, time_s, now):
+        """Record nothing: the hosts see enough of the other versions."""
+
+    def _find(self, service, now):
+        rollout = self._rollouts.find(service)
+        if rollout is None or rollout.is_over(now):
+            return None
+        return rollout
--- a/persimmonroute/gateway/scheduler.py
+++ b/persimmonroute/gateway/scheduler.py
@@ -12,6 +12,7 @@
 from persimmonroute.gateway import model
 from persimmonroute.gateway import passing as _passing
 from persimmonroute.gateway import peers
+from persimmonroute.gateway import rollout_exposure
 from persimmonroute.gateway import slots as _slots
 
 # Time to the first byte assumed for a route without measurements.
@@ -81,6 +82,8 @@
         self._passing = _passing.PassingAllowance(passing_share)
         self._sequence = itertools.count()
         self._shed_at = {}
+        # Tells which versions of a service may be used.
+        self.version_policy = rollout_exposure.AllVersions()
 
     @property
     def placement(self):
@@ -279,7 +282,8 @@
             if not free:
                 return False
             pending = entry.pending
-            views = _list_accepted(pending, free)
+            allowed = self.version_policy.filter(pending, free, now)
+            views = _list_accepted(pending, allowed)
             view = self._placement.choose(pending, views, self.limit_of, now)
             if view is None:
                 continue
@@ -297,6 +301,7 @@
         pending.sent_at = now
         view.record_sent(pending, now)
         self._slot_policy.record_sent(view, now)
+        self.version_policy.record_grant(pending, view)
         self.put(messages.Granted(pending, view))
 
     def _shed(self, service, ranked, now):
@@ -323,14 +328,16 @@
     def _find_rejections(self, service, ranked, now):
         """Return (pending, expected wait, reason or None) for each request."""
         views = self._slot_policy.usable(service, now)
-        slots = self._count_slots(views)
+        main = self.version_policy.list_main(service, views, now)
+        slots = self._count_slots(main or views)
         queued_s = 0.0
         decisions = []
         for entry in ranked:
             pending = entry.pending
             service_time_s = self._service_time_s(pending)
             wait_s = None
-            accepted = _list_accepted(pending, views)
+            allowed = self.version_policy.filter(pending, views, now)
+            accepted = _list_accepted(pending, allowed)
             if accepted:
                 # What is ahead may use all slots, a begun stream only those
                 # of its version.
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -18,6 +18,8 @@
 from persimmonroute.gateway import placement
 from persimmonroute.gateway import polling
 from persimmonroute.gateway import quarantine_keeping
+from persimmonroute.gateway import rollout_keeping
+from persimmonroute.gateway import rollouts
 from persimmonroute.gateway import scheduler as schedulers
 from persimmonroute.gateway import server
 from persimmonroute.gateway import shell as shells
@@ -75,6 +77,17 @@
     )
 
 
+def build_rollout_keeper(board, scheduler, dispatcher, rows, bounds):
+    """Build what serves rollouts, and connect it with the schedulers."""
+    keeper = rollout_keeping.RolloutKeeper(board, dispatcher, rows, bounds)
+    scheduler.version_policy = rollouts.OwnPolicy(board.rollouts)
+    dispatcher.serve_rollouts(
+        lambda group: rollouts.GroupPolicy(board.rollouts, group),
+        keeper.receive,
+    )
+    return keeper
+
+
 def build_locality(settings):
     """Build the locality of a gateway."""
     return locality.Locality(
@@ -133,16 +146,36 @@
         http_connection.open_connection,
         http_connection.read_response,
     )
-    followers = [
-        following.ConfigurationFollower(
-            board,
-            sources.ConfigurationSource(
-                store, CONFIGURATION_POLL_SHARE * settings.revocation_s
-            ),
-            rows,
-            on_table_change,
+    keepers = [
+        quarantine_keeping.QuarantineKeeper(
+            board, sources.QuarantineRows(store)
+        ),
+        version_keeper,
+    ]
+    rollout_bounds = rollout_keeping.read_bounds(settings)
+    configuration_follower = following.ConfigurationFollower(
+        board,
+        sources.ConfigurationSource(
+            store,
             CONFIGURATION_POLL_SHARE * settings.revocation_s,
+            rollout_bounds is not None,
         ),
+        rows,
+        on_table_change,
+        CONFIGURATION_POLL_SHARE * settings.revocation_s,
+    )
+    if rollout_bounds is not None:
+        keeper = build_rollout_keeper(
+            board,
+            scheduler,
+            dispatcher,
+            sources.RolloutRows(store),
+            rollout_bounds,
+        )
+        configuration_follower.on_orders = keeper.adopt_orders
+        keepers.append(keeper)
+    followers = [
+        configuration_follower,
         following.RunnerFollower(
             board,
             sources.RunnerSource(store, polling.MAX_POLL_S),
@@ -159,12 +192,7 @@
         sources.GatewayList(store),
         link,
         own,
-        [
-            quarantine_keeping.QuarantineKeeper(
-                board, sources.QuarantineRows(store)
-            ),
-            version_keeper,
-        ],
+        keepers,
     )
     app = ingress.IngressApp(board, forwarder)
     watched_sources = [follower.source for follower in followers]
--- a/persimmonroute/platform/documents.py
+++ b/persimmonroute/platform/documents.py
@@ -13,10 +13,14 @@
 
 from persimmonroute import exceptions
 from persimmonroute.gateway import model
+from persimmonroute.gateway import rollout_control
+from persimmonroute.gateway import rollout_keeping
 from persimmonroute import json_text
 
 CONFIGURATION_TABLE = 'op'
 CONFIGURATION_KEY = 'config'
+# Prefix of the keys of orders and of their status.
+ROLLOUT_PREFIX = 'rollout/'
 RUNNER_TABLE = 'servers'
 INSTANCE_FIELDS = (
     'name',
@@ -44,6 +48,8 @@
 MAX_TEXT_CHARACTERS = 200
 MAX_PORT = 65_535
 MAX_CORES = 1_000_000.0
+MAX_ROLLOUT_S = 604_800.0
+MAX_REASON_CHARACTERS = 300
 # Part of a problem that is logged.
 MAX_PROBLEM_CHARACTERS = 300
 # Ids are sent in a header.
@@ -127,6 +133,91 @@
         raise _refuse('the row of a version', error) from error
 
 
+def read_order(key, data, revision):
+    """Decode an order to move a service to a version, or DocumentError."""
+    try:
+        document = json_text.parse(data)
+        service = _text(document['Service'])
+        if key != f'{ROLLOUT_PREFIX}{service}':
+            raise ValueError('the key names another service')
+        return rollout_control.Order(
+            service,
+            _text(document['To']),
+            _rollout_s(document['DurationS']),
+            revision,
+        )
+    except MALFORMED_DOCUMENT_ERRORS as error:
+        raise _refuse(f'the order {key[:100]!r}', error) from error
+
+
+def read_status(data):
+    """Decode the final Phase, or None, and target of a status row."""
+    try:
+        document = json_text.parse(data)
+        phases = {s: p for p, s in rollout_keeping.STATES.items()}
+        return phases.get(_text(document['State'])), _text(document['To'])
+    except MALFORMED_DOCUMENT_ERRORS as error:
+        raise _refuse('the status of a rollout', error) from error
+
+
+def encode_status(row):
+    """Encode the status of a RolloutRow."""
+    return {
+        'State': row.status,
+        'To': row.order.target,
+        'Reason': row.reason[:MAX_REASON_CHARACTERS],
+        'Phase': row.phase.value,
+        'Order': row.order.revision,
+    }
+
+
+def read_rollout(service, data):
+    """Decode a RolloutRow, the era and the store's time, or DocumentError.
+
+    The time of the order is not filled in.
+    """
+    try:
+        document = json_text.parse(data)
+        order = rollout_control.Order(
+            _text(service),
+            _text(document['target']),
+            _rollout_s(document['duration_s']),
+            _integer(document['order'], 0),
+        )
+        given_s = document['given_at_s']
+        row = rollout_keeping.RolloutRow(
+            order,
+            math.inf,
+            rollout_control.Phase(document['phase']),
+            _text(document['status']),
+            str(document['reason'])[:MAX_REASON_CHARACTERS],
+            _integer(document['requests'], 0),
+            _integer(document['exposed'], 0),
+            tuple(_text(version) for version in document['rejected']),
+        )
+        era = _integer(document['era'], 0)
+        return row, era, None if given_s is None else _number(given_s)
+    except MALFORMED_DOCUMENT_ERRORS as error:
+        raise _refuse('the row of a rollout', error) from error
+
+
+def encode_rollout(row, era, given_s):
+    """Encode a RolloutRow; given_s is when the order was given."""
+    return {
+        'target': row.order.target,
+        'duration_s': row.order.duration_s,
+        'order': row.order.revision,
+        'era': era,
+        'given_at_s': given_s,
+        'phase': row.phase.value,
+        'status': row.status,
+        'reason': row.reason[:MAX_REASON_CHARACTERS],
+        'requests': row.requests,
+        'exposed': row.exposed,
+        'rejected': row.rejected,
+    }
+
+
 def read_trait(key):
     """Decode the trait in the key of a row, or raise DocumentError."""
     if not _TRAIT.fullmatch(key):
@@ -282,6 +373,13 @@
     return _number(value)
 
 
+def _rollout_s(value):
+    """Return a duration in seconds; one that has passed is no error."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f'not a number but {type(value)}')
+    return min(max(_number(value), 0.0), MAX_ROLLOUT_S)
+
+
 def _address(value):
     """Return an IP address with a port."""
     host, _, port = _text(value).rpartition(':')
--- a/persimmonroute/platform/sources.py
+++ b/persimmonroute/platform/sources.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import typing
 
 import xxhash
@@ -11,6 +12,7 @@
 from persimmonroute import exceptions
 from persimmonroute.gateway import following
 from persimmonroute.gateway import quarantine_keeping
+from persimmonroute.gateway import rollout_keeping
 from persimmonroute.gateway import version_keeping
 from persimmonroute import logs
 from persimmonroute.platform import documents
@@ -21,6 +23,8 @@
 GATEWAY_TABLE = 'gateways'
 VERSION_TABLE = 'versions'
 QUARANTINE_TABLE = 'quarantine'
+ROLLOUT_TABLE = 'rollouts'
+STATUS_TABLE = 'status'
 
 
 class TableSource(following.Source):
@@ -94,8 +98,9 @@
 class ConfigurationSource(TableSource):
     """Watch the configuration that operators publish."""
 
-    def __init__(self, tables, wait_s):
+    def __init__(self, tables, wait_s, reads_orders=False):
         super().__init__(tables, documents.CONFIGURATION_TABLE, wait_s)
+        self._reads_orders = reads_orders
         self._newest_version = 0
         # Row of the newest configuration; a restored store may hold an older.
         self._newest_row = {}
@@ -106,6 +111,7 @@
 
     def _decode(self, page, complete):
         configuration = None
+        orders = self._decode_orders(page) if self._reads_orders else ()
         for row in page.rows:
             if row.key != documents.CONFIGURATION_KEY or row.value is None:
                 continue
@@ -117,9 +123,30 @@
             except exceptions.DocumentError as error:
                 log.emit(Event.DOCUMENT_UNREADABLE, problem=error.problem)
         return following.Changes(
-            configuration, (), (), complete, page.responded_at, page.era
+            configuration,
+            (),
+            (),
+            complete,
+            page.responded_at,
+            page.era,
+            orders=orders,
         )
 
+    def _decode_orders(self, page):
+        """Return the readable orders to move services to other versions."""
+        orders = []
+        for row in page.rows:
+            ordered = row.key.startswith(documents.ROLLOUT_PREFIX)
+            if not ordered or row.value is None:
+                continue
+            try:
+                orders.append(
+                    documents.read_order(row.key, row.value, row.version)
+                )
+            except exceptions.DocumentError as error:
+                log.emit(Event.DOCUMENT_UNREADABLE, problem=error.problem)
+        return tuple(orders)
+
 
 class RunnerSource(TableSource):
     """Watch the registrations of endpoints."""
@@ -264,3 +291,93 @@
             QUARANTINE_TABLE, '', f'{trait:016x}', None, version
         )
         await self._tables.transact([write])
+
+
+class RolloutRows(rollout_keeping.RolloutRows):
+    """Keep how far the rollouts of versions are in the store."""
+
+    def __init__(self, tables):
+        self._tables = tables
+        self._era = None
+
+    async def read(self):
+        """Return all rows as a RolloutPage."""
+        page = await self._tables.read(ROLLOUT_TABLE)
+        self._era = page.era
+        return self._decode(page)
+
+    async def watch(self, after, wait_s):
+        """Return the RolloutPage of the changes after a version."""
+        page = await self._tables.watch(ROLLOUT_TABLE, after, wait_s)
+        if page.era != self._era:
+            raise exceptions.HistoryLostError(
+                f'the store was restored; version {after} of'
+                f' {ROLLOUT_TABLE!r} belongs to era {self._era}'
+            )
+        return self._decode(page)
+
+    async def write(self, row, expected_version):
+        """Write a row and its status if the row has this version."""
+        service = row.order.service
+        document = documents.encode_rollout(
+            row, self._tables.era or 0, self._find_given_s(row)
+        )
+        status = documents.encode_status(row)
+        writes = [
+            _tables.RowWrite(
+                ROLLOUT_TABLE,
+                '',
+                service,
+                json.dumps(document).encode(),
+                expected_version,
+            ),
+            _tables.RowWrite(
+                STATUS_TABLE,
+                '',
+                f'{documents.ROLLOUT_PREFIX}{service}',
+                json.dumps(status).encode(),
+            ),
+        ]
+        committed, version = await self._tables.transact(writes)
+        return version if committed else None
+
+    async def read_status(self, service):
+        """Return the StatusRow of a service, or None."""
+        key = f'{documents.ROLLOUT_PREFIX}{service}'
+        page = await self._tables.read(STATUS_TABLE, start=key)
+        for row in page.rows:
+            if row.key != key:
+                continue
+            try:
+                phase, target = documents.read_status(row.value)
+                return rollout_keeping.StatusRow(phase, target, row.version)
+            except exceptions.DocumentError as error:
+                log.emit(Event.DOCUMENT_UNREADABLE, problem=error.problem)
+        return None
+
+    def _find_given_s(self, row):
+        """Return when an order was given by the store's clock, or None."""
+        if row.given_at == math.inf:
+            return None
+        return self._tables.clock.to_store_s(row.given_at)
+
+    def _decode(self, page):
+        rows = []
+        for row in page.rows:
+            if row.value is None:
+                continue
+            try:
+                decoded, era, given_s = documents.read_rollout(
+                    row.key, row.value
+                )
+            except exceptions.DocumentError as error:
+                log.emit(Event.DOCUMENT_UNREADABLE, problem=error.problem)
+                continue
+            given_at = math.inf
+            # A restored store may have another clock.
+            if given_s is not None and era == page.era:
+                given_at = self._tables.clock.to_local_s(given_s)
+            rows.append(
+                decoded._replace(given_at=given_at, version=row.version)
+            )
+        return rollout_keeping.RolloutPage(tuple(rows), page.version, page.era)
--- a/persimmonroute/platform/tables.py
+++ b/persimmonroute/platform/tables.py
@@ -69,6 +69,18 @@
         self._min_offset_s = max(min_offset_s, offset)
         return store_time_s + self._min_offset_s
 
+    def to_store_s(self, local_s):
+        """Return the store's time at a local time, or None if unknown."""
+        if self._min_offset_s is None:
+            return None
+        return local_s - self._min_offset_s
+
+    def to_local_s(self, store_s):
+        """Return the local time at a time of the store, or None."""
+        if self._min_offset_s is None:
+            return None
+        return store_s + self._min_offset_s
+
 
 class RowWrite(typing.NamedTuple):
     """Write one row if its current version equals the expected version.
@@ -94,6 +106,16 @@
         self._era = None
         self._idle_connections = []
 
+    @property
+    def clock(self):
+        """Return the StoreClock of the present era."""
+        return self._clock
+
+    @property
+    def era(self):
+        """Return the era of the last response, or None before the first."""
+        return self._era
+
     async def read(self, table, part='', start=None, end=None):
         """Return a Page with all rows of one part of a table.
 
