--- a/persimmonroute/gateway/rollout_evidence.py
+++ b/persimmonroute/gateway/rollout_evidence.py
@@ -50,6 +50,10 @@
 # are below the thresholds with some certainty.
 MIN_GOOD_ANSWERS = 40
 GOOD_DEVIATIONS = 1.6
+# Expected failures from which their number is as good as normal; the
+# probability of none underflows at 745.
+NORMAL_FROM = 200.0
+NEGLIGIBLE = 1e-18
 
 
 class Verdict(enum.Enum):
@@ -346,8 +350,13 @@
 
 def _poisson_tail(count, expected):
     """Return the probability of at least count events."""
+    if expected > NORMAL_FROM:
+        deviations = (count - 0.5 - expected) / math.sqrt(expected)
+        return 0.5 * math.erfc(deviations / math.sqrt(2.0))
     term = below = math.exp(-expected)
     for number in range(1, count):
         term *= expected / number
         below += term
+        if number > expected and term < NEGLIGIBLE:
+            break
     return max(1.0 - below, 0.0)
--- a/persimmonroute/gateway/rollout_keeping.py
+++ b/persimmonroute/gateway/rollout_keeping.py
@@ -32,6 +32,9 @@
 # Rollbacks reach the hosts at once, so these bound only the detection.
 CONTROL_INTERVAL_S = 0.2
 REPORT_INTERVAL_S = 0.25
+# In the cutover the target gets all requests, so its budget lasts for a
+# second only; each tick counts.
+CUTOVER_INTERVAL_S = 0.09
 # Long polls of the controller show in addition whether the store responds.
 CONTROLLER_WAIT_S = 1.0
 FOLLOWER_WAIT_S = 4.0
@@ -45,6 +48,11 @@
 # learn of it from the table before: their long polls end at once.
 MAX_NOTICE_S = 0.3
 NOTICE_SHARE = 0.02
+# A controller that the store does not answer for longer grants no share: the
+# others may have taken another one, which spends the budget, too.
+CLAIM_VALID_S = 5.0
+# Pause of a controller after another one has claimed its order.
+CLAIM_PAUSE_S = 1.0
 IN_PROGRESS = 'in_progress'
 STATES = {Phase.COMPLETED: 'completed', Phase.ROLLED_BACK: 'rolled_back'}
 
@@ -63,6 +71,8 @@
     exposed: int
     # Versions of earlier orders that were not accepted.
     rejected: tuple[str, ...]
+    # Gateway that controls the order.
+    controller: str
     # Version of the row; 0 before it is written.
     version: int = 0
 
@@ -133,6 +143,15 @@
         self.advanced_at = -math.inf
         # Phases that were logged as decided, which may not be stored yet.
         self.logged = set()
+        # Whether the row names this gateway, and from when on it may.
+        self.claimed = False
+        self.claim_at = -math.inf
+
+    def record_claim(self, own, now):
+        """Record whether the row names this gateway or another one."""
+        if self.claimed and not own:
+            self.claim_at = now + CLAIM_PAUSE_S
+        self.claimed = own
 
 
 class RolloutKeeper:
@@ -293,6 +312,7 @@
         rollout.record_stored(row.phase, row.reason, now)
         controller = self._find_controller(rollout)
         if controller is not None:
+            controller.record_claim(row.controller == self._board.name, now)
             controller.control.record_phase(rollout.phase, now)
             if rollout.phase.final and not before.final:
                 controller.plan = rollout.plan
@@ -391,7 +411,10 @@
         if sender is None or sender.rollout is not rollout:
             sender = rollout_reports.EvidenceSender(rollout)
             self._senders[service] = sender
-        if now - sender.last_sent_at < REPORT_INTERVAL_S:
+        interval_s = REPORT_INTERVAL_S
+        if rollout.plan.phase is Phase.CUTOVER:
+            interval_s = CUTOVER_INTERVAL_S
+        if now - sender.last_sent_at < interval_s:
             return
         regions = self._dispatcher.list_hosted_regions(service, now)
         if not regions:
@@ -461,13 +484,21 @@
     def _control(self, rollout, now):
         """Decide how an order goes on, and store what has to be."""
         controller = self._take_controller(rollout)
-        if now - controller.advanced_at < CONTROL_INTERVAL_S:
+        interval_s = CONTROL_INTERVAL_S
+        if controller.control.phase is Phase.CUTOVER:
+            interval_s = CUTOVER_INTERVAL_S
+        if now - controller.advanced_at < interval_s:
             return
         controller.advanced_at = now
         phase, reason = rollout.phase, rollout.reason
         if not rollout.phase.final:
             plan = self._advance(rollout, controller, now)
             phase, reason = plan.phase, plan.reason
+            if not controller.claimed and phase is not Phase.ROLLED_BACK:
+                # Only the controller that the row names goes on.
+                phase = rollout.phase
+                if not self._may_claim(rollout, controller, now):
+                    return
         service = rollout.order.service
         if service in self._writes:
             return
@@ -475,13 +506,33 @@
         if row is not None:
             self._writes[service] = asyncio.create_task(self._write(row))
 
+    def _may_claim(self, rollout, controller, now):
+        """Return whether to become the controller that the row names.
+
+        One that hosts do not report to leaves the order to the other.
+        """
+        stored = self._stored.get(rollout.order.service)
+        if stored is None or stored.order != rollout.order:
+            return True
+        return now >= controller.claim_at and self._is_reported_to(
+            controller, now
+        )
+
+    def _is_reported_to(self, controller, now):
+        regions = self._dispatcher.list_regions(controller.order.service)
+        return controller.collector.covers(regions, now)
+
     def _advance(self, rollout, controller, now):
         """Return the plan that may have a phase which is not stored yet."""
         control = controller.control
         situation = self._describe(rollout, controller, now)
         plan = control.advance(situation)
         former = controller.plan
-        controller.plan = self._find_followed(plan, control.phase, former)
+        followed = self._find_followed(plan, control.phase, former)
+        valid = now - self._available_at <= CLAIM_VALID_S
+        if not controller.claimed or not valid:
+            followed = followed._replace(share=0.0)
+        controller.plan = followed
         if plan.phase is not control.phase:
             self._log_decided(controller, plan, situation)
         if plan.phase is Phase.ROLLED_BACK:
@@ -534,9 +585,7 @@
             collector.count_in_flight(now),
             now - self._available_at <= STORE_FRESH_S,
             board.knows_service(order.service),
-            collector.covers(
-                self._dispatcher.list_regions(order.service), now
-            ),
+            self._is_reported_to(controller, now),
         )
 
     def _log_decided(self, controller, plan, situation):
@@ -570,8 +619,11 @@
                 status = IN_PROGRESS
         stored = self._stored.get(order.service)
         if stored is not None and stored.order == order:
-            if (stored.phase, stored.status) == (phase, status):
+            claimed = rollout.phase.final or controller.claimed
+            same = (stored.phase, stored.status) == (phase, status)
+            if same and claimed:
                 return None
+            # The status of an outcome is not taken back.
             if stored.phase is phase and stored.status != IN_PROGRESS:
                 return None
         missing = stored is None or stored.order != order
@@ -591,6 +643,7 @@
             controller.collector.requests,
             controller.collector.exposed,
             rollout.rejected,
+            self._board.name,
         )
 
     async def _write(self, row):
--- a/persimmonroute/platform/documents.py
+++ b/persimmonroute/platform/documents.py
@@ -194,6 +194,7 @@
             _integer(document['requests'], 0),
             _integer(document['exposed'], 0),
             tuple(_text(version) for version in document['rejected']),
+            _text(document['controller']),
         )
         era = _integer(document['era'], 0)
         return row, era, None if given_s is None else _number(given_s)
@@ -215,6 +216,7 @@
         'requests': row.requests,
         'exposed': row.exposed,
         'rejected': row.rejected,
+        'controller': row.controller,
     }
 
 
