Ask another controller when one does not answer

Cause: gateways of other regions report every 2 to 10 s, so a controller that is lost, or that the store rejects, was noticed too late for an order of 12 s. Change: hosts ask the next gateway after 0.8 s without an answer; a gateway that is asked controls; one without a valid claim does not answer. A crash or a halt of an endpoint counts as one bad response, and an attempt that its deadline ends as a slow one.

--- a/persimmonroute/gateway/peers.py
+++ b/persimmonroute/gateway/peers.py
@@ -260,10 +260,11 @@
         """Return whether this gateway is the one to act on a subject."""
         return self.find_responsible(subject, now) == self._own_name
 
-    def find_responsible(self, subject, now):
+    def find_responsible(self, subject, now, excluded=()):
         """Return the name of the gateway that is to act on a subject.
 
-        The gateways that respond choose the same one.
+        The gateways that respond choose the same one. It is this one if all
+        are excluded.
         """
         responding = [
             peer.name
@@ -272,8 +273,9 @@
             and peer.has_reported_within(UNRESPONSIVE_AFTER_INTERVALS, now)
         ]
         return min(
-            (self._own_name, *responding),
+            (n for n in (self._own_name, *responding) if n not in excluded),
             key=lambda name: compute_tie_breaker(subject, name),
+            default=self._own_name,
         )
 
     def find_gone(self, listed, now):
--- a/persimmonroute/gateway/rollout_control.py
+++ b/persimmonroute/gateway/rollout_control.py
@@ -41,6 +41,9 @@
 MIN_RATE_REQUESTS = 20
 MIN_RATE_S = 0.5
 RAMP_ENDPOINTS = 1
+# Requests without any response from which a version is no good: its endpoints
+# cannot be reached, or hang.
+MIN_UNANSWERED = 5
 
 
 class Phase(enum.Enum):
@@ -117,6 +120,8 @@
     # Whether the hosts of all groups of the service report. Without them the
     # lack of evidence says nothing.
     hosts_report: bool = True
+    # Responses of the target, of whatever kind; None if it is not known.
+    responses: int | None = None
 
 
 class RolloutControl:
@@ -233,6 +238,9 @@
                 return self._phase, 'hosts do not report'
             if judgement.verdict is Verdict.SUSPECT:
                 return Phase.ROLLED_BACK, f'suspected: {judgement.reason}'
+            if not situation.responses and situation.responses is not None:
+                if situation.exposed >= MIN_UNANSWERED:
+                    return Phase.ROLLED_BACK, 'no response of the version'
             return Phase.CUTOVER, judgement.reason or 'no evidence against it'
         if now >= self._began_at + RAMP_AT * self._order.duration_s:
             return Phase.RAMP, judgement.reason
--- a/persimmonroute/gateway/rollout_keeping.py
+++ b/persimmonroute/gateway/rollout_keeping.py
@@ -42,6 +42,12 @@
 STORE_FRESH_S = 2.5
 # Gateways that only follow an order begin to read at different times.
 READ_SPREAD_PER_GATEWAY_S = 0.005
+# A controller that does not answer for longer is not asked for a while: from
+# other regions, gateways report too rarely to notice soon that one is gone.
+ANSWER_TIMEOUT_S = 0.8
+SILENT_PAUSE_S = 5.0
+# A gateway that hosts ask controls the order, whoever else could.
+ASKED_VALID_S = 1.0
 # Pause of a controller after a call to the store that failed.
 RETRY_S = 0.25
 # The old endpoints stop at the status completed. Gateways without a host
@@ -50,7 +56,7 @@
 NOTICE_SHARE = 0.02
 # A controller that the store does not answer for longer grants no share: the
 # others may have taken another one, which spends the budget, too.
-CLAIM_VALID_S = 5.0
+CLAIM_VALID_S = 3.0
 # Pause of a controller after another one has claimed its order.
 CLAIM_PAUSE_S = 1.0
 IN_PROGRESS = 'in_progress'
@@ -146,6 +152,8 @@
         # Whether the row names this gateway, and from when on it may.
         self.claimed = False
         self.claim_at = -math.inf
+        # When a host last asked for the plan.
+        self.asked_at = -math.inf
 
     def record_claim(self, own, now):
         """Record whether the row names this gateway or another one."""
@@ -178,6 +186,8 @@
         # Orders that were read at the start and whose status is to be read,
         # and those that had ended before.
         self._unchecked = set()
+        # Until when gateways that did not answer are not asked.
+        self._silent_until = {}
         self._ended_before = set()
 
     def adopt_orders(self, changes):
@@ -356,14 +366,23 @@
         )
 
     def _find_responsible(self, rollout, now):
+        """Return the gateway that is asked to control an order."""
+        silent = [
+            name for name, until in self._silent_until.items() if now < until
+        ]
         return self._board.peers.find_responsible(
-            f'rollout/{rollout.order.service}', now
+            _name_subject(rollout), now, silent
         )
 
     def _is_responsible(self, rollout, now):
+        """Return whether this gateway controls an order."""
         if self._board.draining:
             return False
-        return self._find_responsible(rollout, now) == self._board.name
+        controller = self._find_controller(rollout)
+        if controller is not None:
+            if now - controller.asked_at <= ASKED_VALID_S:
+                return True
+        return self._board.peers.is_responsible(_name_subject(rollout), now)
 
     def _is_controlling(self, now):
         return any(
@@ -422,6 +441,9 @@
         in_flight = self._dispatcher.count_in_flight(
             service, rollout.order.target
         )
+        silent_s = now - sender.heard_at
+        if sender.controller is not None and silent_s > ANSWER_TIMEOUT_S:
+            self._silent_until[sender.controller] = now + SILENT_PAUSE_S
         controller = self._find_responsible(rollout, now)
         report = sender.build(controller, regions, in_flight, now)
         self._dispatcher.send_rollout(controller, report, now)
@@ -448,12 +470,23 @@
         if not self._loaded:
             return
         controller = self._take_controller(rollout)
+        controller.asked_at = now
         confirmed = controller.collector.receive(peer, report, now)
         if report.phase == Phase.ROLLED_BACK.value:
             controller.control.roll_back('a host follows a rollback')
-        if controller.plan is None or not self._is_responsible(rollout, now):
+        plan = controller.plan
+        if plan is None or self._board.draining:
             return
-        self._send_plan(peer, controller.plan, report, confirmed, now)
+        # A host without an answer asks another gateway. A rollback needs no
+        # claim, but once the host follows it, another one may store it.
+        urgent = plan.phase.final and report.phase != plan.phase.value
+        if self._has_claim(controller, now) or urgent:
+            self._send_plan(peer, plan, report, confirmed, now)
+
+    def _has_claim(self, controller, now):
+        """Return whether the store has this gateway as the controller."""
+        valid = now - self._available_at <= CLAIM_VALID_S
+        return controller.claimed and valid
 
     def _send_plan(self, peer, plan, report, confirmed, now):
         """Send a plan to a host in answer to one of its reports."""
@@ -466,7 +499,7 @@
         sender = self._senders.get(rollout.order.service)
         if sender is None or decision.plan.revision != rollout.order.revision:
             return
-        sent_at = sender.confirm(peer, decision)
+        sent_at = sender.confirm(peer, decision, now)
         if sent_at is None:
             return
         before = rollout.plan.phase
@@ -529,8 +562,7 @@
         plan = control.advance(situation)
         former = controller.plan
         followed = self._find_followed(plan, control.phase, former)
-        valid = now - self._available_at <= CLAIM_VALID_S
-        if not controller.claimed or not valid:
+        if not self._has_claim(controller, now):
             followed = followed._replace(share=0.0)
         controller.plan = followed
         if plan.phase is not control.phase:
@@ -569,6 +601,7 @@
             ]
             targets = versions.count(order.target)
             others = len(versions) - targets
+        evidence = collector.merge()
         requests, exposed = collector.requests, collector.exposed
         stored = self._stored.get(order.service)
         if stored is not None and stored.order == order:
@@ -577,7 +610,7 @@
             exposed = max(exposed, stored.exposed)
         return rollout_control.Situation(
             now,
-            collector.merge().judge(order.target),
+            evidence.judge(order.target),
             requests,
             exposed,
             targets,
@@ -586,6 +619,7 @@
             now - self._available_at <= STORE_FRESH_S,
             board.knows_service(order.service),
             self._is_reported_to(controller, now),
+            evidence.count(order.target).total,
         )
 
     def _log_decided(self, controller, plan, situation):
@@ -676,6 +710,11 @@
                 await asyncio.sleep(RETRY_S)
 
 
+def _name_subject(rollout):
+    """Return what a gateway is responsible for as a controller."""
+    return f'rollout/{rollout.order.service}'
+
+
 def _has_ended(order, status):
     """Return whether a status tells the end of an order.
 
--- a/persimmonroute/gateway/rollout_reports.py
+++ b/persimmonroute/gateway/rollout_reports.py
@@ -37,12 +37,20 @@
         # Tallies as last sent, with the number of the report.
         self._sent = {}
         self.last_sent_at = -math.inf
+        # When the present controller was first asked or last answered.
+        self.heard_at = -math.inf
+
+    @property
+    def controller(self):
+        """Return the gateway that was asked last, or None."""
+        return self._controller
 
     def build(self, controller, regions, others_in_flight, now):
         """Return the next report to a controller."""
         if controller != self._controller:
             self._controller = controller
             self._confirmed = 0
+            self.heard_at = now
         self._number += 1
         self._sent_at[self._number] = self.last_sent_at = now
         self._sent_at.pop(self._number - MAX_SENT, None)
@@ -70,7 +78,7 @@
             changed,
         )
 
-    def confirm(self, controller, decision):
+    def confirm(self, controller, decision, now):
         """Record a controller's answer; return when its report was sent.
 
         None if it does not answer a report of this sender. The plan counts
@@ -80,6 +88,7 @@
             return None
         if controller == self._controller:
             self._confirmed = min(decision.confirmed, self._number)
+            self.heard_at = now
         return self._sent_at.get(decision.number)
 
 
--- a/persimmonroute/gateway/rollouts.py
+++ b/persimmonroute/gateway/rollouts.py
@@ -24,6 +24,13 @@
 # accepted.
 MAX_FORMER = 16
 FAILED_ENDINGS = (Ending.FAILED, Ending.BROKEN, Ending.SILENT)
+# Endings that the requests in flight at an endpoint share if it crashes or
+# stands still.
+SHARED_ENDINGS = (Ending.BROKEN, Ending.SILENT)
+# They count once until the endpoint responds again, or after this time.
+SHARED_ENDING_S = 0.5
+# An attempt that is abandoned within this time of its deadline took too long.
+DEADLINE_TOLERANCE_S = 0.1
 
 
 class ServiceRollout:
@@ -46,6 +53,8 @@
         )
         self.requests = 0
         self.exposed = 0
+        # When a shared ending of each endpoint was last counted.
+        self._shared_at = {}
         self._waiting = RolloutPlan(
             order.service,
             order.target,
@@ -143,13 +152,21 @@
         """Record the response to a request that was granted here.
 
         Failures to connect and abandoned attempts are no responses. A
-        connection that an endpoint breaks while it stops is no bad one.
+        connection that an endpoint breaks while it stops is no bad one, and
+        a crash is one bad response, not as many as were in flight.
         """
         failed = ending in FAILED_ENDINGS
         if not failed and ending is not Ending.ANSWERED:
             return
         if ending is Ending.BROKEN and view.leaving:
             return
+        if ending in SHARED_ENDINGS:
+            counted_at = self._shared_at.get(view.id, -math.inf)
+            if now - counted_at < SHARED_ENDING_S:
+                return
+            self._shared_at[view.id] = now
+        else:
+            self._shared_at.pop(view.id, None)
         version = view.record.version
         if version != self.order.target:
             version = OTHER_VERSIONS
@@ -231,8 +248,14 @@
     def record_end(self, pending, view, ending, time_s, now):
         """Record the response as evidence while the order is open."""
         rollout = self._rollouts.find(self._group.service)
-        if rollout is not None and not rollout.phase.final:
-            rollout.record_end(view, pending.route.name, ending, time_s, now)
+        if rollout is None or rollout.phase.final:
+            return
+        late = now >= pending.deadline_at - DEADLINE_TOLERANCE_S
+        if ending is Ending.ABANDONED and late:
+            # The response would have taken at least as long: otherwise the
+            # slowest ones would be missing.
+            ending, time_s = Ending.ANSWERED, now - pending.sent_at
+        rollout.record_end(view, pending.route.name, ending, time_s, now)
 
     def _find(self, now):
         rollout = self._rollouts.find(self._group.service)
--- a/persimmonroute/tests/gateway/rollout_keeping_tests.py
+++ b/persimmonroute/tests/gateway/rollout_keeping_tests.py
@@ -326,6 +326,28 @@
 
         self._play_to_end(disturb, 'rolled_back', failures=0.5)
 
+    def test_lost_controller_that_reports_rarely(self):
+        """Hosts ask another gateway before its reports are missed."""
+
+        async def disturb(fleet):
+            fleet.peer_report_s = 10.0
+            fleet._exchange_reports()
+            await asyncio.sleep(0.3)
+            await fleet.controller.stop()
+
+        self._play_to_end(disturb, 'completed')
+        self._play_to_end(disturb, 'rolled_back', failures=0.5)
+
+    def test_controller_that_the_store_rejects(self):
+        """Guards against a rollout that waits for one gateway in vain."""
+
+        async def disturb(fleet):
+            await asyncio.sleep(0.3)
+            fleet.controller.client.rejected = True
+
+        self._play_to_end(disturb, 'completed')
+        self._play_to_end(disturb, 'rolled_back', failures=0.5)
+
     def test_controller_lost_between_outcome_and_status(self):
         """The next gateway tells the operators."""
 
--- a/standins/rollout_simulation.py
+++ b/standins/rollout_simulation.py
@@ -292,6 +292,8 @@
         ]
         self.sent = []
         self.message_bytes = []
+        # Time between the reports of gateways to one another.
+        self.peer_report_s = PEER_REPORT_S
         self._sequence = 0
         self._tasks = []
         for gateway in self.gateways:
@@ -385,7 +387,7 @@
 
     async def _report(self):
         while True:
-            await asyncio.sleep(PEER_REPORT_S)
+            await asyncio.sleep(self.peer_report_s)
             self._exchange_reports()
 
     def _exchange_reports(self):
@@ -407,7 +409,7 @@
                         {},
                         {},
                         {},
-                        interval_s=PEER_REPORT_S,
+                        interval_s=self.peer_report_s,
                     ),
                     now,
                 )
