Send due grants to the target, and judge the last moments by themselves

Cause: placement prefers endpoints that are first or know the prompts, so an idle target got no requests and was completed unseen; and a version that turned bad late was hidden by its good responses before. Change: a grant that is due goes to the target; the last 2 s are judged, too; the cutover lasts for half of its time even if the old endpoints are idle.

--- a/persimmonroute/gateway/rollout_control.py
+++ b/persimmonroute/gateway/rollout_control.py
@@ -37,6 +37,9 @@
 COMPLETION_SHARE = 0.1
 MAX_COMPLETION_S = 1.5
 MIN_CUTOVER_S = 0.3
+# Part of the time for the cutover that is used even if the old endpoints have
+# ended their requests: only now does the version get the full load.
+MIN_CUTOVER_SHARE = 0.5
 # The rate of requests is known once so many have arrived over so long.
 MIN_RATE_REQUESTS = 20
 MIN_RATE_S = 0.5
@@ -251,7 +254,7 @@
         now, judgement = situation.now, situation.judgement
         drained = (
             not situation.others_in_flight
-            and now >= self._cutover_at + MIN_CUTOVER_S
+            and now >= self._cutover_at + self._min_cutover_s
         )
         spent = situation.exposed >= self._find_budget(situation)
         if not drained and not spent and now < self._completes_at:
@@ -262,6 +265,11 @@
             return Phase.ROLLED_BACK, f'suspected: {judgement.reason}'
         return Phase.COMPLETED, judgement.reason or 'no evidence against it'
 
+    @property
+    def _min_cutover_s(self):
+        planned_s = self._completes_at - self._decides_at
+        return max(MIN_CUTOVER_SHARE * planned_s, MIN_CUTOVER_S)
+
     @property
     def _completes_at(self):
         duration_s = self._order.duration_s
--- a/persimmonroute/gateway/rollout_evidence.py
+++ b/persimmonroute/gateway/rollout_evidence.py
@@ -13,6 +13,9 @@
 
 # Responses that arrived in the same slice were exposed to the same load.
 SLICE_S = 0.5
+# A version that turns bad late has many good responses before, which would
+# hide the bad ones of the last moments.
+RECENT_S = 2.0
 # Slices of one order, which bounds the memory and messages of a long one.
 MAX_SLICES = 40
 # Shorter times cannot be distinguished from network delay.
@@ -186,8 +189,26 @@
             t for k, t in self._tallies.items() if k.version == version
         )
 
-    def judge(self, target):
-        """Return the Judgement of a version beside all others."""
+    def judge(self, target, now=None):
+        """Return the Judgement of a version beside all others.
+
+        With the time, the last moments are judged by themselves, too; they
+        alone do not make a version suspect.
+        """
+        judgement = self._judge_all(target)
+        if now is None or judgement.verdict is Verdict.BAD:
+            return judgement
+        recent = VersionEvidence(self._slice_s)
+        first = self.find_slice(now - RECENT_S)
+        for key, tally in self._tallies.items():
+            if key.slice >= first:
+                recent.add(key, tally)
+        latest = recent._judge_all(target)
+        if latest.verdict is not Verdict.BAD:
+            return judgement
+        return latest._replace(reason=f'lately {latest.reason}')
+
+    def _judge_all(self, target):
         routes = sorted(
             {k.route for k in self._tallies if k.version == target}
         )
--- a/persimmonroute/gateway/rollout_exposure.py
+++ b/persimmonroute/gateway/rollout_exposure.py
@@ -104,12 +104,14 @@
         if version == self._plan.target:
             self._credit -= 1.0
 
-    def filter(self, views, version, now):
+    def filter(self, views, version, now, excluded=()):
         """Return the views that a request may be sent to.
 
         version is the one that began its stream, or None. Such a stream goes
         on at its version, which the caller of this method checks, unless that
-        was rolled back.
+        was rolled back. excluded are the ids of endpoints that the request is
+        not sent to. A grant that is due to the target goes there: endpoints
+        that know the prompts and are as idle would always be preferred.
         """
         plan = self._plan
         if plan is None:
@@ -127,7 +129,7 @@
         allowed = self._is_confirmed(now) and plan.share > 0.0
         if not allowed or self._credit < 1.0:
             return [v for v in views if v.record.version != target]
-        return self._limit_endpoints(views)
+        return self._find_due(views, excluded)
 
     def list_main(self, views, now):
         """Return the views that most new requests are sent to."""
@@ -142,17 +144,18 @@
     def _is_confirmed(self, now):
         return now - self._confirmed_at <= PLAN_VALID_S
 
-    def _limit_endpoints(self, views):
-        """Concentrate the target's requests on few endpoints."""
+    def _find_due(self, views, excluded):
+        """Return the target's views, or the others if it has none.
+
+        The target's requests may be concentrated on few endpoints.
+        """
         plan = self._plan
-        if not plan.endpoints:
-            return views
-        of_target = sorted(
-            (v for v in views if v.record.version == plan.target),
-            key=lambda view: _rank(plan.revision, view.id),
-        )
-        others = [v for v in views if v.record.version != plan.target]
-        return others + of_target[: plan.endpoints]
+        of_target = [v for v in views if v.record.version == plan.target]
+        if plan.endpoints:
+            of_target.sort(key=lambda view: _rank(plan.revision, view.id))
+            del of_target[plan.endpoints :]
+        due = [view for view in of_target if view.id not in excluded]
+        return due or [v for v in views if v.record.version != plan.target]
 
 
 def _is_settled(known, phase):
--- a/persimmonroute/gateway/rollout_keeping.py
+++ b/persimmonroute/gateway/rollout_keeping.py
@@ -610,7 +610,7 @@
             exposed = max(exposed, stored.exposed)
         return rollout_control.Situation(
             now,
-            evidence.judge(order.target),
+            evidence.judge(order.target, now),
             requests,
             exposed,
             targets,
--- a/persimmonroute/gateway/rollouts.py
+++ b/persimmonroute/gateway/rollouts.py
@@ -229,7 +229,7 @@
             return views
         limit = rollout.find_limit(self._group.region)
         views = rollout.list_accepted(views)
-        return limit.filter(views, pending.version, now)
+        return limit.filter(views, pending.version, now, pending.excluded)
 
     def list_main(self, service, views, now):
         """Return the views that serve most new requests of the group."""
--- a/persimmonroute/tests/gateway/rollout_keeping_tests.py
+++ b/persimmonroute/tests/gateway/rollout_keeping_tests.py
@@ -95,6 +95,27 @@
 
         self.play(test)
 
+    def test_version_that_fails_only_in_the_cutover(self):
+        """Guards against an end before the full load shows anything."""
+
+        async def test(fleet):
+            began_at = clock.now_s()
+            fleet.store.order(duration_s=3 * DURATION_S)
+            await fleet.wait_for(
+                lambda: (
+                    fleet.find_phases() == {Phase.CUTOVER}
+                    or fleet.store.row
+                    and fleet.store.row['phase'] == 'cutover'
+                ),
+                3 * DURATION_S,
+            )
+            fleet.failures = 0.5
+            await fleet.wait_for(fleet.has_ended)
+            self.assertEqual(fleet.store.status['State'], 'rolled_back')
+            self.check_exposure(fleet, began_at)
+
+        self.play(test)
+
     def test_fleet_of_one_gateway(self):
         """The only gateway is host and controller."""
 
--- a/persimmonroute/tests/gateway/rollout_load_tests.py
+++ b/persimmonroute/tests/gateway/rollout_load_tests.py
@@ -121,7 +121,7 @@
         plan = self._control.advance(
             rollout_control.Situation(
                 now,
-                self._evidence.judge('v2'),
+                self._evidence.judge('v2', now),
                 self._requests,
                 self._exposed,
                 ENDPOINTS,
--- a/persimmonroute/tests/platform/deployment_tests.py
+++ b/persimmonroute/tests/platform/deployment_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import pathlib
 import re
 import tomllib
@@ -10,6 +11,8 @@
 
 from persimmonroute.config import settings
 from persimmonroute import exceptions
+from persimmonroute.gateway import rollout_control
+from persimmonroute.gateway import rollout_keeping
 from persimmonroute.platform import documents
 from standins import gateway_deployment
 
@@ -38,6 +41,9 @@
     'Bounds.QuotaOverrun': 0.1,
     'Bounds.QuotaSlack': 110000,
     'Bounds.GraceS': 8,
+    'Bounds.ExposeShare': 0.1,
+    'Bounds.ExposeSlack': 50,
+    'Bounds.RollbackMs': 5000,
 }
 
 
@@ -82,6 +88,10 @@
         self.assertEqual(loaded.revocation_s, 5.0)
         self.assertEqual(loaded.regions['riga-b'], 'riga')
         self.assertEqual(loaded.metrics_address, '10.1.0.25:7615')
+        self.assertEqual(
+            rollout_keeping.read_bounds(loaded),
+            rollout_control.Bounds(0.1, 50, 5.0),
+        )
 
     def test_missing_bounds_take_defaults(self):
         """A template rendered without the bounds passes the check."""
@@ -91,8 +101,19 @@
             if not name.startswith('Bounds')
         }
         document = json.loads(render_template(self.template, fields))
-        _, problems = settings.check_settings(document)
+        loaded, problems = settings.check_settings(document)
         self.assertEqual(problems, [])
+        self.assertIsNone(rollout_keeping.read_bounds(loaded))
+
+    def test_rollouts_need_all_their_bounds(self):
+        """Guards against rollouts that are served without a bound."""
+        for name in ('ExposeShare', 'ExposeSlack', 'RollbackMs'):
+            fields = {**FIELDS}
+            del fields[f'Bounds.{name}']
+            document = json.loads(render_template(self.template, fields))
+            loaded, problems = settings.check_settings(document)
+            self.assertEqual(problems, [])
+            self.assertIsNone(rollout_keeping.read_bounds(loaded))
 
     def test_requirements_match_the_pins(self):
         """The platform installs the versions pinned for development."""
@@ -159,3 +180,55 @@
             with self.subTest(data=data):
                 with self.assertRaises(exceptions.DocumentError):
                     documents.read_configuration(data)
+
+    def test_orders_of_rollouts(self):
+        """Guards against orders that are read as something else."""
+        document = {'Service': 's', 'To': 'v2', 'DurationS': 12}
+        data = json.dumps(document).encode()
+        order = documents.read_order('rollout/s', data, 5)
+        self.assertEqual(order, rollout_control.Order('s', 'v2', 12.0, 5))
+        for change in (
+            {'Service': 'other'},
+            {'To': ''},
+            {'To': 2},
+            {'To': 'x' * 1000},
+            {'DurationS': '12'},
+            {'DurationS': True},
+            {'DurationS': None},
+        ):
+            with self.subTest(change=change):
+                data = json.dumps({**document, **change}).encode()
+                with self.assertRaises(exceptions.DocumentError):
+                    documents.read_order('rollout/s', data, 5)
+        for data in (b'', b'[]', b'{}', b'{"DurationS": 1e999}'):
+            with self.assertRaises(exceptions.DocumentError):
+                documents.read_order('rollout/s', data, 5)
+
+    def test_rows_of_rollouts(self):
+        """A row is read as it was written; others are refused."""
+        row = rollout_keeping.RolloutRow(
+            rollout_control.Order('s', 'v2', 12.0, 5),
+            math.inf,
+            rollout_control.Phase.RAMP,
+            'in_progress',
+            'why',
+            100,
+            7,
+            ('v0',),
+            'gateway-1',
+        )
+        document = documents.encode_rollout(row, 3, 77.5)
+        data = json.dumps(document).encode()
+        self.assertEqual(documents.read_rollout('s', data), (row, 3, 77.5))
+        for change in (
+            {'phase': 'sleeping'},
+            {'requests': -1},
+            {'rejected': 3},
+            {'order': 'x'},
+            {'given_at_s': 'inf'},
+            {'controller': ''},
+        ):
+            with self.subTest(change=change):
+                data = json.dumps({**document, **change}).encode()
+                with self.assertRaises(exceptions.DocumentError):
+                    documents.read_rollout('s', data)
