Compare cold prompts with cold ones in a rollout

Cause: new endpoints have read no prompts, so a good version of an engine would have looked several times slower. Change: hosts note whether a grant finds most of its prompt cached, and count the two kinds apart; the keepers are tested with messages of any values. Verified: rollout_tests, rollout_keeping, scheduler and admission_host tests pass.

--- a/persimmonroute/gateway/admission_host.py
+++ b/persimmonroute/gateway/admission_host.py
@@ -95,6 +95,8 @@
         # When its gateway last listed the request in flight.
         self.listed_at = -math.inf
         self.first_byte_at = None
+        # Whether the endpoint had to read most of the prompt.
+        self.cold = False
 
     @property
     def attempt(self):
--- a/persimmonroute/gateway/rollout_exposure.py
+++ b/persimmonroute/gateway/rollout_exposure.py
@@ -33,8 +33,8 @@
         """Return the views that serve most new requests of a service."""
 
     @abc.abstractmethod
-    def record_grant(self, pending, view):
-        """Count a request that is sent to an endpoint."""
+    def record_grant(self, pending, view, now):
+        """Count a request before it is sent to an endpoint."""
 
     @abc.abstractmethod
     def record_end(self, pending, view, ending, time_s, now):
@@ -52,7 +52,7 @@
         """Return all views."""
         return views
 
-    def record_grant(self, pending, view):
+    def record_grant(self, pending, view, now):
         """Count nothing."""
 
     def record_end(self, pending, view, ending, time_s, now):
--- a/persimmonroute/gateway/rollouts.py
+++ b/persimmonroute/gateway/rollouts.py
@@ -29,6 +29,10 @@
 SHARED_ENDINGS = (Ending.BROKEN, Ending.SILENT)
 # They count once until the endpoint responds again, or after this time.
 SHARED_ENDING_S = 0.5
+# Requests whose prompt the endpoint has to read are compared with one another:
+# new endpoints know no prompts, and reading takes several times as long.
+COLD_SUFFIX = ' (cold)'
+MIN_WARM_SHARE = 0.5
 # An attempt that is abandoned within this time of its deadline took too long.
 DEADLINE_TOLERANCE_S = 0.1
 
@@ -239,11 +243,12 @@
         limit = rollout.find_limit(self._group.region)
         return limit.list_main(rollout.list_accepted(views), now)
 
-    def record_grant(self, pending, view):
+    def record_grant(self, pending, view, now):
         """Count a grant towards the share of the target."""
         rollout = self._rollouts.find(self._group.service)
         if rollout is not None:
             rollout.record_grant(self._group.region, view.record.version)
+            pending.cold = _is_cold(pending.request.prompt, view, now)
 
     def record_end(self, pending, view, ending, time_s, now):
         """Record the response as evidence while the order is open."""
@@ -255,7 +260,10 @@
             # The response would have taken at least as long: otherwise the
             # slowest ones would be missing.
             ending, time_s = Ending.ANSWERED, now - pending.sent_at
-        rollout.record_end(view, pending.route.name, ending, time_s, now)
+        route = pending.route.name
+        if pending.cold:
+            route += COLD_SUFFIX
+        rollout.record_end(view, route, ending, time_s, now)
 
     def _find(self, now):
         rollout = self._rollouts.find(self._group.service)
@@ -288,7 +296,7 @@
             return views
         return rollout.outcomes.list_main(rollout.list_accepted(views), now)
 
-    def record_grant(self, pending, view):
+    def record_grant(self, pending, view, now):
         """Count nothing: the target gets no new requests here."""
 
     def record_end(self, pending, view, ending, time_s, now):
@@ -299,3 +307,11 @@
         if rollout is None or rollout.is_over(now):
             return None
         return rollout
+
+
+def _is_cold(prompt, view, now):
+    """Return whether an endpoint has to read most of a prompt."""
+    tokens = sum(part.tokens for part in prompt)
+    if not tokens:
+        return False
+    return view.cached_tokens(prompt, now) < MIN_WARM_SHARE * tokens
--- a/persimmonroute/gateway/scheduler.py
+++ b/persimmonroute/gateway/scheduler.py
@@ -299,9 +299,9 @@
     def _grant(self, pending, view, now):
         pending.runner = view
         pending.sent_at = now
+        self.version_policy.record_grant(pending, view, now)
         view.record_sent(pending, now)
         self._slot_policy.record_sent(view, now)
-        self.version_policy.record_grant(pending, view)
         self.put(messages.Granted(pending, view))
 
     def _shed(self, service, ranked, now):
--- a/persimmonroute/tests/gateway/rollout_keeping_tests.py
+++ b/persimmonroute/tests/gateway/rollout_keeping_tests.py
@@ -3,10 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import unittest
+from unittest import mock
 
 from persimmonroute import clock
+from persimmonroute import events
+from persimmonroute.gateway import admission_codec
 from persimmonroute.gateway.rollout_control import Phase
+from persimmonroute.generated import peers_pb2 as pb
+from persimmonroute import logs
+from standins import report_fuzzer
 from standins import rollout_simulation as simulations
 from standins import virtual_time
 
@@ -203,6 +210,48 @@
         self.play(test)
 
 
+class MessageTests(SimulationTestCase):
+    """Receive messages with any values."""
+
+    def test_any_readable_message_does_no_harm(self):
+        """Guards against values that stop the controller or a host."""
+
+        async def test(fleet):
+            fleet.store.order()
+            await asyncio.sleep(1.0)
+            rng = random.Random(1)
+            revision = fleet.host.rollout.order.revision
+            received = 0
+            for _ in range(300):
+                admission = pb.Admission()
+                for part in (
+                    admission.rollout_evidence.add(),
+                    admission.rollout_decisions.add(),
+                ):
+                    report_fuzzer.fill(part, rng)
+                    part.service = simulations.fixtures.SERVICE
+                    part.revision = revision
+                    part.phase = rng.choice(('canary', 'ramp', 'cutover'))
+                for message in admission_codec.decode(admission):
+                    received += 1
+                    for gateway in fleet.gateways:
+                        gateway.keeper.receive('odd', message, clock.now_s())
+                await asyncio.sleep(0.01)
+            self.assertGreater(received, 50)
+            for gateway in fleet.gateways:
+                for at in range(10):
+                    gateway.keeper.tick(clock.now_s() + at)
+
+        with mock.patch.object(logs.EventLog, 'emit') as emit:
+            self.play(test)
+        faults = [
+            call.kwargs
+            for call in emit.call_args_list
+            if call.args[0] is events.Event.GATEWAY_FAULT
+        ]
+        self.assertEqual(faults, [])
+
+
 class OrderTests(SimulationTestCase):
     """Read orders that are special."""
 
--- a/persimmonroute/tests/gateway/rollout_tests.py
+++ b/persimmonroute/tests/gateway/rollout_tests.py
@@ -142,6 +142,7 @@
 
     def _end(self, ending, now, view=3, time_s=None, pending=None):
         pending = pending or fixtures.pending_request()
+        pending.cold = False
         self.policy.record_end(pending, views()[view], ending, time_s, now)
 
     def _count(self, version='v2'):
@@ -207,6 +208,7 @@
         stopping = views()[3]
         stopping.announced_leaving = True
         pending = fixtures.pending_request()
+        pending.cold = False
         self.policy.record_end(pending, stopping, Ending.BROKEN, None, 1.0)
         self.assertEqual(self._count(), (0, 0))
 
@@ -526,6 +528,16 @@
         reply = self._offer(0.0, version='v2')
         self.assertTrue(reply.runner_id.startswith('v2'))
 
+    def test_cold_prompts_are_compared_with_cold_ones(self):
+        """Guards against blaming new endpoints for empty caches."""
+        self.board.rollouts.adopt(ORDER, 0.0, 1)
+        prompt = (model.PromptPart('a', 900), model.PromptPart('b', 100))
+        for _ in range(2):
+            reply = self._offer(0.0, prompt=prompt, excluded=('v1-1',))
+            self._end(reply.offer_id)
+        routes = {key.route for key in self._rollout.evidence.tallies}
+        self.assertEqual(routes, {'draft', 'draft (cold)'})
+
     def test_evidence_outlives_an_idle_group(self):
         """Guards against counts that start again after a pause."""
         self.board.rollouts.adopt(ORDER, 0.0, 1)
--- a/standins/rollout_simulation.py
+++ b/standins/rollout_simulation.py
@@ -366,13 +366,13 @@
 
     def send(self, name, peer, message):
         """Deliver a message as it arrives in a datagram."""
-        receiver = next(g for g in self.gateways if g.name == peer)
+        receiver = next((g for g in self.gateways if g.name == peer), None)
         encoded = admission_codec.encode([message]).SerializeToString()
         if isinstance(message, admission_messages.RolloutEvidence):
             self.message_bytes.append(len(encoded))
         if name != peer and not self.is_reachable(name, peer):
             return
-        if not receiver.running:
+        if receiver is None or not receiver.running:
             return
         decoded = admission_codec.decode(
             admission_codec.pb.Admission.FromString(encoded)
@@ -431,12 +431,14 @@
         pending = fixtures.pending_request(
             now, fixtures.route(self.rng.choice(ROUTES))
         )
+        # Set by grants while an order is open.
+        pending.cold = False
         views = host.board.runner_registry.of_service(fixtures.SERVICE)
         allowed = host.policy.filter(pending, views, now)
         if not allowed:
             return
         view = self.rng.choice(allowed)
-        host.policy.record_grant(pending, view)
+        host.policy.record_grant(pending, view, now)
         version = view.record.version
         bad = version == 'v2' and self.rng.random() < self.failures
         self.sent.append(Sent(now, version, bad))
