Name the rollout of a refused or failed request in explain

Cause: explain did not tell that a version was limited or on trial. Change: the sentence of the cause names version, service and phase. Verified: explain, stop_causes, counted_causes, docs and cli tests pass.

--- a/persimmonroute/commands/causes.py
+++ b/persimmonroute/commands/causes.py
@@ -65,6 +65,17 @@
         Event.REQUEST_ENDED,
     )
 )
+# Events of responses that a rollout may have part in.
+REFUSED_OR_FAILED = frozenset(
+    event.name
+    for event in (
+        Event.GATEWAY_ANSWERED,
+        Event.GATEWAY_REJECTED,
+        Event.GATEWAY_BROKEN_OFF,
+    )
+)
+# Phase of a rollout that limits no request any more.
+COMPLETED = 'completed'
 # Events after which no request of before is in progress.
 PROCESS_ENDS = frozenset(
     event.name for event in (Event.PROCESS_STARTED, Event.PROCESS_STOPPED)
@@ -103,7 +114,8 @@
     if finder is None:
         return _find_interrupted(last, lines, context)
     try:
-        return finder(last, lines, context)
+        cause = finder(last, lines, context)
+        return _mention_rollout(cause, last, lines, context)
     except KeyError as error:
         return Cause(
             'unknown',
@@ -216,6 +228,38 @@
     )
 
 
+def _mention_rollout(cause, last, lines, context):
+    """Add the rollout that a refused or failed request fell into."""
+    if last.name not in REFUSED_OR_FAILED:
+        return cause
+    fields = last.fields
+    if fields.get('status', 500) < 500:
+        return cause
+    rollouts = {}
+    for line in _of_instance(context, last):
+        if line.name == Event.PROCESS_STARTED.name:
+            rollouts.clear()
+        elif line.name == Event.ROLLOUT_ORDERED.name:
+            rollouts[line.fields['service']] = line.fields['target'], 'waiting'
+        elif line.name == Event.ROLLOUT_STORED.name:
+            rollouts[line.fields['service']] = (
+                line.fields['target'],
+                line.fields['phase'],
+            )
+    sent = _of_event(lines, Event.GATEWAY_SENT)
+    used = sent[-1].fields.get('runner_version') if sent else None
+    without = not sent and fields.get('reason') == scheduler.NO_ENDPOINT
+    for service, (target, phase) in sorted(rollouts.items()):
+        if phase == COMPLETED:
+            continue
+        if without or used == target:
+            return cause._replace(
+                sentence=f'{cause.sentence}; version {target} of {service} was'
+                f' in a rollout (phase {phase})'
+            )
+    return cause
+
+
 def _find_unknown_outcome(last, lines):
     failed = _find_failed_attempt(lines)
     if failed is not None:
--- a/persimmonroute/commands/explain.py
+++ b/persimmonroute/commands/explain.py
@@ -27,6 +27,8 @@
         Event.PROCESS_STOPPING,
         Event.PROCESS_STOPPED,
         Event.RUNNER_GONE,
+        Event.ROLLOUT_ORDERED,
+        Event.ROLLOUT_STORED,
         Event.LINES_DROPPED,
     )
 )
--- a/persimmonroute/tests/commands/explain_tests.py
+++ b/persimmonroute/tests/commands/explain_tests.py
@@ -109,6 +109,51 @@
             }
         )
 
+    def test_requests_during_a_rollout(self):
+        """A refused or failed request names the rollout, others do not."""
+        for phase, version, status, mentioned in (
+            ('canary', 'v2', 500, True),
+            ('canary', 'v1', 500, False),
+            ('canary', 'v2', 200, False),
+            ('completed', 'v2', 500, False),
+        ):
+            with self.subTest(phase=phase, version=version, status=status):
+                files = explain.LogFiles()
+                rollout = {'service': 'llm', 'target': 'v2'}
+                files.add(self._line(1, 'ROLLOUT_ORDERED', **rollout))
+                files.add(
+                    self._line(2, 'ROLLOUT_STORED', phase=phase, **rollout)
+                )
+                request = {'request': 'a', 'runner': 'r1'}
+                files.add(
+                    self._line(
+                        3, 'GATEWAY_SENT', runner_version=version, **request
+                    )
+                )
+                files.add(
+                    self._line(4, 'GATEWAY_ANSWERED', status=status, **request)
+                )
+                sentence = files.explain('a').cause.sentence
+                self.assertEqual('rollout' in sentence, mentioned, sentence)
+
+    def test_refusal_without_an_endpoint_during_a_rollout(self):
+        """A version that is limited is no substitute; explain says so."""
+        files = explain.LogFiles()
+        rollout = {'service': 'llm', 'target': 'v2'}
+        files.add(self._line(1, 'ROLLOUT_ORDERED', **rollout))
+        files.add(
+            self._line(
+                2,
+                'GATEWAY_REJECTED',
+                request='a',
+                status=503,
+                reason='no usable endpoint',
+                route='draft',
+            )
+        )
+        sentence = files.explain('a').cause.sentence
+        self.assertIn('version v2 of llm was in a rollout', sentence)
+
     def test_torn_lines_are_counted(self):
         """A truncated line is counted and does not affect other lines."""
         files = explain.LogFiles()
