Use the only version that is left until an order's end is known

Cause: a gateway that starts reads an old order before its outcome and would have refused all requests if the read failed. Change: until the rows are read, such an order limits nothing if no other version is registered; the first read has no spread. Verified: rollout_tests, rollout_keeping, rollout_process tests pass.

--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -95,7 +95,7 @@
         )
         self.quarantine = quarantine.Quarantine()
         # Orders to move services to other versions.
-        self.rollouts = rollouts.Rollouts()
+        self.rollouts = rollouts.Rollouts(self.runner_registry)
         # How long requests of each route take at endpoints.
         self.durations = durations.Durations()
         self.open_requests = draining.OpenRequests()
--- a/persimmonroute/gateway/rollout_keeping.py
+++ b/persimmonroute/gateway/rollout_keeping.py
@@ -197,6 +197,7 @@
             if adopted and changes.complete:
                 # It may be an order of long ago.
                 self._unchecked.add(order)
+                self._rollouts.find(order.service).unconfirmed = True
                 self._must_read = True
 
     def _adopt(self, order, given_at, era):
@@ -269,7 +270,7 @@
         return self._board.peers.gateway_count(clock.now_s())
 
     def _draw_spread_s(self):
-        if self._is_controlling(clock.now_s()):
+        if self._unchecked or self._is_controlling(clock.now_s()):
             return 0.0
         return random.uniform(0.0, READ_SPREAD_PER_GATEWAY_S) * (
             self._gateways()
@@ -349,6 +350,8 @@
                     rollout.record_stored(
                         status.phase, 'ended before', clock.now_s()
                     )
+            if rollout is not None:
+                rollout.unconfirmed = False
             self._unchecked.discard(order)
 
     def _is_settled(self, rollout):
--- a/persimmonroute/gateway/rollouts.py
+++ b/persimmonroute/gateway/rollouts.py
@@ -48,6 +48,8 @@
         self.era = era
         # Versions of earlier orders that were not accepted.
         self.rejected = tuple(rejected)
+        # True until the store told whether the order ended long ago.
+        self.unconfirmed = False
         # Newest phase that the store is known to have, and why.
         self.phase = Phase.WAITING
         self.reason = ''
@@ -185,7 +187,8 @@
 class Rollouts:
     """Keep the newest order of each service."""
 
-    def __init__(self):
+    def __init__(self, runner_registry):
+        self._runner_registry = runner_registry
         self._services = {}
         # Earlier orders, which a restored store may list again.
         self._former = {}
@@ -197,6 +200,25 @@
         """Return the ServiceRollout of a service, or None."""
         return self._services.get(service)
 
+    def find_limiting(self, service, now):
+        """Return the ServiceRollout that limits the versions, or None.
+
+        An order that may have been completed long ago does not make the only
+        version that is left unusable.
+        """
+        rollout = self._services.get(service)
+        if rollout is None or rollout.is_over(now):
+            return None
+        if rollout.unconfirmed and not self._has_others(rollout.order):
+            return None
+        return rollout
+
+    def _has_others(self, order):
+        return any(
+            view.record.version != order.target and not view.leaving
+            for view in self._runner_registry.of_service(order.service)
+        )
+
     def adopt(self, order, given_at, era):
         """Follow an order and return True if it is a new one.
 
@@ -266,10 +288,7 @@
         rollout.record_end(view, route, ending, time_s, now)
 
     def _find(self, now):
-        rollout = self._rollouts.find(self._group.service)
-        if rollout is None or rollout.is_over(now):
-            return None
-        return rollout
+        return self._rollouts.find_limiting(self._group.service, now)
 
 
 class OwnPolicy(rollout_exposure.VersionPolicy):
@@ -283,7 +302,7 @@
 
     def filter(self, pending, views, now):
         """Return the views that are safe while an order is open."""
-        rollout = self._find(pending.service, now)
+        rollout = self._rollouts.find_limiting(pending.service, now)
         if rollout is None:
             return views
         views = rollout.list_accepted(views)
@@ -291,7 +310,7 @@
 
     def list_main(self, service, views, now):
         """Return the views that serve most new requests."""
-        rollout = self._find(service, now)
+        rollout = self._rollouts.find_limiting(service, now)
         if rollout is None:
             return views
         return rollout.outcomes.list_main(rollout.list_accepted(views), now)
@@ -302,12 +321,6 @@
     def record_end(self, pending, view, ending, time_s, now):
         """Record nothing: the hosts see enough of the other versions."""
 
-    def _find(self, service, now):
-        rollout = self._rollouts.find(service)
-        if rollout is None or rollout.is_over(now):
-            return None
-        return rollout
-
 
 def _is_cold(prompt, view, now):
     """Return whether an endpoint has to read most of a prompt."""
--- a/persimmonroute/tests/gateway/rollout_tests.py
+++ b/persimmonroute/tests/gateway/rollout_tests.py
@@ -132,7 +132,7 @@
 
     def setUp(self):
         """Prepare the order."""
-        self.rollouts = rollouts.Rollouts()
+        self.rollouts = rollouts.Rollouts(runners.RunnerRegistry())
         self.rollouts.adopt(ORDER, 0.0, 1)
         self.policy = rollouts.GroupPolicy(self.rollouts, GROUP)
 
@@ -189,6 +189,20 @@
         found = self.policy.filter(pending, views(), later)
         self.assertEqual(versions(found), {'v1', 'v2'})
 
+    def test_order_that_may_have_ended_long_ago(self):
+        """Guards against a gateway that starts and refuses all requests."""
+        pending = fixtures.pending_request()
+        self._rollout.unconfirmed = True
+        found = self.policy.filter(pending, views()[2:], 1.0)
+        self.assertEqual(versions(found), {'v2'})
+        self.rollouts._runner_registry.apply(
+            [fixtures.runner('v1-0')], (), False, 1.0
+        )
+        self.assertEqual(self.policy.filter(pending, views()[2:], 1.0), [])
+        self._rollout.unconfirmed = False
+        self.rollouts._runner_registry.apply((), ['v1-0'], False, 2.0)
+        self.assertEqual(self.policy.filter(pending, views()[2:], 2.0), [])
+
     def test_only_responses_are_evidence(self):
         """Guards against blaming a version for what it did not do."""
         for ending in (
