Roll back at the deadline only once the store accepts it

Cause: a controller that was suspended or cut off until after the deadline rolled back what another gateway had completed, and excluded the only version left until it read the row. Change: only evidence rolls back at once. Two tests of rollbacks without the store waited for that deadline instead of the evidence; they now begin with a claimed order and check the time. Verified: rollout_keeping, rollout_tests and rollout_load pass.

--- a/persimmonroute/gateway/rollout_control.py
+++ b/persimmonroute/gateway/rollout_control.py
@@ -179,18 +179,26 @@
         if self._rollback_reason is None:
             self._rollback_reason = reason
 
+    @property
+    def rolling_back(self):
+        """Return whether evidence speaks against the version.
+
+        Only then is a rollback followed before it is stored. When the time
+        has passed, another controller may have completed the rollout, and a
+        gateway that was suspended or cut off does not know of it yet.
+        """
+        return self._rollback_reason is not None
+
     def advance(self, situation):
         """Return the RolloutPlan for now.
 
         Its phase may be later than the stored one. Then the caller stores it;
-        a rollback takes effect at once, any other phase once it is stored.
+        if rolling_back, it takes effect at once, else once it is stored.
         """
         if self._phase.final:
             return self._build_plan(self._phase, self._reason)
         phase, reason = self._find_phase(situation)
-        if phase is Phase.ROLLED_BACK:
-            self.roll_back(reason)
-        if phase is not self._phase and phase is not Phase.ROLLED_BACK:
+        if phase is not self._phase and not self.rolling_back:
             if not situation.store_available:
                 phase, reason = self._phase, 'the store is not available'
         self._reason = reason
@@ -225,7 +233,7 @@
         if not situation.service_known:
             return Phase.ROLLED_BACK, 'the service is not configured'
         if judgement.verdict is Verdict.BAD:
-            return Phase.ROLLED_BACK, judgement.reason
+            return self._reject(judgement.reason)
         if now >= self.deadline_at:
             if not situation.target_endpoints:
                 return Phase.ROLLED_BACK, 'no endpoint of the version in time'
@@ -240,15 +248,20 @@
             if not situation.hosts_report:
                 return self._phase, 'hosts do not report'
             if judgement.verdict is Verdict.SUSPECT:
-                return Phase.ROLLED_BACK, f'suspected: {judgement.reason}'
+                return self._reject(f'suspected: {judgement.reason}')
             if not situation.responses and situation.responses is not None:
                 if situation.exposed >= MIN_UNANSWERED:
-                    return Phase.ROLLED_BACK, 'no response of the version'
+                    return self._reject('no response of the version')
             return Phase.CUTOVER, judgement.reason or 'no evidence against it'
         if now >= self._began_at + RAMP_AT * self._order.duration_s:
             return Phase.RAMP, judgement.reason
         return Phase.CANARY, judgement.reason
 
+    def _reject(self, reason):
+        """Roll back for evidence against the version."""
+        self.roll_back(reason)
+        return Phase.ROLLED_BACK, reason
+
     def _find_cutover_end(self, situation):
         """Return whether the old endpoints may stop."""
         now, judgement = situation.now, situation.judgement
@@ -262,7 +275,7 @@
         if not situation.hosts_report:
             return Phase.CUTOVER, 'hosts do not report'
         if judgement.verdict is Verdict.SUSPECT:
-            return Phase.ROLLED_BACK, f'suspected: {judgement.reason}'
+            return self._reject(f'suspected: {judgement.reason}')
         return Phase.COMPLETED, judgement.reason or 'no evidence against it'
 
     @property
--- a/persimmonroute/gateway/rollout_keeping.py
+++ b/persimmonroute/gateway/rollout_keeping.py
@@ -564,25 +564,20 @@
         situation = self._describe(rollout, controller, now)
         plan = control.advance(situation)
         former = controller.plan
-        followed = self._find_followed(plan, control.phase, former)
+        followed = plan
+        if plan.phase is not control.phase and not control.rolling_back:
+            followed = _keep_phase(plan, control.phase, former)
         if not self._has_claim(controller, now):
             followed = followed._replace(share=0.0)
         controller.plan = followed
         if plan.phase is not control.phase:
             self._log_decided(controller, plan, situation)
-        if plan.phase is Phase.ROLLED_BACK:
+        if control.rolling_back:
             rollout.apply_plan(plan, now, now)
         if former is None or former.phase is not controller.plan.phase:
             self._push(controller, now)
         return plan
 
-    def _find_followed(self, plan, phase, former):
-        """Return the plan that hosts follow: a phase counts once stored."""
-        if plan.phase in (phase, Phase.ROLLED_BACK):
-            return plan
-        share = 0.0 if former is None else min(former.share, plan.share)
-        return plan._replace(phase=phase, share=share)
-
     def _push(self, controller, now):
         """Tell the hosts of a new phase before their next reports."""
         for host in controller.collector.list_hosts(now):
@@ -713,6 +708,12 @@
                 await asyncio.sleep(RETRY_S)
 
 
+def _keep_phase(plan, phase, former):
+    """Return a plan whose phase is not stored yet, with the former phase."""
+    share = 0.0 if former is None else min(former.share, plan.share)
+    return plan._replace(phase=phase, share=share)
+
+
 def _name_subject(rollout):
     """Return what a gateway is responsible for as a controller."""
     return f'rollout/{rollout.order.service}'
--- a/persimmonroute/tests/gateway/rollout_keeping_tests.py
+++ b/persimmonroute/tests/gateway/rollout_keeping_tests.py
@@ -513,12 +513,16 @@
         """The hosts follow at once; the store is told later."""
 
         async def disturb(fleet):
-            await asyncio.sleep(0.2)
+            # The controller has its claim, and the hosts have a plan.
+            await asyncio.sleep(1.0)
+            self.assertIs(fleet.host.rollout.plan.phase, Phase.CANARY)
+            down_at = clock.now_s()
             fleet.store.down = True
             fleet.failures = 0.6
             await fleet.wait_for(
                 lambda: fleet.host.rollout.plan.phase is ROLLED_BACK
             )
+            self.assertLess(clock.now_s(), down_at + 3.0)
             self.assertFalse(fleet.has_ended())
             await asyncio.sleep(1.0)
             fleet.failures = 0.0
@@ -533,12 +537,16 @@
         """Hosts tell the next controller what they follow."""
 
         async def disturb(fleet):
-            await asyncio.sleep(0.2)
+            # The controller has its claim, and the hosts have a plan.
+            await asyncio.sleep(1.0)
+            self.assertIs(fleet.host.rollout.plan.phase, Phase.CANARY)
+            down_at = clock.now_s()
             fleet.store.down = True
             fleet.failures = 0.6
             await fleet.wait_for(
                 lambda: fleet.host.rollout.plan.phase is ROLLED_BACK
             )
+            self.assertLess(clock.now_s(), down_at + 3.0)
             fleet.failures = 0.0
             await fleet.controller.stop()
             fleet.store.down = False
@@ -621,6 +629,26 @@
 
         self.play(test, failures=0.5)
 
+    def test_controller_that_comes_back_after_the_end(self):
+        """Guards against a gateway that excludes the only version left."""
+
+        async def test(fleet):
+            former = fleet.controller
+            fleet.store.order()
+            await asyncio.sleep(0.6 * DURATION_S)
+            fleet.isolate(former)
+            former.client.rejected = True
+            await fleet.wait_for(fleet.has_ended)
+            self.assertEqual(fleet.store.status['State'], 'completed')
+            await asyncio.sleep(DURATION_S)
+            self.assertFalse(former.rollout.plan.phase.final)
+            former.client.rejected = False
+            await asyncio.sleep(3.0)
+            self.assertIs(former.rollout.plan.phase, COMPLETED)
+            self.assertEqual(fleet.store.states, ['in_progress', 'completed'])
+
+        self.play(test)
+
     def test_host_without_the_store_learns_the_outcome_from_messages(self):
         """Guards against a host that uses endpoints that have stopped."""
 
