Keep using the version that an earlier order completed

Cause: after a restore, the row of a completed order may say that it is still open, and a newer order would then have excluded the version in use.

--- a/persimmonroute/gateway/rollouts.py
+++ b/persimmonroute/gateway/rollouts.py
@@ -40,14 +40,17 @@
 class ServiceRollout:
     """Track the newest order for one service."""
 
-    def __init__(self, order, given_at, era=0, rejected=()):
+    def __init__(self, order, given_at, era=0):
         self.order = order
         # When the order was given, in the local clock.
         self.given_at = given_at
         # Era of the store in which it was first read.
         self.era = era
         # Versions of earlier orders that were not accepted.
-        self.rejected = tuple(rejected)
+        self.rejected = ()
+        # Version that an earlier order completed, or None. A row that was
+        # restored from an older copy may not tell that.
+        self.accepted = None
         # True until the store told whether the order ended long ago.
         self.unconfirmed = False
         # Newest phase that the store is known to have, and why.
@@ -119,7 +122,8 @@
         added = [
             version
             for version in versions
-            if version != self.order.target and version not in self.rejected
+            if version not in (self.order.target, self.accepted)
+            and version not in self.rejected
         ]
         self.rejected = (*self.rejected, *added)[-MAX_FORMER:]
 
@@ -235,8 +239,12 @@
             former.append(known.order)
             del former[:-MAX_FORMER]
         rollout = ServiceRollout(order, given_at, era)
-        if known is not None and known.plan.phase is not Phase.COMPLETED:
-            rollout.reject((*known.rejected, known.order.target))
+        if known is not None:
+            rollout.accepted = known.accepted
+            if known.plan.phase is Phase.COMPLETED:
+                rollout.accepted = known.order.target
+            else:
+                rollout.reject((*known.rejected, known.order.target))
         self._services[service] = rollout
         return True
 
--- a/persimmonroute/tests/gateway/rollout_tests.py
+++ b/persimmonroute/tests/gateway/rollout_tests.py
@@ -178,6 +178,9 @@
         self._rollout.record_stored(Phase.COMPLETED, '', 1.0)
         self.rollouts.adopt(ORDER._replace(revision=8, target='v3'), 2.0, 1)
         self.assertEqual(self._rollout.rejected, ())
+        # An older copy of the store has the order before it was completed.
+        self._rollout.reject(['v2'])
+        self.assertEqual(self._rollout.rejected, ())
 
     def test_completed_rollout_ends(self):
         """Versions that come later need no order."""
