--- a/persimmonroute/tests/gateway/rollout_process_tests.py
+++ b/persimmonroute/tests/gateway/rollout_process_tests.py
@@ -6,6 +6,7 @@
 import time
 import unittest
 
+from persimmonroute.gateway import peers
 from standins import gateway_deployment as deployments
 from standins import platform_runner
 
@@ -39,6 +40,8 @@
         for _ in range(2):
             await self.deployment.add_gateway(**self.changes)
         self._statuses = []
+        # Gateways that requests are sent to in turn.
+        self._gateways = [0, 1]
 
     def _register_target(self):
         for runner in self.target:
@@ -65,7 +68,9 @@
 
     async def _call(self, number):
         response = await self.deployment.call(
-            '/book/x', gateway=number % 2, attempt=f'a{number}'
+            '/book/x',
+            gateway=self._gateways[number % len(self._gateways)],
+            attempt=f'a{number}',
         )
         self._statuses.append(response.status)
 
@@ -115,6 +120,34 @@
             await self._call(number)
         self.assertEqual(self._count(self.target), exposed)
 
+    async def test_slow_version_is_rolled_back(self):
+        """Guards against times that do not arrive at the controller."""
+        for runner in (*self.target, *self.deployment.runners):
+            runner.default_behaviour = 'pause'
+            runner.answer_pause_s = 0.04
+        for runner in self.target:
+            runner.answer_pause_s = 0.4
+        self._register_target()
+        self._order()
+        await self._send_until(lambda: '"rolled_back"' in self._status)
+        self.assertIn('slower', self._status)
+
+    async def test_killed_controller(self):
+        """The other gateway goes on and serves all requests after it."""
+        self._register_target()
+        self._order()
+        await self._send_until(lambda: '"canary"' in self._status)
+        names = [settings.instance for settings in self.deployment.settings]
+        subject = f'rollout/{deployments.SERVICE}'
+        number = names.index(
+            min(names, key=lambda n: peers.compute_tie_breaker(subject, n))
+        )
+        await self.deployment.kill_gateway(number)
+        self._gateways = [1 - number]
+        self._statuses.clear()
+        await self._send_until(lambda: '"completed"' in self._status)
+        self.assertEqual(set(self._statuses), {200})
+
     async def test_version_that_has_no_endpoint_of_the_others_left(self):
         """An excluded version is no substitute; the refusal is accurate."""
         for runner in self.target:
