--- a/persimmonroute/gateway/peers.py
+++ b/persimmonroute/gateway/peers.py
@@ -257,9 +257,14 @@
         return reporting / max(self.gateway_count(now), 1)
 
     def is_responsible(self, subject, now):
-        """Return whether this gateway is the one to act on a subject.
+        """Return whether this gateway is the one to act on a subject."""
+        return self.find_responsible(subject, now) == self._own_name
 
-        The gateways that respond choose the same one.
+    def find_responsible(self, subject, now, excluded=()):
+        """Return the name of the gateway that is to act on a subject.
+
+        The gateways that respond choose the same one. It is this one if all
+        are excluded.
         """
         responding = [
             peer.name
@@ -267,11 +272,11 @@
             if not peer.stopping
             and peer.has_reported_within(UNRESPONSIVE_AFTER_INTERVALS, now)
         ]
-        chosen = min(
-            (self._own_name, *responding),
+        return min(
+            (n for n in (self._own_name, *responding) if n not in excluded),
             key=lambda name: compute_tie_breaker(subject, name),
+            default=self._own_name,
         )
-        return chosen == self._own_name
 
     def find_gone(self, listed, now):
         """Return the listed gateways whose rows this gateway has to remove.
--- a/persimmonroute/gateway/rollout_control.py
+++ b/persimmonroute/gateway/rollout_control.py
@@ -37,10 +37,16 @@
 COMPLETION_SHARE = 0.1
 MAX_COMPLETION_S = 1.5
 MIN_CUTOVER_S = 0.3
+# Part of the time for the cutover that is used even if the old endpoints have
+# ended their requests: only now does the version get the full load.
+MIN_CUTOVER_SHARE = 0.5
 # The rate of requests is known once so many have arrived over so long.
 MIN_RATE_REQUESTS = 20
 MIN_RATE_S = 0.5
 RAMP_ENDPOINTS = 1
+# Requests without any response from which a version is no good: its endpoints
+# cannot be reached, or hang.
+MIN_UNANSWERED = 5
 
 
 class Phase(enum.Enum):
@@ -114,6 +120,11 @@
     store_available: bool
     # Whether the configuration has the service.
     service_known: bool = True
+    # Whether the hosts of all groups of the service report. Without them the
+    # lack of evidence says nothing.
+    hosts_report: bool = True
+    # Responses of the target, of whatever kind; None if it is not known.
+    responses: int | None = None
 
 
 class RolloutControl:
@@ -128,9 +139,15 @@
         self._bounds = bounds
         self._began_at = began_at
         self._phase = phase
+        # A control that goes on in the cutover does not know when it began.
         self._cutover_at = math.inf
+        if phase is Phase.CUTOVER:
+            self._cutover_at = -math.inf
         self._share = 0.0
         self._reason = ''
+        # Why the version is rolled back; hosts already follow this before it
+        # is stored, so it is not taken back.
+        self._rollback_reason = None
 
     @property
     def order(self):
@@ -157,16 +174,31 @@
             self._cutover_at = now
         self._phase = phase
 
+    def roll_back(self, reason):
+        """Roll the version back whatever the evidence says from now on."""
+        if self._rollback_reason is None:
+            self._rollback_reason = reason
+
+    @property
+    def rolling_back(self):
+        """Return whether evidence speaks against the version.
+
+        Only then is a rollback followed before it is stored. When the time
+        has passed, another controller may have completed the rollout, and a
+        gateway that was suspended or cut off does not know of it yet.
+        """
+        return self._rollback_reason is not None
+
     def advance(self, situation):
         """Return the RolloutPlan for now.
 
         Its phase may be later than the stored one. Then the caller stores it;
-        a rollback takes effect at once, any other phase once it is stored.
+        if rolling_back, it takes effect at once, else once it is stored.
         """
         if self._phase.final:
             return self._build_plan(self._phase, self._reason)
         phase, reason = self._find_phase(situation)
-        if phase is not self._phase and phase is not Phase.ROLLED_BACK:
+        if phase is not self._phase and not self.rolling_back:
             if not situation.store_available:
                 phase, reason = self._phase, 'the store is not available'
         self._reason = reason
@@ -196,10 +228,12 @@
     def _find_phase(self, situation):
         """Return the phase that should be next, and why."""
         now, judgement = situation.now, situation.judgement
+        if self._rollback_reason is not None:
+            return Phase.ROLLED_BACK, self._rollback_reason
         if not situation.service_known:
             return Phase.ROLLED_BACK, 'the service is not configured'
         if judgement.verdict is Verdict.BAD:
-            return Phase.ROLLED_BACK, judgement.reason
+            return self._reject(judgement.reason)
         if now >= self.deadline_at:
             if not situation.target_endpoints:
                 return Phase.ROLLED_BACK, 'no endpoint of the version in time'
@@ -211,27 +245,44 @@
         if self._phase is Phase.CUTOVER:
             return self._find_cutover_end(situation)
         if now >= self._decides_at:
+            if not situation.hosts_report:
+                return self._phase, 'hosts do not report'
             if judgement.verdict is Verdict.SUSPECT:
-                return Phase.ROLLED_BACK, f'suspected: {judgement.reason}'
+                return self._reject(f'suspected: {judgement.reason}')
+            if not situation.responses and situation.responses is not None:
+                if situation.exposed >= MIN_UNANSWERED:
+                    return self._reject('no response of the version')
             return Phase.CUTOVER, judgement.reason or 'no evidence against it'
         if now >= self._began_at + RAMP_AT * self._order.duration_s:
             return Phase.RAMP, judgement.reason
         return Phase.CANARY, judgement.reason
 
+    def _reject(self, reason):
+        """Roll back for evidence against the version."""
+        self.roll_back(reason)
+        return Phase.ROLLED_BACK, reason
+
     def _find_cutover_end(self, situation):
         """Return whether the old endpoints may stop."""
         now, judgement = situation.now, situation.judgement
         drained = (
             not situation.others_in_flight
-            and now >= self._cutover_at + MIN_CUTOVER_S
+            and now >= self._cutover_at + self._min_cutover_s
         )
         spent = situation.exposed >= self._find_budget(situation)
         if not drained and not spent and now < self._completes_at:
             return Phase.CUTOVER, 'the old endpoints end their requests'
+        if not situation.hosts_report:
+            return Phase.CUTOVER, 'hosts do not report'
         if judgement.verdict is Verdict.SUSPECT:
-            return Phase.ROLLED_BACK, f'suspected: {judgement.reason}'
+            return self._reject(f'suspected: {judgement.reason}')
         return Phase.COMPLETED, judgement.reason or 'no evidence against it'
 
+    @property
+    def _min_cutover_s(self):
+        planned_s = self._completes_at - self._decides_at
+        return max(MIN_CUTOVER_SHARE * planned_s, MIN_CUTOVER_S)
+
     @property
     def _completes_at(self):
         duration_s = self._order.duration_s
