Add a command that tells where a request would go now

Cause: operators could not see why a request goes to an endpoint without sending one. A gateway answers at its metrics address with the candidates, what it believes of them, the queue and the host that decides; nothing is sent or charged. Verified by where_tests, and the tests of quotas and admission, as checking and charging are now two steps.

--- a/persimmonroute/cli.py
+++ b/persimmonroute/cli.py
@@ -13,6 +13,9 @@
                             [--change ID]
   persimmonroute explain REQUEST FILE... [--since TIME] [--until TIME]
                          [--json]
+  persimmonroute where GATEWAY HOST PATH [--workspace NAME]
+                       [--tokens COUNTS] [--prompt PARTS]
+                       [--remaining MS] [--json]
   persimmonroute --version
 
 Options:
@@ -24,6 +27,10 @@
   --since TIME        Ignore lines of the request before this time (ISO 8601).
   --until TIME        Ignore log lines after this time, in ISO 8601.
   --json              Print the explanation as JSON.
+  --workspace NAME    Workspace of the request that is not sent.
+  --tokens COUNTS     Its prompt and output tokens, separated by a comma.
+  --prompt PARTS      Parts of its prompt, as comma-separated ID:TOKENS.
+  --remaining MS      Milliseconds for which its caller waits.
   --wait SECONDS      Wait at most this long until all instances have applied
                       the current revision.
 """
@@ -47,6 +54,7 @@
 from persimmonroute.commands import keygen
 from persimmonroute.commands import show
 from persimmonroute.commands import status
+from persimmonroute.commands import where
 from persimmonroute.config import options
 from persimmonroute import exceptions
 from persimmonroute import operators
@@ -83,6 +91,9 @@
             arguments['--json'],
         )
         return
+    if arguments['where']:
+        await _where(arguments)
+        return
     platform = client.HttpPlatform(_platform_address(arguments))
     try:
         await _run_with_platform(arguments, platform)
@@ -134,6 +145,22 @@
     )
 
 
+async def _where(arguments):
+    query = {
+        'host': arguments['HOST'],
+        'path': arguments['PATH'],
+        'workspace': arguments['--workspace'],
+        'prompt': arguments['--prompt'],
+        'remaining_ms': arguments['--remaining'],
+    }
+    if arguments['--tokens']:
+        prompt, _, output = arguments['--tokens'].partition(',')
+        query.update(prompt_tokens=prompt, output_tokens=output or '0')
+    address = _validate_address(arguments['GATEWAY'], 'GATEWAY')
+    given = {name: value for name, value in query.items() if value}
+    await where.where(address, given, arguments['--json'])
+
+
 COMMANDS = {
     'apply': _apply,
     'diff': _diff,
@@ -162,12 +189,15 @@
             'no platform address is configured',
             f'pass --platform or set {PLATFORM_VARIABLE}',
         )
+    return _validate_address(address, f'--platform or {PLATFORM_VARIABLE}')
+
+
+def _validate_address(address, source):
     try:
         return options.Address('').validate(address)
     except options.OptionError as error:
         raise exceptions.SettingsError(
-            f'the platform address {address[:MAX_SHOWN]!r} {error}',
-            f'correct --platform or {PLATFORM_VARIABLE}',
+            f'the address {address[:MAX_SHOWN]!r} {error}', f'correct {source}'
         )
 
 
--- a/persimmonroute/exceptions.py
+++ b/persimmonroute/exceptions.py
@@ -186,3 +186,9 @@
     """Report a log file that cannot be read."""
 
     remedy = 'pass the files that contain the standard output of the processes'
+
+
+class GatewayQueryError(PersimmonRouteError):
+    """Report that a gateway did not answer an operator's question."""
+
+    remedy = 'pass the metrics address of a running gateway'
--- a/persimmonroute/gateway/admission.py
+++ b/persimmonroute/gateway/admission.py
@@ -68,6 +68,29 @@
 
     def evaluate(self, request, now):
         """Return a PendingRequest, or the Rejection of a request."""
+        pending = self._match(request, now)
+        if isinstance(pending, model.Rejection):
+            return pending
+        pending.first_arrived_at = now - self._ages.find(
+            pending.route, request
+        )
+        rejection = self._find_limit_rejection(pending, now)
+        if rejection is not None:
+            return rejection
+        if pending.workspace is not None:
+            self._board.quotas.take(pending.workspace, request, now)
+        self._board.retries.record_request(pending.service, now)
+        return pending
+
+    def preview(self, request, now):
+        """Return what evaluate() would for a new caller; charge nothing."""
+        pending = self._match(request, now)
+        if isinstance(pending, model.Rejection):
+            return pending
+        return self._find_limit_rejection(pending, now) or pending
+
+    def _match(self, request, now):
+        """Return a request with its route, workspace and service."""
         board = self._board
         if board.route_table is None:
             return _unavailable(NO_CONFIGURATION)
@@ -81,15 +104,7 @@
             if rejection is not None:
                 return rejection
         service = routes.choose_service(route)
-        pending = messages.PendingRequest(
-            request,
-            route,
-            service,
-            workspace,
-            now,
-            self._ages.find(route, request),
-        )
-        return self._check_limits(pending, now)
+        return messages.PendingRequest(request, route, service, workspace, now)
 
     def check_again(self, pending, now):
         """Return a Rejection if a request must not be sent any more.
@@ -184,7 +199,7 @@
             return _unavailable(UNCONFIRMED_KEYS)
         return None
 
-    def _check_limits(self, pending, now):
+    def _find_limit_rejection(self, pending, now):
         board = self._board
         rejection = self._check_arrival_in_stop(pending, now)
         if rejection is not None:
@@ -192,11 +207,12 @@
         if board.quarantine.is_quarantined(pending.request):
             return CRASHES_ENDPOINTS
         if pending.workspace is not None:
-            wait = board.quotas.take(pending.workspace, pending.request, now)
+            wait = board.quotas.find_wait_s(
+                pending.workspace, pending.request, now
+            )
             if wait > 0:
                 return model.Rejection(429, 'quota of the workspace', wait)
-        board.retries.record_request(pending.service, now)
-        return pending
+        return None
 
     def _deny(self, status, reason, now):
         age = self._board.configuration_freshness.age_s(now)
--- a/persimmonroute/gateway/dispatcher.py
+++ b/persimmonroute/gateway/dispatcher.py
@@ -12,6 +12,7 @@
 from persimmonroute.gateway import messages
 from persimmonroute.gateway import model
 from persimmonroute.gateway import offers as _offers
+from persimmonroute.gateway import preview
 from persimmonroute.gateway import stream_origins
 from persimmonroute import logs
 
@@ -53,6 +54,17 @@
         # Sends an admission message to another gateway.
         self.send = lambda peer, message: None
 
+    def build_preview(self, board, admission):
+        """Return a Preview of this gateway's decisions."""
+        return preview.Preview(
+            board,
+            admission,
+            self._scheduler,
+            self._offers,
+            self._directory,
+            self._host,
+        )
+
     async def wait_for_grant(self, pending):
         """Wait for and return the granted endpoint, or a Rejection."""
         future = asyncio.get_running_loop().create_future()
--- a/persimmonroute/gateway/offers.py
+++ b/persimmonroute/gateway/offers.py
@@ -100,6 +100,11 @@
         self._groups = {}
         self._generation = -1
 
+    @property
+    def locality(self):
+        """Return the locality of this gateway."""
+        return self._locality
+
     def next_wakeup_at(self):
         """Return when tick has to be called; infinity for never."""
         while self._wakeups and self._wakeups[0][1] not in self._offers:
--- a/persimmonroute/gateway/placement.py
+++ b/persimmonroute/gateway/placement.py
@@ -50,6 +50,14 @@
             default=None,
         )
 
+    def find_costs(self, pending, views, limit_of, now):
+        """Return the cost in milliseconds of each view, by endpoint."""
+        preferred = self._find_preferred(pending.request.prompt, views)
+        return {
+            view.id: self._cost_ms(pending, view, preferred, limit_of, now)
+            for view in views
+        }
+
     def _cost_ms(self, pending, view, preferred, limit_of, now):
         cost = FULL_LOAD_COST_MS * view.load / max(limit_of(view), 1)
         cost += MEAN_SPEED_COST_MS * view.slowness
--- a/persimmonroute/gateway/quotas.py
+++ b/persimmonroute/gateway/quotas.py
@@ -139,8 +139,8 @@
             return float(request.prompt_tokens + request.output_tokens)
         return workspace.quota.plain_units
 
-    def take(self, workspace, request, now):
-        """Charge a request; return 0, or the seconds until it fits."""
+    def find_wait_s(self, workspace, request, now):
+        """Return the seconds until a request fits into the quota."""
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
             return 0.0
@@ -148,9 +148,20 @@
         units = self.units(workspace, request)
         # A request larger than the capacity passes once the bucket is full.
         required_units = min(units, bucket.capacity * self._reporting_share)
-        if bucket.level < required_units:
-            rate = max(bucket.quota.per_s * self._reporting_share, 1.0)
-            return (required_units - bucket.level) / rate
+        if bucket.level >= required_units:
+            return 0.0
+        rate = max(bucket.quota.per_s * self._reporting_share, 1.0)
+        return (required_units - bucket.level) / rate
+
+    def take(self, workspace, request, now):
+        """Charge a request; return 0, or the seconds until it fits."""
+        bucket = self._buckets.get(workspace.name)
+        if bucket is None:
+            return 0.0
+        wait_s = self.find_wait_s(workspace, request, now)
+        if wait_s:
+            return wait_s
+        units = self.units(workspace, request)
         bucket.level -= units
         bucket.used += units
         if bucket.level < PRESSURE_SHARE * bucket.capacity:
--- a/persimmonroute/gateway/scheduler.py
+++ b/persimmonroute/gateway/scheduler.py
@@ -208,6 +208,13 @@
             ranked = ranked or self._rank_queue(service, now)
             self._shed(service, ranked, now)
 
+    def find_free(self, pending, now):
+        """Return the endpoints that a request could be granted now."""
+        free = self._slot_policy.find_free(
+            pending.service, self.rank(pending, now), pending.tier, now
+        )
+        return _list_accepted(pending, list(free))
+
     def _rank_queue(self, service, now):
         ranked = sorted(
             Ranked(self.rank(p, now), _find_place(p), p.sequence, p)
--- a/persimmonroute/gateway/server.py
+++ b/persimmonroute/gateway/server.py
@@ -13,6 +13,7 @@
 from persimmonroute.events import Event
 from persimmonroute.gateway import board as boards
 from persimmonroute.gateway import peer_rows
+from persimmonroute.gateway import preview as previews
 from persimmonroute import http_server
 from persimmonroute import logs
 from persimmonroute import metrics_text
@@ -31,10 +32,13 @@
 class GatewayServer:
     """Serve callers, and drain the requests on shutdown."""
 
-    def __init__(self, board, shell, ingress, metrics, sources, settings):
+    def __init__(
+        self, board, shell, ingress, metrics, sources, settings, preview
+    ):
         self._board = board
         self._shell = shell
         self._collector = metrics
+        self._preview = preview
         self._sources = {source.name: source for source in sources}
         self._settings = settings
         self._front = http_server.build_server(
@@ -121,7 +125,10 @@
 
     def _build_metrics_app(self):
         return applications.Starlette(
-            routes=[routing.Route('/metrics', self._serve_metrics)]
+            routes=[
+                routing.Route('/metrics', self._serve_metrics),
+                routing.Route('/placement', self._serve_placement),
+            ]
         )
 
     def _build_peer_app(self):
@@ -159,6 +166,16 @@
             return 'configuration is old'
         return None
 
+    async def _serve_placement(self, request):
+        """Tell an operator where a request would go now."""
+        try:
+            query = previews.read_query(request.query_params)
+        except ValueError as error:
+            return responses.JSONResponse({'error': str(error)}, 400)
+        return responses.JSONResponse(
+            self._preview.explain(query, clock.now_s())
+        )
+
     async def _serve_metrics(self, request):
         return responses.PlainTextResponse(
             metrics_text.format_metrics(self._collector)
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -169,5 +169,11 @@
     app = ingress.IngressApp(board, forwarder)
     watched_sources = [follower.source for follower in followers]
     return server.GatewayServer(
-        board, shell, app, gateway_metrics, watched_sources, settings
+        board,
+        shell,
+        app,
+        gateway_metrics,
+        watched_sources,
+        settings,
+        dispatcher.build_preview(board, checks),
     )
