--- a/standins/gateway_deployment.py
+++ b/standins/gateway_deployment.py
@@ -85,7 +85,7 @@
 class GatewayDeployment:
     """Run a store, endpoints and gateways on loopback."""
 
-    def __init__(self, endpoints=2, gateways=1):
+    def __init__(self, endpoints=2, gateways=1, **gateway_settings):
         self.platform = platform.PlatformStandIn([], 0.0)
         self.runners = [
             platform_runner.RunnerStandIn(f'r{n}') for n in range(endpoints)
@@ -93,6 +93,7 @@
         self.stop_events = []
         self.settings = []
         self._gateways = gateways
+        self._gateway_settings = gateway_settings
         self._tasks = []
         self._gateway_tasks = []
         self._store_server = None
@@ -247,6 +248,7 @@
             'revocation_s': 3,
             'stop_grace_s': 6,
             'retry_slack': 100,
+            **self._gateway_settings,
             **changes,
         }
         checked, problems = settings_module.check_settings(document)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -116,6 +116,25 @@
         self._tables.commit([], [], [(table, '', key)])
         self._wake()
 
+    def order_rollout(self, service, target, duration_s):
+        """Order on behalf of an operator that a service changes version."""
+        order = {'Service': service, 'To': target, 'DurationS': duration_s}
+        self.put_row('op', f'rollout/{service}', order)
+
+    def list_rollout_states(self, service):
+        """Return the status rows of the rollouts of a service, in order."""
+        changes = self._tables.changes_after('status', 0) or []
+        return [
+            json.loads(change.value)
+            for change in changes
+            if change.key == f'rollout/{service}' and change.value is not None
+        ]
+
+    def read_rollout_status(self, service):
+        """Return the status row of a rollout; empty if there is none."""
+        row = self._tables.find(('status', '', f'rollout/{service}'))
+        return {} if row.value is None else json.loads(row.value)
+
     def restore(self, copied):
         """Restore the tables from an older copy and start a new era."""
         self._tables.restore(copied)
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import bisect
 import collections
 import contextlib
 import enum
 import json
+import random
 import socket
 import struct
 import time
@@ -24,6 +26,23 @@
 SILENCE_STEP_S = 0.002
 # Bytes after which a response without end gives up.
 MAX_ENDLESS_BYTES = 1_073_741_824
+# Time over which the load of an endpoint is measured.
+LOAD_WINDOW_S = 1.0
+
+
+class VersionFault(typing.NamedTuple):
+    """Describe how the software of an endpoint is bad."""
+
+    # Share of the responses that are failures, and factor of the time of the
+    # others.
+    failures: float = 0.0
+    slower: float = 1.0
+    # Time from which it is bad, by the monotonic clock.
+    begins_at: float = 0.0
+    # The only route that it is bad on.
+    route: str | None = None
+    # Requests a second at one endpoint from which it is bad.
+    load: float = 0.0
 
 
 class RunnerStandIn:
@@ -54,6 +73,10 @@
     # Version of the software, which each event of a stream names; without one
     # events name none.
     version = None
+    # VersionFault of the software; None for a good one.
+    version_fault = None
+    # Mean time that an answer takes to begin, in seconds.
+    service_s = 0.0
     # Start of the process, in Unix milliseconds.
     born = 1
     # True if all responses say that the endpoint is leaving.
@@ -74,6 +97,9 @@
         self.requests = []
         # When each of the requests arrived, by the monotonic clock.
         self.arrivals = []
+        # When responses ended that were bad because of the version.
+        self.bad_at = []
+        self._fault_rng = random.Random(runner_id)
         self.cancelled = 0
         # When each attempt last began to run, and when the connection of one
         # was lost during a silence, by the monotonic clock.
@@ -132,6 +158,22 @@
         version = f'{self.version} ' if self.version else ''
         return f'id: {number}\ndata: {version}piece {number}\n\n'.encode()
 
+    def apply_fault(self, reply, behaviour, path):
+        """Return the behaviour that the fault of the version leads to."""
+        fault = self.version_fault
+        if fault is None or behaviour != self.default_behaviour:
+            return behaviour
+        now = time.monotonic()
+        recent = bisect.bisect(self.arrivals, now - LOAD_WINDOW_S)
+        per_s = (len(self.arrivals) - recent) / LOAD_WINDOW_S
+        on_route = fault.route is None or path.startswith(f'/{fault.route}/')
+        if now < fault.begins_at or per_s < fault.load or not on_route:
+            return behaviour
+        reply.slower = fault.slower
+        failed = self._fault_rng.random() < fault.failures
+        reply.bad = failed or fault.slower > 1.0
+        return 'fail' if failed else behaviour
+
     def crashes_on(self, prompt):
         """Return whether a prompt holds a part that crashes endpoints."""
         parts = [entry.partition(':')[0] for entry in prompt.split(',')]
@@ -213,8 +255,14 @@
         crashes = self.crashes_on(headers.get(b'prompt-prefix', b'').decode())
         if crashes and behaviour != 'reject':
             behaviour = 'crash'
+        behaviour = self.apply_fault(
+            reply, behaviour, request.target.decode('latin-1')
+        )
         handler = getattr(self, f'_do_{behaviour}', self._do_answer)
-        return await handler(reply, headers)
+        keep = await handler(reply, headers)
+        if reply.bad:
+            self.bad_at.append(time.monotonic())
+        return keep
 
     async def _send_report(self, http, writer):
         """Tell the state of the endpoint, without a slot."""
@@ -233,11 +281,14 @@
         return headers
 
     async def _do_answer(self, reply, headers):
+        service_s = self.service_s * reply.slower
+        if service_s:
+            await asyncio.sleep(service_s * self._fault_rng.uniform(0.5, 1.5))
         if _wants_stream(headers):
             first = await self._begin_stream(reply, headers)
             for number in range(first, self.event_count + 1):
                 await reply.send_data(self.make_event(reply.attempt, number))
-                await asyncio.sleep(self.event_pause_s)
+                await asyncio.sleep(self.event_pause_s * reply.slower)
             reply.end()
         else:
             await reply.send_complete(200, b'answer ' + reply.attempt, [])
@@ -507,6 +558,10 @@
         self._own_headers = own_headers
         self.writer = writer
         self.attempt = attempt
+        # Factor of the time of the answer, and whether the response is bad,
+        # because of the version of the endpoint.
+        self.slower = 1.0
+        self.bad = False
 
     async def send_head(self, status, headers):
         """Send the status line and the headers."""
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -32,6 +32,8 @@
         self.address = None
         # Called when a connection is reset because the target does not listen.
         self.on_refused = _ignore
+        # Called with the bytes that are forwarded to the target.
+        self.on_sent = _ignore
         self._mode_changed = asyncio.Event()
         self._server = None
         self._tasks = set()
@@ -107,9 +109,11 @@
                 with contextlib.suppress(OSError, RuntimeError):
                     writer.write_eof()
                 return
+            if cut_mode is Mode.CUT_UP:
+                self.on_sent(data)
             writer.write(data)
             await writer.drain()
 
 
-def _ignore():
+def _ignore(*args):
     pass
