Play a rollout in one soak seed in four, with two mutants

Cause: the soak did not order a change of the version. The exposure, the time of the rollback, the outcome and the stop of the old endpoints are checked against the records of the endpoints. An endpoint that a rollout has replaced is not started again by an earlier crash or leave.

--- a/persimmonroute/tests/soak_tests.py
+++ b/persimmonroute/tests/soak_tests.py
@@ -23,6 +23,7 @@
 from tools.soak import mutants
 from tools.soak import operators
 from tools.soak import records
+from tools.soak import rollout_checks
 from tools.soak import schedule
 from tools.soak import seed_run
 from tools.soak import seeds
@@ -506,6 +507,84 @@
                 self.assertIs(self._find_cause(ended), expected)
 
 
+class RolloutCheckTests(JournalTestCase):
+    """Check that broken bounds of a rollout become findings."""
+
+    def setUp(self):
+        """Start with an endpoint of the old version and a bad new one."""
+        super().setUp()
+        self.journal.services = {
+            'r0': records.Service('v1', 0.0),
+            'r3': records.Service('v9', 1.0),
+        }
+        self.rollout = records.Rollout(
+            target='v9',
+            bad=True,
+            ordered_at=1.0,
+            deadline_at=11.0,
+            ended_at=5.0,
+            state='rolled_back',
+            reason='',
+            bad_at=[],
+            stopped=[],
+            given_again=False,
+        )
+
+    def _visit_often(self, endpoint, count, begin=2.0):
+        for number in range(count):
+            self._visit(
+                records.Ending.WHOLE,
+                attempt=f'{endpoint}-{number}',
+                endpoint=endpoint,
+                begin=begin,
+                end=begin + 0.1,
+            )
+
+    def _check(self, **changes):
+        self.journal.findings.clear()
+        self.journal.rollout = self.rollout._replace(**changes)
+        rollout_checks.check(self.journal)
+        return len(self.journal.findings)
+
+    def test_exposure(self):
+        """A bad version gets a tenth of the requests and 50 at most."""
+        self._visit_often('r0', 135)
+        self._visit_often('r3', 65)
+        self.assertEqual(self._check(), 0)
+        self._visit_often('r3', 10)
+        self.assertEqual(self._check(), 1)
+        self.assertEqual(self._check(bad=False, state='completed'), 0)
+
+    def test_rollback_bound(self):
+        """A bad version gets nothing 5 s after its 50th bad response."""
+        self._visit_often('r3', 1, begin=9.0)
+        self.assertEqual(self._check(bad_at=[4.5] * 49), 0)
+        self.assertEqual(self._check(bad_at=[4.5] * 50), 0)
+        self.assertEqual(self._check(bad_at=[3.5] * 50), 1)
+
+    def test_outcome(self):
+        """The outcome is right, and in time unless faults prevent it."""
+        self.assertEqual(self._check(ended_at=None, state=None), 1)
+        self.assertEqual(self._check(ended_at=11.5), 1)
+        bad_at = [4.5] * rollout_checks.ENOUGH_BAD
+        self.assertEqual(self._check(bad_at=bad_at, state='completed'), 1)
+        self.assertEqual(self._check(bad=False), 1)
+        self._disturb('*', 'store_down', begin=9.0, end=11.0)
+        self.assertEqual(self._check(ended_at=None, state=None), 0)
+        self.assertEqual(self._check(bad=False), 0)
+
+    def test_stop_of_the_old_endpoints(self):
+        """No request is cut off when the old endpoints stop."""
+        completed = {'bad': False, 'state': 'completed', 'stopped': ['r0']}
+        self.journal.outcomes.append(
+            outcome(complete=False, sent_at=4.9, ended_at=5.05)
+        )
+        self._visit(records.Ending.STOPPED, begin=4.95, end=5.01)
+        self.assertEqual(self._check(**completed), 1)
+        self._disturb('gateway-1', 'pause', begin=2.0, end=3.0)
+        self.assertEqual(self._check(**completed), 0)
+
+
 class EventTests(unittest.IsolatedAsyncioTestCase):
     """Check the events of the stand-in endpoint."""
 
@@ -649,6 +728,13 @@
         self.assertEqual(set(drawn), signals)
         self.assertGreater(len(drawn), 35)
 
+    def test_a_quarter_of_the_seeds_play_a_rollout(self):
+        """Guards against a soak without good or without bad versions."""
+        drawn = [schedule.draw_rollout(seed) for seed in range(200)]
+        played = [rollout for rollout in drawn if rollout is not None]
+        self.assertIn(len(played), range(35, 66))
+        self.assertEqual({rollout.bad for rollout in played}, {True, False})
+
     def test_command_runs_seeds_in_processes_of_their_own(self):
         """Guards against a soak that cannot be started by hand."""
         options = ['--seeds', '1', '--first', '1', '--jobs', '1']
--- a/tools/soak/endpoints.py
+++ b/tools/soak/endpoints.py
@@ -68,6 +68,12 @@
         self._behaviours[asyncio.current_task()] = chosen
         return chosen
 
+    def apply_fault(self, reply, behaviour, path):
+        """Return the behaviour that the fault of the version leads to."""
+        chosen = super().apply_fault(reply, behaviour, path)
+        self._behaviours[asyncio.current_task()] = chosen
+        return chosen
+
     def record_run(self, attempt, headers):
         """Record that the execution of an attempt started."""
         super().record_run(attempt, headers)
@@ -129,7 +135,7 @@
     async def _do_answer(self, reply, headers):
         is_long = self._rng.random() < self.long_share
         service_s = LONG_SERVICE_S if is_long else SERVICE_S
-        await asyncio.sleep(self._rng.uniform(*service_s))
+        await asyncio.sleep(self._rng.uniform(*service_s) * reply.slower)
         return await super()._do_answer(reply, headers)
 
 
--- a/tools/soak/gateways.py
+++ b/tools/soak/gateways.py
@@ -108,7 +108,7 @@
         return not self.running
 
 
-def build_initial_settings(index, seeds):
+def build_initial_settings(index, seeds, **changes):
     """Return the settings of a gateway except the address of the store."""
     port = deployments.free_port
     return {
@@ -128,4 +128,5 @@
         'stop_grace_s': STOP_GRACE_S,
         'retry_slack': 100,
         'log_format': 'json',
+        **changes,
     }
--- a/tools/soak/mutants.py
+++ b/tools/soak/mutants.py
@@ -262,6 +262,26 @@
             ),
         ),
     ),
+    Mutant(
+        'ignores the exposure share of a rollout',
+        (
+            Edit(
+                'gateway/rollout_exposure.py',
+                'if not self._is_confirmed(now) or self._credit < 1.0:',
+                'if not self._is_confirmed(now):',
+            ),
+        ),
+    ),
+    Mutant(
+        'completes a rollout without judging',
+        (
+            Edit(
+                'gateway/rollout_evidence.py',
+                "        worst = Judgement(Verdict.UNDECIDED, '')\n",
+                "        return Judgement(Verdict.GOOD, '')\n",
+            ),
+        ),
+    ),
 )
 
 
--- a/tools/soak/records.py
+++ b/tools/soak/records.py
@@ -132,6 +132,25 @@
     end: float = math.inf
 
 
+class Rollout(typing.NamedTuple):
+    """Record an order to change the version, and how it ended."""
+
+    target: str
+    bad: bool
+    ordered_at: float
+    deadline_at: float
+    # From when the final status was read; None if there was none in time.
+    ended_at: float | None
+    state: str | None
+    reason: str
+    # When bad responses of the target ended.
+    bad_at: list[float]
+    # Endpoints that were stopped at once when it was completed.
+    stopped: list[str]
+    # True if a restored store had lost the order, so that it was given again.
+    given_again: bool
+
+
 class Stop(typing.NamedTuple):
     """Record the interval of a planned stop of a gateway."""
 
@@ -161,6 +180,8 @@
         # Requests that stopping gateways refused because of their stop.
         self.stop_refusals = 0
         self.limits = []
+        # The Rollout of the run, or None.
+        self.rollout = None
         self.visits = []
         self.silences = []
         self.timeouts = []
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -24,6 +24,21 @@
     strength: float
 
 
+class Rollout(typing.NamedTuple):
+    """Describe an order to change the version of the endpoints."""
+
+    at: float
+    duration_s: float
+    # How the new version is bad; both are usual for a good one.
+    failures: float
+    slower: float
+
+    @property
+    def bad(self):
+        """Return whether the new version is bad."""
+        return self.failures > 0.0 or self.slower > 1.0
+
+
 class Kind(typing.NamedTuple):
     """Define the limits within which a kind of fault is generated."""
 
@@ -106,6 +121,12 @@
 SALTED_GROUP = 2
 # Share of the schedules that contain one kind of a group.
 LATER_SHARE = 0.5
+# Share of the seeds that play an order to change the version, when it is
+# given and its time, in seconds; a part of its versions is bad.
+ROLLOUT_SHARE = 0.25
+ROLLOUT_AT_S = (0.5, 3.0)
+ROLLOUT_DURATION_S = (10.0, 14.0)
+BAD_SHARE = 0.5
 KINDS_BY_NAME = {kind.name: kind for kind in KINDS}
 
 
@@ -139,6 +160,24 @@
     return sorted(faults)
 
 
+def draw_rollout(seed):
+    """Return the Rollout of a seed, or None.
+
+    It is drawn apart from the faults, so that seeds keep theirs.
+    """
+    rng = random.Random(f'rollout {seed}')
+    if rng.random() >= ROLLOUT_SHARE:
+        return None
+    at, duration_s = (
+        rng.uniform(*ROLLOUT_AT_S),
+        rng.uniform(*ROLLOUT_DURATION_S),
+    )
+    failures, slower = 0.0, 1.0
+    if rng.random() < BAD_SHARE:
+        failures, slower = rng.choice(((0.6, 1.0), (1.0, 1.0), (0.0, 6.0)))
+    return Rollout(round(at, 3), round(duration_s, 3), failures, slower)
+
+
 def _draw_silences(rng, endpoints):
     """Return a series of silences, some of which overlap."""
     kinds = rng.choices(SILENT_KINDS, k=rng.randint(*SILENCES))
--- a/tools/soak/seed_run.py
+++ b/tools/soak/seed_run.py
@@ -13,6 +13,8 @@
 from persimmonroute import http_server
 from standins import gateway_deployment as deployments
 from standins import platform
+from standins import platform_runner
+from standins import rollout_deployment
 from tools.soak import callers
 from tools.soak import checks
 from tools.soak import endpoints as endpoint_module
@@ -20,6 +22,7 @@
 from tools.soak import operators
 from tools.soak import proxy
 from tools.soak import records
+from tools.soak import rollout_checks
 from tools.soak import schedule
 from tools.soak import starvation
 
@@ -45,6 +48,9 @@
 # Requests per second that a limited endpoint names, well below its share of
 # the load.
 LIMIT_PER_S = 2.0
+# Version of the endpoints that an order moves the service to.
+ROLLOUT_TARGET = 'v9'
+ROLLOUT_POLL_S = 0.02
 STORE_FAULTS = {
     'store_down': 'down',
     'store_slow': 'slow',
@@ -80,6 +86,9 @@
     def __init__(self, seed, folder, tree=ROOT, gateways=3, endpoints=3):
         self.journal = records.Journal()
         self.faults = ()
+        # schedule.Rollout of the seed, or None.
+        self.rollout = schedule.draw_rollout(seed)
+        self._order_given = self._order_given_again = False
         self._rng = random.Random(seed)
         self._folder = pathlib.Path(folder)
         self._tree = tree
@@ -130,13 +139,15 @@
                 for number in range(CALLERS):
                     group.create_task(self._run_caller(number))
                 await asyncio.gather(
-                    *(self._run_fault(fault) for fault in self.faults)
+                    *(self._run_fault(fault) for fault in self.faults),
+                    self._run_rollout(),
                 )
                 await asyncio.sleep(schedule.FAULT_FREE_S)
                 self._finished = True
                 run_end = self.now()
             watching.cancel()
             self._check_processes()
+        rollout_checks.check(self.journal)
         checks.Checker(
             self.journal, self._operator.workspaces, run_end
         ).check()
@@ -177,7 +188,10 @@
 
     async def _add_gateway(self, index, store):
         seeds = [g.settings['control_address'] for g in self._gateways]
-        settings = gateway_module.build_initial_settings(index, seeds)
+        bounds = rollout_deployment.SETTINGS if self.rollout else {}
+        settings = gateway_module.build_initial_settings(
+            index, seeds, **bounds
+        )
         gateway = gateway_module.Gateway(
             settings['instance'], settings, self._folder, self._tree
         )
@@ -186,7 +200,7 @@
         await gateway.open_links(store)
         gateway.start()
 
-    async def _start_endpoint(self, index):
+    async def _start_endpoint(self, index, version=None, fault=None):
         """Start an endpoint with a new id and address."""
         self._endpoint_starts += 1
         endpoint = endpoint_module.SoakEndpoint(
@@ -196,6 +210,8 @@
             self.journal,
             self.now,
         )
+        endpoint.version = version or endpoint.version
+        endpoint.version_fault = fault
         await endpoint.start()
         link = self._links[index]
         if link.address is not None:
@@ -296,6 +312,93 @@
                 records.Disturbance(component, begin, self.now(), fault.kind)
             )
 
+    async def _run_rollout(self):
+        """Give the order of the seed, and do as its status says."""
+        if self.rollout is None:
+            return
+        rollout, count = self.rollout, self._counts[1]
+        await asyncio.sleep(max(rollout.at - self.now(), 0))
+        fault = None
+        if rollout.bad:
+            fault = platform_runner.VersionFault(
+                rollout.failures, rollout.slower
+            )
+        for _ in range(count):
+            self._links.append(proxy.Proxy())
+            self._endpoints.append(None)
+            index = len(self._endpoints) - 1
+            await self._start_endpoint(index, ROLLOUT_TARGET, fault)
+        started = self._endpoints[count:]
+        ordered_at = self.now()
+        self._give_order()
+        deadline_at = ordered_at + rollout.duration_s
+        status, stopped = await self._wait_for_status(deadline_at), []
+        ended_at = self.now() if status else None
+        if status.get('State') == 'completed':
+            stopped = await self._stop_old_endpoints()
+        elif status:
+            await self._drain_new_endpoints()
+        await asyncio.sleep(max(deadline_at - self.now(), 0))
+        bad_at = [at for e in started for at in e.bad_at]
+        self.journal.rollout = records.Rollout(
+            ROLLOUT_TARGET,
+            rollout.bad,
+            ordered_at,
+            deadline_at,
+            ended_at,
+            status.get('State'),
+            str(status),
+            sorted(at - self._started_at for at in bad_at),
+            stopped,
+            self._order_given_again,
+        )
+
+    def _give_order(self):
+        self._order_given = True
+        self._platform.order_rollout(
+            deployments.SERVICE, ROLLOUT_TARGET, self.rollout.duration_s
+        )
+
+    async def _wait_for_status(self, deadline_at):
+        """Return the final status of the order; empty if there is none."""
+        while self.now() < deadline_at + rollout_checks.STATUS_GRACE_S:
+            status = self._platform.read_rollout_status(deployments.SERVICE)
+            if status.get('State') in rollout_checks.FINAL_STATES:
+                return status
+            await asyncio.sleep(ROLLOUT_POLL_S)
+        return {}
+
+    async def _stop_old_endpoints(self):
+        """Stop the old endpoints at once; return their ids."""
+        count = self._counts[1]
+        old, links = self._endpoints[:count], self._links[:count]
+        # The new endpoints take their numbers, also for later faults.
+        self._endpoints = self._endpoints[count:]
+        self._links = self._links[count:]
+        for endpoint in old:
+            endpoint.leaving = True
+            self._end_service(endpoint)
+        await asyncio.gather(*(self._stop_endpoint(e) for e in old))
+        for link in links:
+            await link.stop()
+        await asyncio.sleep(REGISTRATION_EXPIRY_S)
+        for endpoint in old:
+            self._platform.remove_row('servers', endpoint.id)
+        return [endpoint.id for endpoint in old]
+
+    async def _drain_new_endpoints(self):
+        """Let the endpoints of a version that was rolled back leave."""
+        await asyncio.sleep(rollout_deployment.DRAIN_AFTER_S)
+        count = self._counts[1]
+        for index in range(count, len(self._endpoints)):
+            endpoint = self._endpoints[index]
+            endpoint.leaving = True
+            self._end_service(endpoint)
+            self._write_endpoint(index, 'draining')
+            self.journal.changes.append(
+                records.Change('leaving', endpoint.id, self.now())
+            )
+
     def _find_component(self, fault):
         kind = fault.kind
         if kind in ('version', 'revoke', 'storm', 'endpoint_leave', 'reload'):
@@ -360,6 +463,12 @@
         self._platform.fault = 'none'
         await asyncio.sleep(RESTORE_S)
         self._operator.write()
+        row = self._platform.tables.find(
+            ('op', '', f'rollout/{deployments.SERVICE}')
+        )
+        if self._order_given and row.value is None:
+            self._order_given_again = True
+            self._give_order()
         for index, endpoint in enumerate(self._endpoints):
             state = 'draining' if endpoint.leaving else 'ready'
             self._write_endpoint(index, state)
@@ -497,7 +606,7 @@
         await self._stop_endpoint(endpoint)
         self._links[fault.target].reset_all()
         await asyncio.sleep(fault.duration_s)
-        await self._start_endpoint(fault.target)
+        await self._replace_endpoint(fault.target, endpoint)
         await asyncio.sleep(REGISTRATION_EXPIRY_S)
         self._platform.remove_row('servers', endpoint.id)
 
@@ -514,7 +623,12 @@
         await asyncio.sleep(checks.LEAVING_S + fault.duration_s)
         self._platform.remove_row('servers', endpoint.id)
         await self._stop_endpoint(endpoint)
-        await self._start_endpoint(fault.target)
+        await self._replace_endpoint(fault.target, endpoint)
+
+    async def _replace_endpoint(self, index, endpoint):
+        """Start an endpoint anew unless a rollout has replaced it."""
+        if self._endpoints[index] is endpoint:
+            await self._start_endpoint(index)
 
     async def _do_version(self, fault):
         self._operator.add_version()
