--- a/tools/soak/mutants.py
+++ b/tools/soak/mutants.py
@@ -267,8 +267,8 @@
         (
             Edit(
                 'gateway/rollout_exposure.py',
-                'if not self._is_confirmed(now) or self._credit < 1.0:',
-                'if not self._is_confirmed(now):',
+                'if not allowed or self._credit < 1.0:',
+                'if not allowed:',
             ),
         ),
     ),
