--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -39,6 +39,8 @@
     )
     if result.excused:
         print('  neither answered nor refused:', result.excused)
+    if result.rollout:
+        print('  order:', result.rollout)
     if result.starved:
         print('  not run, in seconds:', result.starved)
     if verbose or result.findings:
--- a/tools/soak/rollout_checks.py
+++ b/tools/soak/rollout_checks.py
@@ -32,6 +32,25 @@
     checker.check_stop()
 
 
+def describe(journal):
+    """Return how the order of a run ended; empty without one."""
+    rollout = journal.rollout
+    if rollout is None:
+        return ''
+    kind = 'bad' if rollout.bad else 'good'
+    ended = 'without an end'
+    if rollout.ended_at is not None:
+        ended_s = rollout.ended_at - rollout.ordered_at
+        ended = f'{rollout.state} after {ended_s:.1f} s'
+    checker = RolloutChecker(journal)
+    return (
+        f'{kind} version, {ended} of'
+        f' {rollout.deadline_at - rollout.ordered_at:.1f} s,'
+        f' {checker.count_exposed()} of {checker.count_reached()} requests'
+        f' reached it by the deadline'
+    )
+
+
 class RolloutChecker:
     """Check the rollout of one run."""
 
@@ -46,13 +65,20 @@
             if self._is_target(visit.endpoint)
         ]
 
+    def count_reached(self):
+        """Return the requests until the deadline."""
+        return self._count_in_time(self._arrivals)
+
+    def count_exposed(self):
+        """Return the requests of the target until the deadline."""
+        return self._count_in_time(self._exposures)
+
     def check_exposure(self):
         """Check the requests that a bad version got; holds always."""
         rollout = self._rollout
         if not rollout.bad or rollout.given_again:
             return
-        reached = self._count_in_time(self._arrivals)
-        exposed = self._count_in_time(self._exposures)
+        reached, exposed = self.count_reached(), self.count_exposed()
         if exposed > EXPOSURE_SHARE * reached + EXPOSURE_SLACK:
             self._add_finding(
                 f'{exposed} of {reached} requests reached the bad version'
--- a/tools/soak/seeds.py
+++ b/tools/soak/seeds.py
@@ -13,6 +13,7 @@
 import tempfile
 import typing
 
+from tools.soak import rollout_checks
 from tools.soak import seed_run
 from tools.soak import starvation
 
@@ -32,6 +33,8 @@
     stop_refusals: int
     # Seconds for which processes were ready and not run, by process.
     starved: dict[str, float]
+    # How the order of the seed ended; empty without one.
+    rollout: str
 
 
 def run_seed(seed, keep_folder=None, tree=seed_run.ROOT):
@@ -54,6 +57,7 @@
             dict(run.journal.excused),
             run.journal.stop_refusals,
             starvation.sum_s(run.journal),
+            rollout_checks.describe(run.journal),
         )
     finally:
         shutil.rmtree(folder, ignore_errors=True)
