--- a/persimmonroute/gateway/rollout_keeping.py
+++ b/persimmonroute/gateway/rollout_keeping.py
@@ -32,6 +32,9 @@
 # Rollbacks reach the hosts at once, so these bound only the detection.
 CONTROL_INTERVAL_S = 0.2
 REPORT_INTERVAL_S = 0.25
+# In the cutover the target gets all requests, so its budget lasts for a
+# second only; each tick counts.
+CUTOVER_INTERVAL_S = 0.09
 # Long polls of the controller show in addition whether the store responds.
 CONTROLLER_WAIT_S = 1.0
 FOLLOWER_WAIT_S = 4.0
@@ -39,12 +42,23 @@
 STORE_FRESH_S = 2.5
 # Gateways that only follow an order begin to read at different times.
 READ_SPREAD_PER_GATEWAY_S = 0.005
+# A controller that does not answer for longer is not asked for a while: from
+# other regions, gateways report too rarely to notice soon that one is gone.
+ANSWER_TIMEOUT_S = 0.8
+SILENT_PAUSE_S = 5.0
+# A gateway that hosts ask controls the order, whoever else could.
+ASKED_VALID_S = 1.0
 # Pause of a controller after a call to the store that failed.
 RETRY_S = 0.25
 # The old endpoints stop at the status completed. Gateways without a host
 # learn of it from the table before: their long polls end at once.
 MAX_NOTICE_S = 0.3
 NOTICE_SHARE = 0.02
+# A controller that the store does not answer for longer grants no share: the
+# others may have taken another one, which spends the budget, too.
+CLAIM_VALID_S = 3.0
+# Pause of a controller after another one has claimed its order.
+CLAIM_PAUSE_S = 1.0
 IN_PROGRESS = 'in_progress'
 STATES = {Phase.COMPLETED: 'completed', Phase.ROLLED_BACK: 'rolled_back'}
 
@@ -63,6 +77,8 @@
     exposed: int
     # Versions of earlier orders that were not accepted.
     rejected: tuple[str, ...]
+    # Gateway that controls the order.
+    controller: str
     # Version of the row; 0 before it is written.
     version: int = 0
 
@@ -133,6 +149,17 @@
         self.advanced_at = -math.inf
         # Phases that were logged as decided, which may not be stored yet.
         self.logged = set()
+        # Whether the row names this gateway, and from when on it may.
+        self.claimed = False
+        self.claim_at = -math.inf
+        # When a host last asked for the plan.
+        self.asked_at = -math.inf
+
+    def record_claim(self, own, now):
+        """Record whether the row names this gateway or another one."""
+        if self.claimed and not own:
+            self.claim_at = now + CLAIM_PAUSE_S
+        self.claimed = own
 
 
 class RolloutKeeper:
@@ -159,6 +186,8 @@
         # Orders that were read at the start and whose status is to be read,
         # and those that had ended before.
         self._unchecked = set()
+        # Until when gateways that did not answer are not asked.
+        self._silent_until = {}
         self._ended_before = set()
 
     def adopt_orders(self, changes):
@@ -293,6 +322,7 @@
         rollout.record_stored(row.phase, row.reason, now)
         controller = self._find_controller(rollout)
         if controller is not None:
+            controller.record_claim(row.controller == self._board.name, now)
             controller.control.record_phase(rollout.phase, now)
             if rollout.phase.final and not before.final:
                 controller.plan = rollout.plan
@@ -336,14 +366,23 @@
         )
 
     def _find_responsible(self, rollout, now):
+        """Return the gateway that is asked to control an order."""
+        silent = [
+            name for name, until in self._silent_until.items() if now < until
+        ]
         return self._board.peers.find_responsible(
-            f'rollout/{rollout.order.service}', now
+            _name_subject(rollout), now, silent
         )
 
     def _is_responsible(self, rollout, now):
+        """Return whether this gateway controls an order."""
         if self._board.draining:
             return False
-        return self._find_responsible(rollout, now) == self._board.name
+        controller = self._find_controller(rollout)
+        if controller is not None:
+            if now - controller.asked_at <= ASKED_VALID_S:
+                return True
+        return self._board.peers.is_responsible(_name_subject(rollout), now)
 
     def _is_controlling(self, now):
         return any(
@@ -391,7 +430,10 @@
         if sender is None or sender.rollout is not rollout:
             sender = rollout_reports.EvidenceSender(rollout)
             self._senders[service] = sender
-        if now - sender.last_sent_at < REPORT_INTERVAL_S:
+        interval_s = REPORT_INTERVAL_S
+        if rollout.plan.phase is Phase.CUTOVER:
+            interval_s = CUTOVER_INTERVAL_S
+        if now - sender.last_sent_at < interval_s:
             return
         regions = self._dispatcher.list_hosted_regions(service, now)
         if not regions:
@@ -399,6 +441,9 @@
         in_flight = self._dispatcher.count_in_flight(
             service, rollout.order.target
         )
+        silent_s = now - sender.heard_at
+        if sender.controller is not None and silent_s > ANSWER_TIMEOUT_S:
+            self._silent_until[sender.controller] = now + SILENT_PAUSE_S
         controller = self._find_responsible(rollout, now)
         report = sender.build(controller, regions, in_flight, now)
         self._dispatcher.send_rollout(controller, report, now)
@@ -425,12 +470,23 @@
         if not self._loaded:
             return
         controller = self._take_controller(rollout)
+        controller.asked_at = now
         confirmed = controller.collector.receive(peer, report, now)
         if report.phase == Phase.ROLLED_BACK.value:
             controller.control.roll_back('a host follows a rollback')
-        if controller.plan is None or not self._is_responsible(rollout, now):
+        plan = controller.plan
+        if plan is None or self._board.draining:
             return
-        self._send_plan(peer, controller.plan, report, confirmed, now)
+        # A host without an answer asks another gateway. A rollback needs no
+        # claim, but once the host follows it, another one may store it.
+        urgent = plan.phase.final and report.phase != plan.phase.value
+        if self._has_claim(controller, now) or urgent:
+            self._send_plan(peer, plan, report, confirmed, now)
+
+    def _has_claim(self, controller, now):
+        """Return whether the store has this gateway as the controller."""
+        valid = now - self._available_at <= CLAIM_VALID_S
+        return controller.claimed and valid
 
     def _send_plan(self, peer, plan, report, confirmed, now):
         """Send a plan to a host in answer to one of its reports."""
@@ -443,7 +499,7 @@
         sender = self._senders.get(rollout.order.service)
         if sender is None or decision.plan.revision != rollout.order.revision:
             return
-        sent_at = sender.confirm(peer, decision)
+        sent_at = sender.confirm(peer, decision, now)
         if sent_at is None:
             return
         before = rollout.plan.phase
@@ -461,13 +517,21 @@
     def _control(self, rollout, now):
         """Decide how an order goes on, and store what has to be."""
         controller = self._take_controller(rollout)
-        if now - controller.advanced_at < CONTROL_INTERVAL_S:
+        interval_s = CONTROL_INTERVAL_S
+        if controller.control.phase is Phase.CUTOVER:
+            interval_s = CUTOVER_INTERVAL_S
+        if now - controller.advanced_at < interval_s:
             return
         controller.advanced_at = now
         phase, reason = rollout.phase, rollout.reason
         if not rollout.phase.final:
             plan = self._advance(rollout, controller, now)
             phase, reason = plan.phase, plan.reason
+            if not controller.claimed and phase is not Phase.ROLLED_BACK:
+                # Only the controller that the row names goes on.
+                phase = rollout.phase
+                if not self._may_claim(rollout, controller, now):
+                    return
         service = rollout.order.service
         if service in self._writes:
             return
@@ -475,13 +539,32 @@
         if row is not None:
             self._writes[service] = asyncio.create_task(self._write(row))
 
+    def _may_claim(self, rollout, controller, now):
+        """Return whether to become the controller that the row names.
+
+        One that hosts do not report to leaves the order to the other.
+        """
+        stored = self._stored.get(rollout.order.service)
+        if stored is None or stored.order != rollout.order:
+            return True
+        return now >= controller.claim_at and self._is_reported_to(
+            controller, now
+        )
+
+    def _is_reported_to(self, controller, now):
+        regions = self._dispatcher.list_regions(controller.order.service)
+        return controller.collector.covers(regions, now)
+
     def _advance(self, rollout, controller, now):
         """Return the plan that may have a phase which is not stored yet."""
         control = controller.control
         situation = self._describe(rollout, controller, now)
         plan = control.advance(situation)
         former = controller.plan
-        controller.plan = self._find_followed(plan, control.phase, former)
+        followed = self._find_followed(plan, control.phase, former)
+        if not self._has_claim(controller, now):
+            followed = followed._replace(share=0.0)
+        controller.plan = followed
         if plan.phase is not control.phase:
             self._log_decided(controller, plan, situation)
         if plan.phase is Phase.ROLLED_BACK:
@@ -518,6 +601,7 @@
             ]
             targets = versions.count(order.target)
             others = len(versions) - targets
+        evidence = collector.merge()
         requests, exposed = collector.requests, collector.exposed
         stored = self._stored.get(order.service)
         if stored is not None and stored.order == order:
@@ -526,7 +610,7 @@
             exposed = max(exposed, stored.exposed)
         return rollout_control.Situation(
             now,
-            collector.merge().judge(order.target),
+            evidence.judge(order.target),
             requests,
             exposed,
             targets,
@@ -534,9 +618,8 @@
             collector.count_in_flight(now),
             now - self._available_at <= STORE_FRESH_S,
             board.knows_service(order.service),
-            collector.covers(
-                self._dispatcher.list_regions(order.service), now
-            ),
+            self._is_reported_to(controller, now),
+            evidence.count(order.target).total,
         )
 
     def _log_decided(self, controller, plan, situation):
@@ -570,8 +653,11 @@
                 status = IN_PROGRESS
         stored = self._stored.get(order.service)
         if stored is not None and stored.order == order:
-            if (stored.phase, stored.status) == (phase, status):
+            claimed = rollout.phase.final or controller.claimed
+            same = (stored.phase, stored.status) == (phase, status)
+            if same and claimed:
                 return None
+            # The status of an outcome is not taken back.
             if stored.phase is phase and stored.status != IN_PROGRESS:
                 return None
         missing = stored is None or stored.order != order
@@ -591,6 +677,7 @@
             controller.collector.requests,
             controller.collector.exposed,
             rollout.rejected,
+            self._board.name,
         )
 
     async def _write(self, row):
@@ -623,6 +710,11 @@
                 await asyncio.sleep(RETRY_S)
 
 
+def _name_subject(rollout):
+    """Return what a gateway is responsible for as a controller."""
+    return f'rollout/{rollout.order.service}'
+
+
 def _has_ended(order, status):
     """Return whether a status tells the end of an order.
 
