--- a/persimmonroute/tests/soak_tests.py
+++ b/persimmonroute/tests/soak_tests.py
@@ -547,9 +547,9 @@
         return len(self.journal.findings)
 
     def test_exposure(self):
-        """A bad version gets a tenth of the requests and 50 at most."""
-        self._visit_often('r0', 135)
-        self._visit_often('r3', 65)
+        """A bad version gets a tenth of the requests and 30 at most."""
+        self._visit_often('r0', 155)
+        self._visit_often('r3', 45)
         self.assertEqual(self._check(), 0)
         self._visit_often('r3', 10)
         self.assertEqual(self._check(), 1)
--- a/tools/soak/rollout_checks.py
+++ b/tools/soak/rollout_checks.py
@@ -2,13 +2,21 @@
 
 from __future__ import annotations
 
-from standins.rollout_deployment import BAD_RESPONSES
-from standins.rollout_deployment import EXPOSURE_SHARE
-from standins.rollout_deployment import EXPOSURE_SLACK
-from standins.rollout_deployment import ROLLBACK_S
 from tools.soak import attribution
 from tools.soak import records
 
+# Bounds in the settings of the gateways. The slack is less than usual, since
+# only about 150 requests arrive during an order.
+EXPOSURE_SHARE = 0.1
+EXPOSURE_SLACK = 30
+ROLLBACK_S = 5.0
+SETTINGS = {
+    'rollout_exposure_share': EXPOSURE_SHARE,
+    'rollout_exposure_slack': EXPOSURE_SLACK,
+    'rollout_rollback_s': ROLLBACK_S,
+}
+# Bad responses after which the bound on the rollback counts.
+BAD_RESPONSES = 50
 FINAL_STATES = ('completed', 'rolled_back')
 PROMISE = 'rollout'
 # A status may be written this long after the deadline.
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -32,6 +32,8 @@
     # How the new version is bad; both are usual for a good one.
     failures: float
     slower: float
+    # Part of the time from which on it is bad.
+    begins: float
 
     @property
     def bad(self):
@@ -127,6 +129,13 @@
 ROLLOUT_AT_S = (0.5, 3.0)
 ROLLOUT_DURATION_S = (10.0, 14.0)
 BAD_SHARE = 0.5
+# Failures, slowness and begin of versions.
+GOOD_VERSION = (0.0, 1.0, 0.0)
+BAD_VERSIONS = (
+    (0.6, 1.0, 0.0),
+    (0.0, 6.0, 0.0),
+    (1.0, 1.0, 0.6),
+)
 KINDS_BY_NAME = {kind.name: kind for kind in KINDS}
 
 
@@ -168,14 +177,11 @@
     rng = random.Random(f'rollout {seed}')
     if rng.random() >= ROLLOUT_SHARE:
         return None
-    at, duration_s = (
-        rng.uniform(*ROLLOUT_AT_S),
-        rng.uniform(*ROLLOUT_DURATION_S),
-    )
-    failures, slower = 0.0, 1.0
-    if rng.random() < BAD_SHARE:
-        failures, slower = rng.choice(((0.6, 1.0), (1.0, 1.0), (0.0, 6.0)))
-    return Rollout(round(at, 3), round(duration_s, 3), failures, slower)
+    at = round(rng.uniform(*ROLLOUT_AT_S), 3)
+    duration_s = round(rng.uniform(*ROLLOUT_DURATION_S), 3)
+    bad = rng.random() < BAD_SHARE
+    version = rng.choice(BAD_VERSIONS) if bad else GOOD_VERSION
+    return Rollout(at, duration_s, *version)
 
 
 def _draw_silences(rng, endpoints):
--- a/tools/soak/seed_run.py
+++ b/tools/soak/seed_run.py
@@ -14,7 +14,6 @@
 from standins import gateway_deployment as deployments
 from standins import platform
 from standins import platform_runner
-from standins import rollout_deployment
 from tools.soak import callers
 from tools.soak import checks
 from tools.soak import endpoints as endpoint_module
@@ -51,6 +50,8 @@
 # Version of the endpoints that an order moves the service to.
 ROLLOUT_TARGET = 'v9'
 ROLLOUT_POLL_S = 0.02
+# Time from a rollback until the endpoints of the target leave.
+DRAIN_AFTER_S = 2.0
 STORE_FAULTS = {
     'store_down': 'down',
     'store_slow': 'slow',
@@ -188,7 +189,7 @@
 
     async def _add_gateway(self, index, store):
         seeds = [g.settings['control_address'] for g in self._gateways]
-        bounds = rollout_deployment.SETTINGS if self.rollout else {}
+        bounds = rollout_checks.SETTINGS if self.rollout else {}
         settings = gateway_module.build_initial_settings(
             index, seeds, **bounds
         )
@@ -320,8 +321,9 @@
         await asyncio.sleep(max(rollout.at - self.now(), 0))
         fault = None
         if rollout.bad:
+            begins_at = time.monotonic() + rollout.begins * rollout.duration_s
             fault = platform_runner.VersionFault(
-                rollout.failures, rollout.slower
+                rollout.failures, rollout.slower, begins_at
             )
         for _ in range(count):
             self._links.append(proxy.Proxy())
@@ -388,7 +390,7 @@
 
     async def _drain_new_endpoints(self):
         """Let the endpoints of a version that was rolled back leave."""
-        await asyncio.sleep(rollout_deployment.DRAIN_AFTER_S)
+        await asyncio.sleep(DRAIN_AFTER_S)
         count = self._counts[1]
         for index in range(count, len(self._endpoints)):
             endpoint = self._endpoints[index]
