--- a/persimmonroute/gateway/rollouts.py
+++ b/persimmonroute/gateway/rollouts.py
@@ -29,6 +29,10 @@
 SHARED_ENDINGS = (Ending.BROKEN, Ending.SILENT)
 # They count once until the endpoint responds again, or after this time.
 SHARED_ENDING_S = 0.5
+# Requests whose prompt the endpoint has to read are compared with one another:
+# new endpoints know no prompts, and reading takes several times as long.
+COLD_SUFFIX = ' (cold)'
+MIN_WARM_SHARE = 0.5
 # An attempt that is abandoned within this time of its deadline took too long.
 DEADLINE_TOLERANCE_S = 0.1
 
@@ -44,6 +48,8 @@
         self.era = era
         # Versions of earlier orders that were not accepted.
         self.rejected = tuple(rejected)
+        # True until the store told whether the order ended long ago.
+        self.unconfirmed = False
         # Newest phase that the store is known to have, and why.
         self.phase = Phase.WAITING
         self.reason = ''
@@ -181,7 +187,8 @@
 class Rollouts:
     """Keep the newest order of each service."""
 
-    def __init__(self):
+    def __init__(self, runner_registry):
+        self._runner_registry = runner_registry
         self._services = {}
         # Earlier orders, which a restored store may list again.
         self._former = {}
@@ -193,6 +200,25 @@
         """Return the ServiceRollout of a service, or None."""
         return self._services.get(service)
 
+    def find_limiting(self, service, now):
+        """Return the ServiceRollout that limits the versions, or None.
+
+        An order that may have been completed long ago does not make the only
+        version that is left unusable.
+        """
+        rollout = self._services.get(service)
+        if rollout is None or rollout.is_over(now):
+            return None
+        if rollout.unconfirmed and not self._has_others(rollout.order):
+            return None
+        return rollout
+
+    def _has_others(self, order):
+        return any(
+            view.record.version != order.target and not view.leaving
+            for view in self._runner_registry.of_service(order.service)
+        )
+
     def adopt(self, order, given_at, era):
         """Follow an order and return True if it is a new one.
 
@@ -239,11 +265,12 @@
         limit = rollout.find_limit(self._group.region)
         return limit.list_main(rollout.list_accepted(views), now)
 
-    def record_grant(self, pending, view):
+    def record_grant(self, pending, view, now):
         """Count a grant towards the share of the target."""
         rollout = self._rollouts.find(self._group.service)
         if rollout is not None:
             rollout.record_grant(self._group.region, view.record.version)
+            pending.cold = _is_cold(pending.request.prompt, view, now)
 
     def record_end(self, pending, view, ending, time_s, now):
         """Record the response as evidence while the order is open."""
@@ -255,13 +282,13 @@
             # The response would have taken at least as long: otherwise the
             # slowest ones would be missing.
             ending, time_s = Ending.ANSWERED, now - pending.sent_at
-        rollout.record_end(view, pending.route.name, ending, time_s, now)
+        route = pending.route.name
+        if pending.cold:
+            route += COLD_SUFFIX
+        rollout.record_end(view, route, ending, time_s, now)
 
     def _find(self, now):
-        rollout = self._rollouts.find(self._group.service)
-        if rollout is None or rollout.is_over(now):
-            return None
-        return rollout
+        return self._rollouts.find_limiting(self._group.service, now)
 
 
 class OwnPolicy(rollout_exposure.VersionPolicy):
@@ -275,7 +302,7 @@
 
     def filter(self, pending, views, now):
         """Return the views that are safe while an order is open."""
-        rollout = self._find(pending.service, now)
+        rollout = self._rollouts.find_limiting(pending.service, now)
         if rollout is None:
             return views
         views = rollout.list_accepted(views)
@@ -283,19 +310,21 @@
 
     def list_main(self, service, views, now):
         """Return the views that serve most new requests."""
-        rollout = self._find(service, now)
+        rollout = self._rollouts.find_limiting(service, now)
         if rollout is None:
             return views
         return rollout.outcomes.list_main(rollout.list_accepted(views), now)
 
-    def record_grant(self, pending, view):
+    def record_grant(self, pending, view, now):
         """Count nothing: the target gets no new requests here."""
 
     def record_end(self, pending, view, ending, time_s, now):
         """Record nothing: the hosts see enough of the other versions."""
 
-    def _find(self, service, now):
-        rollout = self._rollouts.find(service)
-        if rollout is None or rollout.is_over(now):
-            return None
-        return rollout
+
+def _is_cold(prompt, view, now):
+    """Return whether an endpoint has to read most of a prompt."""
+    tokens = sum(part.tokens for part in prompt)
+    if not tokens:
+        return False
+    return view.cached_tokens(prompt, now) < MIN_WARM_SHARE * tokens
--- a/persimmonroute/tests/gateway/rollout_tests.py
+++ b/persimmonroute/tests/gateway/rollout_tests.py
@@ -132,7 +132,7 @@
 
     def setUp(self):
         """Prepare the order."""
-        self.rollouts = rollouts.Rollouts()
+        self.rollouts = rollouts.Rollouts(runners.RunnerRegistry())
         self.rollouts.adopt(ORDER, 0.0, 1)
         self.policy = rollouts.GroupPolicy(self.rollouts, GROUP)
 
@@ -142,6 +142,7 @@
 
     def _end(self, ending, now, view=3, time_s=None, pending=None):
         pending = pending or fixtures.pending_request()
+        pending.cold = False
         self.policy.record_end(pending, views()[view], ending, time_s, now)
 
     def _count(self, version='v2'):
@@ -188,6 +189,20 @@
         found = self.policy.filter(pending, views(), later)
         self.assertEqual(versions(found), {'v1', 'v2'})
 
+    def test_order_that_may_have_ended_long_ago(self):
+        """Guards against a gateway that starts and refuses all requests."""
+        pending = fixtures.pending_request()
+        self._rollout.unconfirmed = True
+        found = self.policy.filter(pending, views()[2:], 1.0)
+        self.assertEqual(versions(found), {'v2'})
+        self.rollouts._runner_registry.apply(
+            [fixtures.runner('v1-0')], (), False, 1.0
+        )
+        self.assertEqual(self.policy.filter(pending, views()[2:], 1.0), [])
+        self._rollout.unconfirmed = False
+        self.rollouts._runner_registry.apply((), ['v1-0'], False, 2.0)
+        self.assertEqual(self.policy.filter(pending, views()[2:], 2.0), [])
+
     def test_only_responses_are_evidence(self):
         """Guards against blaming a version for what it did not do."""
         for ending in (
@@ -207,6 +222,7 @@
         stopping = views()[3]
         stopping.announced_leaving = True
         pending = fixtures.pending_request()
+        pending.cold = False
         self.policy.record_end(pending, stopping, Ending.BROKEN, None, 1.0)
         self.assertEqual(self._count(), (0, 0))
 
@@ -526,6 +542,16 @@
         reply = self._offer(0.0, version='v2')
         self.assertTrue(reply.runner_id.startswith('v2'))
 
+    def test_cold_prompts_are_compared_with_cold_ones(self):
+        """Guards against blaming new endpoints for empty caches."""
+        self.board.rollouts.adopt(ORDER, 0.0, 1)
+        prompt = (model.PromptPart('a', 900), model.PromptPart('b', 100))
+        for _ in range(2):
+            reply = self._offer(0.0, prompt=prompt, excluded=('v1-1',))
+            self._end(reply.offer_id)
+        routes = {key.route for key in self._rollout.evidence.tallies}
+        self.assertEqual(routes, {'draft', 'draft (cold)'})
+
     def test_evidence_outlives_an_idle_group(self):
         """Guards against counts that start again after a pause."""
         self.board.rollouts.adopt(ORDER, 0.0, 1)
