Let the version of the cut-off test turn bad late

Cause: a version that fails from the start is avoided by placement, which hid that a host that never learned of the order sends half of all requests to it.

Verified: fails as it should on the merged feature, 131 requests at the version where 99.9 are allowed (gateway-1, which hosts the group, is cut off).

--- a/persimmonroute/tests/gateway/rollout_serving_tests.py
+++ b/persimmonroute/tests/gateway/rollout_serving_tests.py
@@ -325,9 +325,11 @@
         if number:
             await self.deployment.stop()
             await self.asyncSetUp()
-        # Its gateway learns of the endpoints, but not of the order.
+        # The gateway learns of the endpoints, but not of the order. Until the
+        # version is bad, nothing but the order keeps requests from it.
+        begins_at = time.monotonic() + 2 * SETTLE_S + 0.5 * DURATION_S
         await self.deployment.start_version(
-            TARGET, fault=VersionFault(failures=0.5)
+            TARGET, fault=VersionFault(failures=0.7, begins_at=begins_at)
         )
         await asyncio.sleep(SETTLE_S)
         self.deployment.links[number].set_mode(proxy.Mode.SILENT)
