--- a/tools/soak/mutants.py
+++ b/tools/soak/mutants.py
@@ -264,7 +264,13 @@
     ),
     Mutant(
         'ignores the exposure share of a rollout',
+        # The controller also sets the share to 0 when its budget is spent.
         (
+            Edit(
+                'gateway/rollout_exposure.py',
+                'self._is_confirmed(now) and plan.share > 0.0',
+                'self._is_confirmed(now)',
+            ),
             Edit(
                 'gateway/rollout_exposure.py',
                 'if not allowed or self._credit < 1.0:',
--- a/tools/soak/rollout_checks.py
+++ b/tools/soak/rollout_checks.py
@@ -110,18 +110,20 @@
         rollout = self._rollout
         if rollout.given_again:
             return
+        bad_count = len(rollout.bad_at)
+        shown = f'{rollout._replace(bad_at=[])}, {bad_count} bad responses'
         if rollout.bad and rollout.state == 'completed':
-            if len(rollout.bad_at) >= ENOUGH_BAD:
-                self._add_finding(f'a bad version was completed: {rollout}')
+            if bad_count >= ENOUGH_BAD:
+                self._add_finding(f'a bad version was completed: {shown}')
         begin = rollout.deadline_at - DECISION_S - STABILIZATION_S
         if self._control_disturbed(begin, rollout.deadline_at):
             return
         ended = rollout.ended_at is not None
         if not ended or rollout.ended_at > rollout.deadline_at:
-            self._add_finding(f'no outcome in time: {rollout}')
+            self._add_finding(f'no outcome in time: {shown}')
         elif not rollout.bad and rollout.state != 'completed':
             if not self._target_disturbed():
-                self._add_finding(f'a good version was rolled back: {rollout}')
+                self._add_finding(f'a good version was rolled back: {shown}')
 
     def check_stop(self):
         """Check that the stop of the old endpoints cuts nothing off."""
