--- a/persimmonroute/tests/gateway/rollout_serving_tests.py
+++ b/persimmonroute/tests/gateway/rollout_serving_tests.py
@@ -273,6 +273,14 @@
         """Guards against a slow version that stays."""
         await self._play_bad(VersionFault(slower=5.0))
 
+    async def test_streams_are_slow_after_their_first_event(self):
+        """Guards against a judgement by the first byte alone."""
+        await self._play_bad(
+            VersionFault(
+                route=rollout_deployment.STREAM_ROUTE, slower_events=8.0
+            )
+        )
+
     async def test_responses_fail_later(self):
         """Guards against a decision that is made too early."""
         begins_at = time.monotonic() + SETTLE_S + 0.5 * DURATION_S
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -43,6 +43,8 @@
     route: str | None = None
     # Requests a second at one endpoint from which it is bad.
     load: float = 0.0
+    # Factor of the time between the events of a stream.
+    slower_events: float = 1.0
 
 
 class RunnerStandIn:
@@ -170,8 +172,9 @@
         if now < fault.begins_at or per_s < fault.load or not on_route:
             return behaviour
         reply.slower = fault.slower
+        reply.slower_events = fault.slower * fault.slower_events
         failed = self._fault_rng.random() < fault.failures
-        reply.bad = failed or fault.slower > 1.0
+        reply.bad = failed or reply.slower_events > 1.0
         return 'fail' if failed else behaviour
 
     def crashes_on(self, prompt):
@@ -288,7 +291,7 @@
             first = await self._begin_stream(reply, headers)
             for number in range(first, self.event_count + 1):
                 await reply.send_data(self.make_event(reply.attempt, number))
-                await asyncio.sleep(self.event_pause_s * reply.slower)
+                await asyncio.sleep(self.event_pause_s * reply.slower_events)
             reply.end()
         else:
             await reply.send_complete(200, b'answer ' + reply.attempt, [])
@@ -558,9 +561,10 @@
         self._own_headers = own_headers
         self.writer = writer
         self.attempt = attempt
-        # Factor of the time of the answer, and whether the response is bad,
-        # because of the version of the endpoint.
+        # Factors of the time of the answer and of that between its events, and
+        # whether the response is bad, because of the version of the endpoint.
         self.slower = 1.0
+        self.slower_events = 1.0
         self.bad = False
 
     async def send_head(self, status, headers):
