--- a/persimmonroute/tests/soak_tests.py
+++ b/persimmonroute/tests/soak_tests.py
@@ -524,7 +524,7 @@
             deadline_at=11.0,
             ended_at=5.0,
             state='rolled_back',
-            reason='',
+            status='',
             bad_at=[],
             stopped=[],
             given_again=False,
--- a/tools/soak/records.py
+++ b/tools/soak/records.py
@@ -142,7 +142,8 @@
     # From when the final status was read; None if there was none in time.
     ended_at: float | None
     state: str | None
-    reason: str
+    # The status row, as text.
+    status: str
     # When bad responses of the target ended.
     bad_at: list[float]
     # Endpoints that were stopped at once when it was completed.
--- a/tools/soak/rollout_checks.py
+++ b/tools/soak/rollout_checks.py
@@ -55,7 +55,7 @@
         f'{kind} version, {ended} of'
         f' {rollout.deadline_at - rollout.ordered_at:.1f} s,'
         f' {checker.count_exposed()} of {checker.count_reached()} requests'
-        f' reached it by the deadline'
+        f' reached it by the deadline, {rollout.status}'
     )
 
 
