--- a/tools/soak/mutants.py
+++ b/tools/soak/mutants.py
@@ -262,6 +262,32 @@
             ),
         ),
     ),
+    Mutant(
+        'ignores the exposure share of a rollout',
+        # The controller also sets the share to 0 when its budget is spent.
+        (
+            Edit(
+                'gateway/rollout_exposure.py',
+                'self._is_confirmed(now) and plan.share > 0.0',
+                'self._is_confirmed(now)',
+            ),
+            Edit(
+                'gateway/rollout_exposure.py',
+                'if not allowed or self._credit < 1.0:',
+                'if not allowed:',
+            ),
+        ),
+    ),
+    Mutant(
+        'completes a rollout without judging',
+        (
+            Edit(
+                'gateway/rollout_evidence.py',
+                "        worst = Judgement(Verdict.UNDECIDED, '')\n",
+                "        return Judgement(Verdict.GOOD, '')\n",
+            ),
+        ),
+    ),
 )
 
 
