--- a/persimmonroute/config/settings.py
+++ b/persimmonroute/config/settings.py
@@ -96,6 +96,19 @@
         ' beyond are refused.',
         default=48,
     ),
+    'memory_mb': options.Number(
+        48,
+        1_000_000,
+        'Megabytes of memory of the instance; entries and gateways derive'
+        ' from it what callers may make them hold.',
+    ),
+    'max_descriptors': options.Number(
+        192,
+        10_000_000,
+        'Descriptors that the process may open; entries and gateways derive'
+        ' from it how many connections they accept.',
+        integer_only=True,
+    ),
     'regions': options.TextMap(
         'Region of each failure domain; used by gateways.'
     ),
@@ -182,6 +195,8 @@
     cpu_share: float
     cores: float
     body_memory_mb: float
+    memory_mb: float | None
+    max_descriptors: int | None
     regions: dict[str, str] | None
     revocation_s: float
     configuration_s: float
