Account for what callers make a process hold, and bound each connection

Cause: partial heads took 262,144 bytes, pipelined requests were read without end, bodies that stopped stayed for ever, chunks of one byte held up the event loop, and connections were not counted.

Change: caller_account.py, without I/O, counts connections, heads, bodies, requests and unread responses, with limits from the settings memory_mb and max_descriptors, and chooses who is refused first. caller_protocol.py bounds heads, framing, read-ahead and parsing in a step, and closes what makes no progress with 408, 431 or 503; only requests that are not complete get these. An entry bounds its bodies and unread responses as well. The ports for probes, metrics and peers take 8 connections each. gateway/body_memory.py is part of the account now. The stubs of an entry's shell take the queue that they fill.

--- /dev/null
+++ b/persimmonroute/caller_account.py
@@ -0,0 +1,389 @@
+"""Account for what callers make a process hold, and decide who goes first.
+
+It states how much memory and how many connections callers may take, and
+chooses whom to refuse or close when that is reached. Made for some thousand
+connections: a choice looks at all of them, and happens only in an overload.
+"""
+
+from __future__ import annotations
+
+import collections
+import enum
+import math
+import typing
+
+MEGABYTE = 1_000_000
+# Share of the memory beside the process's own that callers may take. The rest
+# is for copies made while a body is passed on, and for fragmentation.
+CALLER_SHARE = 0.5
+# Objects of a connection, and those of an open request.
+CONNECTION_BYTES = 12_000
+REQUEST_BYTES = 24_000
+# Largest read of a connection. As many bytes wait for their turn to be parsed,
+# and as many are kept by the parser.
+READ_BYTES = 16_384
+MAX_UNPARSED_BYTES = 2 * READ_BYTES
+# Descriptors of the process itself: listening sockets, log, calls to the
+# store (32), three ports with 8 connections and 8 that are just accepted
+# each (48), and callers' connections that are just accepted (64).
+OWN_DESCRIPTORS = 144
+# Each request also takes a connection to an endpoint.
+DESCRIPTORS_PER_CONNECTION = 2
+# A process whose settings state too little still serves a few callers.
+MIN_MEMORY_BYTES = 8 * MEGABYTE
+MIN_CONNECTIONS = 8
+# Bodies that are larger use this share of the memory only, so that they leave
+# some to the others.
+LARGE_BODY_BYTES = 262_144
+LARGE_SHARE = 0.75
+# A request without progress for this long gives way to others in an overload.
+# A caller on a link of 5 Mbit/s sends PROGRESS_BYTES in 7 ms.
+STALL_S = 1.0
+PROGRESS_BYTES = 4096
+# A response that is not read for this long may be cut if nothing else is left.
+UNREAD_STALL_S = 5.0
+# Time between two searches for someone who gives way, if there was none.
+SEARCH_PAUSE_S = 0.1
+
+
+class Stage(enum.Enum):
+    """Enumerate how far a caller's connection is with a request."""
+
+    IDLE = 'idle'
+    HEAD = 'head'
+    BODY = 'body'
+    # The request is complete and may have run.
+    PASSED_ON = 'passed_on'
+    # The request was refused; the caller may still read that.
+    CLOSING = 'closing'
+
+
+class Reason(enum.Enum):
+    """Enumerate why a caller is refused or its connection is closed."""
+
+    CONNECTIONS = 'connections'
+    MEMORY = 'memory'
+    HEAD_TIMEOUT = 'head_timeout'
+    BODY_TIMEOUT = 'body_timeout'
+    IDLE = 'idle'
+    UNREAD = 'unread'
+    HEAD_SIZE = 'head_size'
+    FRAMING = 'framing'
+
+
+class AccountLimits(typing.NamedTuple):
+    """Limit what callers may make a process hold."""
+
+    memory_bytes: float = math.inf
+    body_bytes: float = math.inf
+    connections: float = math.inf
+
+
+def derive_limits(memory_mb, own_memory_mb, max_descriptors, body_bytes):
+    """Return the AccountLimits of an instance.
+
+    memory_mb and max_descriptors are None if the settings do not state them.
+    """
+    memory, connections = math.inf, math.inf
+    if memory_mb is not None:
+        spare_mb = max(memory_mb - own_memory_mb, 0)
+        memory = CALLER_SHARE * spare_mb * MEGABYTE
+        memory = max(memory, MIN_MEMORY_BYTES)
+        per_connection = CONNECTION_BYTES + MAX_UNPARSED_BYTES
+        connections = memory // per_connection
+    if max_descriptors is not None:
+        spare = max_descriptors - OWN_DESCRIPTORS
+        connections = min(connections, spare // DESCRIPTORS_PER_CONNECTION)
+    return AccountLimits(
+        memory,
+        min(body_bytes, memory),
+        max(connections, MIN_CONNECTIONS),
+    )
+
+
+class Holding:
+    """Store what one connection of a caller makes the process hold."""
+
+    def __init__(self, account, opened_at, close):
+        self._account = account
+        # Called with a Reason to refuse the request or close the connection.
+        self.close = close
+        self.stage = Stage.IDLE
+        # Bytes of partial heads, framing, and requests that are read ahead.
+        self.unparsed = 0
+        self.body = 0
+        # Bytes of responses that wait for the caller to read: those that the
+        # application keeps, and those that are written.
+        self.queued = 0
+        self.written = 0
+        self.request = 0
+        # Requests that were complete.
+        self.served = 0
+        self.progress_at = opened_at
+        self._progress_bytes = 0
+
+    @property
+    def size(self):
+        """Return the bytes that the connection holds."""
+        return (
+            CONNECTION_BYTES
+            + self.unparsed
+            + self.body
+            + self.unread
+            + self.request
+        )
+
+    @property
+    def unread(self):
+        """Return the bytes of responses that the caller has to read."""
+        return self.queued + self.written
+
+    @property
+    def is_complete(self):
+        """Return whether the current request may have run."""
+        return self.stage is Stage.PASSED_ON
+
+    def enter(self, stage, now):
+        """Record that the connection reached a stage."""
+        if stage is not self.stage and self.stage is not Stage.CLOSING:
+            self.stage = stage
+            self.progress_at = now
+            self._progress_bytes = 0
+            self.served += stage is Stage.PASSED_ON
+
+    def record_body(self, size, now):
+        """Record bytes of a body as progress, if there are enough."""
+        self._progress_bytes += size
+        if self._progress_bytes >= PROGRESS_BYTES:
+            self._progress_bytes = 0
+            self.progress_at = now
+
+    def record_read(self, now):
+        """Record that the caller read of its response."""
+        self.progress_at = now
+
+    def set_unparsed(self, size, now):
+        """Set how many bytes wait to be parsed."""
+        if size != self.unparsed:
+            self._account.add(size - self.unparsed)
+            self.unparsed = size
+            self._account.relieve(now)
+
+    def set_written(self, size, now):
+        """Set how many bytes of responses are written but not sent."""
+        added = size - self.written
+        self.written = size
+        self._add_unread(added, now)
+
+    def add_queued(self, size, now):
+        """Count bytes of a response until they are taken (if negative)."""
+        self.queued += size
+        self._add_unread(size, now)
+
+    def _add_unread(self, size, now):
+        if size:
+            self._account.add(size)
+        if size > 0:
+            self._account.relieve(now)
+
+    def begin_request(self, now):
+        """Count an open request; return False if there is no memory."""
+        self.request = REQUEST_BYTES
+        self._account.add(REQUEST_BYTES)
+        return self._account.make_room(0, self, now)
+
+    def take_body(self, size, now):
+        """Count more bytes of a body; return False if there is no memory."""
+        if not self._account.allows_body(self, size, now):
+            return False
+        self.body += size
+        self._account.add_body(size)
+        return True
+
+    def end_request(self):
+        """Release what the current request holds."""
+        self._account.add_body(-self.body)
+        self._account.add(-self.request)
+        self.body = self.request = 0
+
+    def detach(self):
+        """Release everything; what is counted later has no effect."""
+        self.end_request()
+        self._account.add(-self.unparsed - self.unread)
+        self.unparsed = self.queued = self.written = 0
+        self._account = CallerAccount()
+
+
+def find_holding(scope):
+    """Return the Holding of the connection of an ASGI scope.
+
+    A server without an account provides none; nothing is counted then.
+    """
+    state = scope.setdefault('state', {})
+    if 'holding' not in state:
+        state['holding'] = CallerAccount().open(0.0, lambda reason: None)
+    return state['holding']
+
+
+class CallerAccount:
+    """Account for all connections of callers of one process."""
+
+    def __init__(self, limits=AccountLimits()):
+        self.limits = limits
+        self.used = 0
+        self.body_used = 0
+        # Number of refusals by reason.
+        self.refusals = collections.Counter()
+        # Responses that were cut so that others can be served.
+        self.responses_cut = 0
+        self._holdings = {}
+        self._search_at = -math.inf
+
+    @property
+    def holdings(self):
+        """Return the holdings of all connections."""
+        return tuple(self._holdings)
+
+    def open(self, now, close):
+        """Return the Holding of a new connection, or None to refuse it."""
+        holding = Holding(self, now, close)
+        if len(self._holdings) >= self.limits.connections:
+            victim = self._find_idle(now)
+            if victim is None:
+                return None
+            victim.close(Reason.CONNECTIONS)
+            self.close(victim)
+        self._holdings[holding] = None
+        self.used += CONNECTION_BYTES
+        return holding
+
+    def close(self, holding):
+        """Forget a connection that is closed, with all that it holds."""
+        if holding in self._holdings:
+            holding.detach()
+            del self._holdings[holding]
+            self.used -= CONNECTION_BYTES
+
+    def add(self, size):
+        """Count bytes that are held, or released if negative."""
+        self.used += size
+
+    def add_body(self, size):
+        """Count bytes of bodies that are held, or released if negative."""
+        self.used += size
+        self.body_used += size
+
+    def allows_body(self, holding, size, now):
+        """Return whether a body may grow; others may have to give way."""
+        large = holding.body + size > LARGE_BODY_BYTES
+        share = LARGE_SHARE if large else 1.0
+        return self.make_room(size, holding, now, share)
+
+    def make_room(self, size, holding, now, body_share=1.0):
+        """Return whether there is room; close those without progress for it.
+
+        Requests that may have run are not closed.
+        """
+        while True:
+            lacks_bodies = self._lacks_bodies(size, body_share)
+            if not lacks_bodies and self._has_memory(size):
+                return True
+            victim = self._find_stalled(now, lacks_bodies)
+            if victim is None or victim is holding:
+                return False
+            self._release(victim)
+
+    def relieve(self, now):
+        """Close connections until what they hold is within the limit.
+
+        A response is cut only if nothing else is left.
+        """
+        if self._has_memory(0) or now < self._search_at:
+            return
+        while not self._has_memory(0):
+            victim = (
+                self._find_stalled(now)
+                or self._find_largest()
+                or self._find_unread(now)
+            )
+            if victim is None:
+                self._search_at = now + SEARCH_PAUSE_S
+                return
+            self.responses_cut += victim.is_complete
+            self._release(victim)
+
+    def _has_memory(self, size):
+        return self.used + size <= self.limits.memory_bytes
+
+    def _lacks_bodies(self, size, share):
+        limit = share * self.limits.body_bytes
+        return size > 0 and self.body_used + size > limit
+
+    def _release(self, holding):
+        """Refuse a request; its memory counts as free at once."""
+        holding.close(Reason.MEMORY)
+        holding.detach()
+        holding.stage = Stage.CLOSING
+
+    def _find_idle(self, now):
+        """Return the connection that gives way to a new one, or None.
+
+        Those that were refused go first, then those that never sent a
+        request, then the oldest.
+        """
+        return max(
+            (
+                holding
+                for holding in self._holdings
+                if holding.stage in (Stage.CLOSING, Stage.IDLE, Stage.HEAD)
+                or (
+                    holding.stage is Stage.BODY
+                    and now - holding.progress_at >= STALL_S
+                )
+            ),
+            key=lambda h: (
+                h.stage is Stage.CLOSING,
+                h.served == 0,
+                now - h.progress_at,
+            ),
+            default=None,
+        )
+
+    def _find_stalled(self, now, needs_body=False):
+        """Return who holds most for longest without progress, or None."""
+        return max(
+            (
+                holding
+                for holding in self._holdings
+                if holding.stage in (Stage.HEAD, Stage.BODY)
+                and now - holding.progress_at >= STALL_S
+                and (holding.body or not needs_body)
+            ),
+            key=lambda h: h.size * (now - h.progress_at),
+            default=None,
+        )
+
+    def _find_largest(self):
+        """Return the incomplete request that holds most, or None."""
+        return max(
+            (
+                holding
+                for holding in self._holdings
+                if holding.stage in (Stage.HEAD, Stage.BODY)
+            ),
+            key=lambda h: h.size,
+            default=None,
+        )
+
+    def _find_unread(self, now):
+        """Return the response that is read least, or None."""
+        return max(
+            (
+                holding
+                for holding in self._holdings
+                if holding.unread
+                and now - holding.progress_at >= UNREAD_STALL_S
+            ),
+            key=lambda h: h.unread * (now - h.progress_at),
+            default=None,
+        )
--- a/persimmonroute/composition.py
+++ b/persimmonroute/composition.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import functools
 import uuid
 
+from persimmonroute import caller_account
+from persimmonroute import caller_protocol
 from persimmonroute.entry import board as entry_boards
 from persimmonroute.entry import core as entry_cores
 from persimmonroute.entry import http_api
@@ -21,6 +24,8 @@
 from persimmonroute import tls
 from persimmonroute import write_grouping
 
+# Resident memory of an entry that serves nobody, with some margin.
+ENTRY_MEMORY_MB = 72
 ENDPOINT_CLIENTS = {
     'model': endpoints.ModelEngineClient,
     'plain': endpoints.PlainServiceClient,
@@ -68,7 +73,20 @@
     tls_settings = tls.find_tls_settings(settings)
     shell = entry_shells.EntryShell(core, platform, grouper, tls_settings)
     app = http_api.HttpApi(shell).build_app()
-    return server.EntryServer(shell, app, settings)
+    core.board.caller_account.limits = caller_account.derive_limits(
+        settings.memory_mb,
+        ENTRY_MEMORY_MB,
+        settings.max_descriptors,
+        settings.body_memory_mb * caller_account.MEGABYTE,
+    )
+    guard = caller_protocol.ConnectionGuard(
+        core.board.caller_account,
+        functools.partial(
+            caller_protocol.ConnectionLimits,
+            unread_timeout_s=settings.unread_timeout_s,
+        ),
+    )
+    return server.EntryServer(shell, app, settings, guard)
 
 
 def build_sidecar(settings):
--- a/persimmonroute/config/settings.py
+++ b/persimmonroute/config/settings.py
@@ -92,18 +92,25 @@
     'body_memory_mb': options.Number(
         0.1,
         1_000_000,
-        'Megabytes of request bodies that a gateway keeps at a time; requests'
-        ' beyond are refused.',
+        'Megabytes of request bodies that an entry or gateway keeps at a time;'
+        ' requests beyond are refused.',
         default=48,
     ),
+    'unread_timeout_s': options.Number(
+        1,
+        86_400,
+        'Seconds after which an entry or gateway closes the connection of a'
+        ' caller that reads nothing of its response.',
+        default=300,
+    ),
     'memory_mb': options.Number(
-        48,
+        1,
         1_000_000,
         'Megabytes of memory of the instance; entries and gateways derive'
         ' from it what callers may make them hold.',
     ),
     'max_descriptors': options.Number(
-        192,
+        1,
         10_000_000,
         'Descriptors that the process may open; entries and gateways derive'
         ' from it how many connections they accept.',
@@ -195,6 +202,7 @@
     cpu_share: float
     cores: float
     body_memory_mb: float
+    unread_timeout_s: float
     memory_mb: float | None
     max_descriptors: int | None
     regions: dict[str, str] | None
--- a/persimmonroute/entry/board.py
+++ b/persimmonroute/entry/board.py
@@ -5,6 +5,7 @@
 import typing
 
 from persimmonroute import blackboard
+from persimmonroute import caller_account
 from persimmonroute.config import declarations
 from persimmonroute import draining
 from persimmonroute import durations
@@ -126,6 +127,8 @@
         self.drain: draining.Drain | None = None
         # Requests whose bodies have not arrived yet.
         self.open_requests = draining.OpenRequests()
+        # What callers make the entry hold.
+        self.caller_account = caller_account.CallerAccount()
 
     @property
     def stopping(self):
--- a/persimmonroute/entry/http_api.py
+++ b/persimmonroute/entry/http_api.py
@@ -13,9 +13,12 @@
 from starlette import responses
 from starlette import routing
 
+from persimmonroute import caller_account
+from persimmonroute import clock
 from persimmonroute.entry import intake
 from persimmonroute.entry import messages
 from persimmonroute.entry.messages import Outcome
+from persimmonroute.entry import response_queue
 from persimmonroute.entry import stopping
 from persimmonroute import event_stream
 from persimmonroute.events import Event
@@ -35,6 +38,8 @@
     problem='caller disconnected',
 )
 STREAM_TYPE = 'text/event-stream'
+NO_MEMORY = 'no memory for the body of the request'
+NO_MEMORY_RETRY_S = 1
 METHODS = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE']
 
 
@@ -91,6 +96,7 @@
             exception_handlers={
                 exceptions.BadRequestError: self._refuse_bad_request,
                 exceptions.EntryStoppingError: self._refuse_late_body,
+                exceptions.NoMemoryError: self._refuse_without_memory,
             },
             middleware=[
                 middleware.Middleware(
@@ -134,19 +140,24 @@
             raise exceptions.EntryStoppingError(stopping.STOPPING) from error
 
     async def _read_parts(self, request):
-        parts, size = [], 0
+        body, size = bytearray(), 0
+        holding = caller_account.find_holding(request.scope)
         async for part in request.stream():
             size += len(part)
             # A client that is still sending would not read an early response.
             if size <= intake.MAX_BODY_BYTES:
-                parts.append(part)
+                if not holding.take_body(len(part), clock.now_s()):
+                    raise exceptions.NoMemoryError(NO_MEMORY)
+                body += part
             elif size > intake.MAX_DISCARDED_BYTES:
                 break
         intake.check_size(size)
-        return b''.join(parts)
+        return bytes(body)
 
     async def _serve(self, request, call):
-        queue = self._shell.submit(call)
+        holding = caller_account.find_holding(request.scope)
+        queue = response_queue.ResponseQueue(holding)
+        self._shell.submit(call, queue)
         first = await self._wait_first(request, call, queue)
         if call.stream and isinstance(first, messages.ResponseData):
             if first.streamed:
@@ -231,6 +242,9 @@
         retry_after_s = math.ceil(stopping.STOPPING_RETRY_S)
         return _refuse(error, {'Retry-After': str(retry_after_s)})
 
+    async def _refuse_without_memory(self, request, error):
+        return _refuse(error, {'Retry-After': str(NO_MEMORY_RETRY_S)})
+
     async def _ready(self, request):
         stopping = self._shell.core.board.stopping
         return responses.PlainTextResponse(
--- a/persimmonroute/entry/metrics.py
+++ b/persimmonroute/entry/metrics.py
@@ -7,6 +7,7 @@
 from hdrh import histogram
 from prometheus_client import core as prometheus
 
+from persimmonroute import caller_metrics
 from persimmonroute.entry.messages import Outcome
 
 MAX_LATENCY_MS = 600_000
@@ -47,7 +48,8 @@
 class EntryMetrics:
     """Measure the requests of one entry by class."""
 
-    def __init__(self):
+    def __init__(self, caller_account):
+        self._caller_account = caller_account
         self._classes = collections.defaultdict(ClassMetrics)
         self._times: dict[str, RequestTimes] = {}
         self._class_names: dict[str, str] = {}
@@ -116,6 +118,7 @@
                 )
                 first.add_metric([name, str(quantile)], value / 1000)
         yield from (ended, good, first)
+        yield from caller_metrics.collect_account(self._caller_account)
 
 
 def _is_within(work_class, times, now):
--- a/persimmonroute/entry/server.py
+++ b/persimmonroute/entry/server.py
@@ -28,13 +28,16 @@
 class EntryServer:
     """Serve callers until shutdown is requested and requests have ended."""
 
-    def __init__(self, shell, app, settings):
+    def __init__(self, shell, app, settings, guard=None):
         self._shell = shell
         self._settings = settings
         # Between the clocks of the core and of the server, as announced.
         self._announced_shift_s = math.inf
         self._server = http_server.build_server(
-            app, settings.address, settings.stop_grace_s
+            app,
+            settings.address,
+            settings.stop_grace_s,
+            guard=guard,
         )
 
     async def run(self, stop):
--- a/persimmonroute/entry/shell.py
+++ b/persimmonroute/entry/shell.py
@@ -31,7 +31,7 @@
 
     def __init__(self, core, platform, grouper, tls_settings=None):
         self._core = core
-        self._metrics = metrics.EntryMetrics()
+        self._metrics = metrics.EntryMetrics(core.board.caller_account)
         self._work_classes: dict[str, declarations.WorkClass] = {}
         self._platform = platform
         self._grouper = grouper
@@ -68,15 +68,13 @@
             self._effect_handlers[type(effect)](effect)
         self._wakeup.schedule(self._core.next_timer_at)
 
-    def submit(self, call):
-        """Submit a call and return the queue of its response effects."""
+    def submit(self, call, queue):
+        """Submit a call; its response effects are put into the queue."""
         work_class = self._core.validate_call(call)
-        queue = asyncio.Queue()
         self._responses[call.request_id] = queue
         self._work_classes[call.request_id] = work_class
         self._metrics.on_arrived(call, time.monotonic())
         self.handle(messages.CallArrived(call))
-        return queue
 
     def disconnect(self, request_id):
         """Report that the caller of a request disconnected."""
--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -205,6 +205,18 @@
     GATEWAY_ROW_REMOVED = EventKind(
         734, 'INFO', 'row of a gateway that is gone removed'
     )
+    CALLERS_REFUSED = EventKind(
+        740,
+        'WARNING',
+        'callers refused or their connections closed, by reason, because of '
+        'what they hold or how long they take',
+    )
+    RESPONSE_CUT = EventKind(
+        741,
+        'WARNING',
+        'response cut because its caller does not read; nothing else was left '
+        'to release, or its time is over',
+    )
     GATEWAY_FAULT = EventKind(
         790, 'ERROR', 'unexpected error; the request or step failed'
     )
--- a/persimmonroute/exceptions.py
+++ b/persimmonroute/exceptions.py
@@ -168,6 +168,14 @@
     remedy = 'send the request again after the time in Retry-After'
 
 
+class NoMemoryError(PersimmonRouteError):
+    """Report a request whose body the entry has no memory for."""
+
+    status = 503
+    kind = 'not-run'
+    remedy = 'send the request again after the time in Retry-After'
+
+
 class DocumentError(PersimmonRouteError):
     """Report a document of the platform's store that cannot be parsed."""
 
--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -5,9 +5,9 @@
 import collections
 import typing
 
+from persimmonroute import caller_account
 from persimmonroute import draining
 from persimmonroute import durations
-from persimmonroute.gateway import body_memory
 from persimmonroute.gateway import change_tracking
 from persimmonroute.gateway import freshness
 from persimmonroute.gateway import peer_reading
@@ -96,7 +96,8 @@
         # How long requests of each route take at endpoints.
         self.durations = durations.Durations()
         self.open_requests = draining.OpenRequests()
-        self.body_memory = body_memory.BodyMemory()
+        # What callers make the gateway hold.
+        self.caller_account = caller_account.CallerAccount()
         # How the gateway stops; None while it serves.
         self.drain: draining.Drain | None = None
         # Newest configuration version that a peer has reported.
--- a/persimmonroute/gateway/metrics.py
+++ b/persimmonroute/gateway/metrics.py
@@ -7,6 +7,7 @@
 from hdrh import histogram
 from prometheus_client import core as prometheus
 
+from persimmonroute import caller_metrics
 from persimmonroute import clock
 from persimmonroute.gateway import endpoint_limits
 from persimmonroute import logs
@@ -152,6 +153,7 @@
         dropped.add_metric([], logs.count_dropped())
         yield dropped
         yield from self._collect_limits(now)
+        yield from caller_metrics.collect_account(board.caller_account)
 
     def _collect_limits(self, now):
         quota = prometheus.GaugeMetricFamily(
--- a/persimmonroute/gateway/server.py
+++ b/persimmonroute/gateway/server.py
@@ -8,6 +8,7 @@
 from starlette import responses
 from starlette import routing
 
+from persimmonroute import caller_protocol
 from persimmonroute import clock
 from persimmonroute import draining
 from persimmonroute.events import Event
@@ -38,16 +39,33 @@
         self._sources = {source.name: source for source in sources}
         self._settings = settings
         self._front = http_server.build_server(
-            ingress, settings.address, settings.stop_grace_s
+            ingress,
+            settings.address,
+            settings.stop_grace_s,
+            guard=caller_protocol.ConnectionGuard(
+                board.caller_account, self._read_limits
+            ),
         )
         self._ready = http_server.build_server(
-            self._build_ready_app(), settings.ready_address, 1.0, 0.0
+            self._build_ready_app(),
+            settings.ready_address,
+            1.0,
+            0.0,
+            caller_protocol.build_small_guard(),
         )
         self._metrics = http_server.build_server(
-            self._build_metrics_app(), settings.metrics_address, 1.0, 0.0
+            self._build_metrics_app(),
+            settings.metrics_address,
+            1.0,
+            0.0,
+            caller_protocol.build_small_guard(),
         )
         self._peers = http_server.build_server(
-            self._build_peer_app(), settings.control_address, 1.0, 0.0
+            self._build_peer_app(),
+            settings.control_address,
+            1.0,
+            0.0,
+            caller_protocol.build_small_guard(),
         )
 
     async def run(self, stop):
@@ -114,6 +132,19 @@
             self._settings.stop_grace_s - SHUTDOWN_RESERVE_S,
         )
 
+    def _read_limits(self):
+        """Return the limits of a caller's connection."""
+        unread_s = self._settings.unread_timeout_s
+        if self._board.route_table is None:
+            return caller_protocol.ConnectionLimits(unread_timeout_s=unread_s)
+        limits = self._board.route_table.configuration.limits
+        return caller_protocol.ConnectionLimits(
+            limits.header_bytes,
+            limits.header_timeout_s,
+            limits.idle_timeout_s,
+            unread_s,
+        )
+
     def _build_ready_app(self):
         return applications.Starlette(
             routes=[routing.Route('/readyz', self._serve_ready)]
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+from persimmonroute import caller_account
 from persimmonroute.gateway import admission
 from persimmonroute.gateway import admission_host
 from persimmonroute.gateway import board as boards
-from persimmonroute.gateway import body_memory
 from persimmonroute.gateway import dispatcher as dispatchers
 from persimmonroute.gateway import following
 from persimmonroute.gateway import forwarding
@@ -34,6 +34,9 @@
 # confirms the configuration, so the confirmation may get this old in between.
 CONFIGURATION_POLL_SHARE = 0.4
 
+# Resident memory of a gateway that serves nobody, with some margin.
+OWN_MEMORY_MB = 42
+
 
 def build_board(settings):
     """Build the board of a gateway."""
@@ -41,7 +44,12 @@
     board = boards.GatewayBoard(
         settings.instance, bounds, build_locality(settings)
     )
-    board.body_memory.set_limit(settings.body_memory_mb * body_memory.MEGABYTE)
+    board.caller_account.limits = caller_account.derive_limits(
+        settings.memory_mb,
+        OWN_MEMORY_MB,
+        settings.max_descriptors,
+        settings.body_memory_mb * caller_account.MEGABYTE,
+    )
     return board
 
 
--- a/persimmonroute/http_server.py
+++ b/persimmonroute/http_server.py
@@ -4,23 +4,23 @@
 
 import asyncio
 import contextlib
+import functools
+import json
 import math
 import os
 import socket
-import struct
 
 import uvicorn
-from uvicorn.protocols.http import h11_impl
 
+from persimmonroute import caller_account
+from persimmonroute.caller_account import Reason
+from persimmonroute import caller_protocol
 from persimmonroute import clock
-from persimmonroute import timeouts
+from persimmonroute import draining
 
 # Longer than load balancers and clients keep idle connections, so that no
 # request is sent on a connection that the server is closing.
 KEEP_ALIVE_S = 90
-# Head of a request that is not complete yet. What callers may send is limited
-# by the configuration, which allows less.
-MAX_PARTIAL_HEAD_BYTES = 262_144
 # Time for connections of callers that were just accepted to deliver their
 # request.
 ACCEPTED_GRACE_S = 0.4
@@ -28,39 +28,44 @@
 BACKLOG_DRAIN_S = 0.02
 # Time from the beginning of a shutdown until idle connections are closed.
 CLOSE_S = ACCEPTED_GRACE_S + BACKLOG_DRAIN_S
-# Connections accepted in one step of the event loop. It tries as many also
-# when no descriptor is left.
-ACCEPTS_PER_STEP = 32
+# Steps of the server, of 0.1 s each, between checks of its connections.
+TICKS_PER_CHECK = 5
 # Connections that a listening socket queues.
 BACKLOG = 2048
-# SO_LINGER: close with a reset.
-LINGER_RESET = struct.pack('ii', 1, 0)
 
 
-class CallerProtocol(h11_impl.H11Protocol):
-    """Serve a connection, which the application may reset."""
+class CountRequests:
+    """Refuse requests for which callers left no memory."""
 
-    def connection_made(self, transport):
-        """Hand the means to reset the connection to the application."""
-        super().connection_made(transport)
+    def __init__(self, app, account):
+        self._app = app
+        self._account = account
 
-        def reset():
-            if transport.is_closing():
+    async def __call__(self, scope, receive, send):
+        """Serve one request."""
+        if scope['type'] == 'http':
+            holding = caller_account.find_holding(scope)
+            if not holding.begin_request(clock.now_s()):
+                self._account.refusals[Reason.MEMORY.value] += 1
+                await _send_no_memory(scope, send)
                 return
-            sock = transport.get_extra_info('socket')
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-            transport.abort()
-
-        self.app_state = {**self.app_state, 'reset': reset}
-
-    def timeout_keep_alive_handler(self):
-        """Close an idle connection, unless a request is read before.
-
-        In a process that was suspended, timers run before sockets are read.
-        """
-        self.timeout_keep_alive_task = self.loop.call_later(
-            timeouts.CATCH_UP_S, super().timeout_keep_alive_handler
-        )
+        await self._app(scope, receive, send)
+
+
+async def _send_no_memory(scope, send):
+    """Tell a caller that its request has not run."""
+    body = json.dumps({'error': 'no memory for the request'}).encode()
+    headers = [
+        (b'content-type', b'application/json'),
+        (b'content-length', str(len(body)).encode()),
+        (b'retry-after', f'{caller_protocol.RETRY_S:.3f}'.encode()),
+    ]
+    await send(
+        {'type': 'http.response.start', 'status': 503, 'headers': headers}
+    )
+    if scope['method'] == 'HEAD':
+        body = b''
+    await send({'type': 'http.response.body', 'body': body})
 
 
 class ResetWhenIncomplete:
@@ -101,8 +106,9 @@
     to deliver their request before the server closes them.
     """
 
-    def __init__(self, config, accepted_grace_s):
+    def __init__(self, config, accepted_grace_s, guard):
         super().__init__(config)
+        self._guard = guard
         self._accepted_grace_s = accepted_grace_s
         # Until when accepted connections may deliver a request; None for no
         # limit.
@@ -115,6 +121,16 @@
             for listener in server.sockets:
                 _set_backlog(listener.fileno(), BACKLOG)
 
+    async def on_tick(self, counter):
+        """Check the connections from time to time."""
+        if counter % TICKS_PER_CHECK == 0:
+            # An error must not end the server.
+            with draining.guard('check connections'):
+                self._guard.check(
+                    list(self.server_state.connections), clock.now_s()
+                )
+        return await super().on_tick(counter)
+
     def stop(self, within_s):
         """Begin a shutdown, after which cancel_open() is called in within_s.
 
@@ -176,15 +192,21 @@
         listener.listen(connections)
 
 
-def build_server(app, address, grace_s, accepted_grace_s=ACCEPTED_GRACE_S):
-    """Build a server whose shutdown waits up to grace_s for open requests."""
+def build_server(
+    app, address, grace_s, accepted_grace_s=ACCEPTED_GRACE_S, guard=None
+):
+    """Build a server whose shutdown waits up to grace_s for open requests.
+
+    guard limits its connections; without one only each by itself is limited.
+    """
+    guard = guard or caller_protocol.ConnectionGuard()
     host, _, port = address.rpartition(':')
     config = uvicorn.Config(
-        ResetWhenIncomplete(app),
+        ResetWhenIncomplete(CountRequests(app, guard.account)),
         host=host.strip('[]'),
         port=int(port),
         log_config=None,
-        http=CallerProtocol,
+        http=functools.partial(caller_protocol.CallerProtocol, guard),
         ws='none',
         loop='asyncio',
         log_level='critical',
@@ -192,7 +214,6 @@
         lifespan='off',
         timeout_keep_alive=KEEP_ALIVE_S,
         timeout_graceful_shutdown=int(grace_s),
-        backlog=ACCEPTS_PER_STEP,
-        h11_max_incomplete_event_size=MAX_PARTIAL_HEAD_BYTES,
+        backlog=guard.accepts_per_step,
     )
-    return SignalFreeServer(config, accepted_grace_s)
+    return SignalFreeServer(config, accepted_grace_s, guard)
--- a/persimmonroute/platform/ingress.py
+++ b/persimmonroute/platform/ingress.py
@@ -7,6 +7,8 @@
 import math
 import uuid
 
+from persimmonroute import caller_account
+from persimmonroute import clock
 from persimmonroute.events import Event
 from persimmonroute.gateway import forwarding
 from persimmonroute.gateway import model
@@ -45,11 +47,11 @@
         if rejection is not None:
             await caller.reject(rejection)
             return
-        with self._board.body_memory.hold() as held:
-            await self._serve_body(scope, caller, receive, limits, held)
+        held = caller_account.find_holding(scope)
+        await self._serve_body(scope, caller, receive, limits, held)
 
     async def _serve_body(self, scope, caller, receive, limits, held):
-        """Serve a request whose body is held until the request ends."""
+        """Serve a request; held counts its body until the request ends."""
         try:
             body = await self._read_body(receive, limits.body_bytes, held)
         except TimeoutError:
@@ -232,7 +234,8 @@
 
     TOO_LARGE if it is larger than allowed, NO_MEMORY if too much is held.
     """
-    parts, size = [], 0
+    # Parts of some bytes each would take several times their size in memory.
+    body, size = bytearray(), 0
     while True:
         message = await receive()
         if message['type'] == 'http.disconnect':
@@ -240,14 +243,14 @@
         data = message['body']
         size += len(data)
         if size <= max_bytes:
-            if not held.take(len(data)):
+            if not held.take_body(len(data), clock.now_s()):
                 return NO_MEMORY
-            parts.append(data)
+            body += data
         elif size > max_bytes + MAX_DISCARDED_BYTES:
             return TOO_LARGE
         if not message['more_body']:
             break
-    return b''.join(parts) if size <= max_bytes else TOO_LARGE
+    return bytes(body) if size <= max_bytes else TOO_LARGE
 
 
 async def _wait_for_disconnect(receive):
--- /dev/null
+++ b/persimmonroute/tests/caller_account_tests.py
@@ -0,0 +1,188 @@
+"""Test who is refused first when callers make a process hold too much."""
+
+from __future__ import annotations
+
+import unittest
+
+from persimmonroute import caller_account
+from persimmonroute.caller_account import Reason
+from persimmonroute.caller_account import Stage
+
+MEMORY = 1_000_000
+BODIES = 800_000
+CONNECTIONS = 4
+OLD_S = 2 * caller_account.STALL_S
+
+
+class AccountCase(unittest.TestCase):
+    """Provide an account with small limits and connections in it."""
+
+    def setUp(self):
+        """Create the account."""
+        self.account = caller_account.CallerAccount(
+            caller_account.AccountLimits(MEMORY, BODIES, CONNECTIONS)
+        )
+        self.closed = {}
+
+    def open(self, name, stage=Stage.IDLE, now=0.0):
+        """Return the Holding of a new connection, or None."""
+
+        def close(reason):
+            self.closed[name] = reason
+
+        holding = self.account.open(now, close)
+        if holding is not None:
+            holding.enter(stage, now)
+        return holding
+
+
+class ConnectionTests(AccountCase):
+    """Open more connections than are allowed."""
+
+    def test_connection_that_never_sent_a_request_gives_way(self):
+        """Guards against idle connections that keep out new ones."""
+        self.open('served', Stage.PASSED_ON).enter(Stage.IDLE, 0.0)
+        self.open('old', now=1.0)
+        self.open('young', now=2.0)
+        self.open('running', Stage.PASSED_ON, now=1.0)
+        self.assertIsNotNone(self.open('new', now=3.0))
+        self.assertEqual(self.closed, {'old': Reason.CONNECTIONS})
+
+    def test_new_connection_is_refused_if_all_have_requests(self):
+        """Guards against a response cut for the sake of a new connection."""
+        for number in range(CONNECTIONS):
+            self.open(number, Stage.PASSED_ON)
+        self.assertIsNone(self.open('new', now=100.0))
+        self.assertEqual(self.closed, {})
+
+    def test_stalled_body_gives_way_and_one_with_progress_does_not(self):
+        """Guards against requests closed although they make progress."""
+        self.open('stalled', Stage.BODY)
+        for number in range(CONNECTIONS - 1):
+            holding = self.open(number, Stage.BODY)
+            holding.record_body(caller_account.PROGRESS_BYTES, OLD_S)
+        self.assertIsNotNone(self.open('new', now=OLD_S))
+        self.assertEqual(self.closed, {'stalled': Reason.CONNECTIONS})
+        self.open('newer', now=OLD_S)
+        self.assertEqual(len(self.account.holdings), CONNECTIONS)
+        self.assertIn('new', self.closed)
+
+    def test_closed_connections_count_no_more(self):
+        """Guards against an account that only grows."""
+        for number in range(3 * CONNECTIONS):
+            holding = self.open(number, Stage.BODY)
+            holding.begin_request(0.0)
+            holding.take_body(1000, 0.0)
+            holding.set_unparsed(500, 0.0)
+            holding.set_written(200, 0.0)
+            holding.add_queued(100, 0.0)
+            self.account.close(holding)
+            holding.add_queued(-100, 0.0)
+            holding.set_unparsed(900, 0.0)
+            holding.end_request()
+        self.assertEqual((self.account.used, self.account.body_used), (0, 0))
+        self.assertEqual(self.closed, {})
+
+
+class MemoryTests(AccountCase):
+    """Hold more memory than is allowed."""
+
+    def test_nobody_is_closed_without_an_overload(self):
+        """Guards against slow callers closed although there is room."""
+        holdings = [self.open(n, Stage.BODY) for n in range(CONNECTIONS)]
+        for holding in holdings:
+            self.assertTrue(holding.take_body(100_000, 0.0))
+            holding.set_unparsed(1000, 1000.0)
+        self.account.relieve(1000.0)
+        self.assertEqual(self.closed, {})
+
+    def test_body_that_stopped_gives_way_to_another(self):
+        """Guards against stalled bodies that take all the memory."""
+        small = self.open('small', Stage.BODY)
+        small.take_body(200_000, 0.0)
+        large = self.open('large', Stage.BODY)
+        large.take_body(350_000, 0.0)
+        other = self.open('other', Stage.BODY, OLD_S)
+        self.assertTrue(other.take_body(260_000, OLD_S))
+        self.assertEqual(self.closed, {'large': Reason.MEMORY})
+
+    def test_body_is_refused_if_all_others_make_progress(self):
+        """Guards against progress that is lost for a newer request."""
+        first = self.open('first', Stage.BODY)
+        self.assertTrue(first.take_body(500_000, 0.0))
+        second = self.open('second', Stage.BODY)
+        self.assertFalse(second.take_body(400_000, 0.0))
+        self.assertEqual((second.body, self.closed), (0, {}))
+
+    def test_request_that_may_have_run_is_not_refused(self):
+        """Guards against 503 for a request that has run."""
+        running = self.open('running', Stage.BODY)
+        running.take_body(550_000, 0.0)
+        running.enter(Stage.PASSED_ON, 0.0)
+        other = self.open('other', Stage.BODY, 100.0)
+        self.assertFalse(other.take_body(550_000, 100.0))
+        self.assertEqual(self.closed, {})
+
+    def test_large_bodies_leave_room_for_others(self):
+        """Guards against few large bodies that keep out all others."""
+        self.open('a', Stage.BODY).take_body(300_000, 0.0)
+        large = self.open('b', Stage.BODY)
+        self.assertFalse(large.take_body(400_000, 0.0))
+        self.assertTrue(large.take_body(200_000, 0.0))
+
+    def test_partial_heads_are_closed_before_a_response_is_cut(self):
+        """Guards against a response cut while anything else is left."""
+        response = self.open('response', Stage.PASSED_ON)
+        head = self.open('head', Stage.HEAD)
+        head.set_unparsed(100_000, 0.0)
+        now = 2 * caller_account.UNREAD_STALL_S
+        response.add_queued(MEMORY - 100_000, now)
+        self.assertEqual(self.closed, {'head': Reason.MEMORY})
+        self.assertEqual(self.account.responses_cut, 0)
+
+    def test_unread_response_is_cut_as_the_last_resort(self):
+        """Guards against unread responses that end the process."""
+        response = self.open('unread', Stage.PASSED_ON)
+        read = self.open('read', Stage.PASSED_ON)
+        now = 2 * caller_account.UNREAD_STALL_S
+        read.record_read(now)
+        response.add_queued(MEMORY // 2, now)
+        read.add_queued(MEMORY // 2, now)
+        self.assertEqual(self.closed, {'unread': Reason.MEMORY})
+        self.assertEqual(self.account.responses_cut, 1)
+
+    def test_response_that_is_read_is_not_cut(self):
+        """Guards against a cut of what a caller reads."""
+        response = self.open('read', Stage.PASSED_ON)
+        response.add_queued(2 * MEMORY, 0.0)
+        self.assertEqual(self.closed, {})
+
+
+class LimitTests(unittest.TestCase):
+    """Derive limits from the settings of an instance."""
+
+    def test_nothing_is_limited_without_settings(self):
+        """Guards against limits for deployments that state none."""
+        limits = caller_account.derive_limits(None, 40, None, 1000)
+        self.assertEqual(limits, caller_account.AccountLimits(body_bytes=1000))
+
+    def test_smallest_instance_holds_many_requests(self):
+        """Guards against limits that ordinary callers reach."""
+        limits = caller_account.derive_limits(128, 42, 4100, 48_000_000)
+        self.assertEqual(limits.memory_bytes, 43_000_000)
+        self.assertEqual(limits.body_bytes, 43_000_000)
+        self.assertGreaterEqual(limits.connections, 900)
+        # One body of the largest size fits many times.
+        self.assertGreater(limits.body_bytes * 0.75, 7 * 4_194_304)
+
+    def test_instance_without_spare_memory_still_serves(self):
+        """Guards against settings with which nobody is served."""
+        limits = caller_account.derive_limits(16, 42, 64, 48_000_000)
+        self.assertGreater(limits.body_bytes * 0.75, 4_194_304)
+        self.assertEqual(limits.connections, caller_account.MIN_CONNECTIONS)
+
+    def test_half_of_the_descriptors_are_left_for_endpoints(self):
+        """Guards against requests without a connection to an endpoint."""
+        limits = caller_account.derive_limits(10_000, 42, 4100, 48_000_000)
+        own = caller_account.OWN_DESCRIPTORS
+        self.assertLessEqual(own + 2 * limits.connections, 4100)
--- a/persimmonroute/tests/entry/http_api_tests.py
+++ b/persimmonroute/tests/entry/http_api_tests.py
@@ -36,10 +36,9 @@
         """Return the class of a call."""
         return types.SimpleNamespace(service='orders')
 
-    def submit(self, call):
-        """Return a queue that holds the response to a request."""
+    def submit(self, call, queue):
+        """Put the response to a request into a queue."""
         self.calls.append(call)
-        queue = asyncio.Queue()
         for data in self._items:
             if isinstance(data, bytes):
                 queue.put_nowait(messages.ResponseData(call.request_id, data))
@@ -47,7 +46,6 @@
                 queue.put_nowait(
                     messages.ResponseEnded(call.request_id, data, 502)
                 )
-        return queue
 
     def disconnect(self, request_id):
         """Do nothing."""
--- a/persimmonroute/tests/entry/server_tests.py
+++ b/persimmonroute/tests/entry/server_tests.py
@@ -58,11 +58,9 @@
         if isinstance(event, messages.StopRequested):
             self.board.drain = event.drain
 
-    def submit(self, call):
+    def submit(self, call, queue):
         """Begin a stream."""
-        queue = asyncio.Queue()
         self._tasks.append(asyncio.create_task(self._fill(queue, call)))
-        return queue
 
     def disconnect(self, request_id):
         """Do nothing."""
--- a/persimmonroute/tests/platform/deployment_tests.py
+++ b/persimmonroute/tests/platform/deployment_tests.py
@@ -29,6 +29,8 @@
     'PortRange.1': '7615',
     'Platform.Address': '10.200.1.7:8225',
     'Zones': {'riga-a': 'riga', 'riga-b': 'riga'},
+    'Limits.MemoryMb': 128,
+    'Limits.MaxFds': 4100,
     'Bounds.RevokeMs': 5000,
     'Bounds.ConfigMs': 2500,
     'Bounds.BudgetRatio': 0.2,
@@ -80,6 +82,8 @@
         loaded, problems = settings.check_settings(document)
         self.assertEqual(problems, [])
         self.assertEqual(loaded.revocation_s, 5.0)
+        self.assertEqual(loaded.memory_mb, 128)
+        self.assertEqual(loaded.max_descriptors, 4100)
         self.assertEqual(loaded.regions['riga-b'], 'riga')
         self.assertEqual(loaded.metrics_address, '10.1.0.25:7615')
 
@@ -94,6 +98,19 @@
         _, problems = settings.check_settings(document)
         self.assertEqual(problems, [])
 
+    def test_limits_that_are_not_stated_are_not_written(self):
+        """Guards against limits in deployments that do not state them."""
+        fields = {
+            name: value
+            for name, value in FIELDS.items()
+            if not name.startswith('Limits')
+        }
+        document = json.loads(render_template(self.template, fields))
+        loaded, problems = settings.check_settings(document)
+        self.assertEqual(problems, [])
+        self.assertIsNone(loaded.memory_mb)
+        self.assertIsNone(loaded.max_descriptors)
+
     def test_requirements_match_the_pins(self):
         """The platform installs the versions pinned for development."""
         pins = set((ROOT / 'constraints.txt').read_text().split())
