--- a/persimmonroute/caller_account.py
+++ b/persimmonroute/caller_account.py
@@ -79,10 +79,13 @@
     connections: float = math.inf
 
 
-def derive_limits(memory_mb, own_memory_mb, max_descriptors, body_bytes):
+def derive_limits(
+    memory_mb, own_memory_mb, max_descriptors, body_bytes, body_copies=1
+):
     """Return the AccountLimits of an instance.
 
     memory_mb and max_descriptors are None if the settings do not state them.
+    body_copies is how often the process holds a body that it passes on.
     """
     memory, connections = math.inf, math.inf
     if memory_mb is not None:
@@ -96,7 +99,7 @@
         connections = min(connections, spare // DESCRIPTORS_PER_CONNECTION)
     return AccountLimits(
         memory,
-        min(body_bytes, memory),
+        min(body_bytes, memory / body_copies),
         max(connections, MIN_CONNECTIONS),
     )
 
@@ -275,6 +278,9 @@
 
     def allows_body(self, holding, size, now):
         """Return whether a body may grow; others may have to give way."""
+        if self.body_used == holding.body:
+            # A single request is served whatever its size.
+            return self.make_room(0, holding, now)
         large = holding.body + size > LARGE_BODY_BYTES
         share = LARGE_SHARE if large else 1.0
         return self.make_room(size, holding, now, share)
--- a/persimmonroute/composition.py
+++ b/persimmonroute/composition.py
@@ -26,6 +26,9 @@
 
 # Resident memory of an entry that serves nobody, with some margin.
 ENTRY_MEMORY_MB = 72
+# An entry holds a body as a call, as an offer, as the offer's encoding, and in
+# the connection to the sidecar.
+ENTRY_BODY_COPIES = 4
 ENDPOINT_CLIENTS = {
     'model': endpoints.ModelEngineClient,
     'plain': endpoints.PlainServiceClient,
@@ -78,6 +81,7 @@
         ENTRY_MEMORY_MB,
         settings.max_descriptors,
         settings.body_memory_mb * caller_account.MEGABYTE,
+        ENTRY_BODY_COPIES,
     )
     guard = caller_protocol.ConnectionGuard(
         core.board.caller_account,
--- a/persimmonroute/tests/caller_account_tests.py
+++ b/persimmonroute/tests/caller_account_tests.py
@@ -130,6 +130,13 @@
         self.assertFalse(large.take_body(400_000, 0.0))
         self.assertTrue(large.take_body(200_000, 0.0))
 
+    def test_single_body_is_served_whatever_its_size(self):
+        """Guards against an instance that serves no large body at all."""
+        single = self.open('single', Stage.BODY)
+        self.assertTrue(single.take_body(BODIES - 1000, 0.0))
+        self.assertTrue(single.take_body(100_000, 0.0))
+        self.assertFalse(self.open('b', Stage.BODY).take_body(1, 0.0))
+
     def test_partial_heads_are_closed_before_a_response_is_cut(self):
         """Guards against a response cut while anything else is left."""
         response = self.open('response', Stage.PASSED_ON)
@@ -181,6 +188,12 @@
         self.assertGreater(limits.body_bytes * 0.75, 4_194_304)
         self.assertEqual(limits.connections, caller_account.MIN_CONNECTIONS)
 
+    def test_copies_of_bodies_are_within_the_memory(self):
+        """Guards against an entry that counts each body once."""
+        limits = caller_account.derive_limits(112, 72, 256, 48_000_000, 4)
+        self.assertEqual(limits.memory_bytes, 20_000_000)
+        self.assertEqual(limits.body_bytes, 5_000_000)
+
     def test_half_of_the_descriptors_are_left_for_endpoints(self):
         """Guards against requests without a connection to an endpoint."""
         limits = caller_account.derive_limits(10_000, 42, 4100, 48_000_000)
