Run uncontrolled clients in their own process, and free ended bodies

Cause: clients in the test's own process shared its event loop with the endpoint, and their requests named no attempt, which the stand-in endpoint answers with an empty id, so the gateway waited until the timeout (504) and refused the next ordinary request. In the product, connections and requests in reference cycles kept their buffers after their end: stalled heads took a gateway to 76 MB and whole bodies to 80 MB of 72 MB.

Change: the same numbers of clients with the same bounds run in a process of their own and name their attempts. A closed connection drops its buffers and its timer; 4 MiB of released bodies start a garbage collection; a gateway's bodies take half of its memory for callers.

--- a/persimmonroute/caller_protocol.py
+++ b/persimmonroute/caller_protocol.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import gc
 import json
 import socket
 import struct
@@ -60,6 +61,13 @@
 # Connections, and those accepted in one step, of a port that callers do not
 # use.
 SMALL_PORT_CONNECTIONS = 8
+# Bytes of released bodies after which unreachable objects are collected, and
+# the time in which their requests end. Requests are in reference cycles, so
+# bodies would stay until the garbage collector runs by itself, which depends
+# on the number of objects and not on their size. A link of 5 Mbit/s brings as
+# many bytes in 6.7 s.
+GARBAGE_BYTES = 4_194_304
+COLLECT_DELAY_S = 0.05
 # Interval of the checks of all connections; a longer gap is a stand-still.
 CHECK_S = 0.5
 MAX_CHECK_GAP_S = CHECK_S + 0.3
@@ -95,6 +103,10 @@
         return self.header_bytes + HEAD_MARGIN_BYTES
 
 
+def _do_nothing(*arguments):
+    """Stand in for a callback of a connection that is closed."""
+
+
 class ParseQueue:
     """Give slices of parsing their turns, one in a step of the event loop.
 
@@ -134,6 +146,10 @@
         super().__init__(transport)
         self._has_backlog = has_backlog
 
+    def detach(self):
+        """Forget the connection."""
+        self._has_backlog = _do_nothing
+
     def resume_reading(self):
         """Resume reading if all data have been parsed."""
         if not self._has_backlog():
@@ -157,6 +173,18 @@
         self._checked_at = None
         self._caught_up = False
         self._reported = collections.Counter()
+        # Bytes of bodies that were released since the last collection.
+        self._garbage = 0
+
+    def record_released(self, loop, size):
+        """Collect unreachable objects once enough bodies were released."""
+        before, self._garbage = self._garbage, self._garbage + size
+        if before < GARBAGE_BYTES <= self._garbage:
+            loop.call_later(COLLECT_DELAY_S, self._collect)
+
+    def _collect(self):
+        self._garbage = 0
+        gc.collect()
 
     def check(self, connections, now):
         """Close the connections that took too long.
@@ -253,9 +281,17 @@
 
     def connection_lost(self, exc):
         """Release what the connection holds."""
+        self._guard.record_released(self.loop, self._holding.body)
         self._guard.account.close(self._holding)
         self._waiting = b''
         super().connection_lost(exc)
+        # The server leaves it after an error, and with it all buffers.
+        self._unset_keepalive_if_required()
+        # Reference cycles would keep the buffers until the garbage collector
+        # runs, which is late where many connections come and go.
+        self._holding.close = _do_nothing
+        self.flow.detach()
+        self.app_state = {}
 
     def timeout_keep_alive_handler(self):
         """Close an idle connection, unless a request is read before.
@@ -286,6 +322,7 @@
 
     def on_response_complete(self):
         """Release what the request held, and go on with the next one."""
+        self._guard.record_released(self.loop, self._holding.body)
         self._holding.end_request()
         super().on_response_complete()
         if not self.transport.is_closing():
@@ -397,6 +434,8 @@
             self._reset()
             return
         self._end()
+        # The parser keeps what it has read.
+        self.conn = h11.Connection(h11.SERVER)
         self.transport.write(output)
         try:
             self.transport.write_eof()
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -36,6 +36,8 @@
 
 # Resident memory of a gateway that serves nobody, with some margin.
 OWN_MEMORY_MB = 42
+# A gateway holds a body for repeats, and in the connection to the endpoint.
+BODY_COPIES = 2
 
 
 def build_board(settings):
@@ -49,6 +51,7 @@
         OWN_MEMORY_MB,
         settings.max_descriptors,
         settings.body_memory_mb * caller_account.MEGABYTE,
+        BODY_COPIES,
     )
     return board
 
--- a/persimmonroute/tests/gateway/uncontrolled_clients_tests.py
+++ b/persimmonroute/tests/gateway/uncontrolled_clients_tests.py
@@ -85,6 +85,7 @@
         fields = (
             f'host: {deployments.HOST}\r\n'
             f'authorization: Bearer {deployments.KEY}\r\n'
+            'attempt-id: ATTEMPT\r\n'
         ).encode()
         stream = b'accept: text/event-stream\r\ncontent-length: 0\r\n\r\n'
         return clients.Profile(
--- a/standins/uncontrolled_clients.py
+++ b/standins/uncontrolled_clients.py
@@ -5,9 +5,12 @@
 import asyncio
 import contextlib
 import enum
+import itertools
+import json
 import os
 import pathlib
 import socket
+import sys
 import typing
 
 # Pause before a client opens a connection again that the server has closed.
@@ -59,7 +62,10 @@
 
 
 class Profile(typing.NamedTuple):
-    """Describe the requests that one ingress path takes."""
+    """Describe the requests that one ingress path takes.
+
+    ATTEMPT in a head stands for a name that each request has for itself.
+    """
 
     address: str
     # Head of a request, without its framing and the empty line at its end.
@@ -72,28 +78,54 @@
 
 
 class Load:
-    """Run clients of one or more kinds against one address."""
+    """Run clients of one or more kinds in a process of their own.
+
+    In the process of a test they would hold up its endpoints.
+    """
 
     def __init__(self, profile, *kinds):
         self._profile = profile
         self._kinds = kinds
-        self._tasks = []
+        self._process = None
 
     async def __aenter__(self):
         """Start all clients."""
-        for kind in self._kinds:
-            behave = getattr(self, f'_do_{kind.name.lower()}')
-            self._tasks += [
-                asyncio.create_task(self._run(behave))
-                for _ in range(kind.value)
-            ]
+        fields = {
+            name: value.decode('latin-1')
+            if isinstance(value, bytes)
+            else value
+            for name, value in self._profile._asdict().items()
+        }
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'standins.uncontrolled_clients',
+            json.dumps(fields),
+            *(kind.name for kind in self._kinds),
+            cwd=pathlib.Path(__file__).parents[1],
+        )
         return self
 
     async def __aexit__(self, *error):
-        """End all clients and close their connections."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        """End all clients, which closes their connections."""
+        self._process.kill()
+        await self._process.wait()
+
+
+class Clients:
+    """Run clients against one address."""
+
+    def __init__(self, profile):
+        self._profile = profile
+        self._numbers = itertools.count()
+
+    async def run(self, kinds):
+        """Run the clients of some kinds until the process is killed."""
+        async with asyncio.TaskGroup() as group:
+            for kind in kinds:
+                behave = getattr(self, f'_do_{kind.name.lower()}')
+                for _ in range(kind.value):
+                    group.create_task(self._run(behave))
 
     async def _run(self, behave):
         """Behave on one connection after the other."""
@@ -114,8 +146,12 @@
                 await loop.sock_connect(sock, (host, int(port)))
             await behave(Connection(sock))
 
+    def _name(self, data):
+        """Return a request or the beginning of one, with its own name."""
+        return data.replace(b'ATTEMPT', b'load-%d' % next(self._numbers))
+
     def _begin_body(self, framing):
-        return self._profile.head + framing + b'\r\n\r\n'
+        return self._name(self._profile.head) + framing + b'\r\n\r\n'
 
     def _begin_sized(self):
         length = str(self._profile.body_bytes).encode()
@@ -148,7 +184,10 @@
     async def _do_pipelined(self, connection):
         count = BLOCK_BYTES // len(self._profile.request) + 1
         while True:
-            await connection.send(self._profile.request * count)
+            requests = (
+                self._name(self._profile.request) for _ in range(count)
+            )
+            await connection.send(b''.join(requests))
 
     async def _do_endless_heads(self, connection):
         await connection.send(self._profile.head)
@@ -192,7 +231,7 @@
         await connection.wait_closed()
 
     async def _do_unread_streams(self, connection):
-        await connection.send(self._profile.stream)
+        await connection.send(self._name(self._profile.stream))
         await asyncio.Event().wait()
 
 
@@ -246,3 +285,16 @@
     status = pathlib.Path(f'/proc/{pid}/status').read_text()
     (line,) = (t for t in status.splitlines() if t.startswith('VmHWM:'))
     return int(line.split()[1]) * 1024 / 1e6
+
+
+def main(arguments):
+    """Run the clients that the arguments name."""
+    fields = json.loads(arguments[0])
+    for name in ('head', 'request', 'stream'):
+        fields[name] = fields[name].encode('latin-1')
+    kinds = [Kind[name] for name in arguments[1:]]
+    asyncio.run(Clients(Profile(**fields)).run(kinds))
+
+
+if __name__ == '__main__':
+    main(sys.argv[1:])
