--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -220,6 +220,18 @@
         'WARNING',
         'outcome of a rollout written again: the table lacked it',
     )
+    CALLERS_REFUSED = EventKind(
+        750,
+        'WARNING',
+        'callers refused or their connections closed, by reason, because of '
+        'what they hold or how long they take',
+    )
+    RESPONSE_CUT = EventKind(
+        751,
+        'WARNING',
+        'response cut because its caller does not read; nothing else was left '
+        'to release, or its time is over',
+    )
     GATEWAY_FAULT = EventKind(
         790, 'ERROR', 'unexpected error; the request or step failed'
     )
