--- a/persimmonroute/tests/reloading_tests.py
+++ b/persimmonroute/tests/reloading_tests.py
@@ -42,7 +42,7 @@
         self.board = fixtures.board()
         loaded = settings_module.load_settings(self.path)
         process = server.GatewayServer(
-            self.board, None, None, None, (), loaded
+            self.board, None, None, None, (), loaded, None
         )
         self.reloader = reloading.SettingsReloader(
             self.path,
@@ -78,7 +78,7 @@
         loaded = settings_module.load_settings(self.path)
         self._write({**DOCUMENT, 'revocation_s': 11})
         process = server.GatewayServer(
-            self.board, None, None, None, (), loaded
+            self.board, None, None, None, (), loaded, None
         )
         reloader = reloading.SettingsReloader(
             self.path, loaded, process, before
