Estimate the speed and capacity of endpoints that report the cost of work

Means by route and fixed slots fit neither prompts that differ by a factor of ten nor machines that differ in speed and are shared with others. Where endpoints report the cost of work, times are now fitted to the size of the request, each incarnation has a lasting speed, a present cost and a growth with its load, and these decide how many requests an endpoint gets at once, where a request goes, and what it is expected to wait.

Verified: admission_host, scheduler, place, serving, endpoint_limit, datagram, message_range, state and rollout_load tests pass.

--- a/persimmonroute/gateway/admission_codec.py
+++ b/persimmonroute/gateway/admission_codec.py
@@ -168,6 +168,7 @@
         caller=offer.caller,
         workspace=offer.workspace,
         output_tokens=_count(offer.output_tokens),
+        prompt_tokens=_count(offer.prompt_tokens),
     )
 
 
@@ -192,6 +193,7 @@
         caller=offer.caller,
         workspace=offer.workspace,
         output_tokens=offer.output_tokens,
+        prompt_tokens=offer.prompt_tokens,
     )
 
 
--- a/persimmonroute/gateway/admission_host.py
+++ b/persimmonroute/gateway/admission_host.py
@@ -61,9 +61,11 @@
 
 
 class HostedWork(typing.NamedTuple):
-    """Describe the prompt of an offered request to the scheduler."""
+    """Describe the size of an offered request to the scheduler."""
 
     prompt: tuple[model.PromptPart, ...]
+    prompt_tokens: int = 0
+    output_tokens: int = 0
 
 
 class HostedRequest:
@@ -77,7 +79,9 @@
         self.offer = offer
         # Domain of the gateway, from which distances are measured.
         self.origin = failure_domain
-        self.request = HostedWork(offer.prompt)
+        self.request = HostedWork(
+            offer.prompt, offer.prompt_tokens, offer.output_tokens
+        )
         self.route = HostedRoute(offer.route, offer.objective_s)
         self.service = offer.service
         self.tier = offer.tier
@@ -94,6 +98,9 @@
         # When its gateway last listed the request in flight.
         self.listed_at = -math.inf
         self.first_byte_at = None
+        self.reported_load = None
+        self.expected = None
+        self.sent_work = None
 
     @property
     def attempt(self):
@@ -112,9 +119,9 @@
 class HostedGroup:
     """Queue the requests for one group and track who uses its endpoints."""
 
-    def __init__(self, group, placement, limits, now):
+    def __init__(self, group, placement, limits, capacities, now):
         self.group = group
-        self.runner_registry = runners.RunnerRegistry(limits)
+        self.runner_registry = runners.RunnerRegistry(limits, capacities)
         self.scheduler = schedulers.Scheduler(
             self.runner_registry,
             placement,
@@ -184,7 +191,10 @@
             hosted.first_byte_at = min(
                 hosted.sent_at + message.first_byte_s, now
             )
-        self.runner_registry.record_load(hosted.runner, message.load, now)
+        hosted.reported_load = message.load
+        # The figures are as old as the head of the response.
+        heard_at = hosted.first_byte_at or hosted.sent_at
+        self.runner_registry.record_load(hosted.runner, message.load, heard_at)
         ending = message.ending
         if ending in WITNESSED_ENDINGS:
             self._record_failure(hosted, ending, now)
@@ -443,8 +453,14 @@
     def _find_group(self, group, now):
         hosted_group = self._groups.get(group)
         if hosted_group is None:
-            limits = self._runner_registry.limits
-            hosted_group = HostedGroup(group, self._placement, limits, now)
+            registry = self._runner_registry
+            hosted_group = HostedGroup(
+                group,
+                self._placement,
+                registry.limits,
+                registry.capacities,
+                now,
+            )
             self._groups[group] = hosted_group
         self._update_runners(hosted_group, now)
         return hosted_group
--- a/persimmonroute/gateway/admission_messages.py
+++ b/persimmonroute/gateway/admission_messages.py
@@ -42,6 +42,8 @@
     workspace: int = 0
     # Most tokens that the response may have; 0 if it is not known.
     output_tokens: int = 0
+    # Tokens of the whole prompt; 0 if they are not known.
+    prompt_tokens: int = 0
 
 
 class Grant(typing.NamedTuple):
--- a/persimmonroute/gateway/groups.py
+++ b/persimmonroute/gateway/groups.py
@@ -83,6 +83,11 @@
         # how long.
         self._avoided = {}
 
+    @property
+    def own_name(self):
+        """Return the name of this gateway."""
+        return self._own.name
+
     def find_host(self, group, excluded, now):
         """Return the name of the best host that is not excluded, or None."""
         for member in self._order(group):
--- a/persimmonroute/gateway/messages.py
+++ b/persimmonroute/gateway/messages.py
@@ -75,6 +75,10 @@
         self.first_byte_at = None
         # What the endpoint reported of its load with the response.
         self.reported_load = None
+        # Times at an endpoint of usual speed with nothing else to do, and
+        # what was known when it was sent; None if that is not known.
+        self.expected = None
+        self.sent_work = None
         # For how long events of the stream have been relayed.
         self.relayed_s = 0.0
 
--- a/persimmonroute/gateway/offers.py
+++ b/persimmonroute/gateway/offers.py
@@ -203,6 +203,11 @@
         self._runner_registry.record_end(pending, view, ending, now)
         first_byte_s = None
         if ending is Ending.ANSWERED:
+            if pending.host != self._directory.own_name:
+                # The host at this gateway learns from the end that it gets.
+                self._runner_registry.record_capacity(
+                    pending, view, now, load_known=False
+                )
             first_byte_s = runners.find_first_byte_s(pending, now)
         self._end(
             pending.host,
@@ -321,6 +326,7 @@
         return offer._replace(
             caller=pending.caller_hash,
             workspace=caller_identity.hash_workspace(pending.workspace),
+            prompt_tokens=pending.request.prompt_tokens,
             output_tokens=pending.request.output_tokens,
         )
 
--- a/persimmonroute/gateway/placement.py
+++ b/persimmonroute/gateway/placement.py
@@ -15,6 +15,9 @@
 MEAN_SPEED_COST_MS = 60.0
 # Delay that a failed attempt causes for the caller.
 FAILURE_COST_MS = 600.0
+# Weight of the time for which a request occupies an endpoint, relative to the
+# time to its first byte. Others wait for what it occupies.
+SLOT_TIME_SHARE = 0.2
 # Prompt tokens that an engine prefills per millisecond.
 PREFILL_TOKENS_PER_MS = 90.0
 # Network round trip, and the cost of traffic between regions.
@@ -51,6 +54,9 @@
         )
 
     def _cost_ms(self, pending, view, preferred, limit_of, now):
+        times = view.expect(pending, now)
+        if times is not None:
+            return self._time_cost_ms(pending, view, preferred, times, now)
         cost = FULL_LOAD_COST_MS * view.load / max(limit_of(view), 1)
         cost += MEAN_SPEED_COST_MS * view.slowness
         cost += FAILURE_COST_MS * view.failure_share
@@ -65,6 +71,20 @@
             cost += (tokens - cached) / PREFILL_TOKENS_PER_MS
         return cost
 
+    def _time_cost_ms(self, pending, view, preferred, times, now):
+        """Return the cost of an endpoint whose times can be expected."""
+        cost = 1000 * (times.first_byte_s + SLOT_TIME_SHARE * times.slot_s)
+        cost += FAILURE_COST_MS * view.failure_share
+        cost += DISTANCE_COST_MS[self._distance_from(pending, view)]
+        prompt = pending.request.prompt
+        if view is preferred:
+            tokens = sum(part.tokens for part in prompt[:-1])
+            missing = PREFERRED_CACHE_SHARE * tokens
+            missing -= view.cached_tokens(prompt, now)
+            if missing > 0:
+                cost -= 1000 * view.expect_prefill_s(pending, missing)
+        return cost
+
     def _distance_from(self, pending, view):
         if pending.origin is None:
             return self.distance(view)
--- a/persimmonroute/gateway/runners.py
+++ b/persimmonroute/gateway/runners.py
@@ -5,8 +5,10 @@
 import collections
 import math
 
+from persimmonroute.gateway import endpoint_capacity
 from persimmonroute.gateway import endpoint_limits
 from persimmonroute.gateway.model import Ending
+from persimmonroute.gateway import work_model
 
 # Backoff after a failure to reach an endpoint; doubles up to the maximum.
 FIRST_SUSPENSION_S = 0.25
@@ -51,8 +53,10 @@
 class RunnerView:
     """Track the state of one incarnation of an endpoint."""
 
-    def __init__(self, record, now):
+    def __init__(self, record, now, capacities=None):
         self.record = record
+        self._capacities = capacities
+        self._estimate = None
         self.in_flight = {}
         # In-flight requests of each peer gateway, by peer name.
         self.peer_in_flight = {}
@@ -81,12 +85,22 @@
         self.reported_load = None
         self.load_reported_at = -math.inf
         self._prompt_parts = collections.OrderedDict()
+        # Time integral of the load, and until when it was added up.
+        self.load_s = 0.0
+        self._load_added_at = now
 
     @property
     def id(self):
         """Return the id of the endpoint."""
         return self.record.id
 
+    @property
+    def estimate(self):
+        """Return the EndpointEstimate, or None for a service without cost."""
+        if self._estimate is None and self._capacities is not None:
+            self._estimate = self._capacities.find(self.record)
+        return self._estimate
+
     @property
     def load(self):
         """Return the number of in-flight requests of all gateways."""
@@ -133,12 +147,41 @@
 
     def record_sent(self, pending, now):
         """Record that a request is sent to the endpoint."""
+        self.add_load(now)
         self.in_flight[pending.attempt] = pending
         self.last_sent_at = now
         if self._probe_needed:
             self._probe = pending.attempt
+        pending.sent_work = self._find_work(pending.request, now)
         self.record_prompt(pending.request.prompt, now)
 
+    def expect(self, pending, now):
+        """Return the Times of a request sent here now, or None."""
+        if self.estimate is None:
+            return None
+        return self._capacities.expect_here(pending, self, now)
+
+    def expect_prefill_s(self, pending, tokens):
+        """Return the time for reading prompt tokens at the usual speed."""
+        return self._capacities.prefill_s(pending, tokens)
+
+    def _find_work(self, request, now):
+        """Return the SentWork of a request that was added to the load."""
+        if self.estimate is None:
+            return None
+        cached = self.cached_tokens(request.prompt, now)
+        return endpoint_capacity.SentWork(
+            endpoint_capacity.size_of(request, cached),
+            self.load,
+            self.load_s,
+        )
+
+    def add_load(self, now):
+        """Add up the load until now, before it changes."""
+        if now > self._load_added_at:
+            self.load_s += self.load * (now - self._load_added_at)
+            self._load_added_at = now
+
     def record_response(self, now):
         """Record that the endpoint began to respond to a request."""
         self.last_heard_at = now
@@ -209,9 +252,11 @@
 class RunnerRegistry:
     """Keep the endpoints of all services and their mean service times."""
 
-    def __init__(self, limits=None):
+    def __init__(self, limits=None, capacities=None):
         # What the endpoints say of the requests that they take.
         self.limits = limits or endpoint_limits.EndpointLimits()
+        # How fast the endpoints are that report what work costs.
+        self.capacities = capacities or endpoint_capacity.EndpointCapacities()
         self._views = {}
         self._services = {}
         # Increases with every change of the registrations.
@@ -234,8 +279,6 @@
         # endpoint, and how long until the first byte of its response.
         self.service_time_s = {}
         self.first_byte_s = {}
-        # Services whose endpoints report what work costs on their machines.
-        self._cost_services = set()
         # Mean time by service that a request occupies an endpoint.
         self.service_time_by_service_s = {}
 
@@ -370,7 +413,8 @@
             return None
         if view is not None:
             self._record_former(view.record, now)
-        added = self._views[record.id] = RunnerView(record, now)
+        added = RunnerView(record, now, self.capacities)
+        self._views[record.id] = added
         added.announced_leaving = record.incarnation in self._leaving
         if record.leaving:
             _remember(self._leaving, record, -math.inf)
@@ -414,29 +458,65 @@
         if len(self._former_versions) > MAX_FORMER_INCARNATIONS:
             del self._former_versions[next(iter(self._former_versions))]
 
-    def record_load(self, view, load, now):
-        """Record what an endpoint reported of its load, if it did."""
-        if load is None:
+    def record_load(self, view, load, at):
+        """Record what an endpoint reported of its load at a time, if it did.
+
+        What was reported before the newest known figures changes nothing.
+        """
+        if load is None or at < view.load_reported_at:
             return
         view.reported_load = load
-        view.load_reported_at = now
-        if load.cost_percent is not None:
-            self._cost_services.add(view.record.service)
+        view.load_reported_at = at
+        self.capacities.record_load(view.record, load, at)
 
     def reports_cost(self, service):
         """Return whether endpoints of a service report what work costs.
 
         Their machines are shared with others, so what they take changes fast.
         """
-        return service in self._cost_services
+        return self.capacities.reports_cost(service)
 
     def record_end(self, pending, view, ending, now):
         """Free the slot of an attempt and record how it ended."""
+        view.add_load(now)
         view.in_flight.pop(pending.attempt, None)
         view.record_ending(ending, now, pending.sent_at)
         if ending is Ending.ANSWERED:
             self._record_timing(pending, view, now)
 
+    def record_capacity(self, pending, view, now, load_known=True):
+        """Learn from an answered attempt how fast its endpoint is.
+
+        load_known tells whether the requests of all gateways are counted.
+        """
+        first_byte_s = find_first_byte_s(pending, now)
+        if first_byte_s is None or view.estimate is None:
+            return
+        observed = work_model.Times(first_byte_s, now - pending.sent_at)
+        self.capacities.record(pending, view, observed, load_known, now)
+
+    def expect_first_byte_s(self, pending):
+        """Return the expected time to the first byte, or None if unknown.
+
+        Where endpoints report what work costs, it is that of the request's
+        own size, else the mean of its route.
+        """
+        seconds = self.capacities.expect_first_byte_s(pending)
+        if seconds is None:
+            seconds = self.first_byte_s.get(pending.route.name)
+        return seconds
+
+    def expect_service_time_s(self, pending):
+        """Return how long a request occupies an endpoint, or None.
+
+        Where endpoints report what work costs, it is the time at an endpoint
+        of usual speed that does nothing else.
+        """
+        seconds = self.capacities.expect_work_s(pending)
+        if seconds is None:
+            seconds = self.service_time_s.get(pending.route.name)
+        return seconds
+
     def _record_timing(self, pending, view, now):
         route = pending.route.name
         service_time_s = now - pending.sent_at
--- a/persimmonroute/gateway/scheduler.py
+++ b/persimmonroute/gateway/scheduler.py
@@ -114,7 +114,7 @@
     def mean_interval_s(self, service, now):
         """Return the mean time between completions in all slots."""
         total = self._slot_policy.total_slots(service, now)
-        mean_s = self._slot_policy.mean_service_time_s(service)
+        mean_s = self._slot_policy.mean_work_s(service)
         return mean_s / total if total else mean_s
 
     def expected_waits(self, service, now):
@@ -129,7 +129,7 @@
         queue = self._queue(service)
         if not queue and self._slot_policy.has_free(service, now):
             return {}
-        queued_s = self._slot_policy.mean_service_time_s(service)
+        queued_s = self._slot_policy.mean_work_s(service)
         waits = {0: queued_s / total}
         for pending in sorted(queue, key=lambda p: p.tier):
             queued_s += self._service_time_s(pending)
@@ -159,9 +159,9 @@
         """
         if pending.version is not None:
             return pending.tier
-        first_byte_s = self._runner_registry.first_byte_s.get(
-            pending.route.name, DEFAULT_FIRST_BYTE_S
-        )
+        first_byte_s = self._runner_registry.expect_first_byte_s(pending)
+        if first_byte_s is None:
+            first_byte_s = DEFAULT_FIRST_BYTE_S
         late = now + FIRST_BYTE_MARGIN * first_byte_s > pending.due_at
         return pending.tier + (LATE_RANK_PENALTY if late else 0.0)
 
@@ -188,6 +188,8 @@
         if view.load >= self.limit_of(view):
             view.last_full_at = now
         self._runner_registry.record_end(pending, view, ending, now)
+        if ending is model.Ending.ANSWERED:
+            self._runner_registry.record_capacity(pending, view, now)
         view.last_released_at = now
         self.dispatch_ready(pending.service, now)
 
@@ -323,7 +325,7 @@
     def _find_rejections(self, service, ranked, now):
         """Return (pending, expected wait, reason or None) for each request."""
         views = self._slot_policy.usable(service, now)
-        slots = self._count_slots(views)
+        slots = self._count_slots(views, now)
         queued_s = 0.0
         decisions = []
         for entry in ranked:
@@ -336,7 +338,7 @@
                 # of its version.
                 own_slots = slots
                 if pending.version is not None:
-                    own_slots = self._count_slots(accepted)
+                    own_slots = self._count_slots(accepted, now)
                 work_s = queued_s + service_time_s * slots / own_slots
                 wait_s = self._expect_wait_s(
                     service, entry, work_s, slots, now
@@ -350,8 +352,8 @@
             decisions.append((pending, wait_s, reason))
         return decisions
 
-    def _count_slots(self, views):
-        return sum(self._slot_policy.capacity_of(view) for view in views)
+    def _count_slots(self, views, now):
+        return sum(self._slot_policy.capacity_of(view, now) for view in views)
 
     def _expect_wait_s(self, service, entry, work_s, slots, now):
         """Return the wait after which work in the queue has been served."""
@@ -374,9 +376,8 @@
         return None
 
     def _service_time_s(self, pending):
-        return self._runner_registry.service_time_s.get(
-            pending.route.name, _slots.DEFAULT_SERVICE_TIME_S
-        )
+        seconds = self._runner_registry.expect_service_time_s(pending)
+        return _slots.DEFAULT_SERVICE_TIME_S if seconds is None else seconds
 
     def _queue(self, service):
         return self._queues.setdefault(service, {})
--- a/persimmonroute/gateway/slots.py
+++ b/persimmonroute/gateway/slots.py
@@ -33,6 +33,13 @@
     def limit_of(self, view):
         """Return how many requests may be in flight at an endpoint."""
 
+    def _limit_well(self, view, limit, now):
+        """Return a limit, or less if the endpoint is sent fewer at once."""
+        if view.estimate is None:
+            return limit
+        plan = view.estimate.plan(self.slots_of(view), limit, now)
+        return limit if plan is None else plan.limit
+
     @abc.abstractmethod
     def find_free(self, service, rank, tier, now):
         """Return the number of usable slots by endpoint, without zeros.
@@ -61,18 +68,26 @@
         slots = view.record.slots or self._slots.get(view.record.service)
         return slots or DEFAULT_SLOTS
 
-    def capacity_of(self, view):
-        """Return how many slots of an endpoint can be kept busy."""
+    def capacity_of(self, view, now):
+        """Return how many slots of an endpoint can be kept busy.
+
+        Where endpoints report what work costs, it is the work of
+        mean_work_s() that the endpoint does in a second.
+        """
         slots = self.slots_of(view)
+        service = view.record.service
+        if view.estimate is not None:
+            plan = view.estimate.plan(slots, slots + MIN_QUEUED, now)
+            slots = slots if plan is None else plan.rate
         rate = self._pacer.find_rate(view.record)
         if rate == endpoint_limits.UNLIMITED:
             return slots
-        return min(slots, rate * self.mean_service_time_s(view.record.service))
+        return min(slots, rate * self.mean_work_s(service))
 
     def total_slots(self, service, now):
         """Return the slots of a service that can be kept busy."""
         return sum(
-            self.capacity_of(view) for view in self.usable(service, now)
+            self.capacity_of(view, now) for view in self.usable(service, now)
         )
 
     def usable(self, service, now):
@@ -89,6 +104,13 @@
             service, DEFAULT_SERVICE_TIME_S
         )
 
+    def mean_work_s(self, service):
+        """Return the mean work of a request, in the units of capacity_of()."""
+        seconds = self._runner_registry.capacities.mean_work_s(service)
+        return (
+            self.mean_service_time_s(service) if seconds is None else seconds
+        )
+
     def take_wakeup_at(self):
         """Return and clear when more slots may be used; or infinity."""
         at, self._wakeup_at = self._wakeup_at, math.inf
@@ -147,6 +169,7 @@
 
     def _count_free(self, view, share, now):
         limit = self._add_queued(self.slots_of(view), share)
+        limit = self._limit_well(view, limit, now)
         if view.load >= limit:
             return 0
         return self._apply_pace(view, limit - view.load, now)
--- a/persimmonroute/gateway/turns.py
+++ b/persimmonroute/gateway/turns.py
@@ -76,7 +76,8 @@
         turns in the order of their Contender keys; a turn lasts until all
         gateways have received the reports of the previous one.
         """
-        free_slots = self.limit_of(view) - view.load
+        limit = self._limit_well(view, self.limit_of(view), now)
+        free_slots = limit - view.load
         if free_slots <= 0:
             view.last_full_at = now
             return 0
--- a/standins/admission_simulation.py
+++ b/standins/admission_simulation.py
@@ -79,6 +79,7 @@
     # after its first event.
     versions: tuple[str, ...] = ()
     breaks: int = 0
+    prompt_tokens: int = 0
 
 
 class Engine:
@@ -118,6 +119,10 @@
         for call in sorted(underway, key=lambda c: c.pending.attempt):
             call.on_break()
 
+    def report_load(self):
+        """Return the RunnerLoad that a response reports, or None."""
+        return None
+
     def start_ready(self):
         """Start queued calls while slots are free."""
         while self.waiting and self.running < self.record.slots:
@@ -192,13 +197,16 @@
         self.deliver()
 
     def hear(self, pending):
-        """Record the limit that a response names."""
+        """Record the limit and the load that a response names."""
+        now = self._simulation.now
         record = pending.runner.record
+        engine = self._simulation.engines[record.id]
         self.runner_registry.limits.record(
-            record,
-            self._simulation.engines[record.id].limit_per_s,
-            pending.sent_at,
-            self._simulation.now,
+            record, engine.limit_per_s, pending.sent_at, now
+        )
+        pending.reported_load = engine.report_load()
+        self.runner_registry.record_load(
+            pending.runner, pending.reported_load, now
         )
 
     def report_limits(self, change):
@@ -431,7 +439,7 @@
                 load.route,
                 remaining_s=load.deadline_s,
                 prompt_tokens=round(self._vary(load.prompt_tokens)),
-                output_tokens=round(self._vary(load.output_tokens)),
+                output_tokens=round(self._vary_output(load.output_tokens)),
             ),
             self._routes[load.route],
             fixtures.SERVICE,
@@ -444,6 +452,9 @@
     def _vary(self, mean):
         return max(self.random.lognormvariate(0.0, 0.8) * mean * 0.73, 1.0)
 
+    def _vary_output(self, mean):
+        return self._vary(mean)
+
     def _delay_s(self, one, other):
         same = REGIONS[one] == REGIONS[other]
         return DELAY_S['own' if same else 'other']
@@ -513,5 +524,6 @@
                 self._decided_at,
                 tuple(self.versions),
                 self.breaks,
+                self.pending.request.prompt_tokens,
             )
         )
