Learn how endpoints fill from the load at the sending

The load during an attempt grows because the attempt takes long, and a machine that slows down fills, so both pretend that load is the cause.

--- a/persimmonroute/gateway/endpoint_capacity.py
+++ b/persimmonroute/gateway/endpoint_capacity.py
@@ -56,6 +56,9 @@
 FILL_PRIOR = 60.0
 # The same for one endpoint, beside the growth of its service.
 ENDPOINT_FILL_PRIOR = 200.0
+# Logarithm of a cost up to which attempts tell how times grow with the load: a
+# machine that slows down fills, which must not be taken for the cause.
+MAX_USUAL_COST = 0.25
 # Load at which the usual growth is assumed to have been observed.
 USUAL_LOAD = 3.0
 # Requests of a service from which endpoints may be sent fewer requests at once
@@ -151,14 +154,14 @@
     def __init__(self, usual=None):
         self._usual = usual
         self._prior = FILL_PRIOR if usual is None else ENDPOINT_FILL_PRIOR
-        # Means of the load and of the logarithm of the time of late.
-        self._load = None
-        self._log_time = 0.0
-        # Sums of squared differences of the load, of their products with
-        # differences of the time, and of the loads at which they were seen.
+        # Means of late: load at the sending, load meanwhile, logarithm of
+        # the time; None before the first attempt.
+        self._means = None
+        # Sums of the products of their differences from these means: of the
+        # loads, of load and time, and of the first times the load.
         self._squares = 0.0
         self._products = 0.0
-        self._loads = 0.0
+        self._weighted_load = 0.0
         self._growth = None
 
     @property
@@ -172,35 +175,47 @@
         """Return the time at a load relative to that of a request alone."""
         return 1.0 + self.growth * max(load - 1.0, 0.0)
 
-    def add(self, load, seconds):
-        """Add the time at a load, freed of its size and the present cost."""
+    def add(self, attempt, seconds):
+        """Add the time of an attempt, freed of its size and the present cost.
+
+        The load at its sending stands for that of the whole attempt: the
+        latter also grows because the attempt takes long.
+        """
         log_time = math.log(max(seconds, work_model.MIN_TIME_S))
-        if self._load is None:
-            self._load, self._log_time = load, log_time
+        observed = attempt.sent_load, attempt.load, log_time
+        if self._means is None:
+            self._means = observed
             return
-        load_difference = load - self._load
-        time_difference = _clip(log_time - self._log_time, MAX_ERROR)
-        self._load += FILL_SMOOTHING * load_difference
-        self._log_time += FILL_SMOOTHING * time_difference
-        self._usual.add_difference(load, load_difference, time_difference)
-        self.add_difference(load, load_difference, time_difference)
-
-    def add_difference(self, load, load_difference, time_difference):
-        """Add differences from what was observed of late."""
-        kept = 1.0 - 1.0 / FILL_MEMORY
-        square = load_difference**2
-        self._squares = kept * self._squares + square
-        self._loads = kept * self._loads + square * load
-        self._products = (
-            kept * self._products + load_difference * time_difference
+        sent_load, load, time = (
+            value - mean
+            for value, mean in zip(observed, self._means, strict=True)
+        )
+        time = _clip(time, MAX_ERROR)
+        self._means = tuple(
+            mean + FILL_SMOOTHING * difference
+            for mean, difference in zip(
+                self._means, (sent_load, load, time), strict=True
+            )
         )
+        for curve in (self._usual, self):
+            curve.add_products(
+                sent_load * load, sent_load * time, attempt.load
+            )
+
+    def add_products(self, loads, times, load):
+        """Add products of the differences from what was observed of late."""
+        kept = 1.0 - 1.0 / FILL_MEMORY
+        self._squares = kept * self._squares + loads
+        self._products = kept * self._products + times
+        self._weighted_load = kept * self._weighted_load + loads * load
         self._growth = self._estimate_growth()
 
     def _estimate_growth(self):
         usual = USUAL_FILL if self._usual is None else self._usual.growth
-        weight = self._squares + self._prior
-        others = (self._loads + self._prior * USUAL_LOAD) / weight - 1.0
-        others = max(others, 0.0)
+        squares = max(self._squares, 0.0)
+        weight = squares + self._prior
+        others = self._weighted_load + self._prior * USUAL_LOAD
+        others = max(others / weight - 1.0, 0.0)
         # Relative growth at that load.
         usual_slope = usual / (1.0 + usual * others)
         slope = (self._products + self._prior * usual_slope) / weight
@@ -374,11 +389,13 @@
         self._add_lasting(lasting, error - explained, now)
         self._forget_plan()
         scale = math.exp(lasting + explained)
-        if attempt.load_known and attempt.sent_load <= self.slots:
+        usual_cost = abs(cost) < MAX_USUAL_COST
+        waited_not = attempt.sent_load <= self.slots
+        if attempt.load_known and usual_cost and waited_not:
             mean = self._service_work.mean or expected
             size_share = expected.slot_s / mean.slot_s
             alone_s = observed.slot_s / (math.exp(explained) * size_share)
-            self.fill.add(running, alone_s)
+            self.fill.add(attempt, alone_s)
         scale *= fill / math.exp(self._service_work.lasting)
         return work_model.Times(
             observed.first_byte_s / (scale * waited),
--- a/standins/shared_machines.py
+++ b/standins/shared_machines.py
@@ -50,6 +50,9 @@
     def __init__(self, simulation, record, speed, reports_cost):
         super().__init__(simulation, record, speed)
         self.reports_cost = reports_cost
+        # How much each other request adds to the time of one; with 1 they
+        # share a fixed speed.
+        self.growth = 1.0
         # Overrides the reported cost, if set.
         self.false_cost_percent = None
         self.slow = False
@@ -104,7 +107,8 @@
 
     def _rate(self):
         speed = self.speed / (SLOW_FACTOR if self.slow else 1.0)
-        return speed / max(len(self._left), 1)
+        others = max(len(self._left) - 1, 0)
+        return speed / (1 + self.growth * others)
 
     def _advance(self):
         now = self._simulation.now
