Bound the planning work for each decision; shed by the queue, not by size

A plan was made twelve times a request, as two callers asked for different maxima. A request's own work beyond the mean no longer counts for its wait, so that large ones are not shed first.

--- a/persimmonroute/gateway/endpoint_capacity.py
+++ b/persimmonroute/gateway/endpoint_capacity.py
@@ -78,7 +78,7 @@
 # in which its place is empty.
 GAP_S = 0.03
 # How long a computed limit is used while nothing new is heard.
-PLAN_LIFE_S = 0.05
+PLAN_LIFE_S = 0.1
 # Changes of the lasting speed by this factor are logged.
 LOGGED_CHANGE = 1.25
 # Trust in a reported cost below which it is logged as contradicted.
@@ -120,7 +120,6 @@
     limit: int
     rate: float
     made_at: float
-    most: int
 
 
 class Belief(typing.NamedTuple):
@@ -281,6 +280,7 @@
         self._squares = 0.0
         self._products = 0.0
         self._plan = None
+        self._most = 0
         self._factor = 1.0
         self._factor_at = -math.inf
         self._logged_at = -math.inf
@@ -328,37 +328,42 @@
         """Return the Plan of an endpoint, or None if no time is known yet.
 
         slots is how many requests run concurrently, most how many may be here
-        at the most.
+        at the most; None for as many as before.
         """
         plan = self._plan
         if (
             plan is not None
             and now - plan.made_at < PLAN_LIFE_S
             and self.slots == slots
-            and plan.most == most
+            and most in (None, self._most)
         ):
             return plan
         self.slots = slots
+        self._most = max(most or self._most, slots)
         mean = self._service_work.mean
         if mean is None:
             return None
-        self._plan = self._make_plan(mean.slot_s, slots, most, now)
+        self._plan = self._make_plan(mean.slot_s, slots, self._most, now)
         return self._plan
 
     def _make_plan(self, mean_s, slots, most, now):
         alone_s = mean_s * self.factor(now)
+        added_s = alone_s * self.fill.growth
         completed = []
-        for load in range(1, most + 1):
-            running = min(load, slots)
-            time_s = alone_s * self.fill.factor(running)
-            completed.append(min(load / (time_s + GAP_S), running / time_s))
+        time_s = alone_s
+        for load in range(1, slots + 1):
+            completed.append(load / (time_s + GAP_S))
+            time_s += added_s
+        time_s -= added_s
+        for load in range(slots + 1, most + 1):
+            completed.append(min(load / (time_s + GAP_S), slots / time_s))
         known = self._service_work.requests >= MIN_FILL_REQUESTS
         kept = KEPT_SHARE if known else 1.0
         needed = kept * max(completed)
         limit = next(
             load for load, per_s in enumerate(completed, 1) if per_s >= needed
         )
-        return Plan(limit, completed[limit - 1] * mean_s, now, most)
+        return Plan(limit, completed[limit - 1] * mean_s, now)
 
     def record(self, expected, attempt, now):
         """Learn from an ObservedAttempt that was answered.
@@ -484,6 +489,8 @@
 
     def __init__(self):
         self.model = work_model.WorkModel()
+        # Whether any endpoint has reported what work costs.
+        self.active = False
         self._services = {}
         self._estimates = collections.OrderedDict()
 
@@ -515,6 +522,7 @@
             if len(self._services) >= MAX_SERVICES:
                 return
             self._services[record.service] = ServiceWork()
+            self.active = True
         self.find(record).record_cost(load.cost_percent, at)
 
     def expect(self, pending):
--- a/persimmonroute/gateway/runners.py
+++ b/persimmonroute/gateway/runners.py
@@ -50,12 +50,16 @@
 VERSION_HISTORY_S = 60.0
 
 
+# Of endpoints outside a registry.
+NO_CAPACITIES = endpoint_capacity.EndpointCapacities()
+
+
 class RunnerView:
     """Track the state of one incarnation of an endpoint."""
 
     def __init__(self, record, now, capacities=None):
         self.record = record
-        self._capacities = capacities
+        self._capacities = capacities or NO_CAPACITIES
         self._estimate = None
         self.in_flight = {}
         # In-flight requests of each peer gateway, by peer name.
@@ -97,7 +101,7 @@
     @property
     def estimate(self):
         """Return the EndpointEstimate, or None for a service without cost."""
-        if self._estimate is None and self._capacities is not None:
+        if self._estimate is None and self._capacities.active:
             self._estimate = self._capacities.find(self.record)
         return self._estimate
 
--- a/persimmonroute/gateway/slots.py
+++ b/persimmonroute/gateway/slots.py
@@ -77,7 +77,7 @@
         slots = self.slots_of(view)
         service = view.record.service
         if view.estimate is not None:
-            plan = view.estimate.plan(slots, slots + MIN_QUEUED, now)
+            plan = view.estimate.plan(slots, None, now)
             slots = slots if plan is None else plan.rate
         rate = self._pacer.find_rate(view.record)
         if rate == endpoint_limits.UNLIMITED:
@@ -111,6 +111,15 @@
             self.mean_service_time_s(service) if seconds is None else seconds
         )
 
+    def bound_work_s(self, service, work_s):
+        """Return the work of a request that counts for its own wait.
+
+        Where it depends on the size, it is no more than the mean, so that a
+        request is not shed because of its size alone.
+        """
+        mean_s = self._runner_registry.capacities.mean_work_s(service)
+        return work_s if mean_s is None else min(work_s, mean_s)
+
     def take_wakeup_at(self):
         """Return and clear when more slots may be used; or infinity."""
         at, self._wakeup_at = self._wakeup_at, math.inf
