Ignore attempts that began on a slowed machine when learning the filling

The load of a machine that was slow before stays high for a while, and the attempts that straddle the change pretended that the load is the cause.

--- a/persimmonroute/gateway/endpoint_capacity.py
+++ b/persimmonroute/gateway/endpoint_capacity.py
@@ -53,7 +53,7 @@
 FILL_SMOOTHING = 0.03
 # Weight of the usual growth, in squared differences of the load. While the
 # load never changes, the growth cannot be observed and the usual one holds.
-FILL_PRIOR = 60.0
+FILL_PRIOR = 30.0
 # The same for one endpoint, beside the growth of its service.
 ENDPOINT_FILL_PRIOR = 200.0
 # Logarithm of a cost up to which attempts tell how times grow with the load: a
@@ -94,6 +94,8 @@
     load: int
     # Time integral of the number of requests at the endpoint until then.
     load_s: float
+    # Logarithm of the cost that was believed.
+    cost: float
 
 
 class ObservedAttempt(typing.NamedTuple):
@@ -104,6 +106,8 @@
     # this one was sent; both include it.
     load: float
     sent_load: int
+    # Logarithm of the cost that was believed when it was sent.
+    sent_cost: float
     # Whether the load counts the requests of all gateways.
     load_known: bool
     # Cost that came with the response, or None.
@@ -305,9 +309,7 @@
     def factor(self, now):
         """Return the time of work here now, relative to the usual."""
         if now != self._factor_at:
-            self._factor = math.exp(
-                self._lasting_at(now) + self._cost_at_time(now)
-            )
+            self._factor = math.exp(self._lasting_at(now) + self.cost(now))
             self._factor_at = now
         return self._factor
 
@@ -347,23 +349,17 @@
         return self._plan
 
     def _make_plan(self, mean_s, slots, most, now):
-        alone_s = mean_s * self.factor(now)
-        added_s = alone_s * self.fill.growth
-        completed = []
-        time_s = alone_s
-        for load in range(1, slots + 1):
-            completed.append(load / (time_s + GAP_S))
-            time_s += added_s
-        time_s -= added_s
-        for load in range(slots + 1, most + 1):
-            completed.append(min(load / (time_s + GAP_S), slots / time_s))
         known = self._service_work.requests >= MIN_FILL_REQUESTS
-        kept = KEPT_SHARE if known else 1.0
-        needed = kept * max(completed)
-        limit = next(
-            load for load, per_s in enumerate(completed, 1) if per_s >= needed
-        )
-        return Plan(limit, completed[limit - 1] * mean_s, now)
+        alone_s = mean_s * self.factor(now)
+        growth = self.fill.growth
+        best = _complete(most, slots, alone_s, growth)
+        limit, per_s = most, best
+        if known:
+            for limit in range(1, most + 1):
+                per_s = _complete(limit, slots, alone_s, growth)
+                if per_s >= KEPT_SHARE * best:
+                    break
+        return Plan(limit, per_s * mean_s, now)
 
     def record(self, expected, attempt, now):
         """Learn from an ObservedAttempt that was answered.
@@ -394,7 +390,7 @@
         self._add_lasting(lasting, error - explained, now)
         self._forget_plan()
         scale = math.exp(lasting + explained)
-        usual_cost = abs(cost) < MAX_USUAL_COST
+        usual_cost = max(abs(cost), abs(attempt.sent_cost)) < MAX_USUAL_COST
         waited_not = attempt.sent_load <= self.slots
         if attempt.load_known and usual_cost and waited_not:
             mean = self._service_work.mean or expected
@@ -467,7 +463,8 @@
         age_s = max(now - self._observed_at, 0.0)
         return self._lasting * math.exp(-age_s / SPEED_LIFE_S)
 
-    def _cost_at_time(self, now):
+    def cost(self, now):
+        """Return the logarithm of the believed cost of work."""
         if not self._cost:
             return 0.0
         age_s = max(now - self._cost_at, 0.0)
@@ -615,6 +612,17 @@
         self.model.record(service, route, sent.size, freed)
 
 
+def _complete(load, slots, alone_s, growth):
+    """Return how many requests an endpoint completes in a second.
+
+    Each place is empty for GAP_S between two requests, unless more requests
+    wait there than it has slots.
+    """
+    running = min(load, slots)
+    time_s = alone_s * (1.0 + growth * (running - 1))
+    return min(load / (time_s + GAP_S), running / time_s)
+
+
 def _observe(pending, view, times, load_known):
     """Return the ObservedAttempt of a request that was answered."""
     sent, reported = pending.sent_work, pending.reported_load
@@ -626,7 +634,12 @@
         running, waiting = (0, 0) if reported is None else reported[:2]
         load = sent_load = max(sent.load, running + waiting)
     return ObservedAttempt(
-        times, max(load, 1.0), sent_load, load_known, cost_percent
+        times,
+        max(load, 1.0),
+        sent_load,
+        sent.cost,
+        load_known,
+        cost_percent,
     )
 
 
--- a/persimmonroute/gateway/runners.py
+++ b/persimmonroute/gateway/runners.py
@@ -178,6 +178,7 @@
             endpoint_capacity.size_of(request, cached),
             self.load,
             self.load_s,
+            self.estimate.cost(now),
         )
 
     def add_load(self, now):
--- a/persimmonroute/gateway/scheduler.py
+++ b/persimmonroute/gateway/scheduler.py
@@ -339,9 +339,7 @@
                 own_slots = slots
                 if pending.version is not None:
                     own_slots = self._count_slots(accepted, now)
-                own_s = self._slot_policy.bound_work_s(
-                    service, service_time_s
-                )
+                own_s = self._slot_policy.bound_work_s(service, service_time_s)
                 work_s = queued_s + own_s * slots / own_slots
                 wait_s = self._expect_wait_s(
                     service, entry, work_s, slots, now
