Tell hosts what endpoints reported with offers and lease lists

A host learned a load figure only at the end of an attempt, when it was often older than the slowdown that it told of. Gateways now attach the figures heard since their last message to the host, up to 0.5 s old; no datagram is added. Verified: datagram, message_range and admission_host tests.

--- a/persimmonroute/gateway/admission_codec.py
+++ b/persimmonroute/gateway/admission_codec.py
@@ -83,14 +83,37 @@
         first_byte_ms_plus_one=_plus_one(message.first_byte_s),
         endpoint=message.runner_id,
     )
-    load = message.load
-    if load is None:
-        return
-    added.load.running = _count(load.running)
-    added.load.waiting = _count(load.waiting)
-    added.load.slots = _count(load.slots)
+    if message.load is not None:
+        added.load.CopyFrom(_encode_load(message.load))
+
+
+def _encode_load(load):
+    encoded = pb.Admission.EndpointLoad(
+        running=_count(load.running),
+        waiting=_count(load.waiting),
+        slots=_count(load.slots),
+    )
     if load.cost_percent is not None:
-        added.load.cost_percent_plus_one = _count(load.cost_percent) + 1
+        encoded.cost_percent_plus_one = _count(load.cost_percent) + 1
+    return encoded
+
+
+def _encode_report(report):
+    return pb.Admission.LoadReport(
+        endpoint=report.runner_id,
+        started_at_ms=report.started_at_ms,
+        age_ms=_ms(report.age_s),
+        load=_encode_load(report.load),
+    )
+
+
+def _read_report(report):
+    return messages.LoadReport(
+        read_text(report.endpoint),
+        read_integer(report.started_at_ms),
+        report.age_ms / 1000,
+        _read_load(report.load),
+    )
 
 
 def _read_load(load):
@@ -111,6 +134,7 @@
             messages.Lease(lease.offer_id, read_text(lease.endpoint))
             for lease in listed.leases
         ),
+        tuple(_read_report(report) for report in listed.loads),
     )
 
 
@@ -169,6 +193,7 @@
         workspace=offer.workspace,
         output_tokens=_count(offer.output_tokens),
         prompt_tokens=_count(offer.prompt_tokens),
+        loads=[_encode_report(report) for report in offer.loads],
     )
 
 
@@ -194,6 +219,7 @@
         workspace=offer.workspace,
         output_tokens=offer.output_tokens,
         prompt_tokens=offer.prompt_tokens,
+        loads=tuple(_read_report(report) for report in offer.loads),
     )
 
 
@@ -260,7 +286,9 @@
 
 def _add_lease_list(encoded, message):
     listed = encoded.lease_lists.add(
-        service=message.service, region=message.region
+        service=message.service,
+        region=message.region,
+        loads=[_encode_report(report) for report in message.loads],
     )
     for lease in message.leases:
         listed.leases.add(offer_id=lease.offer_id, endpoint=lease.runner_id)
--- a/persimmonroute/gateway/admission_host.py
+++ b/persimmonroute/gateway/admission_host.py
@@ -168,6 +168,17 @@
         self.scheduler.dispatch_ready(self.group.service, now)
         return None
 
+    def learn_loads(self, reports, now):
+        """Apply what endpoints reported of their load to a gateway."""
+        for report in reports:
+            view = self.runner_registry.find(report.runner_id)
+            if view is None:
+                continue
+            if view.record.started_at_ms == report.started_at_ms:
+                self.runner_registry.record_load(
+                    view, report.load, now - report.age_s
+                )
+
     def end(self, gateway, message, now):
         """Withdraw an offer or free the slot that it was granted."""
         key = (gateway, message.offer_id)
@@ -371,6 +382,7 @@
         elif isinstance(message, admission_messages.LeaseList):
             group = groups.Group(message.service, message.region)
             hosted_group = self._find_group(group, now)
+            hosted_group.learn_loads(message.loads, now)
             hosted_group.apply_leases(gateway, message.leases, now)
         elif isinstance(message, admission_messages.GroupSummary):
             key = groups.Group(message.service, message.region)
@@ -438,6 +450,7 @@
         hosted_group = self._find_group(
             groups.Group(offer.service, region), now
         )
+        hosted_group.learn_loads(offer.loads, now)
         reply = None
         if (gateway, offer.offer_id) not in hosted_group.requests:
             reply = self._find_redirect(hosted_group, offer, now)
--- a/persimmonroute/gateway/admission_messages.py
+++ b/persimmonroute/gateway/admission_messages.py
@@ -8,6 +8,15 @@
 from persimmonroute.gateway import model
 
 
+class LoadReport(typing.NamedTuple):
+    """Tell the host of a group what an endpoint reported of its load."""
+
+    runner_id: str
+    started_at_ms: int
+    age_s: float
+    load: model.RunnerLoad
+
+
 class Offer(typing.NamedTuple):
     """Ask the host of a group for an endpoint.
 
@@ -44,6 +53,8 @@
     output_tokens: int = 0
     # Tokens of the whole prompt; 0 if they are not known.
     prompt_tokens: int = 0
+    # What endpoints of the group told the gateway since its last message.
+    loads: tuple[LoadReport, ...] = ()
 
 
 class Grant(typing.NamedTuple):
@@ -113,6 +124,8 @@
     service: str
     region: str
     leases: tuple[Lease, ...]
+    # As in an offer.
+    loads: tuple[LoadReport, ...] = ()
 
 
 class GroupSummary(typing.NamedTuple):
--- a/persimmonroute/gateway/offers.py
+++ b/persimmonroute/gateway/offers.py
@@ -35,6 +35,10 @@
 # was suspended offers the request again.
 GRANT_VALID_S = 0.5
 LEASE_LIST_INTERVAL_S = 0.2
+# Loads that one message tells, and the age up to which they are told. A host
+# trusts them for little longer.
+MAX_REPORTED_LOADS = 32
+MAX_LOAD_AGE_S = 0.5
 # Empty lists sent after the last lease, in case one is lost.
 EMPTY_LISTS = 2
 
@@ -99,6 +103,8 @@
         self._lists_at = -math.inf
         self._groups = {}
         self._generation = -1
+        # When the loads of a group's endpoints were last told to a host.
+        self._loads_told_at = {}
 
     def next_wakeup_at(self):
         """Return when tick has to be called; infinity for never."""
@@ -327,9 +333,37 @@
             caller=pending.caller_hash,
             workspace=caller_identity.hash_workspace(pending.workspace),
             prompt_tokens=pending.request.prompt_tokens,
+            loads=self._report_loads(state.group, state.host, now),
             output_tokens=pending.request.output_tokens,
         )
 
+    def _report_loads(self, group, host, now):
+        """Return the loads that a host has not been told yet."""
+        if host == self._directory.own_name:
+            # It shares what is known here.
+            return ()
+        if not self._runner_registry.reports_cost(group.service):
+            return ()
+        told_at = self._loads_told_at.get((group, host), -math.inf)
+        self._loads_told_at[(group, host)] = now
+        since = max(told_at, now - MAX_LOAD_AGE_S)
+        views = [
+            view
+            for view in self._runner_registry.of_service(group.service)
+            if view.load_reported_at > since
+            and self._locality.region_of(view.record.failure_domain)
+            == group.region
+        ]
+        return tuple(
+            admission_messages.LoadReport(
+                view.id,
+                view.record.started_at_ms,
+                now - view.load_reported_at,
+                view.reported_load,
+            )
+            for view in views[:MAX_REPORTED_LOADS]
+        )
+
     def _report_limits(self, group, now):
         """Return what is known of the limits of a group's endpoints."""
         limits = self._runner_registry.limits
@@ -475,13 +509,17 @@
             admission_messages.Lease(pending.offer_id, pending.runner.id)
             for pending in in_flight
         )
-        self.put(Send(host, admission_messages.LeaseList(*group, leases)))
+        message = admission_messages.LeaseList(
+            *group, leases, self._report_loads(group, host, now)
+        )
+        self.put(Send(host, message))
 
     def find_groups(self, service):
         """Return the groups of a service, nearest first."""
         if self._generation != self._runner_registry.generation:
             self._generation = self._runner_registry.generation
             self._groups.clear()
+            self._loads_told_at.clear()
         if service not in self._groups:
             self._groups[service] = groups.find_groups(
                 service, self._runner_registry, self._locality
