Log and measure the beliefs about endpoints; test them by failure

A load header that cannot be read was ignored without a trace; it is counted, and logged once for each service. Metrics and event 727 tell the lasting and present speed, the trust in reported costs, the growth with the load and the limit. The tests found three faults, mended here: the mean by route weighed too much after hundreds of requests, its floor was above the time of small prompts, and speeds were learned before sizes were.

--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -157,6 +157,12 @@
     RUNNER_LIMIT_UNREADABLE = EventKind(
         719, 'WARNING', 'unreadable limit of an endpoint ignored'
     )
+    RUNNER_LOAD_UNREADABLE = EventKind(
+        726, 'WARNING', 'unreadable load of an endpoint ignored'
+    )
+    RUNNER_CAPACITY = EventKind(
+        727, 'INFO', 'estimate of the speed of an endpoint changed'
+    )
     RUNNER_GONE = EventKind(711, 'WARNING', 'endpoint removed')
     DOCUMENT_UNREADABLE = EventKind(
         720, 'WARNING', 'unreadable document in a table ignored'
--- a/persimmonroute/gateway/dispatcher.py
+++ b/persimmonroute/gateway/dispatcher.py
@@ -131,6 +131,21 @@
         if change.heard_here:
             self.on_change()
 
+    def record_capacity(self, record, belief):
+        """Log what is believed of the speed of an endpoint, and why."""
+        log.emit(
+            Event.RUNNER_CAPACITY,
+            runner=record.id,
+            service=record.service,
+            lasting=round(belief.lasting, 3),
+            present=round(belief.present, 3),
+            cost_percent=belief.cost_percent,
+            trust=round(belief.trust, 3),
+            growth=round(belief.growth, 3),
+            attempts=belief.attempts,
+            limit=belief.limit,
+        )
+
     def dispatch_ready(self, now):
         """Grant or reject the requests that are left to this gateway."""
         self._scheduler.dispatch_all_ready(now)
--- a/persimmonroute/gateway/endpoint_capacity.py
+++ b/persimmonroute/gateway/endpoint_capacity.py
@@ -84,6 +84,8 @@
 # Trust in a reported cost below which it is logged as contradicted.
 LOGGED_TRUST = 0.5
 LOG_INTERVAL_S = 5.0
+# Fewer attempts tell little of an endpoint.
+MIN_LOGGED_ATTEMPTS = 20
 
 
 class SentWork(typing.NamedTuple):
@@ -139,7 +141,7 @@
     # Weight of the reported cost, between 0 and 1.
     trust: float
     # Growth of times with each other request at the endpoint.
-    fill: float
+    growth: float
     attempts: int
     # Requests sent at once; None before any time is known.
     limit: int | None
@@ -361,11 +363,12 @@
                     break
         return Plan(limit, per_s * mean_s, now)
 
-    def record(self, expected, attempt, now):
+    def record(self, expected, attempt, settled, now):
         """Learn from an ObservedAttempt that was answered.
 
         expected are its Times at an endpoint of usual speed with nothing else
-        to do. Returns the observed Times freed of the speed, the cost and the
+        to do. Unless they are settled, large requests look like a slow
+        endpoint, so nothing is learned of the endpoint. Returns the observed Times freed of the speed, the cost and the
         load of this endpoint.
         """
         observed = attempt.times
@@ -386,8 +389,9 @@
             - lasting,
             MAX_ERROR + MAX_LASTING,
         )
-        self._add_trust(cost, error)
-        self._add_lasting(lasting, error - explained, now)
+        if settled:
+            self._add_trust(cost, error)
+            self._add_lasting(lasting, error - explained, now)
         self._forget_plan()
         scale = math.exp(lasting + explained)
         usual_cost = max(abs(cost), abs(attempt.sent_cost)) < MAX_USUAL_COST
@@ -444,6 +448,8 @@
 
     def take_change(self, now):
         """Return the Belief if it changed enough to be logged, or None."""
+        if self.attempts < MIN_LOGGED_ATTEMPTS:
+            return None
         if now - self._logged_at < LOG_INTERVAL_S:
             return None
         trusted = self.trust >= LOGGED_TRUST
@@ -488,6 +494,10 @@
         self.model = work_model.WorkModel()
         # Whether any endpoint has reported what work costs.
         self.active = False
+        # Loads that could not be read, by service.
+        self.unreadable = collections.Counter()
+        # Called with the record of an endpoint and its changed Belief.
+        self.on_change = lambda record, belief: None
         self._services = {}
         self._estimates = collections.OrderedDict()
 
@@ -495,6 +505,14 @@
         """Return whether endpoints of a service report what work costs."""
         return service in self._services
 
+    def record_unreadable(self, service):
+        """Count an unreadable load; return whether it is the first one."""
+        if service not in self.unreadable:
+            if len(self.unreadable) >= MAX_SERVICES:
+                return False
+        self.unreadable[service] += 1
+        return self.unreadable[service] == 1
+
     def find(self, record):
         """Return the EndpointEstimate of an incarnation, or None.
 
@@ -604,12 +622,20 @@
         expected = self.model.expect(service, route, sent.size)
         if expected is None:
             expected = observed
+        fit = self.model.find(service, route)
+        settled = fit is not None and fit.settled
         service_work = self._services[service]
         freed = estimate.record(
-            expected, _observe(pending, view, observed, load_known), now
+            expected,
+            _observe(pending, view, observed, load_known),
+            settled,
+            now,
         )
         service_work.add(expected, observed.first_byte_s)
         self.model.record(service, route, sent.size, freed)
+        belief = estimate.take_change(now)
+        if belief is not None:
+            self.on_change(view.record, belief)
 
 
 def _complete(load, slots, alone_s, growth):
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -427,6 +427,8 @@
         record = view.record
         pending.reported_load = head.load
         self._board.runner_registry.record_load(view, head.load, now)
+        if head.load_unreadable:
+            self._record_unreadable_load(record)
         if head.leaving and self._board.runner_registry.record_leaving(
             record.id, record.started_at_ms, now
         ):
@@ -451,6 +453,16 @@
                 record, head.limit_per_s, pending.sent_at, now
             )
 
+    def _record_unreadable_load(self, record):
+        """Count an unreadable load; log the first of each service."""
+        capacities = self._board.runner_registry.capacities
+        if capacities.record_unreadable(record.service):
+            log.emit(
+                Event.RUNNER_LOAD_UNREADABLE,
+                runner=record.id,
+                service=record.service,
+            )
+
     def _start_timeout_s(self, pending):
         """Return how long to wait for the response head; None for no limit."""
         if pending.route.repeatable and self._has_attempts_left(pending):
--- a/persimmonroute/gateway/metrics.py
+++ b/persimmonroute/gateway/metrics.py
@@ -123,6 +123,7 @@
             if per_s < endpoint_limits.UNLIMITED:
                 limits.add_metric([view.id], per_s)
         yield limits
+        yield from self._collect_capacities(now)
         yield _gauge(
             'persimmonroute_configuration_age_seconds',
             'Time since the configuration was last confirmed as the newest.',
@@ -153,6 +154,50 @@
         yield dropped
         yield from self._collect_limits(now)
 
+    def _collect_capacities(self, now):
+        """Yield what is believed of endpoints that report a cost of work."""
+        capacities = self._board.runner_registry.capacities
+        ratios = prometheus.GaugeMetricFamily(
+            'persimmonroute_endpoint_time_ratio',
+            'Time of a request at an endpoint relative to the usual:'
+            ' lasting, and with the present cost of work.',
+            labels=['endpoint', 'kind'],
+        )
+        trust = prometheus.GaugeMetricFamily(
+            'persimmonroute_endpoint_cost_trust',
+            'Weight of the cost of work that an endpoint reports.',
+            labels=['endpoint'],
+        )
+        growth = prometheus.GaugeMetricFamily(
+            'persimmonroute_endpoint_load_growth',
+            'Growth of the time with each other request at an endpoint.',
+            labels=['endpoint'],
+        )
+        limit = prometheus.GaugeMetricFamily(
+            'persimmonroute_endpoint_sent_at_once',
+            'Requests that an endpoint is sent at once.',
+            labels=['endpoint'],
+        )
+        for view in self._board.runner_registry:
+            if view.estimate is None:
+                continue
+            belief = view.estimate.describe(now)
+            ratios.add_metric([view.id, 'lasting'], belief.lasting)
+            ratios.add_metric([view.id, 'present'], belief.present)
+            trust.add_metric([view.id], belief.trust)
+            growth.add_metric([view.id], belief.growth)
+            if belief.limit is not None:
+                limit.add_metric([view.id], belief.limit)
+        yield from (ratios, trust, growth, limit)
+        unreadable = prometheus.CounterMetricFamily(
+            'persimmonroute_unreadable_loads',
+            'Responses whose load could not be read.',
+            labels=['service'],
+        )
+        for service, count in sorted(capacities.unreadable.items()):
+            unreadable.add_metric([service], count)
+        yield unreadable
+
     def _collect_limits(self, now):
         quota = prometheus.GaugeMetricFamily(
             'persimmonroute_quota_left_units',
--- a/persimmonroute/gateway/model.py
+++ b/persimmonroute/gateway/model.py
@@ -172,6 +172,8 @@
     # Requests per second that the endpoint takes from all gateways together:
     # infinity if it names no limit, None if it names one that is unreadable.
     limit_per_s: float | None = math.inf
+    # True if the endpoint reports its load in figures that cannot be read.
+    load_unreadable: bool = False
 
 
 class Rejection(typing.NamedTuple):
--- a/persimmonroute/gateway/work_model.py
+++ b/persimmonroute/gateway/work_model.py
@@ -21,11 +21,13 @@
 # An observation counts as at most this many times, and at least this part of,
 # what is expected: one stuck request must not change the fit.
 MAX_RATIO = 3.0
-# Ratio of observed times to the mean beyond which the mean follows no further,
-# while a route has few observations.
+# The same bound for the first observations of a route: what is expected of
+# them is little more than the mean, and prompts differ by more than tenfold.
 MAX_FIRST_RATIO = 10.0
+# Observations from which the fit is used for more than estimates.
+FIT_REQUESTS = 16
 # Estimates are no smaller than this part of the mean by route.
-MIN_MEAN_SHARE = 0.1
+MIN_MEAN_SHARE = 0.03
 # Shorter times cannot be distinguished from network delay.
 MIN_TIME_S = 0.001
 # Prompt and output tokens are counted in these units, so that the terms of
@@ -84,7 +86,7 @@
                 products[column] = products[column] * forget + scaled * other
             self._targets[row] = self._targets[row] * forget + scaled * seconds
         self._added += 1
-        few = self._added < 2 * MEAN_REQUESTS
+        few = self._added < FIT_REQUESTS
         if few or self._added % SOLVE_INTERVAL == 0:
             self._coefficients = _solve(self._products, self._targets)
 
@@ -110,7 +112,8 @@
 
     def estimate_s(self, terms):
         """Return the expected time in seconds."""
-        weight = self.requests / (self.requests + MEAN_REQUESTS)
+        known = self.requests**2
+        weight = known / (known + MEAN_REQUESTS**2)
         mean_s = self.mean_s
         seconds = mean_s + weight * (self._fit.estimate(terms) - mean_s)
         return max(seconds, MIN_MEAN_SHARE * mean_s, MIN_TIME_S)
@@ -121,7 +124,7 @@
             self.mean_s = max(seconds, MIN_TIME_S)
         expected_s = self.estimate_s(terms)
         bound = MAX_RATIO
-        if self.requests < MEAN_REQUESTS:
+        if self.requests < FIT_REQUESTS:
             bound = MAX_FIRST_RATIO
         seconds = min(max(seconds, expected_s / bound), expected_s * bound)
         error = math.log(seconds / expected_s) ** 2
@@ -144,6 +147,11 @@
         self.first_byte = TimeFit(2)
         self.slot = TimeFit(3)
 
+    @property
+    def settled(self):
+        """Return whether estimates are more than means by route."""
+        return self.first_byte.requests >= FIT_REQUESTS
+
     def prefill_s(self, tokens):
         """Return the expected time for reading prompt tokens."""
         return self.first_byte.coefficients[1] * tokens / TOKENS_UNIT
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -108,6 +108,7 @@
         own.cores,
     )
     board.runner_registry.limits.on_change = dispatcher.record_limit
+    board.runner_registry.capacities.on_change = dispatcher.record_capacity
     dispatcher.on_change = link.schedule_reports
     dispatcher.send = link.send_admission
     gateway_metrics = metrics.GatewayMetrics(board, scheduler)
--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -118,6 +118,8 @@
         )
         if not_run:
             self._pool.record_refused(self._attempt)
+        reported_load = headers.get(names.RUNNER_LOAD)
+        load = _read_load(reported_load)
         match = _KEEP_ALIVE_TIMEOUT.search(headers.get(names.KEEP_ALIVE, b''))
         if match:
             self._conn.idle_limit_s = int(match.group(1)) - IDLE_MARGIN_S
@@ -126,7 +128,8 @@
             headers=_select_forwarded(event.headers),
             not_run=not_run,
             misdirected=event.status_code == STATUS_MISDIRECTED,
-            load=_read_load(headers.get(names.RUNNER_LOAD)),
+            load=load,
+            load_unreadable=load is None and reported_load is not None,
             ends_with_connection=self._conn.ends_response(event),
             content_type=_read_content_type(headers),
             leaving=headers.get(names.SERVER_LEAVING) == b'1',
