Play unequal and shared machines as a load test

Compares the decisions with and without reported cost at 85 and 110 % of capacity, with engines that share a speed and with nearly independent slots, with a lost host and with false figures. Verified: endpoint_capacity_load tests.

--- a/persimmonroute/gateway/endpoint_capacity.py
+++ b/persimmonroute/gateway/endpoint_capacity.py
@@ -368,8 +368,8 @@
 
         expected are its Times at an endpoint of usual speed with nothing else
         to do. Unless they are settled, large requests look like a slow
-        endpoint, so nothing is learned of the endpoint. Returns the observed Times freed of the speed, the cost and the
-        load of this endpoint.
+        endpoint, so nothing is learned of the endpoint. Returns the observed
+        Times freed of the speed, the cost and the load of this endpoint.
         """
         observed = attempt.times
         running = min(attempt.load, self.slots)
--- a/standins/shared_machines.py
+++ b/standins/shared_machines.py
@@ -47,12 +47,12 @@
 class SharingEngine(simulations.Engine):
     """Run requests that share the speed of a machine."""
 
-    def __init__(self, simulation, record, speed, reports_cost):
+    def __init__(self, simulation, record, speed, reports_cost, growth):
         super().__init__(simulation, record, speed)
         self.reports_cost = reports_cost
         # How much each other request adds to the time of one; with 1 they
         # share a fixed speed.
-        self.growth = 1.0
+        self.growth = growth
         # Overrides the reported cost, if set.
         self.false_cost_percent = None
         self.slow = False
@@ -149,12 +149,15 @@
 class SharedMachineSimulation(simulations.AdmissionSimulation):
     """Play requests of very different sizes on shared machines."""
 
-    def __init__(self, gateways, endpoints, load_share, reports_cost, seed=1):
+    def __init__(
+        self, gateways, endpoints, load_share, reports_cost, seed=1, growth=1.0
+    ):
         self._reports_cost = reports_cost
+        self._growth = growth
         super().__init__(
             gateways,
             endpoints,
-            _list_loads(endpoints, load_share),
+            _list_loads(endpoints, load_share, growth),
             seed=seed,
             slots=SLOTS,
         )
@@ -173,6 +176,7 @@
                 record,
                 SPEEDS[number % len(SPEEDS)],
                 self._reports_cost,
+                self._growth,
             )
             engine.alternate()
             self.engines[record.id] = engine
@@ -212,11 +216,12 @@
         return sizes[math.ceil(len(sizes) * 0.9)]
 
 
-def _list_loads(endpoints, load_share):
+def _list_loads(endpoints, load_share, growth):
     work_s = PROMPT_TOKENS / PREFILL_TOKENS_PER_S
     work_s += OUTPUT_TOKENS * OUTPUT_TOKEN_S
     usable = 1 - SLOW_SHARE + SLOW_SHARE / SLOW_FACTOR
-    per_s = load_share * endpoints * usable / work_s
+    running = SLOTS / (1 + growth * (SLOTS - 1))
+    per_s = load_share * endpoints * usable * running / work_s
     return [
         simulations.Load(
             f'route-{tier}',
