--- a/persimmonroute/gateway/endpoint_capacity.py
+++ b/persimmonroute/gateway/endpoint_capacity.py
@@ -79,6 +79,8 @@
 GAP_S = 0.03
 # How long a computed limit is used while nothing new is heard.
 PLAN_LIFE_S = 0.1
+# The same for the speed; a reported cost hardly expires meanwhile.
+FACTOR_LIFE_S = 0.02
 # Changes of the lasting speed by this factor are logged.
 LOGGED_CHANGE = 1.25
 # Trust in a reported cost below which it is logged as contradicted.
@@ -310,7 +312,7 @@
 
     def factor(self, now):
         """Return the time of work here now, relative to the usual."""
-        if now != self._factor_at:
+        if now - self._factor_at > FACTOR_LIFE_S:
             self._factor = math.exp(self._lasting_at(now) + self.cost(now))
             self._factor_at = now
         return self._factor
@@ -321,8 +323,10 @@
         times are those at an endpoint of usual speed with nothing else to do,
         load is the number of requests here, this one included.
         """
-        scale = self.factor(now) * self.fill.factor(min(load, self.slots))
-        wait_s = self._wait_s(load, times)
+        # Called for each endpoint of a group and request.
+        running = load if load < self.slots else self.slots
+        scale = self.factor(now) * (1.0 + self.fill.growth * (running - 1))
+        wait_s = self._wait_s(load, times) if load > running else 0.0
         first_byte_s, slot_s = times
         return work_model.Times(
             scale * (wait_s + first_byte_s), scale * (wait_s + slot_s)
@@ -654,7 +658,8 @@
     sent, reported = pending.sent_work, pending.reported_load
     cost_percent = None if reported is None else reported.cost_percent
     if load_known:
-        load = (view.load_s - sent.load_s) / times.slot_s
+        took_s = max(times.slot_s, work_model.MIN_TIME_S)
+        load = (view.load_s - sent.load_s) / took_s
         sent_load = sent.load
     else:
         running, waiting = (0, 0) if reported is None else reported[:2]
--- a/persimmonroute/tests/gateway/endpoint_capacity_tests.py
+++ b/persimmonroute/tests/gateway/endpoint_capacity_tests.py
@@ -138,6 +138,12 @@
             self.registry.first_byte_s['draft'],
         )
 
+    def test_attempt_that_takes_no_time(self):
+        """Guards against a division by a time of zero."""
+        self.learn()
+        self.attempt('a', 0.0)
+        self.assertGreater(self.expect('a').first_byte_s, 0.0)
+
     def test_estimates_are_bounded(self):
         """Guards against endpoints that come and go for ever."""
         capacities = endpoint_capacity.EndpointCapacities()
