--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -61,6 +61,8 @@
     # Requests per second that all responses name as the limit, as text; None
     # for no limit.
     request_limit = None
+    # Load that all responses report, as text; None for none.
+    reported_load = None
     # Next answers of the behaviour 'raw'.
     raw_answers = None
 
@@ -230,6 +232,8 @@
             headers.append((b'server-leaving', b'1'))
         if self.request_limit is not None:
             headers.append((b'server-limit', self.request_limit.encode()))
+        if self.reported_load is not None:
+            headers.append((b'runner-load', self.reported_load.encode()))
         return headers
 
     async def _do_answer(self, reply, headers):
