--- a/persimmonroute/gateway/admission_host.py
+++ b/persimmonroute/gateway/admission_host.py
@@ -62,9 +62,11 @@
 
 
 class HostedWork(typing.NamedTuple):
-    """Describe the prompt of an offered request to the scheduler."""
+    """Describe the size of an offered request to the scheduler."""
 
     prompt: tuple[model.PromptPart, ...]
+    prompt_tokens: int = 0
+    output_tokens: int = 0
 
 
 class HostedRequest:
@@ -78,7 +80,9 @@
         self.offer = offer
         # Domain of the gateway, from which distances are measured.
         self.origin = failure_domain
-        self.request = HostedWork(offer.prompt)
+        self.request = HostedWork(
+            offer.prompt, offer.prompt_tokens, offer.output_tokens
+        )
         self.route = HostedRoute(offer.route, offer.objective_s)
         self.service = offer.service
         self.tier = offer.tier
@@ -97,6 +101,9 @@
         self.first_byte_at = None
         # Whether the endpoint had to read most of the prompt.
         self.cold = False
+        self.reported_load = None
+        self.expected = None
+        self.sent_work = None
 
     @property
     def attempt(self):
@@ -115,9 +122,9 @@
 class HostedGroup:
     """Queue the requests for one group and track who uses its endpoints."""
 
-    def __init__(self, group, placement, limits, now):
+    def __init__(self, group, placement, limits, capacities, now):
         self.group = group
-        self.runner_registry = runners.RunnerRegistry(limits)
+        self.runner_registry = runners.RunnerRegistry(limits, capacities)
         self.scheduler = schedulers.Scheduler(
             self.runner_registry,
             placement,
@@ -164,6 +171,17 @@
         self.scheduler.dispatch_ready(self.group.service, now)
         return None
 
+    def learn_loads(self, reports, now):
+        """Apply what endpoints reported of their load to a gateway."""
+        for report in reports:
+            view = self.runner_registry.find(report.runner_id)
+            if view is None:
+                continue
+            if view.record.started_at_ms == report.started_at_ms:
+                self.runner_registry.record_load(
+                    view, report.load, now - report.age_s
+                )
+
     def end(self, gateway, message, now):
         """Withdraw an offer or free the slot that it was granted."""
         key = (gateway, message.offer_id)
@@ -187,7 +205,10 @@
             hosted.first_byte_at = min(
                 hosted.sent_at + message.first_byte_s, now
             )
-        self.runner_registry.record_load(hosted.runner, message.load, now)
+        hosted.reported_load = message.load
+        # The figures are as old as the head of the response.
+        heard_at = hosted.first_byte_at or hosted.sent_at
+        self.runner_registry.record_load(hosted.runner, message.load, heard_at)
         ending = message.ending
         self.scheduler.version_policy.record_end(
             hosted, hosted.runner, ending, message.first_byte_s, now
@@ -381,6 +402,7 @@
         elif isinstance(message, admission_messages.LeaseList):
             group = groups.Group(message.service, message.region)
             hosted_group = self._find_group(group, now)
+            hosted_group.learn_loads(message.loads, now)
             hosted_group.apply_leases(gateway, message.leases, now)
         elif isinstance(message, admission_messages.GroupSummary):
             key = groups.Group(message.service, message.region)
@@ -448,6 +470,7 @@
         hosted_group = self._find_group(
             groups.Group(offer.service, region), now
         )
+        hosted_group.learn_loads(offer.loads, now)
         reply = None
         if (gateway, offer.offer_id) not in hosted_group.requests:
             reply = self._find_redirect(hosted_group, offer, now)
@@ -463,8 +486,14 @@
     def _find_group(self, group, now):
         hosted_group = self._groups.get(group)
         if hosted_group is None:
-            limits = self._runner_registry.limits
-            hosted_group = HostedGroup(group, self._placement, limits, now)
+            registry = self._runner_registry
+            hosted_group = HostedGroup(
+                group,
+                self._placement,
+                registry.limits,
+                registry.capacities,
+                now,
+            )
             hosted_group.scheduler.version_policy = self.build_version_policy(
                 group
             )
