Reserve capacity for callers that return after a refusal

Cause: callers that were refused are refused again: nothing is kept for the time that a refusal named, returning callers go before new requests although most of them are late already, and they count as new arrivals in the forecast, which refuses more requests.

The host of a group remembers refused callers until their deadline where offers name them. A refusal reserves slot time that new requests leave, as long as its time is within a third of what the caller has left. A caller that returns then goes before new requests of its tier; others are ordered by their first arrival and are late if that is. Offers without a caller are decided as before.

Verified: tests of admission_host, scheduler, place, serving, reported_load and datagram pass.

--- a/persimmonroute/gateway/admission_host.py
+++ b/persimmonroute/gateway/admission_host.py
@@ -13,6 +13,7 @@
 import typing
 
 from persimmonroute.gateway import admission_messages
+from persimmonroute.gateway import caller_order
 from persimmonroute.gateway import groups
 from persimmonroute.gateway import messages
 from persimmonroute.gateway import model
@@ -84,6 +85,8 @@
         self.deadline_at = now + offer.remaining_s
         self.due_at = now + offer.due_s
         self.first_arrived_at = now - offer.age_s
+        # True for a caller that was refused here before.
+        self.returning = False
         self.sequence = 0
         self.excluded = set(offer.excluded)
         self.version = offer.version
@@ -115,12 +118,14 @@
     def __init__(self, group, placement, limits, now):
         self.group = group
         self.runner_registry = runners.RunnerRegistry(limits)
+        self.order = caller_order.CallerOrder()
         self.scheduler = schedulers.Scheduler(
             self.runner_registry,
             placement,
             peers.PeerRegistry(''),
             slots.OwnedSlots(self.runner_registry, TURNAROUND_S),
             passing.PASSING_SHARE,
+            self.order,
         )
         self.generation = -1
         self.offered_at = now
@@ -150,6 +155,7 @@
         if hosted is None:
             hosted = HostedRequest(gateway, failure_domain, offer, now)
             self.requests[key] = hosted
+            self.order.admit(hosted, now)
             self.scheduler.submit(hosted, now)
             return None
         hosted.heard_at = now
@@ -236,6 +242,7 @@
 
         A gateway may be in touch without knowing of them any more.
         """
+        self.order.expire(now)
         for key, lease in list(self.learned.items()):
             if now - lease.listed_at > LEASE_TIMEOUT_S:
                 self._forget(key)
@@ -474,6 +481,8 @@
         ]
         if offer.redirected or not others:
             return None
+        if hosted_group.order.has_reservation(offer, now):
+            return None
         here_s = _wait_of(
             hosted_group.scheduler.expected_waits(offer.service, now),
             offer.tier,
--- /dev/null
+++ b/persimmonroute/gateway/caller_order.py
@@ -0,0 +1,109 @@
+"""Order the requests at the host of a group by their callers."""
+
+from __future__ import annotations
+
+from persimmonroute.gateway import queue_order
+from persimmonroute.gateway import retry_reservations
+from persimmonroute.gateway.retry_reservations import Standing
+
+# Moves a request before or after all others of its rank; exceeds all times.
+LEAD_S = 1e9
+
+
+class CallerOrder(queue_order.QueueOrder):
+    """Serve returning callers at the times that refusals named.
+
+    Only hosted requests whose offer names the caller are concerned; all
+    others are ordered by their first arrival.
+    """
+
+    def __init__(self):
+        self.reservations = retry_reservations.RetryReservations()
+
+    def admit(self, hosted, now):
+        """Recognize the caller of a request before it is queued."""
+        caller = hosted.offer.caller
+        if not caller:
+            return
+        first_at = self.reservations.find_first_arrival(caller, now)
+        if first_at is None:
+            return
+        # Callers judge a response by the time since their first attempt.
+        hosted.returning = True
+        hosted.first_arrived_at = first_at
+        hosted.due_at = min(hosted.due_at, first_at + hosted.route.objective_s)
+        self.reservations.arrive(caller, hosted, now)
+
+    def has_reservation(self, offer, now):
+        """Return whether the caller of an offer has a reservation here."""
+        if not offer.caller:
+            return False
+        return self.reservations.has_reservation(offer.caller, now)
+
+    def expire(self, now):
+        """Release what was reserved for callers that did not return."""
+        self.reservations.expire(now)
+
+    def is_arrival(self, pending, now):
+        """Return whether a request is new.
+
+        Counted as arrivals, callers that return would make the forecast
+        refuse more requests, which return in turn.
+        """
+        return not pending.returning
+
+    def find_rank(self, pending, rank, now):
+        """Return the rank of a request, within its tier."""
+        standing = self._find_standing(pending, now)
+        if standing is Standing.RESERVED:
+            return pending.tier
+        if standing in (Standing.EARLY, Standing.COPY):
+            return pending.tier + queue_order.LATE_RANK_PENALTY
+        return rank
+
+    def find_place(self, pending, now):
+        """Return the place of a request among those of its rank."""
+        standing = self._find_standing(pending, now)
+        if pending.version is None:
+            if standing is Standing.RESERVED:
+                return self._find_reserved_at(pending) - LEAD_S
+            if standing is Standing.EARLY:
+                return self._find_reserved_at(pending) + LEAD_S
+            if standing is Standing.COPY:
+                return pending.queued_at + 2 * LEAD_S
+        return super().find_place(pending, now)
+
+    def may_shed(self, pending, now):
+        """Return whether a request may be shed because of its wait.
+
+        One that waits for its reserved time is served then, however many
+        are before it now.
+        """
+        return self._find_standing(pending, now) is not Standing.EARLY
+
+    def refuse(self, pending, wait_s, room, now):
+        """Record a refusal; return after how many seconds to return."""
+        caller = pending.offer.caller
+        if not caller:
+            return wait_s
+        return self.reservations.refuse(caller, pending, wait_s, room, now)
+
+    def record_granted(self, pending, now):
+        """Record that a queued request is granted an endpoint."""
+        if pending.returning:
+            self.reservations.serve(pending.offer.caller, pending)
+
+    def record_withdrawn(self, pending):
+        """Record that a queued request is removed before a decision."""
+        if pending.returning:
+            self.reservations.withdraw(pending.offer.caller, pending)
+
+    def _find_standing(self, pending, now):
+        if not pending.returning:
+            return Standing.NEW
+        return self.reservations.find_standing(
+            pending.offer.caller, pending, now
+        )
+
+    def _find_reserved_at(self, pending):
+        return self.reservations.find_reserved_at(pending.offer.caller)
--- a/persimmonroute/gateway/forecast.py
+++ b/persimmonroute/gateway/forecast.py
@@ -37,3 +37,11 @@
             if name == service and level < rank
         )
         return max(1.0 - used / slots, MIN_FREE_SHARE)
+
+    def used_slots(self, service, tier, now):
+        """Return the slots that arrivals of a tier and higher ones need."""
+        return sum(
+            rate * math.exp((at - now) / RATE_WINDOW_S)
+            for (name, level), (rate, at) in self._rates.items()
+            if name == service and level <= tier
+        )
--- a/persimmonroute/gateway/scheduler.py
+++ b/persimmonroute/gateway/scheduler.py
@@ -12,6 +12,8 @@
 from persimmonroute.gateway import model
 from persimmonroute.gateway import passing as _passing
 from persimmonroute.gateway import peers
+from persimmonroute.gateway import queue_order
+from persimmonroute.gateway import retry_reservations
 from persimmonroute.gateway import slots as _slots
 
 # Time to the first byte assumed for a route without measurements.
@@ -19,8 +21,6 @@
 # Safety factor on the expected time to the first byte when checking whether
 # a request can still be on time.
 FIRST_BYTE_MARGIN = 1.3
-# Added to the tier of requests that can no longer be on time.
-LATE_RANK_PENALTY = 0.5
 # Subtracted from the rank of the late requests that a request passes.
 PASSING_RANK_LEAD = 0.25
 # A request is shed if its expected wait exceeds this share of the time for
@@ -56,11 +56,22 @@
     passes: bool = False
 
 
+class Verdict(typing.NamedTuple):
+    """Tell whether to reject a queued request; reason is None if not."""
+
+    pending: messages.PendingRequest
+    wait_s: float | None
+    reason: str | None
+    # Capacity for its tier, if there are endpoints that it may use.
+    room: retry_reservations.Room | None
+
+
 class Scheduler(blackboard.Blackboard):
     """Queue requests and grant them endpoints by tier and arrival.
 
     passing_share is the share of the slots that lower tiers may use ahead of
-    late requests of higher ones.
+    late requests of higher ones. order is the queue_order.QueueOrder within
+    a tier.
     """
 
     def __init__(
@@ -70,12 +81,14 @@
         peer_registry,
         slot_policy,
         passing_share=0.0,
+        order=None,
     ):
         super().__init__()
         self._runner_registry = runner_registry
         self._placement = placement
         self._peers = peer_registry
         self._slot_policy = slot_policy
+        self._order = order or queue_order.QueueOrder()
         self._queues = {}
         self._forecast = forecast.ArrivalForecast()
         self._passing = _passing.PassingAllowance(passing_share)
@@ -163,21 +176,25 @@
             pending.route.name, DEFAULT_FIRST_BYTE_S
         )
         late = now + FIRST_BYTE_MARGIN * first_byte_s > pending.due_at
-        return pending.tier + (LATE_RANK_PENALTY if late else 0.0)
+        rank = pending.tier + (queue_order.LATE_RANK_PENALTY if late else 0.0)
+        return self._order.find_rank(pending, rank, now)
 
     def submit(self, pending, now):
         """Queue a request, then grant or shed what is possible."""
         pending.sequence = next(self._sequence)
         pending.queued_at = now
         self._queue(pending.service)[pending] = None
-        # Assumes that every gateway receives about the same load.
-        work = self._service_time_s(pending) * self._peers.gateway_count(now)
-        self._forecast.record(pending.service, pending.tier, work, now)
+        if self._order.is_arrival(pending, now):
+            # Assumes that every gateway receives about the same load.
+            gateways = self._peers.gateway_count(now)
+            work = self._service_time_s(pending) * gateways
+            self._forecast.record(pending.service, pending.tier, work, now)
         self.dispatch_ready(pending.service, now)
 
     def withdraw(self, pending):
         """Remove a request from its queue."""
         self._queue(pending.service).pop(pending, None)
+        self._order.record_withdrawn(pending)
 
     def release(self, pending, ending, now):
         """Record the end of an attempt and free its slot."""
@@ -210,7 +227,12 @@
 
     def _rank_queue(self, service, now):
         ranked = sorted(
-            Ranked(self.rank(p, now), _find_place(p), p.sequence, p)
+            Ranked(
+                self.rank(p, now),
+                self._order.find_place(p, now),
+                p.sequence,
+                p,
+            )
             for p in self._queue(service)
         )
         late_rank = next((r.rank for r in ranked if _is_late(r)), math.inf)
@@ -295,6 +317,7 @@
     def _grant(self, pending, view, now):
         pending.runner = view
         pending.sent_at = now
+        self._order.record_granted(pending, now)
         view.record_sent(pending, now)
         self._slot_policy.record_sent(view, now)
         self.put(messages.Granted(pending, view))
@@ -309,27 +332,29 @@
         waiting = [entry for entry in ranked if entry.pending in queue]
         decisions = self._find_rejections(service, waiting, now)
         shed_tier = min(
-            (p.tier for p, _, reason in decisions if reason == OVERLOADED),
+            (d.pending.tier for d in decisions if d.reason == OVERLOADED),
             default=math.inf,
         )
-        for pending, wait_s, reason in decisions:
+        for pending, wait_s, reason, room in decisions:
             if pending.tier > shed_tier:
                 reason = reason or OVERLOADED
             if reason is not None:
                 del queue[pending]
+                room = room if reason == OVERLOADED else None
+                wait_s = self._order.refuse(pending, wait_s, room, now)
                 rejection = build_rejection(pending, wait_s, reason, now)
                 self.put(messages.Rejected(pending, rejection, wait_s))
 
     def _find_rejections(self, service, ranked, now):
-        """Return (pending, expected wait, reason or None) for each request."""
+        """Return the Verdict of each request."""
         views = self._slot_policy.usable(service, now)
         slots = self._count_slots(views)
-        queued_s = 0.0
+        queued_s = late_s = 0.0
         decisions = []
         for entry in ranked:
             pending = entry.pending
             service_time_s = self._service_time_s(pending)
-            wait_s = None
+            wait_s = room = None
             accepted = _list_accepted(pending, views)
             if accepted:
                 # What is ahead may use all slots, a begun stream only those
@@ -341,13 +366,23 @@
                 wait_s = self._expect_wait_s(
                     service, entry, work_s, slots, now
                 )
+                room = retry_reservations.Room(
+                    slots,
+                    self._forecast.used_slots(service, pending.tier, now),
+                    queued_s - late_s,
+                    late_s,
+                    service_time_s,
+                )
             limit_s = pending.route.objective_s
             if not views:
                 limit_s *= NO_ENDPOINT_SHARE
             reason = self._find_rejection_reason(pending, wait_s, limit_s, now)
+            if reason == OVERLOADED and not self._order.may_shed(pending, now):
+                reason = None
             if reason is None:
                 queued_s += service_time_s
-            decisions.append((pending, wait_s, reason))
+                late_s += service_time_s if _is_late(entry) else 0.0
+            decisions.append(Verdict(pending, wait_s, reason, room))
         return decisions
 
     def _count_slots(self, views):
@@ -389,12 +424,6 @@
     return [view for view in views if messages.accepts(pending, view)]
 
 
-def _find_place(pending):
-    """Return the place of a request among those of its rank."""
-    begun = pending.version is not None
-    return -math.inf if begun else pending.first_arrived_at
-
-
 def _find_caller_wait_s(pending, now):
     """Return for how many seconds the caller is expected to wait."""
     wait_s = CALLER_WAIT_OBJECTIVES * pending.route.objective_s
