Order callers that other hosts refused by their age, and hold the late ones

Cause: a caller returns through any gateway, so in half of the cases to a host of another region, which took it for a new request and served it before those that could be on time. And a returning caller that was refused at once on a forecast lost its last chance although the burst ended soon.

Its due time now counts from its first attempt wherever an offer names the caller and its age. It is refused again if its turn is expected after its deadline, or after half of the time that it had left.

Verified: tests of admission_host, scheduler, reported_load and datagram pass.

--- a/persimmonroute/gateway/caller_order.py
+++ b/persimmonroute/gateway/caller_order.py
@@ -8,6 +8,12 @@
 
 # Moves a request before or after all others of its rank; exceeds all times.
 LEAD_S = 1e9
+# A request whose first attempt is not older by this than itself is new.
+MIN_AGE_S = 0.03
+# A caller that returned is refused again after this share of the time that it
+# had left. Until then only an expected wait beyond its deadline counts: most
+# callers return once, and bursts often end before the forecast expects it.
+MAX_RETURN_WAIT_SHARE = 0.5
 
 
 class CallerOrder(queue_order.QueueOrder):
@@ -26,13 +32,19 @@
         if not caller:
             return
         first_at = self.reservations.find_first_arrival(caller, now)
+        hosted.returning = first_at is not None
         if first_at is None:
-            return
-        # Callers judge a response by the time since their first attempt.
-        hosted.returning = True
-        hosted.first_arrived_at = first_at
-        hosted.due_at = min(hosted.due_at, first_at + hosted.route.objective_s)
-        self.reservations.arrive(caller, hosted, now)
+            # It may have been refused by another host or by a former one.
+            first_at = hosted.first_arrived_at
+            age_s = hosted.due_at - hosted.route.objective_s - first_at
+            hosted.returning = age_s >= MIN_AGE_S
+        if hosted.returning:
+            # Callers judge a response by the time since their first attempt.
+            hosted.first_arrived_at = first_at
+            hosted.due_at = min(
+                hosted.due_at, first_at + hosted.route.objective_s
+            )
+            self.reservations.arrive(caller, hosted, now)
 
     def has_reservation(self, offer, now):
         """Return whether the caller of an offer has a reservation here."""
@@ -73,20 +85,33 @@
                 return pending.queued_at + 2 * LEAD_S
         return super().find_place(pending, now)
 
-    def may_shed(self, pending, now):
+    def may_shed(self, pending, wait_s, now):
         """Return whether a request may be shed because of its wait.
 
         One that waits for its reserved time is served then, however many
         are before it now.
         """
-        return self._find_standing(pending, now) is not Standing.EARLY
+        if not pending.returning:
+            return True
+        standing = self._find_standing(pending, now)
+        if standing is Standing.COPY:
+            return True
+        if standing is Standing.EARLY:
+            return False
+        left_s = pending.deadline_at - now
+        waited_s = now - pending.queued_at
+        return wait_s > left_s or waited_s > MAX_RETURN_WAIT_SHARE * (
+            left_s + waited_s
+        )
 
-    def refuse(self, pending, wait_s, room, now):
+    def refuse(self, pending, wait_s, find_room, now):
         """Record a refusal; return after how many seconds to return."""
         caller = pending.offer.caller
         if not caller:
             return wait_s
-        return self.reservations.refuse(caller, pending, wait_s, room, now)
+        return self.reservations.refuse(
+            caller, pending, wait_s, find_room, now
+        )
 
     def record_granted(self, pending, now):
         """Record that a queued request is granted an endpoint."""
--- a/persimmonroute/gateway/queue_order.py
+++ b/persimmonroute/gateway/queue_order.py
@@ -27,15 +27,15 @@
         begun = pending.version is not None
         return -math.inf if begun else pending.first_arrived_at
 
-    def may_shed(self, pending, now):
+    def may_shed(self, pending, wait_s, now):
         """Return whether a request may be shed because of its wait."""
         return True
 
-    def refuse(self, pending, wait_s, room, now):
+    def refuse(self, pending, wait_s, find_room, now):
         """Record that a request is shed; return the wait that it is told.
 
-        room is the retry_reservations.Room of its tier, None if the request
-        is not shed for lack of capacity.
+        wait_s is the expected one, None without a usable endpoint. find_room
+        returns the retry_reservations.Room of the tier.
         """
         return wait_s
 
--- a/persimmonroute/gateway/retry_reservations.py
+++ b/persimmonroute/gateway/retry_reservations.py
@@ -147,12 +147,13 @@
         record = self._callers.get(caller)
         return None if record is None else record.reserved_at
 
-    def refuse(self, caller, request, wait_s, room, now):
+    def refuse(self, caller, request, wait_s, find_room, now):
         """Record a refusal; return after how many seconds to return.
 
         request has the fields of a HostedRequest. wait_s is the time without
-        a reservation, and room the Room of its tier, or None. A time that
-        exceeds MAX_RETRY_SHARE of what the caller has left is not reserved.
+        a reservation, None without a usable endpoint; find_room returns the
+        Room of its tier. A time that exceeds MAX_RETRY_SHARE of what the
+        caller has left is not reserved.
         """
         self.expire(now)
         record = self._find(caller, now)
@@ -166,8 +167,9 @@
         elif record.reserved_at is not None:
             # A copy is told the same time and reserves nothing.
             return max(record.reserved_at - now, MIN_RETRY_S)
-        if room is None:
-            return wait_s
+        if wait_s is None:
+            return None
+        room = find_room()
         wait_s = self._find_wait_s(request.tier, room)
         latest_s = (request.deadline_at - now) * MAX_RETRY_SHARE
         if wait_s <= latest_s and record.holder is None:
--- a/persimmonroute/gateway/scheduler.py
+++ b/persimmonroute/gateway/scheduler.py
@@ -62,8 +62,10 @@
     pending: messages.PendingRequest
     wait_s: float | None
     reason: str | None
-    # Capacity for its tier, if there are endpoints that it may use.
-    room: retry_reservations.Room | None
+    # Queued work that goes before it, in seconds of service time: requests
+    # that can be on time, and others.
+    on_time_s: float
+    late_s: float
 
 
 class Scheduler(blackboard.Blackboard):
@@ -335,16 +337,31 @@
             (d.pending.tier for d in decisions if d.reason == OVERLOADED),
             default=math.inf,
         )
-        for pending, wait_s, reason, room in decisions:
+        for verdict in decisions:
+            pending, reason = verdict.pending, verdict.reason
             if pending.tier > shed_tier:
                 reason = reason or OVERLOADED
             if reason is not None:
                 del queue[pending]
-                room = room if reason == OVERLOADED else None
-                wait_s = self._order.refuse(pending, wait_s, room, now)
+                wait_s = self._order.refuse(
+                    pending,
+                    verdict.wait_s,
+                    lambda: self._find_room(service, verdict, now),
+                    now,
+                )
                 rejection = build_rejection(pending, wait_s, reason, now)
                 self.put(messages.Rejected(pending, rejection, wait_s))
 
+    def _find_room(self, service, verdict, now):
+        """Return the capacity for the tier of a request that is shed."""
+        return retry_reservations.Room(
+            self._slot_policy.total_slots(service, now),
+            self._forecast.used_slots(service, verdict.pending.tier, now),
+            verdict.on_time_s,
+            verdict.late_s,
+            self._service_time_s(verdict.pending),
+        )
+
     def _find_rejections(self, service, ranked, now):
         """Return the Verdict of each request."""
         views = self._slot_policy.usable(service, now)
@@ -354,7 +371,7 @@
         for entry in ranked:
             pending = entry.pending
             service_time_s = self._service_time_s(pending)
-            wait_s = room = None
+            wait_s = None
             accepted = _list_accepted(pending, views)
             if accepted:
                 # What is ahead may use all slots, a begun stream only those
@@ -366,23 +383,20 @@
                 wait_s = self._expect_wait_s(
                     service, entry, work_s, slots, now
                 )
-                room = retry_reservations.Room(
-                    slots,
-                    self._forecast.used_slots(service, pending.tier, now),
-                    queued_s - late_s,
-                    late_s,
-                    service_time_s,
-                )
             limit_s = pending.route.objective_s
             if not views:
                 limit_s *= NO_ENDPOINT_SHARE
             reason = self._find_rejection_reason(pending, wait_s, limit_s, now)
-            if reason == OVERLOADED and not self._order.may_shed(pending, now):
+            if reason == OVERLOADED and not self._order.may_shed(
+                pending, wait_s, now
+            ):
                 reason = None
+            decisions.append(
+                Verdict(pending, wait_s, reason, queued_s - late_s, late_s)
+            )
             if reason is None:
                 queued_s += service_time_s
                 late_s += service_time_s if _is_late(entry) else 0.0
-            decisions.append(Verdict(pending, wait_s, reason, room))
         return decisions
 
     def _count_slots(self, views):
