Let requests beyond the fair part of their workspace wait for the others

Cause: within a tier, a workspace that sends six times its usual load takes the capacity that the others need.

The host of a group follows demand and use of slot time by tier and workspace. Offers without a workspace keep their order.

--- a/persimmonroute/gateway/caller_order.py
+++ b/persimmonroute/gateway/caller_order.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import collections
+
 from persimmonroute.gateway import queue_order
+from persimmonroute.gateway.queue_order import Place
+from persimmonroute.gateway.queue_order import PlaceClass
 from persimmonroute.gateway import retry_reservations
 from persimmonroute.gateway.retry_reservations import Standing
+from persimmonroute.gateway import workspace_shares
 
-# Moves a request before or after all others of its rank; exceeds all times.
-LEAD_S = 1e9
 # A request whose first attempt is not older by this than itself is new.
 MIN_AGE_S = 0.03
 # A caller that returned is refused again after this share of the time that it
@@ -19,12 +22,16 @@
 class CallerOrder(queue_order.QueueOrder):
     """Serve returning callers at the times that refusals named.
 
-    Only hosted requests whose offer names the caller are concerned; all
-    others are ordered by their first arrival.
+    Within a tier, requests beyond the fair part of their workspace wait for
+    the others. Only hosted requests whose offer names the caller are
+    concerned; all others are ordered by their first arrival.
     """
 
     def __init__(self):
         self.reservations = retry_reservations.RetryReservations()
+        self.shares = workspace_shares.WorkspaceShares()
+        # By how much queued requests exceed the fair part, without zeros.
+        self._excess = {}
 
     def admit(self, hosted, now):
         """Recognize the caller of a request before it is queued."""
@@ -64,6 +71,27 @@
         """
         return not pending.returning
 
+    def record_queued(self, pending, work_s, now):
+        """Record what the workspace of a request asks for."""
+        if pending.offer.workspace:
+            self.shares.record_demand(
+                pending.tier, pending.offer.workspace, work_s, now
+            )
+
+    def begin_ranking(self, queue, find_work_s, now):
+        """Find the requests beyond the fair part of their workspace."""
+        self._excess.clear()
+        ahead_s = collections.Counter()
+        for pending in queue:
+            workspace = pending.offer.workspace
+            if not workspace:
+                continue
+            key = (pending.tier, workspace)
+            excess = self.shares.find_excess(*key, ahead_s[key], now)
+            ahead_s[key] += find_work_s(pending)
+            if excess:
+                self._excess[pending] = excess
+
     def find_rank(self, pending, rank, now):
         """Return the rank of a request, within its tier."""
         standing = self._find_standing(pending, now)
@@ -76,13 +104,17 @@
     def find_place(self, pending, now):
         """Return the place of a request among those of its rank."""
         standing = self._find_standing(pending, now)
-        if pending.version is None:
-            if standing is Standing.RESERVED:
-                return self._find_told_at(pending) - LEAD_S
-            if standing is Standing.EARLY:
-                return self._find_told_at(pending) + LEAD_S
-            if standing is Standing.COPY:
-                return pending.queued_at + 2 * LEAD_S
+        if pending.version is not None:
+            return super().find_place(pending, now)
+        if standing is Standing.RESERVED:
+            return Place(PlaceClass.RESERVED, self._find_told_at(pending))
+        if standing is Standing.EARLY:
+            return Place(PlaceClass.EARLY, self._find_told_at(pending))
+        if standing is Standing.COPY:
+            return Place(PlaceClass.COPY, pending.queued_at)
+        excess = self._excess.get(pending)
+        if excess is not None:
+            return Place(PlaceClass.EXCESS, excess)
         return super().find_place(pending, now)
 
     def may_shed(self, pending, wait_s, now):
@@ -110,11 +142,20 @@
         if not caller:
             return wait_s
         return self.reservations.refuse(
-            caller, pending, wait_s, find_room, now
+            caller,
+            pending,
+            wait_s,
+            find_room,
+            now,
+            may_reserve=pending not in self._excess,
         )
 
-    def record_granted(self, pending, now):
+    def record_granted(self, pending, work_s, now):
         """Record that a queued request is granted an endpoint."""
+        if pending.offer.workspace:
+            self.shares.record_use(
+                pending.tier, pending.offer.workspace, work_s, now
+            )
         if pending.returning:
             self.reservations.serve(pending.offer.caller, pending)
 
--- a/persimmonroute/gateway/queue_order.py
+++ b/persimmonroute/gateway/queue_order.py
@@ -2,12 +2,34 @@
 
 from __future__ import annotations
 
-import math
+import enum
+import typing
 
 # Added to the tier of requests that can no longer be on time.
 LATE_RANK_PENALTY = 0.5
 
 
+class PlaceClass(enum.IntEnum):
+    """Order requests of one rank, before their values are compared."""
+
+    # A stream that goes on.
+    BEGUN = 0
+    RESERVED = 1
+    USUAL = 2
+    # Beyond the fair part of its workspace.
+    EXCESS = 3
+    # Back before the time that its caller was told.
+    EARLY = 4
+    COPY = 5
+
+
+class Place(typing.NamedTuple):
+    """Order the requests of one rank."""
+
+    place_class: PlaceClass
+    value: float
+
+
 class QueueOrder:
     """Order queued requests of one rank by their first arrival.
 
@@ -18,14 +40,24 @@
         """Return whether to count a request in the forecast of arrivals."""
         return True
 
+    def record_queued(self, pending, work_s, now):
+        """Record that a request is queued; work_s is its slot time."""
+
+    def begin_ranking(self, queue, find_work_s, now):
+        """Prepare to place the requests of a queue.
+
+        find_work_s returns the slot time of a request in seconds.
+        """
+
     def find_rank(self, pending, rank, now):
         """Return the rank of a request, within its tier."""
         return rank
 
     def find_place(self, pending, now):
-        """Return the place of a request among those of its rank."""
-        begun = pending.version is not None
-        return -math.inf if begun else pending.first_arrived_at
+        """Return the Place of a request among those of its rank."""
+        if pending.version is not None:
+            return Place(PlaceClass.BEGUN, 0.0)
+        return Place(PlaceClass.USUAL, pending.first_arrived_at)
 
     def may_shed(self, pending, wait_s, now):
         """Return whether a request may be shed because of its wait."""
@@ -39,7 +71,7 @@
         """
         return wait_s
 
-    def record_granted(self, pending, now):
+    def record_granted(self, pending, work_s, now):
         """Record that a queued request is granted an endpoint."""
 
     def record_withdrawn(self, pending):
--- a/persimmonroute/gateway/retry_reservations.py
+++ b/persimmonroute/gateway/retry_reservations.py
@@ -148,13 +148,15 @@
         """Return the time that a refused caller was told."""
         return self._callers[caller].told_at
 
-    def refuse(self, caller, request, wait_s, find_room, now):
+    def refuse(
+        self, caller, request, wait_s, find_room, now, may_reserve=True
+    ):
         """Record a refusal; return after how many seconds to return.
 
         request has the fields of a HostedRequest. wait_s is the time without
         a reservation, None without a usable endpoint; find_room returns the
         Room of its tier. A time that exceeds MAX_RETRY_SHARE of what the
-        caller has left is not reserved.
+        caller has left is not reserved, and none without may_reserve.
         """
         self.expire(now)
         record = self._find(caller, now)
@@ -177,7 +179,7 @@
             return wait_s
         latest_s = (request.deadline_at - now) * MAX_RETRY_SHARE
         record.told_at = now + min(wait_s, latest_s)
-        if wait_s <= latest_s:
+        if may_reserve and wait_s <= latest_s:
             self._reserve(caller, record, request.tier, room)
         return wait_s
 
--- a/persimmonroute/gateway/scheduler.py
+++ b/persimmonroute/gateway/scheduler.py
@@ -50,7 +50,7 @@
     """Order a queued request; passes tells whether it passes late ones."""
 
     rank: float
-    first_arrived_at: float
+    place: queue_order.Place
     sequence: int
     pending: messages.PendingRequest
     passes: bool = False
@@ -186,10 +186,11 @@
         pending.sequence = next(self._sequence)
         pending.queued_at = now
         self._queue(pending.service)[pending] = None
+        work_s = self._service_time_s(pending)
+        self._order.record_queued(pending, work_s, now)
         if self._order.is_arrival(pending, now):
             # Assumes that every gateway receives about the same load.
-            gateways = self._peers.gateway_count(now)
-            work = self._service_time_s(pending) * gateways
+            work = work_s * self._peers.gateway_count(now)
             self._forecast.record(pending.service, pending.tier, work, now)
         self.dispatch_ready(pending.service, now)
 
@@ -228,6 +229,8 @@
             self._shed(service, ranked, now)
 
     def _rank_queue(self, service, now):
+        queue = self._queue(service)
+        self._order.begin_ranking(queue, self._service_time_s, now)
         ranked = sorted(
             Ranked(
                 self.rank(p, now),
@@ -235,7 +238,7 @@
                 p.sequence,
                 p,
             )
-            for p in self._queue(service)
+            for p in queue
         )
         late_rank = next((r.rank for r in ranked if _is_late(r)), math.inf)
         if late_rank >= ranked[-1].pending.tier:
@@ -319,7 +322,7 @@
     def _grant(self, pending, view, now):
         pending.runner = view
         pending.sent_at = now
-        self._order.record_granted(pending, now)
+        self._order.record_granted(pending, self._service_time_s(pending), now)
         view.record_sent(pending, now)
         self._slot_policy.record_sent(view, now)
         self.put(messages.Granted(pending, view))
--- a/persimmonroute/tests/gateway/returning_callers_load_tests.py
+++ b/persimmonroute/tests/gateway/returning_callers_load_tests.py
@@ -31,7 +31,8 @@
 MAX_REFUSALS = 1.5
 
 
-def _loads():
+def build_loads():
+    """Return the loads of three tiers that fill the engines at 1.0."""
     return [
         simulations.Load(
             'digest', 0, DIGESTS_PER_S * ENGINES, 2890, 54, 0.5, 12.0
@@ -50,7 +51,7 @@
     simulation = returning_callers.ReturningSimulation(
         GATEWAYS,
         ENGINES,
-        _loads(),
+        build_loads(),
         [
             returning_callers.Phase(0.0, USUAL),
             returning_callers.Phase(BURST_BEGIN_S, factor),
@@ -71,7 +72,8 @@
     return sum(r.status == status for r in results) / max(len(results), 1)
 
 
-def _worth(results, late_worth):
+def find_worth(results, late_worth):
+    """Return the mean worth of results."""
     return _share(results, 'on time') + late_worth * _share(results, 'late')
 
 
@@ -101,8 +103,8 @@
             for late_worth in LATE_WORTHS:
                 with self.subTest(factor=factor, late_worth=late_worth):
                     self.assertGreaterEqual(
-                        _worth(after, late_worth),
-                        _worth(before, late_worth) - NOISE / 4,
+                        find_worth(after, late_worth),
+                        find_worth(before, late_worth) - NOISE / 4,
                     )
 
     def test_every_tier_keeps_its_responses_on_time(self):
@@ -162,7 +164,8 @@
         self.assertTrue(hasty and polite)
         for late_worth in LATE_WORTHS:
             self.assertLessEqual(
-                _worth(hasty, late_worth), _worth(polite, late_worth) + NOISE
+                find_worth(hasty, late_worth),
+                find_worth(polite, late_worth) + NOISE,
             )
 
     def test_nobody_waits_until_the_deadline_to_be_refused(self):
@@ -181,7 +184,8 @@
         after = play(2.0, 4, True, prepare=prepare).results
         for late_worth in LATE_WORTHS:
             self.assertGreaterEqual(
-                _worth(after, late_worth), _worth(before, late_worth) - NOISE
+                find_worth(after, late_worth),
+                find_worth(before, late_worth) - NOISE,
             )
 
     def test_hosts_stop_between_refusal_and_return(self):
