Log and count reservations and the shares of workspaces

Cause: operators could see neither whether refused callers got a time nor which workspace is made to wait.

Events 755 (reservations of a group since the last event, every 5 s at most) and 756 (a workspace that asks for twice its fair part, every 30 s at most); metrics persimmonroute_retry_reservations and persimmonroute_workspace_slots. Nothing of it appears for services that report no cost.

Verified: caller_monitor_tests, datagram_tests, admission_host_tests and docs_tests pass.

--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -205,6 +205,14 @@
     GATEWAY_ROW_REMOVED = EventKind(
         734, 'INFO', 'row of a gateway that is gone removed'
     )
+    RETRY_RESERVATIONS = EventKind(
+        755, 'INFO', 'capacity was reserved for callers that were refused'
+    )
+    WORKSPACE_IN_EXCESS = EventKind(
+        756,
+        'INFO',
+        'workspace asks for more than its fair part; its requests wait',
+    )
     GATEWAY_FAULT = EventKind(
         790, 'ERROR', 'unexpected error; the request or step failed'
     )
--- a/persimmonroute/gateway/admission_host.py
+++ b/persimmonroute/gateway/admission_host.py
@@ -13,6 +13,7 @@
 import typing
 
 from persimmonroute.gateway import admission_messages
+from persimmonroute.gateway import caller_monitor
 from persimmonroute.gateway import caller_order
 from persimmonroute.gateway import groups
 from persimmonroute.gateway import messages
@@ -334,6 +335,7 @@
         # Summaries of other groups, with the time of their arrival.
         self._summaries = {}
         self._stopping = False
+        self._monitor = caller_monitor.CallerMonitor()
         self._catch_up = timeouts.CatchUp(TICK_S)
 
     @property
@@ -394,6 +396,8 @@
             idle = now - hosted_group.offered_at > IDLE_GROUP_S
             if idle and not hosted_group.requests and not hosted_group.learned:
                 del self._groups[group]
+                self._monitor.retire(hosted_group)
+        self._monitor.check(self._groups.values(), now)
         self._collect()
 
     def dispatch_ready(self, now):
@@ -407,6 +411,24 @@
         replies, self._replies = self._replies, []
         return replies
 
+    def take_events(self):
+        """Remove and return the LogEvents of the hosted groups."""
+        return self._monitor.take_effects()
+
+    def count_reservations(self):
+        """Return the retry_reservations.Counts of each service."""
+        return self._monitor.count_reservations(self._groups.values())
+
+    def report_shares(self, now):
+        """Return (group, ShareReport) of each workspace and tier."""
+        return [
+            (group, report)
+            for group, hosted_group in self._groups.items()
+            for report in caller_monitor.find_largest(
+                hosted_group.order.shares.report(now)
+            )
+        ]
+
     def take_wakeup_at(self):
         """Return and clear the next wakeup time; infinity for none."""
         return min(
--- a/persimmonroute/gateway/dispatcher.py
+++ b/persimmonroute/gateway/dispatcher.py
@@ -53,6 +53,11 @@
         # Sends an admission message to another gateway.
         self.send = lambda peer, message: None
 
+    @property
+    def host(self):
+        """Return the AdmissionHost of this gateway."""
+        return self._host
+
     async def wait_for_grant(self, pending):
         """Wait for and return the granted endpoint, or a Rejection."""
         future = asyncio.get_running_loop().create_future()
@@ -142,6 +147,8 @@
         self._offers.tick(now)
         self._origins.tick(now)
         self._host.tick(now)
+        for logged in self._host.take_events():
+            log.emit(logged.event, **logged.fields)
         self._scheduler.dispatch_all_ready(now)
         if now - self._summarized_at >= SUMMARY_INTERVAL_S:
             self._summarized_at = now
--- a/persimmonroute/gateway/metrics.py
+++ b/persimmonroute/gateway/metrics.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import collections
+import math
 
 from hdrh import histogram
 from prometheus_client import core as prometheus
 
 from persimmonroute import clock
+from persimmonroute.gateway import caller_identity
 from persimmonroute.gateway import endpoint_limits
 from persimmonroute import logs
 
@@ -41,9 +43,10 @@
 class GatewayMetrics:
     """Collect the metrics of one gateway."""
 
-    def __init__(self, board, scheduler):
+    def __init__(self, board, scheduler, host):
         self._board = board
         self._scheduler = scheduler
+        self._host = host
         self.outcomes = collections.Counter()
         self.attempts = collections.Counter()
         self._queue_wait = {}
@@ -152,6 +155,41 @@
         dropped.add_metric([], logs.count_dropped())
         yield dropped
         yield from self._collect_limits(now)
+        yield from self._collect_callers(now)
+
+    def _collect_callers(self, now):
+        reservations = prometheus.CounterMetricFamily(
+            'persimmonroute_retry_reservations',
+            'Reservations for refused callers, as far as hosted here: made,'
+            ' and ended as kept, expired or revoked.',
+            labels=['service', 'step'],
+        )
+        for service, counts in sorted(self._host.count_reservations().items()):
+            for step, count in counts._asdict().items():
+                reservations.add_metric([service, step], count)
+        yield reservations
+        slots = prometheus.GaugeMetricFamily(
+            'persimmonroute_workspace_slots',
+            'Slots that a workspace demanded and used lately, and its fair'
+            ' part while its tier is contended, as far as hosted here.',
+            labels=['service', 'region', 'tier', 'workspace', 'kind'],
+        )
+        names = self._find_workspace_names()
+        for group, report in self._host.report_shares(now):
+            name = names.get(report.workspace, f'{report.workspace:016x}')
+            labels = [group.service, group.region, str(report.tier), name]
+            slots.add_metric([*labels, 'demanded'], report.demanded)
+            slots.add_metric([*labels, 'used'], report.used)
+            if report.fair < math.inf:
+                slots.add_metric([*labels, 'fair'], report.fair)
+        yield slots
+
+    def _find_workspace_names(self):
+        """Return the names of the configured workspaces by their hash."""
+        if self._board.route_table is None:
+            return {}
+        workspaces = self._board.route_table.configuration.workspaces
+        return {caller_identity.hash_workspace(w): w.name for w in workspaces}
 
     def _collect_limits(self, now):
         quota = prometheus.GaugeMetricFamily(
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -110,7 +110,7 @@
     board.runner_registry.limits.on_change = dispatcher.record_limit
     dispatcher.on_change = link.schedule_reports
     dispatcher.send = link.send_admission
-    gateway_metrics = metrics.GatewayMetrics(board, scheduler)
+    gateway_metrics = metrics.GatewayMetrics(board, scheduler, dispatcher.host)
     checks = admission.Admission(board)
     dispatcher.find_rejection = checks.find_stop_rejection
     forwarder = forwarding.Forwarder(
