Believe the ages of returns only where few offers are aged

Cause: a gateway takes the longest remaining time of a route for that of a first attempt. One client that states a long time made all others there look like late returns, behind those of other gateways.

While more than half of the offers of a route from one gateway are aged, they are ordered as before.

Verified: retry_reservations_tests, returning_callers_load_tests, workspace_shares tests, caller_monitor_tests, admission_host_tests and scheduler_tests pass.

--- a/persimmonroute/gateway/caller_order.py
+++ b/persimmonroute/gateway/caller_order.py
@@ -9,6 +9,7 @@
 from persimmonroute.gateway.queue_order import PlaceClass
 from persimmonroute.gateway import retry_reservations
 from persimmonroute.gateway.retry_reservations import Standing
+from persimmonroute.gateway import return_ages
 from persimmonroute.gateway import workspace_shares
 
 # A request whose first attempt is not older by this than itself is new.
@@ -16,7 +17,7 @@
 # A caller that returned is refused again after this share of the time that it
 # had left. Until then only an expected wait beyond its deadline counts: most
 # callers return once, and bursts often end before the forecast expects it.
-MAX_RETURN_WAIT_SHARE = 0.5
+MAX_RETURN_WAIT_SHARE = 0.25
 
 
 class CallerOrder(queue_order.QueueOrder):
@@ -29,6 +30,7 @@
 
     def __init__(self):
         self.reservations = retry_reservations.RetryReservations()
+        self._ages = return_ages.ReturnAges()
         self.shares = workspace_shares.WorkspaceShares()
         # By how much queued requests exceed the fair part, without zeros.
         self._excess = {}
@@ -44,7 +46,9 @@
             # It may have been refused by another host or by a former one.
             first_at = hosted.first_arrived_at
             age_s = hosted.due_at - hosted.route.objective_s - first_at
-            hosted.returning = age_s >= MIN_AGE_S
+            hosted.returning = self._ages.judge(
+                hosted.gateway, hosted.route.name, age_s >= MIN_AGE_S
+            )
         if hosted.returning:
             # Callers judge a response by the time since their first attempt.
             hosted.first_arrived_at = first_at
--- a/persimmonroute/tests/gateway/retry_reservations_tests.py
+++ b/persimmonroute/tests/gateway/retry_reservations_tests.py
@@ -285,6 +285,22 @@
         self.assertEqual(self._free_slot(1.0), [other])
         self.assertEqual(self._free_slot(1.0), [returned])
 
+    def test_long_time_of_one_caller_makes_no_other_late(self):
+        """Guards against a client that makes a whole route look aged.
+
+        Its gateway then states an age for all requests of the route.
+        """
+        for _ in range(40):
+            offer = self._next(caller=8, age_s=30.0, due_s=OBJECTIVE_S)
+            self.group.offer('gateway-3', 'riga-a', offer, 0.5)
+        before = self.group.scheduler.queue_length(fixtures.SERVICE)
+        self.assertGreater(before, 0)
+        offer = self._next(caller=9, age_s=30.0, due_s=OBJECTIVE_S)
+        self.group.offer('gateway-3', 'riga-a', offer, 0.5)
+        hosted = self.group.requests['gateway-3', offer.offer_id]
+        self.assertFalse(hosted.returning)
+        self.assertEqual(hosted.due_at, 0.5 + OBJECTIVE_S)
+
     def test_return_without_a_known_age_is_a_new_request(self):
         """Guards against a caller that is worse off than a new one."""
         returned = self._return(1.0, age_s=0.0)
