--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -226,6 +226,14 @@
         'WARNING',
         'outcome of a rollout written again: the table lacked it',
     )
+    RETRY_RESERVATIONS = EventKind(
+        755, 'INFO', 'capacity was reserved for callers that were refused'
+    )
+    WORKSPACE_IN_EXCESS = EventKind(
+        756,
+        'INFO',
+        'workspace asks for more than its fair part; its requests wait',
+    )
     GATEWAY_FAULT = EventKind(
         790, 'ERROR', 'unexpected error; the request or step failed'
     )
--- a/persimmonroute/gateway/admission_host.py
+++ b/persimmonroute/gateway/admission_host.py
@@ -13,6 +13,8 @@
 import typing
 
 from persimmonroute.gateway import admission_messages
+from persimmonroute.gateway import caller_monitor
+from persimmonroute.gateway import caller_order
 from persimmonroute.gateway import groups
 from persimmonroute.gateway import messages
 from persimmonroute.gateway import model
@@ -89,6 +91,8 @@
         self.deadline_at = now + offer.remaining_s
         self.due_at = now + offer.due_s
         self.first_arrived_at = now - offer.age_s
+        # True for a caller that was refused here before.
+        self.returning = False
         self.sequence = 0
         self.excluded = set(offer.excluded)
         self.version = offer.version
@@ -125,12 +129,14 @@
     def __init__(self, group, placement, limits, capacities, now):
         self.group = group
         self.runner_registry = runners.RunnerRegistry(limits, capacities)
+        self.order = caller_order.CallerOrder()
         self.scheduler = schedulers.Scheduler(
             self.runner_registry,
             placement,
             peers.PeerRegistry(''),
             slots.OwnedSlots(self.runner_registry, TURNAROUND_S),
             passing.PASSING_SHARE,
+            self.order,
         )
         self.generation = -1
         self.offered_at = now
@@ -160,6 +166,7 @@
         if hosted is None:
             hosted = HostedRequest(gateway, failure_domain, offer, now)
             self.requests[key] = hosted
+            self.order.admit(hosted, now)
             self.scheduler.submit(hosted, now)
             return None
         hosted.heard_at = now
@@ -263,6 +270,7 @@
 
         A gateway may be in touch without knowing of them any more.
         """
+        self.order.expire(now)
         for key, lease in list(self.learned.items()):
             if now - lease.listed_at > LEASE_TIMEOUT_S:
                 self._forget(key)
@@ -354,6 +362,7 @@
         # Summaries of other groups, with the time of their arrival.
         self._summaries = {}
         self._stopping = False
+        self._monitor = caller_monitor.CallerMonitor()
         self._catch_up = timeouts.CatchUp(TICK_S)
         # Returns the VersionPolicy of a group that is hosted here.
         self.build_version_policy = lambda group: (
@@ -429,6 +438,8 @@
             idle = now - hosted_group.offered_at > IDLE_GROUP_S
             if idle and not hosted_group.requests and not hosted_group.learned:
                 del self._groups[group]
+                self._monitor.retire(hosted_group)
+        self._monitor.check(self._groups.values(), now)
         self._collect()
 
     def dispatch_ready(self, now):
@@ -442,6 +453,24 @@
         replies, self._replies = self._replies, []
         return replies
 
+    def take_events(self):
+        """Remove and return the LogEvents of the hosted groups."""
+        return self._monitor.take_effects()
+
+    def count_reservations(self):
+        """Return the retry_reservations.Counts of each service."""
+        return self._monitor.count_reservations(self._groups.values())
+
+    def report_shares(self, now):
+        """Return (group, ShareReport) of each workspace and tier."""
+        return [
+            (group, report)
+            for group, hosted_group in self._groups.items()
+            for report in caller_monitor.find_largest(
+                hosted_group.order.shares.report(now)
+            )
+        ]
+
     def take_wakeup_at(self):
         """Return and clear the next wakeup time; infinity for none."""
         return min(
@@ -526,6 +555,8 @@
         ]
         if offer.redirected or not others:
             return None
+        if hosted_group.order.has_reservation(offer, now):
+            return None
         here_s = _wait_of(
             hosted_group.scheduler.expected_waits(offer.service, now),
             offer.tier,
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -124,7 +124,7 @@
     board.runner_registry.capacities.on_change = dispatcher.record_capacity
     dispatcher.on_change = link.schedule_reports
     dispatcher.send = link.send_admission
-    gateway_metrics = metrics.GatewayMetrics(board, scheduler)
+    gateway_metrics = metrics.GatewayMetrics(board, scheduler, dispatcher.host)
     checks = admission.Admission(board)
     dispatcher.find_rejection = checks.find_stop_rejection
     forwarder = forwarding.Forwarder(
