Merge learned capacities, retry reservations and workspace shares, off by default

They take effect where the settings learn_endpoint_capacity and reserve_retries ask for them; without, offers carry no new fields and every decision is as before. Verified by the tests of these parts and of what they touch.

--- a/persimmonroute/config/settings.py
+++ b/persimmonroute/config/settings.py
@@ -89,6 +89,16 @@
         ' with more host the admission of the others.',
         default=1,
     ),
+    'learn_endpoint_capacity': options.Flag(
+        'Learn what each endpoint handles well, for services whose endpoints'
+        ' report what work costs.',
+        default=False,
+    ),
+    'reserve_retries': options.Flag(
+        'Reserve capacity for callers that return after a refusal, and divide'
+        ' it among workspaces, for the same services.',
+        default=False,
+    ),
     'body_memory_mb': options.Number(
         0.1,
         1_000_000,
@@ -219,6 +229,8 @@
     cpu_share: float
     cores: float
     body_memory_mb: float
+    learn_endpoint_capacity: bool
+    reserve_retries: bool
     unread_timeout_s: float
     memory_mb: float | None
     max_descriptors: int | None
--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -157,6 +157,12 @@
     RUNNER_LIMIT_UNREADABLE = EventKind(
         719, 'WARNING', 'unreadable limit of an endpoint ignored'
     )
+    RUNNER_LOAD_UNREADABLE = EventKind(
+        726, 'WARNING', 'unreadable load of an endpoint ignored'
+    )
+    RUNNER_CAPACITY = EventKind(
+        727, 'INFO', 'estimate of the speed of an endpoint changed'
+    )
     RUNNER_GONE = EventKind(711, 'WARNING', 'endpoint removed')
     DOCUMENT_UNREADABLE = EventKind(
         720, 'WARNING', 'unreadable document in a table ignored'
@@ -232,6 +238,14 @@
         'response cut because its caller does not read; nothing else was left '
         'to release, or its time is over',
     )
+    RETRY_RESERVATIONS = EventKind(
+        755, 'INFO', 'capacity was reserved for callers that were refused'
+    )
+    WORKSPACE_IN_EXCESS = EventKind(
+        756,
+        'INFO',
+        'workspace asks for more than its fair part; its requests wait',
+    )
     GATEWAY_FAULT = EventKind(
         790, 'ERROR', 'unexpected error; the request or step failed'
     )
--- a/persimmonroute/gateway/admission_host.py
+++ b/persimmonroute/gateway/admission_host.py
@@ -13,6 +13,8 @@
 import typing
 
 from persimmonroute.gateway import admission_messages
+from persimmonroute.gateway import caller_monitor
+from persimmonroute.gateway import caller_order
 from persimmonroute.gateway import groups
 from persimmonroute.gateway import messages
 from persimmonroute.gateway import model
@@ -62,9 +64,11 @@
 
 
 class HostedWork(typing.NamedTuple):
-    """Describe the prompt of an offered request to the scheduler."""
+    """Describe the size of an offered request to the scheduler."""
 
     prompt: tuple[model.PromptPart, ...]
+    prompt_tokens: int = 0
+    output_tokens: int = 0
 
 
 class HostedRequest:
@@ -78,13 +82,17 @@
         self.offer = offer
         # Domain of the gateway, from which distances are measured.
         self.origin = failure_domain
-        self.request = HostedWork(offer.prompt)
+        self.request = HostedWork(
+            offer.prompt, offer.prompt_tokens, offer.output_tokens
+        )
         self.route = HostedRoute(offer.route, offer.objective_s)
         self.service = offer.service
         self.tier = offer.tier
         self.deadline_at = now + offer.remaining_s
         self.due_at = now + offer.due_s
         self.first_arrived_at = now - offer.age_s
+        # True for a caller that was refused here before.
+        self.returning = False
         self.sequence = 0
         self.excluded = set(offer.excluded)
         self.version = offer.version
@@ -97,6 +105,9 @@
         self.first_byte_at = None
         # Whether the endpoint had to read most of the prompt.
         self.cold = False
+        self.reported_load = None
+        self.expected = None
+        self.sent_work = None
 
     @property
     def attempt(self):
@@ -115,15 +126,17 @@
 class HostedGroup:
     """Queue the requests for one group and track who uses its endpoints."""
 
-    def __init__(self, group, placement, limits, now):
+    def __init__(self, group, placement, limits, capacities, now):
         self.group = group
-        self.runner_registry = runners.RunnerRegistry(limits)
+        self.runner_registry = runners.RunnerRegistry(limits, capacities)
+        self.order = caller_order.CallerOrder()
         self.scheduler = schedulers.Scheduler(
             self.runner_registry,
             placement,
             peers.PeerRegistry(''),
             slots.OwnedSlots(self.runner_registry, TURNAROUND_S),
             passing.PASSING_SHARE,
+            self.order,
         )
         self.generation = -1
         self.offered_at = now
@@ -153,6 +166,7 @@
         if hosted is None:
             hosted = HostedRequest(gateway, failure_domain, offer, now)
             self.requests[key] = hosted
+            self.order.admit(hosted, now)
             self.scheduler.submit(hosted, now)
             return None
         hosted.heard_at = now
@@ -164,6 +178,17 @@
         self.scheduler.dispatch_ready(self.group.service, now)
         return None
 
+    def learn_loads(self, reports, now):
+        """Apply what endpoints reported of their load to a gateway."""
+        for report in reports:
+            view = self.runner_registry.find(report.runner_id)
+            if view is None:
+                continue
+            if view.record.started_at_ms == report.started_at_ms:
+                self.runner_registry.record_load(
+                    view, report.load, now - report.age_s
+                )
+
     def end(self, gateway, message, now):
         """Withdraw an offer or free the slot that it was granted."""
         key = (gateway, message.offer_id)
@@ -187,7 +212,10 @@
             hosted.first_byte_at = min(
                 hosted.sent_at + message.first_byte_s, now
             )
-        self.runner_registry.record_load(hosted.runner, message.load, now)
+        hosted.reported_load = message.load
+        # The figures are as old as the head of the response.
+        heard_at = hosted.first_byte_at or hosted.sent_at
+        self.runner_registry.record_load(hosted.runner, message.load, heard_at)
         ending = message.ending
         self.scheduler.version_policy.record_end(
             hosted, hosted.runner, ending, message.first_byte_s, now
@@ -242,6 +270,7 @@
 
         A gateway may be in touch without knowing of them any more.
         """
+        self.order.expire(now)
         for key, lease in list(self.learned.items()):
             if now - lease.listed_at > LEASE_TIMEOUT_S:
                 self._forget(key)
@@ -333,6 +362,7 @@
         # Summaries of other groups, with the time of their arrival.
         self._summaries = {}
         self._stopping = False
+        self._monitor = caller_monitor.CallerMonitor()
         self._catch_up = timeouts.CatchUp(TICK_S)
         # Returns the VersionPolicy of a group that is hosted here.
         self.build_version_policy = lambda group: (
@@ -381,6 +411,7 @@
         elif isinstance(message, admission_messages.LeaseList):
             group = groups.Group(message.service, message.region)
             hosted_group = self._find_group(group, now)
+            hosted_group.learn_loads(message.loads, now)
             hosted_group.apply_leases(gateway, message.leases, now)
         elif isinstance(message, admission_messages.GroupSummary):
             key = groups.Group(message.service, message.region)
@@ -407,6 +438,8 @@
             idle = now - hosted_group.offered_at > IDLE_GROUP_S
             if idle and not hosted_group.requests and not hosted_group.learned:
                 del self._groups[group]
+                self._monitor.retire(hosted_group)
+        self._monitor.check(self._groups.values(), now)
         self._collect()
 
     def dispatch_ready(self, now):
@@ -420,6 +453,24 @@
         replies, self._replies = self._replies, []
         return replies
 
+    def take_events(self):
+        """Remove and return the LogEvents of the hosted groups."""
+        return self._monitor.take_effects()
+
+    def count_reservations(self):
+        """Return the retry_reservations.Counts of each service."""
+        return self._monitor.count_reservations(self._groups.values())
+
+    def report_shares(self, now):
+        """Return (group, ShareReport) of each workspace and tier."""
+        return [
+            (group, report)
+            for group, hosted_group in self._groups.items()
+            for report in caller_monitor.find_largest(
+                hosted_group.order.shares.report(now)
+            )
+        ]
+
     def take_wakeup_at(self):
         """Return and clear the next wakeup time; infinity for none."""
         return min(
@@ -448,6 +499,7 @@
         hosted_group = self._find_group(
             groups.Group(offer.service, region), now
         )
+        hosted_group.learn_loads(offer.loads, now)
         reply = None
         if (gateway, offer.offer_id) not in hosted_group.requests:
             reply = self._find_redirect(hosted_group, offer, now)
@@ -463,8 +515,14 @@
     def _find_group(self, group, now):
         hosted_group = self._groups.get(group)
         if hosted_group is None:
-            limits = self._runner_registry.limits
-            hosted_group = HostedGroup(group, self._placement, limits, now)
+            registry = self._runner_registry
+            hosted_group = HostedGroup(
+                group,
+                self._placement,
+                registry.limits,
+                registry.capacities,
+                now,
+            )
             hosted_group.scheduler.version_policy = self.build_version_policy(
                 group
             )
@@ -497,6 +555,8 @@
         ]
         if offer.redirected or not others:
             return None
+        if hosted_group.order.has_reservation(offer, now):
+            return None
         here_s = _wait_of(
             hosted_group.scheduler.expected_waits(offer.service, now),
             offer.tier,
--- a/persimmonroute/gateway/dispatcher.py
+++ b/persimmonroute/gateway/dispatcher.py
@@ -67,6 +67,11 @@
             self._host,
         )
 
+    @property
+    def host(self):
+        """Return the AdmissionHost of this gateway."""
+        return self._host
+
     async def wait_for_grant(self, pending):
         """Wait for and return the granted endpoint, or a Rejection."""
         future = asyncio.get_running_loop().create_future()
@@ -145,6 +150,21 @@
         if change.heard_here:
             self.on_change()
 
+    def record_capacity(self, record, belief):
+        """Log what is believed of the speed of an endpoint, and why."""
+        log.emit(
+            Event.RUNNER_CAPACITY,
+            runner=record.id,
+            service=record.service,
+            lasting=round(belief.lasting, 3),
+            present=round(belief.present, 3),
+            cost_percent=belief.cost_percent,
+            trust=round(belief.trust, 3),
+            growth=round(belief.growth, 3),
+            attempts=belief.attempts,
+            limit=belief.limit,
+        )
+
     def dispatch_ready(self, now):
         """Grant or reject the requests that are left to this gateway."""
         self._scheduler.dispatch_all_ready(now)
@@ -156,6 +176,8 @@
         self._offers.tick(now)
         self._origins.tick(now)
         self._host.tick(now)
+        for logged in self._host.take_events():
+            log.emit(logged.event, **logged.fields)
         self._scheduler.dispatch_all_ready(now)
         if now - self._summarized_at >= SUMMARY_INTERVAL_S:
             self._summarized_at = now
--- a/persimmonroute/gateway/metrics.py
+++ b/persimmonroute/gateway/metrics.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import collections
+import math
 
 from hdrh import histogram
 from prometheus_client import core as prometheus
 
 from persimmonroute import caller_metrics
 from persimmonroute import clock
+from persimmonroute.gateway import caller_identity
 from persimmonroute.gateway import endpoint_limits
 from persimmonroute import logs
 
@@ -42,9 +44,10 @@
 class GatewayMetrics:
     """Collect the metrics of one gateway."""
 
-    def __init__(self, board, scheduler):
+    def __init__(self, board, scheduler, host):
         self._board = board
         self._scheduler = scheduler
+        self._host = host
         self.outcomes = collections.Counter()
         self.attempts = collections.Counter()
         self._queue_wait = {}
@@ -124,6 +127,7 @@
             if per_s < endpoint_limits.UNLIMITED:
                 limits.add_metric([view.id], per_s)
         yield limits
+        yield from self._collect_capacities(now)
         yield _gauge(
             'persimmonroute_configuration_age_seconds',
             'Time since the configuration was last confirmed as the newest.',
@@ -154,6 +158,85 @@
         yield dropped
         yield from self._collect_limits(now)
         yield from caller_metrics.collect_account(board.caller_account)
+        yield from self._collect_callers(now)
+
+    def _collect_callers(self, now):
+        reservations = prometheus.CounterMetricFamily(
+            'persimmonroute_retry_reservations',
+            'Reservations for refused callers, as far as hosted here: made,'
+            ' and ended as kept, expired or revoked.',
+            labels=['service', 'step'],
+        )
+        for service, counts in sorted(self._host.count_reservations().items()):
+            for step, count in counts._asdict().items():
+                reservations.add_metric([service, step], count)
+        yield reservations
+        slots = prometheus.GaugeMetricFamily(
+            'persimmonroute_workspace_slots',
+            'Slots that a workspace demanded and used lately, and its fair'
+            ' part while its tier is contended, as far as hosted here.',
+            labels=['service', 'region', 'tier', 'workspace', 'kind'],
+        )
+        names = self._find_workspace_names()
+        for group, report in self._host.report_shares(now):
+            name = names.get(report.workspace, f'{report.workspace:016x}')
+            labels = [group.service, group.region, str(report.tier), name]
+            slots.add_metric([*labels, 'demanded'], report.demanded)
+            slots.add_metric([*labels, 'used'], report.used)
+            if report.fair < math.inf:
+                slots.add_metric([*labels, 'fair'], report.fair)
+        yield slots
+
+    def _find_workspace_names(self):
+        """Return the names of the configured workspaces by their hash."""
+        if self._board.route_table is None:
+            return {}
+        workspaces = self._board.route_table.configuration.workspaces
+        return {caller_identity.hash_workspace(w): w.name for w in workspaces}
+
+    def _collect_capacities(self, now):
+        """Yield what is believed of endpoints that report a cost of work."""
+        capacities = self._board.runner_registry.capacities
+        ratios = prometheus.GaugeMetricFamily(
+            'persimmonroute_endpoint_time_ratio',
+            'Time of a request at an endpoint relative to the usual:'
+            ' lasting, and with the present cost of work.',
+            labels=['endpoint', 'kind'],
+        )
+        trust = prometheus.GaugeMetricFamily(
+            'persimmonroute_endpoint_cost_trust',
+            'Weight of the cost of work that an endpoint reports.',
+            labels=['endpoint'],
+        )
+        growth = prometheus.GaugeMetricFamily(
+            'persimmonroute_endpoint_load_growth',
+            'Growth of the time with each other request at an endpoint.',
+            labels=['endpoint'],
+        )
+        limit = prometheus.GaugeMetricFamily(
+            'persimmonroute_endpoint_sent_at_once',
+            'Requests that an endpoint is sent at once.',
+            labels=['endpoint'],
+        )
+        for view in self._board.runner_registry:
+            if view.estimate is None:
+                continue
+            belief = view.estimate.describe(now)
+            ratios.add_metric([view.id, 'lasting'], belief.lasting)
+            ratios.add_metric([view.id, 'present'], belief.present)
+            trust.add_metric([view.id], belief.trust)
+            growth.add_metric([view.id], belief.growth)
+            if belief.limit is not None:
+                limit.add_metric([view.id], belief.limit)
+        yield from (ratios, trust, growth, limit)
+        unreadable = prometheus.CounterMetricFamily(
+            'persimmonroute_unreadable_loads',
+            'Responses whose load could not be read.',
+            labels=['service'],
+        )
+        for service, count in sorted(capacities.unreadable.items()):
+            unreadable.add_metric([service], count)
+        yield unreadable
 
     def _collect_limits(self, now):
         quota = prometheus.GaugeMetricFamily(
--- a/persimmonroute/gateway/offers.py
+++ b/persimmonroute/gateway/offers.py
@@ -35,6 +35,10 @@
 # was suspended offers the request again.
 GRANT_VALID_S = 0.5
 LEASE_LIST_INTERVAL_S = 0.2
+# Loads that one message tells, and the age up to which they are told. A host
+# trusts them for little longer.
+MAX_REPORTED_LOADS = 32
+MAX_LOAD_AGE_S = 0.5
 # Empty lists sent after the last lease, in case one is lost.
 EMPTY_LISTS = 2
 
@@ -83,11 +87,15 @@
 class OfferClient(blackboard.Blackboard):
     """Offer the requests of this gateway to hosts, and follow the replies."""
 
-    def __init__(self, runner_registry, directory, locality):
+    def __init__(
+        self, runner_registry, directory, locality, identifies_callers=True
+    ):
         super().__init__()
         self._runner_registry = runner_registry
         self._directory = directory
         self._locality = locality
+        # Whether hosts may reserve capacity for the callers of offers.
+        self._identifies_callers = identifies_callers
         self._offers = {}
         # Requests in flight, by offer id.
         self._leases = {}
@@ -99,6 +107,8 @@
         self._lists_at = -math.inf
         self._groups = {}
         self._generation = -1
+        # When the loads of a group's endpoints were last told to a host.
+        self._loads_told_at = {}
 
     @property
     def locality(self):
@@ -208,6 +218,11 @@
         self._runner_registry.record_end(pending, view, ending, now)
         first_byte_s = None
         if ending is Ending.ANSWERED:
+            if pending.host != self._directory.own_name:
+                # The host at this gateway learns from the end that it gets.
+                self._runner_registry.record_capacity(
+                    pending, view, now, load_known=False
+                )
             first_byte_s = runners.find_first_byte_s(pending, now)
         self._end(
             pending.host,
@@ -323,12 +338,48 @@
         )
         if not self._runner_registry.reports_cost(pending.service):
             return offer
+        if self._identifies_callers:
+            offer = offer._replace(
+                caller=pending.caller_hash,
+                workspace=caller_identity.hash_workspace(pending.workspace),
+            )
+        if not self._runner_registry.capacities.active:
+            return offer
         return offer._replace(
-            caller=pending.caller_hash,
-            workspace=caller_identity.hash_workspace(pending.workspace),
+            prompt_tokens=pending.request.prompt_tokens,
+            loads=self._report_loads(state.group, state.host, now),
             output_tokens=pending.request.output_tokens,
         )
 
+    def _report_loads(self, group, host, now):
+        """Return the loads that a host has not been told yet."""
+        if host == self._directory.own_name:
+            # It shares what is known here.
+            return ()
+        if not self._runner_registry.capacities.active:
+            return ()
+        if not self._runner_registry.reports_cost(group.service):
+            return ()
+        told_at = self._loads_told_at.get((group, host), -math.inf)
+        self._loads_told_at[(group, host)] = now
+        since = max(told_at, now - MAX_LOAD_AGE_S)
+        views = [
+            view
+            for view in self._runner_registry.of_service(group.service)
+            if view.load_reported_at > since
+            and self._locality.region_of(view.record.failure_domain)
+            == group.region
+        ]
+        return tuple(
+            admission_messages.LoadReport(
+                view.id,
+                view.record.started_at_ms,
+                now - view.load_reported_at,
+                view.reported_load,
+            )
+            for view in views[:MAX_REPORTED_LOADS]
+        )
+
     def _report_limits(self, group, now):
         """Return what is known of the limits of a group's endpoints."""
         limits = self._runner_registry.limits
@@ -474,13 +525,17 @@
             admission_messages.Lease(pending.offer_id, pending.runner.id)
             for pending in in_flight
         )
-        self.put(Send(host, admission_messages.LeaseList(*group, leases)))
+        message = admission_messages.LeaseList(
+            *group, leases, self._report_loads(group, host, now)
+        )
+        self.put(Send(host, message))
 
     def find_groups(self, service):
         """Return the groups of a service, nearest first."""
         if self._generation != self._runner_registry.generation:
             self._generation = self._runner_registry.generation
             self._groups.clear()
+            self._loads_told_at.clear()
         if service not in self._groups:
             self._groups[service] = groups.find_groups(
                 service, self._runner_registry, self._locality
--- a/persimmonroute/gateway/scheduler.py
+++ b/persimmonroute/gateway/scheduler.py
@@ -12,6 +12,8 @@
 from persimmonroute.gateway import model
 from persimmonroute.gateway import passing as _passing
 from persimmonroute.gateway import peers
+from persimmonroute.gateway import queue_order
+from persimmonroute.gateway import retry_reservations
 from persimmonroute.gateway import rollout_exposure
 from persimmonroute.gateway import slots as _slots
 
@@ -20,8 +22,6 @@
 # Safety factor on the expected time to the first byte when checking whether
 # a request can still be on time.
 FIRST_BYTE_MARGIN = 1.3
-# Added to the tier of requests that can no longer be on time.
-LATE_RANK_PENALTY = 0.5
 # Subtracted from the rank of the late requests that a request passes.
 PASSING_RANK_LEAD = 0.25
 # A request is shed if its expected wait exceeds this share of the time for
@@ -51,17 +51,30 @@
     """Order a queued request; passes tells whether it passes late ones."""
 
     rank: float
-    first_arrived_at: float
+    place: queue_order.Place
     sequence: int
     pending: messages.PendingRequest
     passes: bool = False
 
 
+class Verdict(typing.NamedTuple):
+    """Tell whether to reject a queued request; reason is None if not."""
+
+    pending: messages.PendingRequest
+    wait_s: float | None
+    reason: str | None
+    # Queued work that goes before it, in seconds of service time: requests
+    # that can be on time, and others.
+    on_time_s: float
+    late_s: float
+
+
 class Scheduler(blackboard.Blackboard):
     """Queue requests and grant them endpoints by tier and arrival.
 
     passing_share is the share of the slots that lower tiers may use ahead of
-    late requests of higher ones.
+    late requests of higher ones. order is the queue_order.QueueOrder within
+    a tier.
     """
 
     def __init__(
@@ -71,12 +84,14 @@
         peer_registry,
         slot_policy,
         passing_share=0.0,
+        order=None,
     ):
         super().__init__()
         self._runner_registry = runner_registry
         self._placement = placement
         self._peers = peer_registry
         self._slot_policy = slot_policy
+        self._order = order or queue_order.QueueOrder()
         self._queues = {}
         self._forecast = forecast.ArrivalForecast()
         self._passing = _passing.PassingAllowance(passing_share)
@@ -117,7 +132,7 @@
     def mean_interval_s(self, service, now):
         """Return the mean time between completions in all slots."""
         total = self._slot_policy.total_slots(service, now)
-        mean_s = self._slot_policy.mean_service_time_s(service)
+        mean_s = self._slot_policy.mean_work_s(service)
         return mean_s / total if total else mean_s
 
     def expected_waits(self, service, now):
@@ -132,7 +147,7 @@
         queue = self._queue(service)
         if not queue and self._slot_policy.has_free(service, now):
             return {}
-        queued_s = self._slot_policy.mean_service_time_s(service)
+        queued_s = self._slot_policy.mean_work_s(service)
         waits = {0: queued_s / total}
         for pending in sorted(queue, key=lambda p: p.tier):
             queued_s += self._service_time_s(pending)
@@ -162,25 +177,30 @@
         """
         if pending.version is not None:
             return pending.tier
-        first_byte_s = self._runner_registry.first_byte_s.get(
-            pending.route.name, DEFAULT_FIRST_BYTE_S
-        )
+        first_byte_s = self._runner_registry.expect_first_byte_s(pending)
+        if first_byte_s is None:
+            first_byte_s = DEFAULT_FIRST_BYTE_S
         late = now + FIRST_BYTE_MARGIN * first_byte_s > pending.due_at
-        return pending.tier + (LATE_RANK_PENALTY if late else 0.0)
+        rank = pending.tier + (queue_order.LATE_RANK_PENALTY if late else 0.0)
+        return self._order.find_rank(pending, rank, now)
 
     def submit(self, pending, now):
         """Queue a request, then grant or shed what is possible."""
         pending.sequence = next(self._sequence)
         pending.queued_at = now
         self._queue(pending.service)[pending] = None
-        # Assumes that every gateway receives about the same load.
-        work = self._service_time_s(pending) * self._peers.gateway_count(now)
-        self._forecast.record(pending.service, pending.tier, work, now)
+        work_s = self._service_time_s(pending)
+        self._order.record_queued(pending, work_s, now)
+        if self._order.is_arrival(pending, now):
+            # Assumes that every gateway receives about the same load.
+            work = work_s * self._peers.gateway_count(now)
+            self._forecast.record(pending.service, pending.tier, work, now)
         self.dispatch_ready(pending.service, now)
 
     def withdraw(self, pending):
         """Remove a request from its queue."""
         self._queue(pending.service).pop(pending, None)
+        self._order.record_withdrawn(pending)
 
     def release(self, pending, ending, now):
         """Record the end of an attempt and free its slot."""
@@ -191,6 +211,8 @@
         if view.load >= self.limit_of(view):
             view.last_full_at = now
         self._runner_registry.record_end(pending, view, ending, now)
+        if ending is model.Ending.ANSWERED:
+            self._runner_registry.record_capacity(pending, view, now)
         view.last_released_at = now
         self.dispatch_ready(pending.service, now)
 
@@ -219,9 +241,16 @@
         return _list_accepted(pending, list(free))
 
     def _rank_queue(self, service, now):
+        queue = self._queue(service)
+        self._order.begin_ranking(queue, self._service_time_s, now)
         ranked = sorted(
-            Ranked(self.rank(p, now), _find_place(p), p.sequence, p)
-            for p in self._queue(service)
+            Ranked(
+                self.rank(p, now),
+                self._order.find_place(p, now),
+                p.sequence,
+                p,
+            )
+            for p in queue
         )
         late_rank = next((r.rank for r in ranked if _is_late(r)), math.inf)
         if late_rank >= ranked[-1].pending.tier:
@@ -307,6 +336,7 @@
         pending.runner = view
         pending.sent_at = now
         self.version_policy.record_grant(pending, view, now)
+        self._order.record_granted(pending, self._service_time_s(pending), now)
         view.record_sent(pending, now)
         self._slot_policy.record_sent(view, now)
         self.put(messages.Granted(pending, view))
@@ -321,23 +351,40 @@
         waiting = [entry for entry in ranked if entry.pending in queue]
         decisions = self._find_rejections(service, waiting, now)
         shed_tier = min(
-            (p.tier for p, _, reason in decisions if reason == OVERLOADED),
+            (d.pending.tier for d in decisions if d.reason == OVERLOADED),
             default=math.inf,
         )
-        for pending, wait_s, reason in decisions:
+        for verdict in decisions:
+            pending, reason = verdict.pending, verdict.reason
             if pending.tier > shed_tier:
                 reason = reason or OVERLOADED
             if reason is not None:
                 del queue[pending]
+                wait_s = self._order.refuse(
+                    pending,
+                    verdict.wait_s,
+                    lambda: self._find_room(service, verdict, now),
+                    now,
+                )
                 rejection = build_rejection(pending, wait_s, reason, now)
                 self.put(messages.Rejected(pending, rejection, wait_s))
 
+    def _find_room(self, service, verdict, now):
+        """Return the capacity for the tier of a request that is shed."""
+        return retry_reservations.Room(
+            self._slot_policy.total_slots(service, now),
+            self._forecast.used_slots(service, verdict.pending.tier, now),
+            verdict.on_time_s,
+            verdict.late_s,
+            self._service_time_s(verdict.pending),
+        )
+
     def _find_rejections(self, service, ranked, now):
-        """Return (pending, expected wait, reason or None) for each request."""
+        """Return the Verdict of each request."""
         views = self._slot_policy.usable(service, now)
         main = self.version_policy.list_main(service, views, now)
-        slots = self._count_slots(main or views)
-        queued_s = 0.0
+        slots = self._count_slots(main or views, now)
+        queued_s = late_s = 0.0
         decisions = []
         for entry in ranked:
             pending = entry.pending
@@ -350,8 +397,9 @@
                 # of its version.
                 own_slots = slots
                 if pending.version is not None:
-                    own_slots = self._count_slots(accepted)
-                work_s = queued_s + service_time_s * slots / own_slots
+                    own_slots = self._count_slots(accepted, now)
+                own_s = self._slot_policy.bound_work_s(service, service_time_s)
+                work_s = queued_s + own_s * slots / own_slots
                 wait_s = self._expect_wait_s(
                     service, entry, work_s, slots, now
                 )
@@ -359,13 +407,20 @@
             if not views:
                 limit_s *= NO_ENDPOINT_SHARE
             reason = self._find_rejection_reason(pending, wait_s, limit_s, now)
+            if reason == OVERLOADED and not self._order.may_shed(
+                pending, wait_s, now
+            ):
+                reason = None
+            decisions.append(
+                Verdict(pending, wait_s, reason, queued_s - late_s, late_s)
+            )
             if reason is None:
                 queued_s += service_time_s
-            decisions.append((pending, wait_s, reason))
+                late_s += service_time_s if _is_late(entry) else 0.0
         return decisions
 
-    def _count_slots(self, views):
-        return sum(self._slot_policy.capacity_of(view) for view in views)
+    def _count_slots(self, views, now):
+        return sum(self._slot_policy.capacity_of(view, now) for view in views)
 
     def _expect_wait_s(self, service, entry, work_s, slots, now):
         """Return the wait after which work in the queue has been served."""
@@ -388,9 +443,8 @@
         return None
 
     def _service_time_s(self, pending):
-        return self._runner_registry.service_time_s.get(
-            pending.route.name, _slots.DEFAULT_SERVICE_TIME_S
-        )
+        seconds = self._runner_registry.expect_service_time_s(pending)
+        return _slots.DEFAULT_SERVICE_TIME_S if seconds is None else seconds
 
     def _queue(self, service):
         return self._queues.setdefault(service, {})
@@ -403,12 +457,6 @@
     return [view for view in views if messages.accepts(pending, view)]
 
 
-def _find_place(pending):
-    """Return the place of a request among those of its rank."""
-    begun = pending.version is not None
-    return -math.inf if begun else pending.first_arrived_at
-
-
 def _find_caller_wait_s(pending, now):
     """Return for how many seconds the caller is expected to wait."""
     wait_s = CALLER_WAIT_OBJECTIVES * pending.route.objective_s
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -48,6 +48,7 @@
     board = boards.GatewayBoard(
         settings.instance, bounds, build_locality(settings)
     )
+    board.runner_registry.capacities.enabled = settings.learn_endpoint_capacity
     board.caller_account.limits = caller_account.derive_limits(
         settings.memory_mb,
         OWN_MEMORY_MB,
@@ -76,7 +77,12 @@
     return dispatchers.Dispatcher(
         own,
         scheduler,
-        offers.OfferClient(board.runner_registry, directory, own_locality),
+        offers.OfferClient(
+            board.runner_registry,
+            directory,
+            own_locality,
+            settings.reserve_retries,
+        ),
         admission_host.AdmissionHost(
             board.runner_registry, scheduler.placement, own_locality
         ),
@@ -132,9 +138,10 @@
         own.cores,
     )
     board.runner_registry.limits.on_change = dispatcher.record_limit
+    board.runner_registry.capacities.on_change = dispatcher.record_capacity
     dispatcher.on_change = link.schedule_reports
     dispatcher.send = link.send_admission
-    gateway_metrics = metrics.GatewayMetrics(board, scheduler)
+    gateway_metrics = metrics.GatewayMetrics(board, scheduler, dispatcher.host)
     checks = admission.Admission(board)
     dispatcher.find_rejection = checks.find_stop_rejection
     forwarder = forwarding.Forwarder(
