--- a/persimmonroute/gateway/rollout_evidence.py
+++ b/persimmonroute/gateway/rollout_evidence.py
@@ -59,6 +59,11 @@
 NEGLIGIBLE = 1e-18
 
 
+# Marks the times to the end of responses that go on after their first byte:
+# a version may be slow only between the events of a stream.
+WHOLE_SUFFIX = ' (whole)'
+
+
 class Verdict(enum.Enum):
     """Enumerate what the responses say of a version."""
 
@@ -213,8 +218,10 @@
             {k.route for k in self._tallies if k.version == target}
         )
         groups = [(route,) for route in routes]
-        if len(routes) > 1:
-            groups.append(tuple(routes))
+        # Whole responses are counted by their first byte already.
+        counted = tuple(r for r in routes if not r.endswith(WHOLE_SUFFIX))
+        if len(counted) > 1:
+            groups.append(counted)
         worst = Judgement(Verdict.UNDECIDED, '')
         for group in groups:
             compared = self.compare(target, group)
@@ -229,7 +236,7 @@
                     return Judgement(verdict, f'{reason} ({", ".join(group)})')
                 worst = Judgement(verdict, f'{reason} ({", ".join(group)})')
         if worst.verdict is Verdict.UNDECIDED and routes:
-            return _confirm_good(self.compare(target, tuple(routes)))
+            return _confirm_good(self.compare(target, counted))
         return worst
 
     def compare(self, target, routes):
--- a/persimmonroute/gateway/rollouts.py
+++ b/persimmonroute/gateway/rollouts.py
@@ -33,6 +33,8 @@
 # new endpoints know no prompts, and reading takes several times as long.
 COLD_SUFFIX = ' (cold)'
 MIN_WARM_SHARE = 0.5
+# A response that goes on for less after its first byte is no stream.
+MIN_STREAM_S = 0.02
 # An attempt that is abandoned within this time of its deadline took too long.
 DEADLINE_TOLERANCE_S = 0.1
 
@@ -158,9 +160,12 @@
         if version == self.order.target:
             self.exposed += 1
 
-    def record_end(self, view, route, ending, time_s, now):
+    def record_end(self, view, route, ending, time_s, whole_s, now):
         """Record the response to a request that was granted here.
 
+        Its first byte came after time_s, its end after whole_s; None if
+        that is not known.
+
         Failures to connect and abandoned attempts are no responses. A
         connection that an endpoint breaks while it stops is no bad one, and
         a crash is one bad response, not as many as were in flight.
@@ -181,6 +186,12 @@
         if version != self.order.target:
             version = OTHER_VERSIONS
         self.evidence.record(version, route, failed, time_s, now)
+        if failed or time_s is None or whole_s is None:
+            return
+        if whole_s < time_s + MIN_STREAM_S:
+            return
+        whole = route + rollout_evidence.WHOLE_SUFFIX
+        self.evidence.record(version, whole, False, whole_s, now)
 
     def _build_limit(self):
         limit = rollout_exposure.ExposureLimit()
@@ -293,7 +304,10 @@
         route = pending.route.name
         if pending.cold:
             route += COLD_SUFFIX
-        rollout.record_end(view, route, ending, time_s, now)
+        whole_s = None
+        if pending.sent_at is not None:
+            whole_s = now - pending.sent_at
+        rollout.record_end(view, route, ending, time_s, whole_s, now)
 
     def _find(self, now):
         return self._rollouts.find_limiting(self._group.service, now)
