Give the dispatcher of the refused-grant tests all settings it reads

Cause: build_dispatcher reads settings.reserve_retries since, and the settings of this test lack it. Change: the test states the default. Result: both pass (run of refused_grant_tests).

--- a/persimmonroute/tests/gateway/refused_grant_tests.py
+++ b/persimmonroute/tests/gateway/refused_grant_tests.py
@@ -14,7 +14,10 @@
 
 DOMAIN = 'riga-a'
 SETTINGS = types.SimpleNamespace(
-    failure_domain=DOMAIN, region='riga', regions=fixtures.REGIONS
+    failure_domain=DOMAIN,
+    region='riga',
+    regions=fixtures.REGIONS,
+    reserve_retries=False,
 )
 # More requests than the endpoint has places.
 REQUESTS = 6
