Exit within the grace period whatever is still open

Cause: after the last responses a process cancelled its tasks, waited up to 0.1 s for its log writer and then destroyed the interpreter. In a trace at a load of 18 event 102 came 3.43 to 3.56 s after the signal, the log was closed at 3.51 to 3.65 s, the destruction of the modules began at 3.66 to 3.78 s, and the process was gone at 4.21 and 4.40 s, with a grace period of 4 s. Nothing limited these steps, nor an event loop that is blocked.

Change: once the last response is written, a process flushes its log and exits by os._exit. A thread exits 0.2 s before the end of the grace period, whatever is still open; after a stand-still it leaves time to read and answer what has arrived. It logs the new event 105 and then 102. The log writer wakes up at once when it is closed.

--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -26,6 +26,12 @@
         'ERROR',
         'settings file is invalid; previous settings stay in effect',
     )
+    STOP_AT_LIMIT = EventKind(
+        105,
+        'WARNING',
+        'steps of a graceful shutdown were left at the end of its grace '
+        'period; the process exits without them',
+    )
     LINES_DROPPED = EventKind(
         110,
         'WARNING',
--- a/persimmonroute/log_writer.py
+++ b/persimmonroute/log_writer.py
@@ -47,7 +47,7 @@
         self._normal_rate = LineRateLimiter(NORMAL_LINES_PER_S)
         self._failure_rate = LineRateLimiter(FAILURE_LINES_PER_S)
         self._unreported_drops = 0
-        self._closed = False
+        self._closing = threading.Event()
         self.dropped = 0
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
@@ -68,12 +68,11 @@
 
     def close(self):
         """Flush queued lines, for at most CLOSE_TIMEOUT_S."""
-        self._closed = True
+        self._closing.set()
         self._thread.join(CLOSE_TIMEOUT_S)
 
     def _run(self):
-        while not self._closed:
-            time.sleep(WRITE_INTERVAL_S)
+        while not self._closing.wait(WRITE_INTERVAL_S):
             self._write()
         self._write()
 
--- a/persimmonroute/process.py
+++ b/persimmonroute/process.py
@@ -25,6 +25,7 @@
 from persimmonroute import exceptions
 from persimmonroute import logs
 from persimmonroute import loop_errors
+from persimmonroute import process_exit
 from persimmonroute import reloading
 from persimmonroute import startup_signals
 
@@ -46,9 +47,10 @@
 
 
 def main(argv, signals):
-    """Run the daemon and return its exit status.
+    """Run the daemon; return its exit status unless it was stopped.
 
-    signals are the StartupSignals that it was started with.
+    A process that was stopped has ended instead. signals are the
+    StartupSignals that it was started with.
     """
     arguments = docopt.docopt(
         __doc__, argv, version=persimmonroute.__version__
@@ -76,11 +78,18 @@
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(loop_errors.LoopErrorLog().handle)
+    ending = process_exit.ProcessExit()
+
+    def begin_stop():
+        ending.begin(settings.stop_grace_s)
+        stop.set()
+
     for signal_number in startup_signals.STOP_SIGNALS:
-        signals.hand_over(loop, signal_number, stop.set)
+        signals.hand_over(loop, signal_number, begin_stop)
     if stop.is_set():
         # Nothing is served yet.
         log.emit(Event.PROCESS_STOPPED)
+        ending.finish()
         return
     process = build_process(settings)
     reloader = reloading.SettingsReloader(
@@ -90,3 +99,4 @@
     watch_task = asyncio.create_task(background.run_forever(reloader.watch))
     await process.run(stop)
     watch_task.cancel()
+    ending.finish()
