Decide in Drain what a stopping process accepts and passes on

Cause: the gateway's find_stop_rejection and _check_arrival_in_stop and the entry's may_accept and may_grant each had a part of the same rule.

Change: Drain.may_send tells whether a request that is passed on ends in time, Drain.may_accept whether one that arrives is accepted. Once connections are closed the latter counts only what is certain: a deadline, at entries also the learned time of a class. Gateways never take an estimate for certain, as before. The gateway's method is now _find_arrival_rejection.

--- a/persimmonroute/draining.py
+++ b/persimmonroute/draining.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import typing
 
 from persimmonroute import clock
@@ -51,6 +52,21 @@
             return deadline_at
         return self.answers_until - expected_s
 
+    def may_send(self, now, deadline_at, expected_s):
+        """Return whether a request that is passed on now ends in time."""
+        return now <= self.find_latest_send(deadline_at, expected_s)
+
+    def may_accept(self, now, deadline_at, expected_s, certain_s=math.inf):
+        """Return whether to accept a request that arrives now.
+
+        Once connections are closed, callers find other processes at once.
+        Then a request is accepted only if it ends in time by its deadline or
+        after certain_s, which no request like it exceeds.
+        """
+        if now >= self.closes_at:
+            expected_s = certain_s
+        return self.may_send(now, deadline_at, expected_s)
+
 
 def begin(now, removal_s, close_s, grace_s):
     """Return the Drain of a process that is asked to stop.
--- a/persimmonroute/entry/stopping.py
+++ b/persimmonroute/entry/stopping.py
@@ -36,7 +36,9 @@
         """End a call that waits once it cannot end within the stop."""
         if self._board.drain is None or record.state not in UNGRANTED:
             return
-        latest_at = self._find_latest_grant(record)
+        latest_at = self._board.drain.find_latest_send(
+            math.inf, self._estimate_s(record)
+        )
         if now > latest_at:
             self.refuse(record)
         else:
@@ -50,22 +52,21 @@
                 self.refuse(record)
 
     def may_accept(self, record, now):
-        """Return whether to accept a call that has just arrived.
-
-        Callers can know of the stop once connections are closed. Of them only
-        calls that surely end in time are accepted.
-        """
+        """Return whether to accept a call that has just arrived."""
         drain = self._board.drain
-        if drain is not None and now >= drain.closes_at:
-            if not self._board.durations.is_known(record.call.class_name):
-                return False
-        return self.may_grant(record, now)
+        if drain is None:
+            return True
+        expected_s, certain_s = self._estimate_s(record), math.inf
+        if self._board.durations.is_known(record.call.class_name):
+            certain_s = expected_s
+        return drain.may_accept(now, math.inf, expected_s, certain_s)
 
     def may_grant(self, record, now):
         """Return whether a call that starts now ends within the stop."""
-        if self._board.drain is None:
+        drain = self._board.drain
+        if drain is None:
             return True
-        return now <= self._find_latest_grant(record)
+        return drain.may_send(now, math.inf, self._estimate_s(record))
 
     def refuse(self, record):
         """End a call that has not started."""
@@ -85,13 +86,12 @@
             now - record.granted_at,
         )
 
-    def _find_latest_grant(self, record):
+    def _estimate_s(self, record):
         call, target = record.call, record.work_class.target
-        expected_s = self._board.durations.estimate_s(
+        return self._board.durations.estimate_s(
             call.class_name,
             call.output_tokens,
             durations.assume_s(
                 target.start_s, call.output_tokens, target.token_gap_s
             ),
         )
-        return self._board.drain.find_latest_send(math.inf, expected_s)
--- a/persimmonroute/gateway/admission.py
+++ b/persimmonroute/gateway/admission.py
@@ -128,20 +128,23 @@
 
     def find_stop_rejection(self, pending, now):
         """Return a Rejection if a stop would cut off a request sent now."""
-        if now <= self.find_latest_send(pending):
+        drain = self._board.drain
+        if drain is None or drain.may_send(
+            now, pending.deadline_at, self._estimate_s(pending)
+        ):
             return None
         return self._build_stop_rejection(pending, now)
 
-    def _check_arrival_in_stop(self, pending, now):
+    def _find_arrival_rejection(self, pending, now):
         """Return the Rejection of a request that arrives too late in a stop.
 
-        Once connections are closed callers find other gateways at once. Only
-        what ends by its deadline is accepted then.
+        An estimate is never certain here: once connections are closed, only
+        the deadline counts.
         """
         drain = self._board.drain
-        if drain is None or now < drain.closes_at:
-            return self.find_stop_rejection(pending, now)
-        if pending.deadline_at <= drain.answers_until:
+        if drain is None or drain.may_accept(
+            now, pending.deadline_at, self._estimate_s(pending)
+        ):
             return None
         return self._build_stop_rejection(pending, now)
 
@@ -201,7 +204,7 @@
 
     def _find_limit_rejection(self, pending, now):
         board = self._board
-        rejection = self._check_arrival_in_stop(pending, now)
+        rejection = self._find_arrival_rejection(pending, now)
         if rejection is not None:
             return rejection
         if board.quarantine.is_quarantined(pending.request):
--- a/persimmonroute/tests/draining_tests.py
+++ b/persimmonroute/tests/draining_tests.py
@@ -19,7 +19,7 @@
         self.drain = draining.begin(100.0, 2.6, 0.4, 7.3)
 
     def _may_send(self, deadline_at, expected_s, now):
-        return now <= self.drain.find_latest_send(deadline_at, expected_s)
+        return self.drain.may_send(now, deadline_at, expected_s)
 
     def test_request_of_unknown_length_ends_by_its_deadline(self):
         """Its deadline, less the time of its answer, is within the stop."""
@@ -33,6 +33,18 @@
         self.assertFalse(self._may_send(1000.0, 2.0, 105.1))
         self.assertFalse(self._may_send(1000.0, 8.0, 100.0))
 
+    def test_arrival_before_the_close_counts_as_a_send(self):
+        """Guards against refusals of what would end in time."""
+        self.assertTrue(self.drain.may_accept(102.5, math.inf, 4.0))
+        self.assertFalse(self.drain.may_accept(102.5, math.inf, 4.6))
+
+    def test_arrival_after_the_close_counts_only_if_it_is_certain(self):
+        """Guards against requests that outlast their estimate and the stop."""
+        self.assertFalse(self.drain.may_accept(102.6, math.inf, 1.0))
+        self.assertTrue(self.drain.may_accept(102.6, 106.9, 9.0))
+        self.assertTrue(self.drain.may_accept(102.6, math.inf, 9.0, 4.0))
+        self.assertFalse(self.drain.may_accept(102.6, math.inf, 1.0, 4.5))
+
     def test_stop_never_outlasts_its_grace_period(self):
         """A process that is killed at its end cuts off what is open."""
         for grace_s in (0.0, 0.3, 2.3, 7.3):
