Order requests of a tier by their expected slot time

Cause: output lengths of one route differ a hundredfold, and the maximum that callers state is the same for all, so expected slot times were means by route. Under overload a long response displaced several short ones. The five uses of the learned capacity were switched together and cost callers; which one was not known.

Change: the caller's estimate of the output, corrected for workspaces that state too little, goes into the fit. Within a tier a request is placed later by four times its expected slot time, every second one by its arrival alone.

--- a/persimmonroute/config/options.py
+++ b/persimmonroute/config/options.py
@@ -155,6 +155,24 @@
         return value
 
 
+class Subset(TextList):
+    """Accept a list of distinct strings of a fixed set."""
+
+    def __init__(self, choices, summary, default=None, required=False):
+        super().__init__(summary, default, required)
+        self.choices = choices
+        self.kind = 'list of ' + ', '.join(f'`{c}`' for c in choices)
+
+    def validate(self, value):
+        """Return the strings."""
+        for item in super().validate(value):
+            if item not in self.choices:
+                raise OptionError(
+                    f'must contain only {", ".join(self.choices)}'
+                )
+        return value
+
+
 def validate_object(value, schema, path, problems):
     """Validate a JSON object; return its fields and add to problems."""
     if not isinstance(value, dict):
--- a/persimmonroute/gateway/admission.py
+++ b/persimmonroute/gateway/admission.py
@@ -74,6 +74,11 @@
         pending.first_arrived_at = now - self._ages.find(
             pending.route, request
         )
+        pending.expected_output = self._board.output_hints.expect(
+            pending.workspace and pending.workspace.name,
+            pending.route.name,
+            request,
+        )
         rejection = self._find_limit_rejection(pending, now)
         if rejection is not None:
             return rejection
--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -10,6 +10,7 @@
 from persimmonroute import durations
 from persimmonroute.gateway import change_tracking
 from persimmonroute.gateway import freshness
+from persimmonroute.gateway import output_hints
 from persimmonroute.gateway import peer_reading
 from persimmonroute.gateway import peers
 from persimmonroute.gateway import quarantine
@@ -98,6 +99,8 @@
         self.rollouts = rollouts.Rollouts(self.runner_registry)
         # How long requests of each route take at endpoints.
         self.durations = durations.Durations()
+        # How far the callers' estimates of the output can be trusted.
+        self.output_hints = output_hints.OutputHints()
         self.open_requests = draining.OpenRequests()
         # What callers make the gateway hold.
         self.caller_account = caller_account.CallerAccount()
--- a/persimmonroute/gateway/caller_order.py
+++ b/persimmonroute/gateway/caller_order.py
@@ -28,7 +28,8 @@
     concerned; all others are ordered by their first arrival.
     """
 
-    def __init__(self):
+    def __init__(self, find_delay_s=lambda pending: 0.0):
+        super().__init__(find_delay_s)
         self.reservations = retry_reservations.RetryReservations()
         self._ages = return_ages.ReturnAges()
         self.shares = workspace_shares.WorkspaceShares()
--- a/persimmonroute/gateway/endpoint_capacity.py
+++ b/persimmonroute/gateway/endpoint_capacity.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import collections
+import enum
 import math
 import typing
 
@@ -81,6 +82,10 @@
 PLAN_LIFE_S = 0.1
 # The same for the speed; a reported cost hardly expires meanwhile.
 FACTOR_LIFE_S = 0.02
+# A request is placed among those of its rank as if it had arrived later by
+# this multiple of its slot time: under overload those that occupy a slot for
+# long displace several short ones.
+DELAY_PER_WORK = 4.0
 # Changes of the lasting speed by this factor are logged.
 LOGGED_CHANGE = 1.25
 # Trust in a reported cost below which it is logged as contradicted.
@@ -90,6 +95,21 @@
 MIN_LOGGED_ATTEMPTS = 20
 
 
+class Use(enum.StrEnum):
+    """Name a decision that the estimates are used for."""
+
+    # How many requests an endpoint is sent at once.
+    LIMIT = 'limit'
+    # Which endpoint gets a request.
+    PLACEMENT = 'placement'
+    # Whether a request can still be on time.
+    DUE = 'due'
+    # How long requests wait, and which are shed.
+    WAIT = 'wait'
+    # Which of the requests of a tier goes first.
+    ORDER = 'order'
+
+
 class SentWork(typing.NamedTuple):
     """Store what was known of a request when it was sent."""
 
@@ -491,13 +511,14 @@
     """Keep the estimates of all endpoints whose services report a cost.
 
     A gateway and the groups that it hosts share them, so that a new host
-    knows at least what it observed itself. Unless they are enabled, it is only
-    known which services report a cost.
+    knows at least what it observed itself. Without any use, it is only known
+    which services report a cost.
     """
 
     def __init__(self):
-        # Otherwise endpoints are treated as if they reported nothing.
-        self.enabled = True
+        # Decisions that use the estimates. Without any, endpoints are treated
+        # as if they reported nothing.
+        self.uses = frozenset(Use)
         self._reporting = set()
         self.model = work_model.WorkModel()
         # Whether any endpoint has reported what work costs.
@@ -545,7 +566,7 @@
             if len(self._reporting) >= MAX_SERVICES:
                 return
             self._reporting.add(record.service)
-        if not self.enabled:
+        if not self.uses:
             return
         if record.service not in self._services:
             self._services[record.service] = ServiceWork()
@@ -562,7 +583,7 @@
             service_work = self._services.get(pending.service)
             if service_work is None or service_work.mean is None:
                 return None
-            size = size_of(pending.request)
+            size = size_of(pending)
             pending.expected = (
                 self.model.expect(pending.service, pending.route.name, size)
                 or service_work.mean
@@ -575,6 +596,8 @@
         A request that takes longer than the mean counts as the mean one: it
         must not become late only because of its size.
         """
+        if Use.DUE not in self.uses:
+            return None
         times = self.expect(pending)
         if times is None:
             return None
@@ -597,13 +620,24 @@
 
     def expect_work_s(self, pending):
         """Return the work of a request in seconds, or None."""
+        if Use.WAIT not in self.uses:
+            return None
         times = self.expect(pending)
         return None if times is None else times.slot_s
 
+    def find_delay_s(self, pending):
+        """Return by how much later than its arrival a request is placed."""
+        if Use.ORDER not in self.uses:
+            return 0.0
+        times = self.expect(pending)
+        return 0.0 if times is None else DELAY_PER_WORK * times.slot_s
+
     def mean_work_s(self, service):
         """Return the mean work of a request in seconds, or None."""
         service_work = self._services.get(service)
-        if service_work is None or service_work.mean is None:
+        if Use.WAIT not in self.uses or service_work is None:
+            return None
+        if service_work.mean is None:
             return None
         return service_work.mean.slot_s
 
@@ -682,12 +716,13 @@
     )
 
 
-def size_of(request, cached=0):
+def size_of(pending, cached=0):
     """Return the Size of a request at an endpoint with cached tokens."""
+    request = pending.request
     tokens = request.prompt_tokens
     if not tokens:
         tokens = sum(part.tokens for part in request.prompt)
-    return work_model.Size(max(tokens - cached, 0), request.output_tokens)
+    return work_model.Size(max(tokens - cached, 0), pending.expected_output)
 
 
 def _log_cost(percent):
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -106,6 +106,8 @@
         # True if the response that began had a content type.
         self.content_type_known = False
         self.event_relayed = False
+        # Events that endpoints wrote.
+        self.event_count = 0
         # That the caller has, of this response or an earlier one.
         self.last_event_id = last_event_id
         # True once the caller has an event that has no id: no endpoint can be
@@ -544,6 +546,7 @@
                 break
             events = splitter.feed(data)
             received += len(events)
+            progress.event_count += len(events)
             if events:
                 idle_since = clock.now_s()
                 progress.record_event(idle_since)
@@ -664,6 +667,13 @@
 
     def _record_duration(self, pending, progress):
         """Learn from a successful response how long such requests take."""
+        if pending.request.last_event_id is None and pending.sends == 1:
+            self._board.output_hints.record(
+                pending.workspace and pending.workspace.name,
+                pending.route.name,
+                pending.request,
+                progress.event_count,
+            )
         first_byte_s = 0.0
         if progress.event_relayed:
             first_byte_s = max(pending.first_byte_at - pending.sent_at, 0.0)
--- a/persimmonroute/gateway/messages.py
+++ b/persimmonroute/gateway/messages.py
@@ -75,6 +75,8 @@
         self.first_byte_at = None
         # What the endpoint reported of its load with the response.
         self.reported_load = None
+        # Expected tokens of the response; 0 if nothing is known.
+        self.expected_output = request.expected_output
         # Times at an endpoint of usual speed with nothing else to do, and
         # what was known when it was sent; None if that is not known.
         self.expected = None
--- a/persimmonroute/gateway/model.py
+++ b/persimmonroute/gateway/model.py
@@ -140,6 +140,17 @@
     # Attempt that brought the first event of the stream that the caller takes
     # up again, as the caller states it.
     resumes: str | None = None
+    # The caller's estimate of the output tokens; 0 without one.
+    output_hint: int = 0
+
+    @property
+    def expected_output(self):
+        """Return the expected output tokens; 0 if nothing is known."""
+        if not self.output_hint:
+            return self.output_tokens
+        if not self.output_tokens:
+            return self.output_hint
+        return min(self.output_hint, self.output_tokens)
 
 
 class RunnerLoad(typing.NamedTuple):
--- a/persimmonroute/gateway/offers.py
+++ b/persimmonroute/gateway/offers.py
@@ -348,7 +348,7 @@
         return offer._replace(
             prompt_tokens=pending.request.prompt_tokens,
             loads=self._report_loads(state.group, state.host, now),
-            output_tokens=pending.request.output_tokens,
+            output_tokens=pending.expected_output,
         )
 
     def _report_loads(self, group, host, now):
--- a/persimmonroute/gateway/queue_order.py
+++ b/persimmonroute/gateway/queue_order.py
@@ -7,6 +7,9 @@
 
 # Added to the tier of requests that can no longer be on time.
 LATE_RANK_PENALTY = 0.5
+# Each of so many requests is placed by its arrival alone, so that the largest
+# ones are served at least half as often as the others under any overload.
+BY_ARRIVAL_INTERVAL = 2
 
 
 class PlaceClass(enum.IntEnum):
@@ -31,11 +34,16 @@
 
 
 class QueueOrder:
-    """Order queued requests of one rank by their first arrival.
+    """Order queued requests of one rank by their first arrival and size.
 
-    Subclasses may move requests within their tier and answer refused callers.
+    find_delay_s returns by how many seconds later a request is placed because
+    of its size. Subclasses may move requests within their tier and answer
+    refused callers.
     """
 
+    def __init__(self, find_delay_s=lambda pending: 0.0):
+        self._find_delay_s = find_delay_s
+
     def is_arrival(self, pending, now):
         """Return whether to count a request in the forecast of arrivals."""
         return True
@@ -57,7 +65,10 @@
         """Return the Place of a request among those of its rank."""
         if pending.version is not None:
             return Place(PlaceClass.BEGUN, 0.0)
-        return Place(PlaceClass.USUAL, pending.first_arrived_at)
+        placed_at = pending.first_arrived_at
+        if pending.sequence % BY_ARRIVAL_INTERVAL:
+            placed_at += self._find_delay_s(pending)
+        return Place(PlaceClass.USUAL, placed_at)
 
     def may_shed(self, pending, wait_s, now):
         """Return whether a request may be shed because of its wait."""
--- a/persimmonroute/gateway/runners.py
+++ b/persimmonroute/gateway/runners.py
@@ -156,26 +156,28 @@
         self.last_sent_at = now
         if self._probe_needed:
             self._probe = pending.attempt
-        pending.sent_work = self._find_work(pending.request, now)
+        pending.sent_work = self._find_work(pending, now)
         self.record_prompt(pending.request.prompt, now)
 
     def expect(self, pending, now):
         """Return the Times of a request sent here now, or None."""
         if self.estimate is None:
             return None
+        if endpoint_capacity.Use.PLACEMENT not in self._capacities.uses:
+            return None
         return self._capacities.expect_here(pending, self, now)
 
     def expect_prefill_s(self, pending, tokens):
         """Return the time for reading prompt tokens at the usual speed."""
         return self._capacities.prefill_s(pending, tokens)
 
-    def _find_work(self, request, now):
+    def _find_work(self, pending, now):
         """Return the SentWork of a request that was added to the load."""
         if self.estimate is None:
             return None
-        cached = self.cached_tokens(request.prompt, now)
+        cached = self.cached_tokens(pending.request.prompt, now)
         return endpoint_capacity.SentWork(
-            endpoint_capacity.size_of(request, cached),
+            endpoint_capacity.size_of(pending, cached),
             self.load,
             self.load_s,
             self.estimate.cost(now),
--- a/persimmonroute/gateway/scheduler.py
+++ b/persimmonroute/gateway/scheduler.py
@@ -91,7 +91,9 @@
         self._placement = placement
         self._peers = peer_registry
         self._slot_policy = slot_policy
-        self._order = order or queue_order.QueueOrder()
+        self._order = order or queue_order.QueueOrder(
+            runner_registry.capacities.find_delay_s
+        )
         self._queues = {}
         self._forecast = forecast.ArrivalForecast()
         self._passing = _passing.PassingAllowance(passing_share)
--- a/persimmonroute/gateway/slots.py
+++ b/persimmonroute/gateway/slots.py
@@ -5,6 +5,7 @@
 import abc
 import math
 
+from persimmonroute.gateway import endpoint_capacity
 from persimmonroute.gateway import endpoint_limits
 
 # Slots of an endpoint if neither its registration nor its service sets them.
@@ -35,7 +36,7 @@
 
     def _limit_well(self, view, limit, now):
         """Return a limit, or less if the endpoint is sent fewer at once."""
-        if view.estimate is None:
+        if not self._uses(view, endpoint_capacity.Use.LIMIT):
             return limit
         plan = view.estimate.plan(self.slots_of(view), limit, now)
         return limit if plan is None else plan.limit
@@ -76,7 +77,7 @@
         """
         slots = self.slots_of(view)
         service = view.record.service
-        if view.estimate is not None:
+        if self._uses(view, endpoint_capacity.Use.WAIT):
             plan = view.estimate.plan(slots, None, now)
             slots = slots if plan is None else plan.rate
         rate = self._pacer.find_rate(view.record)
@@ -120,6 +121,10 @@
         mean_s = self._runner_registry.capacities.mean_work_s(service)
         return work_s if mean_s is None else min(work_s, mean_s)
 
+    def _uses(self, view, use):
+        uses = self._runner_registry.capacities.uses
+        return use in uses and view.estimate is not None
+
     def take_wakeup_at(self):
         """Return and clear when more slots may be used; or infinity."""
         at, self._wakeup_at = self._wakeup_at, math.inf
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -7,6 +7,7 @@
 from persimmonroute.gateway import admission_host
 from persimmonroute.gateway import board as boards
 from persimmonroute.gateway import dispatcher as dispatchers
+from persimmonroute.gateway import endpoint_capacity
 from persimmonroute.gateway import following
 from persimmonroute.gateway import forwarding
 from persimmonroute.gateway import groups
@@ -48,7 +49,9 @@
     board = boards.GatewayBoard(
         settings.instance, bounds, build_locality(settings)
     )
-    board.runner_registry.capacities.enabled = settings.learn_endpoint_capacity
+    board.runner_registry.capacities.uses = frozenset(
+        endpoint_capacity.Use(name) for name in settings.endpoint_capacity_uses
+    )
     board.caller_account.limits = caller_account.derive_limits(
         settings.memory_mb,
         OWN_MEMORY_MB,
--- a/persimmonroute/platform/ingress.py
+++ b/persimmonroute/platform/ingress.py
@@ -209,6 +209,8 @@
         prompt=_read_prompt(header_values.get(names.PROMPT_PREFIX, b'')),
         last_event_id=_read_digits(last_event_id),
         resumes=None if resumes is None else resumes.decode('latin-1'),
+        output_hint=_read_digits(header_values.get(names.LENGTH_HINT, b''))
+        or 0,
     )
 
 
--- a/persimmonroute/platform/names.py
+++ b/persimmonroute/platform/names.py
@@ -13,6 +13,7 @@
 MODEL = b'model'
 # Prompt tokens and maximum output tokens, separated by a comma.
 TOKEN_USAGE = b'token-usage'
+LENGTH_HINT = b'length-hint'
 # Prompt parts in order, as comma-separated ID:TOKENS.
 PROMPT_PREFIX = b'prompt-prefix'
 LAST_EVENT_ID = b'last-event-id'
--- a/standins/admission_simulation.py
+++ b/standins/admission_simulation.py
@@ -80,6 +80,7 @@
     versions: tuple[str, ...] = ()
     breaks: int = 0
     prompt_tokens: int = 0
+    attempt: str = ''
 
 
 class Engine:
@@ -435,12 +436,7 @@
         alive = [g for g in self.gateways.values() if g.alive]
         gateway = self.random.choice(alive)
         pending = messages.PendingRequest(
-            fixtures.request(
-                load.route,
-                remaining_s=load.deadline_s,
-                prompt_tokens=round(self._vary(load.prompt_tokens)),
-                output_tokens=round(self._vary_output(load.output_tokens)),
-            ),
+            self._build_request(load),
             self._routes[load.route],
             fixtures.SERVICE,
             None,
@@ -449,6 +445,14 @@
         call = Call(self, gateway, pending, load)
         gateway.submit(pending, call.decide)
 
+    def _build_request(self, load):
+        return fixtures.request(
+            load.route,
+            remaining_s=load.deadline_s,
+            prompt_tokens=round(self._vary(load.prompt_tokens)),
+            output_tokens=round(self._vary_output(load.output_tokens)),
+        )
+
     def _vary(self, mean):
         return max(self.random.lognormvariate(0.0, 0.8) * mean * 0.73, 1.0)
 
@@ -525,5 +529,6 @@
                 tuple(self.versions),
                 self.breaks,
                 self.pending.request.prompt_tokens,
+                self.pending.attempt,
             )
         )
--- a/standins/shared_machines.py
+++ b/standins/shared_machines.py
@@ -29,6 +29,11 @@
 PROMPT_SPREAD = 1.15
 OUTPUT_SPREAD = 0.5
 OUTPUT_TOKENS = 40
+# Of responses whose lengths callers estimate: deviations of the logarithms of
+# the length and of the estimate's error, and the most that callers allow.
+HINTED_SPREAD = 1.4
+HINT_ERROR = 0.5
+MOST_OUTPUT_TOKENS = 3000
 OBJECTIVE_S = 0.5
 DEADLINE_S = 4.0
 # Shares of the tiers 0, 1 and 2 among the requests.
@@ -72,7 +77,8 @@
             first_s = request.prompt_tokens / PREFILL_TOKENS_PER_S
             self._left[call] = (
                 first_s,
-                first_s + request.output_tokens * OUTPUT_TOKEN_S,
+                first_s
+                + self._simulation.find_output(request) * OUTPUT_TOKEN_S,
             )
         self._schedule()
 
@@ -149,6 +155,8 @@
 class SharedMachineSimulation(simulations.AdmissionSimulation):
     """Play requests of very different sizes on shared machines."""
 
+    output_tokens = OUTPUT_TOKENS
+
     def __init__(
         self, gateways, endpoints, load_share, reports_cost, seed=1, growth=1.0
     ):
@@ -157,7 +165,7 @@
         super().__init__(
             gateways,
             endpoints,
-            _list_loads(endpoints, load_share, growth),
+            _list_loads(endpoints, load_share, growth, self.output_tokens),
             seed=seed,
             slots=SLOTS,
         )
@@ -184,6 +192,10 @@
         for gateway in self.gateways.values():
             gateway.runner_registry.apply(records, (), False, self.now)
 
+    def find_output(self, request):
+        """Return the output tokens that an endpoint writes."""
+        return request.output_tokens
+
     def _vary(self, mean):
         return max(mean * self._spread(PROMPT_SPREAD), 1.0)
 
@@ -216,9 +228,46 @@
         return sizes[math.ceil(len(sizes) * 0.9)]
 
 
-def _list_loads(endpoints, load_share, growth):
+class HintedOutputSimulation(SharedMachineSimulation):
+    """Play responses of very different lengths, which callers estimate."""
+
+    output_tokens = 300
+
+    def __init__(self, *arguments, uses, **options):
+        # Output tokens by attempt.
+        self._outputs = {}
+        super().__init__(*arguments, reports_cost=True, **options)
+        for gateway in self.gateways.values():
+            gateway.runner_registry.capacities.uses = uses
+
+    def find_output(self, request):
+        """Return the output tokens that an endpoint writes."""
+        return self._outputs[request.attempt]
+
+    def _build_request(self, load):
+        output = max(load.output_tokens * self._spread(HINTED_SPREAD), 1.0)
+        hint = output * self.random.lognormvariate(0.0, HINT_ERROR)
+        request = fixtures.request(
+            load.route,
+            remaining_s=load.deadline_s,
+            prompt_tokens=round(self._vary(load.prompt_tokens)),
+            output_tokens=MOST_OUTPUT_TOKENS,
+            output_hint=max(round(hint), 1),
+        )
+        self._outputs[request.attempt] = output
+        return request
+
+    def find_longest(self):
+        """Return the outcomes of the tenth with the longest responses."""
+        ranked = sorted(
+            self.outcomes, key=lambda outcome: self._outputs[outcome.attempt]
+        )
+        return ranked[math.ceil(len(ranked) * 0.9) :]
+
+
+def _list_loads(endpoints, load_share, growth, output_tokens):
     work_s = PROMPT_TOKENS / PREFILL_TOKENS_PER_S
-    work_s += OUTPUT_TOKENS * OUTPUT_TOKEN_S
+    work_s += output_tokens * OUTPUT_TOKEN_S
     usable = 1 - SLOW_SHARE + SLOW_SHARE / SLOW_FACTOR
     running = SLOTS / (1 + growth * (SLOTS - 1))
     per_s = load_share * endpoints * usable * running / work_s
@@ -228,7 +277,7 @@
             tier,
             share * per_s,
             PROMPT_TOKENS,
-            OUTPUT_TOKENS,
+            output_tokens,
             OBJECTIVE_S,
             DEADLINE_S,
         )
