Read responses for callers that are behind, and free the slot

Cause: the gateway read no more of a response while its caller did not read. An endpoint that cuts off unread responses broke off a valid one, and its slot stayed taken until the caller had read all.

Change: once a caller is behind, what arrives is kept in memory, within the account of callers, and written as the caller reads. The slot is released and the deadline ends when the endpoint is done. The stand-in endpoint can cut off a response that stays unread.

--- a/persimmonroute/caller_account.py
+++ b/persimmonroute/caller_account.py
@@ -67,6 +67,8 @@
     BODY_TIMEOUT = 'body_timeout'
     IDLE = 'idle'
     UNREAD = 'unread'
+    # The caller makes the least progress of those that are behind.
+    SLOW_READER = 'slow_reader'
     HEAD_SIZE = 'head_size'
     FRAMING = 'framing'
 
@@ -318,6 +320,14 @@
             self.responses_cut += victim.is_complete
             self._release(victim)
 
+    def release_stalled(self, now):
+        """Refuse a request without progress; return if there is one."""
+        victim = self._find_stalled(now)
+        if victim is None:
+            return False
+        self._release(victim)
+        return True
+
     def _has_memory(self, size):
         return self.used + size <= self.limits.memory_bytes
 
--- a/persimmonroute/caller_protocol.py
+++ b/persimmonroute/caller_protocol.py
@@ -267,10 +267,15 @@
             **self.app_state,
             'reset': self._reset,
             'holding': self._holding,
+            'is_behind': self._is_behind,
         }
         if refused:
             self.refuse(Reason.CONNECTIONS)
 
+    def _is_behind(self):
+        """Return whether what is written now waits for the caller."""
+        return self.flow.write_paused
+
     def _reset(self):
         """Close the connection so that no response looks complete."""
         if self.transport.is_closing():
--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -238,6 +238,12 @@
         'response cut because its caller does not read; nothing else was left '
         'to release, or its time is over',
     )
+    SLOW_READER_CUT = EventKind(
+        752,
+        'WARNING',
+        'response cut off for lack of memory: its caller reads least of those '
+        'that are behind',
+    )
     RETRY_RESERVATIONS = EventKind(
         755, 'INFO', 'capacity was reserved for callers that were refused'
     )
--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -18,6 +18,7 @@
 from persimmonroute.gateway import rollouts
 from persimmonroute.gateway import routes
 from persimmonroute.gateway import runners
+from persimmonroute.gateway import slow_readers
 from persimmonroute.gateway import stream_origins
 
 
@@ -101,6 +102,7 @@
         self.open_requests = draining.OpenRequests()
         # What callers make the gateway hold.
         self.caller_account = caller_account.CallerAccount()
+        self.slow_readers = slow_readers.SlowReaders(self.caller_account)
         # How the gateway stops; None while it serves.
         self.drain: draining.Drain | None = None
         # Newest configuration version that a peer has reported.
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -4,6 +4,7 @@
 
 import abc
 import asyncio
+import typing
 
 from persimmonroute import clock
 from persimmonroute import crash_attribution
@@ -12,6 +13,7 @@
 from persimmonroute import exceptions
 from persimmonroute.gateway import continuation
 from persimmonroute.gateway import crash_checks
+from persimmonroute.gateway import messages
 from persimmonroute.gateway import model
 from persimmonroute.gateway.model import Ending
 from persimmonroute.gateway.outcomes import Failed
@@ -98,6 +100,14 @@
         """End the response so that the caller sees that it is incomplete."""
 
 
+class Received(typing.NamedTuple):
+    """Store how a response came that has arrived completely."""
+
+    pending: messages.PendingRequest
+    runner_id: str
+    outcome: Relayed
+
+
 class Progress:
     """Track how much of the response the caller has received."""
 
@@ -128,6 +138,8 @@
         self.look_on_until = None
         # KeptResponse that the caller gets if there is nothing better.
         self.kept = None
+        # Received response of which the caller has not got the end yet.
+        self.received = None
 
     def record_event(self, now):
         """Record that an event of the stream arrived."""
@@ -186,12 +198,40 @@
                     limit, lambda: progress.begun
                 ):
                     await self._serve_admitted(pending, caller, progress)
+            if progress.received is not None:
+                await self._finish(progress.received, caller, progress)
         except TimeoutError:
             await self._time_out(pending, caller, progress)
         finally:
             if pending.workspace is not None and not pending.sends:
                 self._board.quotas.refund(pending.workspace, request)
 
+    async def _finish(self, received, caller, progress):
+        """Finish a response, however long the caller takes to read it.
+
+        It has arrived by its deadline, and occupies no endpoint.
+        """
+        async with asyncio.timeout(None) as limit:
+            with self._board.open_requests.hold(limit, lambda: True):
+                await caller.finish()
+        pending, runner_id, outcome = received
+        if outcome.is_stream:
+            self._dispatcher.record_complete(pending)
+        self._metrics.on_ended(
+            pending.route.name, str(outcome.status), 'endpoint'
+        )
+        now = clock.now_s()
+        first_byte_at = pending.first_byte_at or now
+        log.emit(
+            Event.GATEWAY_ANSWERED,
+            request=pending.attempt,
+            runner=runner_id,
+            status=outcome.status,
+            took_s=round(now - pending.arrived_at, 4),
+            first_byte_s=round(first_byte_at - pending.arrived_at, 4),
+            longest_pause_s=round(progress.longest_pause_s, 4),
+        )
+
     async def reject(self, attempt, caller, rejection):
         """Reject a request that is not admitted."""
         self._record_rejected(attempt, NO_ROUTE, rejection)
@@ -489,7 +529,6 @@
         await self._begin(head, caller, progress)
         if parts:
             await caller.send(b''.join(parts))
-        await caller.finish()
         return Relayed(head.status)
 
     async def _keep_error(
@@ -572,9 +611,7 @@
         await self._begin(head, caller, progress)
         if splitter.rest:
             await caller.send(splitter.rest)
-        await caller.finish()
-        self._dispatcher.record_complete(pending)
-        return Relayed(head.status)
+        return Relayed(head.status, True)
 
     def _record_begun(self, pending, progress):
         """Bind a stream to the version that wrote its first event."""
@@ -622,20 +659,7 @@
                     pending.request, clock.now_s()
                 )
                 self._record_duration(pending, progress)
-            self._metrics.on_ended(
-                pending.route.name, str(outcome.status), 'endpoint'
-            )
-            now = clock.now_s()
-            first_byte_at = pending.first_byte_at or now
-            log.emit(
-                Event.GATEWAY_ANSWERED,
-                request=pending.attempt,
-                runner=view.id,
-                status=outcome.status,
-                took_s=round(now - pending.arrived_at, 4),
-                first_byte_s=round(first_byte_at - pending.arrived_at, 4),
-                longest_pause_s=round(progress.longest_pause_s, 4),
-            )
+            progress.received = Received(pending, view.id, outcome)
             return
         progress.failed = outcome
         if not (isinstance(outcome, Failed) and outcome.crossed_close):
--- a/persimmonroute/gateway/metrics.py
+++ b/persimmonroute/gateway/metrics.py
@@ -158,6 +158,7 @@
         yield dropped
         yield from self._collect_limits(now)
         yield from caller_metrics.collect_account(board.caller_account)
+        yield from _collect_slow_readers(board.slow_readers)
         yield from self._collect_callers(now)
 
     def _collect_callers(self, now):
@@ -316,3 +317,28 @@
             value = timing.quantile(share)
             family.add_metric([route, str(share)], value)
     return family
+
+
+def _collect_slow_readers(readers):
+    """Yield what callers that are behind make the gateway hold."""
+    behind = prometheus.GaugeMetricFamily(
+        'persimmonroute_slow_readers',
+        'Callers that have not read what has arrived for them.',
+    )
+    behind.add_metric([], len(readers.backlogs))
+    yield behind
+    held = prometheus.GaugeMetricFamily(
+        'persimmonroute_slow_reader_bytes',
+        'Bytes of responses that are kept for callers that are behind, and the'
+        ' most that may be.',
+        labels=['kind'],
+    )
+    held.add_metric(['held'], readers.used)
+    held.add_metric(['limit'], readers.limit_bytes)
+    yield held
+    cut = prometheus.CounterMetricFamily(
+        'persimmonroute_slow_readers_cut',
+        'Responses cut off because the memory for slow callers was full.',
+    )
+    cut.add_metric([], readers.cut_count)
+    yield cut
--- a/persimmonroute/gateway/outcomes.py
+++ b/persimmonroute/gateway/outcomes.py
@@ -10,9 +10,11 @@
 
 
 class Relayed(typing.NamedTuple):
-    """Store the status of a response that was relayed completely."""
+    """Store the status of a response that has arrived completely."""
 
     status: int
+    # True for a stream, which may be taken up again until the caller has it.
+    is_stream: bool = False
 
 
 class Failed(typing.NamedTuple):
--- a/persimmonroute/platform/ingress.py
+++ b/persimmonroute/platform/ingress.py
@@ -12,6 +12,7 @@
 from persimmonroute.events import Event
 from persimmonroute.gateway import forwarding
 from persimmonroute.gateway import model
+from persimmonroute.gateway import unread_response
 from persimmonroute import logs
 from persimmonroute.platform import names
 
@@ -82,7 +83,7 @@
                 return await _read_body(receive, max_bytes, held)
 
     async def _serve(self, request, caller, receive):
-        serving = asyncio.ensure_future(self._forwarder.serve(request, caller))
+        serving = asyncio.ensure_future(self._forward(request, caller))
         watching = asyncio.ensure_future(_wait_for_disconnect(receive))
         try:
             await asyncio.wait(
@@ -97,6 +98,12 @@
         finally:
             watching.cancel()
             serving.cancel()
+            caller.close()
+
+    async def _forward(self, request, caller):
+        await self._forwarder.serve(request, caller)
+        # A response that broke off ends after what has arrived of it.
+        await caller.flush()
 
     async def _report_fault(self, request, caller, error):
         log.emit(
@@ -115,6 +122,12 @@
         self._send = send
         self._board = board
         self._method = scope['method']
+        held = caller_account.find_holding(scope)
+        # Servers without an account wait for the caller in _send.
+        self._is_behind = scope['state'].get('is_behind', lambda: False)
+        self._unread = unread_response.UnreadResponse(
+            self._send_body, board.slow_readers, held
+        )
         self.attempt = None
         self.response_started = False
         self.response_complete = False
@@ -134,13 +147,32 @@
         )
 
     async def send(self, data):
-        """Send a chunk of the response body."""
+        """Send a chunk of the response body, or keep it for later."""
+        if self._unread.pending or self._is_behind():
+            self._unread.attempt = self.attempt and self.attempt.decode(
+                'latin-1'
+            )
+            await self._unread.add(data)
+        else:
+            await self._send_body(data)
+
+    async def flush(self):
+        """Wait until the caller has got what was sent."""
+        if self._unread.pending:
+            await self._unread.flush()
+
+    def close(self):
+        """Drop what was not written to a caller that is gone."""
+        self._unread.close()
+
+    async def _send_body(self, data):
         await self._send(
             {'type': 'http.response.body', 'body': data, 'more_body': True}
         )
 
     async def finish(self):
         """End a complete response."""
+        await self.flush()
         self.response_complete = True
         await self._send(
             {'type': 'http.response.body', 'body': b'', 'more_body': False}
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -7,6 +7,7 @@
 import collections
 import contextlib
 import enum
+import functools
 import json
 import random
 import socket
@@ -28,6 +29,11 @@
 MAX_ENDLESS_BYTES = 1_073_741_824
 # Time over which the load of an endpoint is measured.
 LOAD_WINDOW_S = 1.0
+# Steps in which an endpoint looks whether its response is read. Steps count,
+# and not seconds, so that a process that stands still cuts off nothing.
+UNREAD_STEPS = 20
+# Bytes of a response that wait in the socket of an endpoint with a limit.
+UNREAD_BUFFER_BYTES = 65_536
 
 
 class VersionFault(typing.NamedTuple):
@@ -90,6 +96,9 @@
     reported_load = None
     # Next answers of the behaviour 'raw'.
     raw_answers = None
+    # Seconds after which a response is cut off that stays unread; None for
+    # never.
+    unread_limit_s = None
 
     def __init__(self, runner_id):
         self.id = runner_id
@@ -114,6 +123,10 @@
         self.crashed = False
         # Bytes of responses without end that the peers have accepted.
         self.endless_bytes = 0
+        # Attempts whose response was cut off because it stayed unread, and
+        # those whose response the peer has taken as a whole.
+        self.cut_off = []
+        self.delivered = []
         self._server = None
         self._tasks = set()
         # Open connections, as writers with their readers.
@@ -194,6 +207,8 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         self._readers[writer] = reader
+        if self.unread_limit_s is not None:
+            limit_buffers(writer)
         try:
             await self._serve(reader, writer)
         except asyncio.CancelledError:
@@ -233,6 +248,8 @@
         if headers.get(b'expect-instance') != self.id.encode():
             behaviour = 'misdirect'
         reply = Reply(http, writer, attempt, self._own_headers())
+        if self.unread_limit_s is not None:
+            reply.drain = functools.partial(self._drain, reply)
         if behaviour == 'full':
             await reply.send_complete(503, b'', [(b'not-executed', b'1')])
             return True
@@ -265,10 +282,26 @@
         )
         handler = getattr(self, f'_do_{behaviour}', self._do_answer)
         keep = await handler(reply, headers)
+        if self.unread_limit_s is not None:
+            await reply.drain()
+            self.delivered.append(attempt)
         if reply.bad:
             self.bad_at.append(time.monotonic())
         return keep
 
+    async def _drain(self, reply):
+        """Wait until a response is taken; cut it off if it stays unread."""
+        transport = reply.writer.transport
+        left, steps = transport.get_write_buffer_size(), 0
+        while left and not transport.is_closing():
+            await asyncio.sleep(self.unread_limit_s / UNREAD_STEPS)
+            before, left = left, transport.get_write_buffer_size()
+            steps = steps + 1 if left == before else 0
+            if steps == UNREAD_STEPS:
+                self.cut_off.append(reply.attempt)
+                reset(reply.writer)
+        await reply.writer.drain()
+
     async def _send_report(self, http, writer):
         """Tell the state of the endpoint, without a slot."""
         self.reports += 1
@@ -564,6 +597,7 @@
         self._http = http
         self._own_headers = own_headers
         self.writer = writer
+        self.drain = writer.drain
         self.attempt = attempt
         # Factors of the time of the answer and of that between its events, and
         # whether the response is bad, because of the version of the endpoint.
@@ -579,12 +613,12 @@
         all_headers += self._own_headers
         event = h11.Response(status_code=status, headers=all_headers)
         self.writer.write(self._http.send(event))
-        await self.writer.drain()
+        await self.drain()
 
     async def send_data(self, data):
         """Send a part of the body."""
         self.writer.write(self._http.send(h11.Data(data)))
-        await self.writer.drain()
+        await self.drain()
 
     async def send_complete(self, status, body, headers):
         """Send a complete response."""
@@ -603,6 +637,12 @@
     return headers.get(b'accept') == b'text/event-stream'
 
 
+def limit_buffers(writer):
+    """Let little of what is written wait unseen in the socket."""
+    sock = writer.get_extra_info('socket')
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, UNREAD_BUFFER_BYTES)
+
+
 def reset(writer):
     """Close a connection with a TCP reset."""
     sock = writer.get_extra_info('socket')
