Add nothing to responses whose callers keep up

Cause: the buffer of a slow caller was created for each response, which cost processor time and, as a reference cycle, garbage.

Change: the buffer and the time limit of the end are created only for a caller that is behind.

--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -79,6 +79,11 @@
 class Caller(abc.ABC):
     """Write the response to the caller that sent the request."""
 
+    @property
+    @abc.abstractmethod
+    def behind(self):
+        """Return whether data would wait for the caller to read."""
+
     @abc.abstractmethod
     async def begin(self, status, headers):
         """Send the status line and the headers."""
@@ -211,9 +216,12 @@
 
         It has arrived by its deadline, and occupies no endpoint.
         """
-        async with asyncio.timeout(None) as limit:
-            with self._board.open_requests.hold(limit, lambda: True):
-                await caller.finish()
+        if caller.behind:
+            async with asyncio.timeout(None) as limit:
+                with self._board.open_requests.hold(limit, lambda: True):
+                    await caller.finish()
+        else:
+            await caller.finish()
         pending, runner_id, outcome = received
         if outcome.is_stream:
             self._dispatcher.record_complete(pending)
--- a/persimmonroute/gateway/unread_response.py
+++ b/persimmonroute/gateway/unread_response.py
@@ -29,7 +29,7 @@
     write is a coroutine function that waits until the caller has read.
     """
 
-    def __init__(self, write, readers, holding):
+    def __init__(self, write, readers, holding, attempt=None):
         self._write = write
         self._readers = readers
         self._holding = holding
@@ -39,7 +39,7 @@
         # True once nothing is to be written any more.
         self._closed = False
         # Name of the request, for the log.
-        self.attempt = None
+        self._attempt = attempt
 
     @property
     def pending(self):
@@ -120,7 +120,7 @@
         backlog = self._backlog
         log.emit(
             Event.SLOW_READER_CUT,
-            request=self.attempt,
+            request=self._attempt,
             unread_bytes=backlog.size,
             taken_bytes=backlog.taken,
             still_s=round(now - backlog.taken_at, 3),
--- a/persimmonroute/platform/ingress.py
+++ b/persimmonroute/platform/ingress.py
@@ -122,16 +122,23 @@
         self._send = send
         self._board = board
         self._method = scope['method']
-        held = caller_account.find_holding(scope)
+        self._scope = scope
         # Servers without an account wait for the caller in _send.
-        self._is_behind = scope['state'].get('is_behind', lambda: False)
-        self._unread = unread_response.UnreadResponse(
-            self._send_body, board.slow_readers, held
-        )
+        self._is_behind = scope.get('state', {}).get('is_behind', _is_never)
+        # Created for a caller that falls behind.
+        self._unread = None
         self.attempt = None
         self.response_started = False
         self.response_complete = False
 
+    @property
+    def behind(self):
+        """Return whether data would wait for the caller to read."""
+        unread = self._unread
+        if unread is not None and unread.pending:
+            return True
+        return self._is_behind()
+
     async def begin(self, status, headers):
         """Send the status and headers of the response."""
         self.response_started = True
@@ -148,22 +155,30 @@
 
     async def send(self, data):
         """Send a chunk of the response body, or keep it for later."""
-        if self._unread.pending or self._is_behind():
-            self._unread.attempt = self.attempt and self.attempt.decode(
-                'latin-1'
-            )
+        if self.behind:
+            if self._unread is None:
+                self._unread = self._build_unread()
             await self._unread.add(data)
         else:
             await self._send_body(data)
 
     async def flush(self):
         """Wait until the caller has got what was sent."""
-        if self._unread.pending:
+        if self._unread is not None:
             await self._unread.flush()
 
     def close(self):
         """Drop what was not written to a caller that is gone."""
-        self._unread.close()
+        if self._unread is not None:
+            self._unread.close()
+
+    def _build_unread(self):
+        return unread_response.UnreadResponse(
+            self._send_body,
+            self._board.slow_readers,
+            caller_account.find_holding(self._scope),
+            self.attempt and self.attempt.decode('latin-1'),
+        )
 
     async def _send_body(self, data):
         await self._send(
@@ -199,6 +214,10 @@
         """Leave the response incomplete; the server closes the connection."""
 
 
+def _is_never():
+    return False
+
+
 def read_request(scope, body):
     """Build a Request from an ASGI scope and the request body."""
     headers = scope['headers']
