Bound what endpoints are sent by their memory, off by default

Cause: engines crash when they hold more than their memory. KvTokens of a service was decoded and read by nothing: eight requests of 400 tokens were granted to two endpoints with 1,000 each, so each was sent 1,600 tokens.

Change: with bound_endpoint_memory, an endpoint is granted only if prompts and longest outputs of all its requests are within KvTokens. An endpoint without requests takes any. One endpoint is kept for the first request that fits nowhere. Offers then state their sizes.

Its effect on callers is not measured.

--- a/persimmonroute/config/settings.py
+++ b/persimmonroute/config/settings.py
@@ -94,6 +94,11 @@
         ' report what work costs.',
         default=False,
     ),
+    'bound_endpoint_memory': options.Flag(
+        'Send an endpoint no more requests at once than its memory (KvTokens'
+        ' of its service) holds by their prompts and longest responses.',
+        default=False,
+    ),
     'reserve_retries': options.Flag(
         'Reserve capacity for callers that return after a refusal, and divide'
         ' it among workspaces, for the same services.',
@@ -230,6 +235,7 @@
     cores: float
     body_memory_mb: float
     learn_endpoint_capacity: bool
+    bound_endpoint_memory: bool
     reserve_retries: bool
     unread_timeout_s: float
     memory_mb: float | None
--- a/persimmonroute/gateway/offers.py
+++ b/persimmonroute/gateway/offers.py
@@ -88,7 +88,12 @@
     """Offer the requests of this gateway to hosts, and follow the replies."""
 
     def __init__(
-        self, runner_registry, directory, locality, identifies_callers=True
+        self,
+        runner_registry,
+        directory,
+        locality,
+        identifies_callers=True,
+        states_sizes=False,
     ):
         super().__init__()
         self._runner_registry = runner_registry
@@ -96,6 +101,8 @@
         self._locality = locality
         # Whether hosts may reserve capacity for the callers of offers.
         self._identifies_callers = identifies_callers
+        # Whether hosts bound what endpoints hold.
+        self._states_sizes = states_sizes
         self._offers = {}
         # Requests in flight, by offer id.
         self._leases = {}
@@ -336,6 +343,11 @@
             version=pending.version,
             limits=self._report_limits(state.group, now),
         )
+        if self._states_sizes:
+            offer = offer._replace(
+                prompt_tokens=pending.request.prompt_tokens,
+                output_tokens=pending.request.output_tokens,
+            )
         if not self._runner_registry.reports_cost(pending.service):
             return offer
         if self._identifies_callers:
--- a/persimmonroute/gateway/runners.py
+++ b/persimmonroute/gateway/runners.py
@@ -7,6 +7,7 @@
 
 from persimmonroute.gateway import endpoint_capacity
 from persimmonroute.gateway import endpoint_limits
+from persimmonroute.gateway import endpoint_memory
 from persimmonroute.gateway.model import Ending
 from persimmonroute.gateway import work_model
 
@@ -113,6 +114,18 @@
             return own
         return own + sum(self.peer_in_flight.values())
 
+    @property
+    def held_tokens(self):
+        """Return the most tokens that the in-flight requests may hold.
+
+        Requests that were granted elsewhere are of unknown size.
+        """
+        return sum(
+            endpoint_memory.count_tokens(pending.request)
+            for pending in self.in_flight.values()
+            if pending is not None
+        )
+
     @property
     def leaving(self):
         """Return whether the endpoint is leaving."""
--- a/persimmonroute/gateway/scheduler.py
+++ b/persimmonroute/gateway/scheduler.py
@@ -7,6 +7,7 @@
 import typing
 
 from persimmonroute import blackboard
+from persimmonroute.gateway import endpoint_memory
 from persimmonroute.gateway import forecast
 from persimmonroute.gateway import messages
 from persimmonroute.gateway import model
@@ -91,6 +92,7 @@
         self._placement = placement
         self._peers = peer_registry
         self._slot_policy = slot_policy
+        self._memory = endpoint_memory.EndpointMemory()
         self._order = order or queue_order.QueueOrder()
         self._queues = {}
         self._forecast = forecast.ArrivalForecast()
@@ -106,8 +108,9 @@
         return self._placement
 
     def set_services(self, services):
-        """Apply the slots per endpoint that the configuration sets."""
+        """Apply the slots and the memory that the configuration states."""
         self._slot_policy.set_services(services)
+        self._memory.set_services(services)
 
     def take_wakeup_at(self):
         """Return and clear the next wakeup time; infinity for none."""
@@ -224,10 +227,11 @@
         ranked = None
         if self._slot_policy.has_free(service, now):
             ranked = self._rank_queue(service, now)
+            kept = []
             for _, group in itertools.groupby(
                 ranked, key=lambda entry: int(entry.rank)
             ):
-                if not self._grant_tier(service, list(group), now):
+                if not self._grant_tier(service, list(group), kept, now):
                     break
         if self._must_shed(service, now):
             ranked = ranked or self._rank_queue(service, now)
@@ -238,7 +242,8 @@
         free = self._slot_policy.find_free(
             pending.service, self.rank(pending, now), pending.tier, now
         )
-        return _list_accepted(pending, list(free))
+        accepted = _list_accepted(pending, list(free))
+        return self._memory.select(pending, accepted)
 
     def _rank_queue(self, service, now):
         queue = self._queue(service)
@@ -307,19 +312,29 @@
         for service in list(self._queues):
             self.dispatch_ready(service, now)
 
-    def _grant_tier(self, service, ranked, now):
-        """Grant requests of one tier; return whether slots are left."""
+    def _grant_tier(self, service, ranked, kept, now):
+        """Grant requests of one tier; return whether slots are left.
+
+        kept lists the endpoint that is kept for a request which is too large
+        for the memory that is left, so that no smaller one takes it.
+        """
         queue = self._queue(service)
         first = ranked[0]
         free = self._slot_policy.find_free(
             service, first.rank, first.pending.tier, now
         )
+        for view in kept:
+            free.pop(view, None)
         for entry in ranked:
             if not free:
                 return False
             pending = entry.pending
             allowed = self.version_policy.filter(pending, free, now)
-            views = _list_accepted(pending, allowed)
+            accepted = _list_accepted(pending, allowed)
+            views = self._memory.select(pending, accepted)
+            if accepted and not views and not kept:
+                kept.append(endpoint_memory.find_emptiest(accepted))
+                del free[kept[0]]
             view = self._placement.choose(pending, views, self.limit_of, now)
             if view is None:
                 continue
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -82,6 +82,7 @@
             directory,
             own_locality,
             settings.reserve_retries,
+            settings.bound_endpoint_memory,
         ),
         admission_host.AdmissionHost(
             board.runner_registry, scheduler.placement, own_locality
@@ -155,7 +156,10 @@
 
     def on_table_change(now):
         if board.route_table is not None:
-            dispatcher.set_services(board.route_table.configuration.services)
+            services = board.route_table.configuration.services
+            if not settings.bound_endpoint_memory:
+                services = [s._replace(kv_tokens=0) for s in services]
+            dispatcher.set_services(services)
         dispatcher.dispatch_ready(now)
 
     rows = peer_rows.PeerRowsClient(
