Merge the reading of responses for callers that are behind

Slow readers no longer make endpoints cut off valid responses, and their slots are released once the endpoint is done.

--- a/persimmonroute/platform/ingress.py
+++ b/persimmonroute/platform/ingress.py
@@ -12,6 +12,7 @@
 from persimmonroute.events import Event
 from persimmonroute.gateway import forwarding
 from persimmonroute.gateway import model
+from persimmonroute.gateway import unread_response
 from persimmonroute import logs
 from persimmonroute.platform import names
 
@@ -82,7 +83,7 @@
                 return await _read_body(receive, max_bytes, held)
 
     async def _serve(self, request, caller, receive):
-        serving = asyncio.ensure_future(self._forwarder.serve(request, caller))
+        serving = asyncio.ensure_future(self._forward(request, caller))
         watching = asyncio.ensure_future(_wait_for_disconnect(receive))
         try:
             await asyncio.wait(
@@ -97,6 +98,12 @@
         finally:
             watching.cancel()
             serving.cancel()
+            caller.close()
+
+    async def _forward(self, request, caller):
+        await self._forwarder.serve(request, caller)
+        # A response that broke off ends after what has arrived of it.
+        await caller.flush()
 
     async def _report_fault(self, request, caller, error):
         log.emit(
@@ -115,10 +122,23 @@
         self._send = send
         self._board = board
         self._method = scope['method']
+        self._scope = scope
+        # Servers without an account wait for the caller in _send.
+        self._is_behind = scope.get('state', {}).get('is_behind', _is_never)
+        # Created for a caller that falls behind.
+        self._unread = None
         self.attempt = None
         self.response_started = False
         self.response_complete = False
 
+    @property
+    def behind(self):
+        """Return whether data would wait for the caller to read."""
+        unread = self._unread
+        if unread is not None and unread.pending:
+            return True
+        return self._is_behind()
+
     async def begin(self, status, headers):
         """Send the status and headers of the response."""
         self.response_started = True
@@ -134,13 +154,40 @@
         )
 
     async def send(self, data):
-        """Send a chunk of the response body."""
+        """Send a chunk of the response body, or keep it for later."""
+        if self.behind:
+            if self._unread is None:
+                self._unread = self._build_unread()
+            await self._unread.add(data)
+        else:
+            await self._send_body(data)
+
+    async def flush(self):
+        """Wait until the caller has got what was sent."""
+        if self._unread is not None:
+            await self._unread.flush()
+
+    def close(self):
+        """Drop what was not written to a caller that is gone."""
+        if self._unread is not None:
+            self._unread.close()
+
+    def _build_unread(self):
+        return unread_response.UnreadResponse(
+            self._send_body,
+            self._board.slow_readers,
+            caller_account.find_holding(self._scope),
+            self.attempt and self.attempt.decode('latin-1'),
+        )
+
+    async def _send_body(self, data):
         await self._send(
             {'type': 'http.response.body', 'body': data, 'more_body': True}
         )
 
     async def finish(self):
         """End a complete response."""
+        await self.flush()
         self.response_complete = True
         await self._send(
             {'type': 'http.response.body', 'body': b'', 'more_body': False}
@@ -167,6 +214,10 @@
         """Leave the response incomplete; the server closes the connection."""
 
 
+def _is_never():
+    return False
+
+
 def read_request(scope, body):
     """Build a Request from an ASGI scope and the request body."""
     headers = scope['headers']
