Forward open orders of rollouts to gateways cut off from the store

Cause: gateways learned of an order only from the store's feed. One that was cut off from it before the order used all versions: as a host it sent the target 133 requests where 98 are allowed, and a good version was not completed. Both tests test_gateway_is_cut_off_from_the_store failed for that.

Change: the reports of load carry the open orders that the sender has read from the store, with row version, era, time since the issue, outcome and versions that were not accepted, up to 30 s after the outcome. The receiver orders them by era and row version; a response of the store that is newer than what was forwarded takes precedence; a known outcome is not undone. A gateway that the store has not told of an order reports as a host and follows the plan, but does not control it. Event 745 and a gauge tell operators. Without an order, or without the settings for rollouts, no byte is sent. Rollouts.adopt ignores an order of an earlier era, which only forwarding can bring.

--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -226,6 +226,12 @@
         'WARNING',
         'outcome of a rollout written again: the table lacked it',
     )
+    ROLLOUT_FORWARDED = EventKind(
+        745,
+        'WARNING',
+        'order to move a service to another version is followed as another '
+        'gateway forwards it; the store has not told of it here',
+    )
     CALLERS_REFUSED = EventKind(
         750,
         'WARNING',
--- a/persimmonroute/gateway/admission_codec.py
+++ b/persimmonroute/gateway/admission_codec.py
@@ -12,6 +12,7 @@
 from persimmonroute.gateway.peer_reading import read_text
 from persimmonroute.gateway import rollout_control
 from persimmonroute.gateway import rollout_evidence
+from persimmonroute.gateway import rollout_forwarding
 from persimmonroute.generated import peers_pb2 as pb
 
 MAX_UINT32 = 2**32 - 1
@@ -26,6 +27,12 @@
 MAX_LOG = 20.0
 MAX_REGIONS = 256
 MAX_REASON_CHARACTERS = 300
+# An order lasts for a week at most and may be kept open by a store that is
+# down; a year is longer than any process runs.
+MAX_ORDER_S = 604_800.0
+MAX_ORDER_AGE_MS = 366 * 86_400_000
+# Versions that a service does not use after earlier orders, as remembered.
+MAX_REJECTED = 16
 
 
 def encode(batch):
@@ -262,6 +269,53 @@
     )
 
 
+def encode_order(forwarded):
+    """Encode a ForwardedOrder."""
+    order = forwarded.order
+    outcome = forwarded.outcome
+    return pb.ForwardedOrder(
+        service=order.service,
+        target=order.target,
+        duration_s=order.duration_s,
+        revision=order.revision,
+        era_plus_one=forwarded.era + 1,
+        age_ms_plus_one=_age_ms(forwarded.age_s) + 1,
+        outcome='' if outcome is None else outcome.value,
+        reason=forwarded.reason[:MAX_REASON_CHARACTERS],
+        rejected=forwarded.rejected,
+    )
+
+
+def decode_order(order, store_era):
+    """Return the ForwardedOrder of a message, or raise ValueError.
+
+    store_era is the era that its sender knows, in which the order must have
+    been read, or before.
+    """
+    if not order.era_plus_one or not order.age_ms_plus_one:
+        raise ValueError('the era or the age of the order is not known')
+    if len(order.rejected) > MAX_REJECTED:
+        raise ValueError('there are too many rejected versions')
+    outcome = None
+    if order.outcome:
+        outcome = rollout_control.Phase(order.outcome)
+        if not outcome.final:
+            raise ValueError(f'{order.outcome!r} is no outcome')
+    return rollout_forwarding.ForwardedOrder(
+        rollout_control.Order(
+            read_text(order.service),
+            read_text(order.target),
+            read_number(order.duration_s, 0.0, MAX_ORDER_S),
+            read_integer(order.revision),
+        ),
+        read_integer(order.era_plus_one - 1, store_era),
+        read_integer(order.age_ms_plus_one - 1, MAX_ORDER_AGE_MS) / 1000,
+        outcome,
+        read_optional_text(order.reason),
+        tuple(read_text(version) for version in order.rejected),
+    )
+
+
 def _add_reply(encoded, reply):
     added = encoded.replies.add(offer_id=reply.offer_id)
     if isinstance(reply, messages.Grant):
@@ -439,6 +493,10 @@
     return round(min(seconds * 1000, MAX_MS)) if seconds > 0 else 0
 
 
+def _age_ms(seconds):
+    return round(min(max(seconds, 0.0) * 1000, MAX_ORDER_AGE_MS))
+
+
 def _signed_ms(seconds):
     return round(min(max(seconds * 1000, -MAX_SIGNED_MS), MAX_SIGNED_MS))
 
--- a/persimmonroute/gateway/metrics.py
+++ b/persimmonroute/gateway/metrics.py
@@ -280,6 +280,11 @@
             ' version, and bad responses of it.',
             labels=['service', 'version', 'kind'],
         )
+        forwarded = prometheus.GaugeMetricFamily(
+            'persimmonroute_rollout_forwarded',
+            '1 while the order is known from another gateway only.',
+            labels=['service', 'version'],
+        )
         for rollout in rollouts:
             plan, labels = rollout.plan, rollout.order[:2]
             phases.add_metric([*labels, plan.phase.value], 1)
@@ -288,7 +293,9 @@
             counts.add_metric([*labels, 'exposed'], rollout.exposed)
             bad = rollout.evidence.count(rollout.order.target).failed
             counts.add_metric([*labels, 'bad'], bad)
+            forwarded.add_metric(labels, bool(rollout.forwarded_by))
         yield phases
+        yield forwarded
         yield shares
         yield counts
 
--- a/persimmonroute/gateway/peer_link.py
+++ b/persimmonroute/gateway/peer_link.py
@@ -19,6 +19,7 @@
 from persimmonroute.gateway.peer_reading import read_text
 from persimmonroute.gateway import peers
 from persimmonroute.gateway import quarantine
+from persimmonroute.gateway import rollout_forwarding
 from persimmonroute.generated import peers_pb2 as pb
 from persimmonroute import logs
 
@@ -72,6 +73,9 @@
         # Admission messages to each gateway, until the end of this step of
         # the event loop.
         self._outgoing = {}
+        # Tell and receive the ForwardedOrders, where rollouts are served.
+        self.list_forwarded = lambda now: ()
+        self.receive_forwarded = lambda peer, orders, now: None
 
     def connection_made(self, transport):
         """Start to send reports."""
@@ -127,6 +131,8 @@
         if self._board.apply_peer_report(report, now):
             self._newest_sent_at_ms[message.name] = message.sent_at_ms
             self._confirm_configuration(message, now)
+            if report.orders:
+                self.receive_forwarded(report.name, report.orders, now)
             self._board.registration_changes.record_peer(
                 message.store_era, message.registrations_version, now
             )
@@ -302,6 +308,10 @@
             admission_codec.encode_limit(limit)
             for limit in board.runner_registry.limits.report(now)
         )
+        report.orders.extend(
+            admission_codec.encode_order(forwarded)
+            for forwarded in self.list_forwarded(now)
+        )
         return report
 
     def _confirm_configuration(self, message, now):
@@ -423,4 +433,13 @@
                 'limit', message.limits, admission_codec.decode_limit
             )
         ),
+        orders=tuple(
+            parts.read_all(
+                'order',
+                message.orders[: rollout_forwarding.MAX_FORWARDED],
+                lambda order: admission_codec.decode_order(
+                    order, message.store_era
+                ),
+            )
+        ),
     )
--- a/persimmonroute/gateway/peers.py
+++ b/persimmonroute/gateway/peers.py
@@ -11,6 +11,7 @@
 from persimmonroute.gateway import groups
 from persimmonroute.gateway.locality import Distance
 from persimmonroute.gateway import quarantine
+from persimmonroute.gateway import rollout_forwarding
 
 # Reports older than this many of the sender's report intervals are ignored;
 # two in a row may be lost.
@@ -89,6 +90,8 @@
     leaving: tuple[tuple[str, int], ...] = ()
     # What endpoints told the gateway of their limits.
     limits: tuple[endpoint_limits.LimitReport, ...] = ()
+    # Open orders of rollouts that the gateway has read.
+    orders: tuple[rollout_forwarding.ForwardedOrder, ...] = ()
     # Time until the next report, unless it is lost.
     interval_s: float = DEFAULT_REPORT_INTERVAL_S
     # True in the last report of a gateway that stops.
--- a/persimmonroute/gateway/rollout_keeping.py
+++ b/persimmonroute/gateway/rollout_keeping.py
@@ -23,6 +23,7 @@
 from persimmonroute.gateway import rollout_control
 from persimmonroute.gateway.rollout_control import Order
 from persimmonroute.gateway.rollout_control import Phase
+from persimmonroute.gateway import rollout_forwarding
 from persimmonroute.gateway import rollout_reports
 from persimmonroute import logs
 
@@ -59,6 +60,9 @@
 CLAIM_VALID_S = 3.0
 # Pause of a controller after another one has claimed its order.
 CLAIM_PAUSE_S = 1.0
+# The store tells all gateways of an order within milliseconds; one that only
+# other gateways have told of for longer is logged.
+FORWARDED_GRACE_S = 1.0
 IN_PROGRESS = 'in_progress'
 STATES = {Phase.COMPLETED: 'completed', Phase.ROLLED_BACK: 'rolled_back'}
 
@@ -189,6 +193,8 @@
         # Until when gateways that did not answer are not asked.
         self._silent_until = {}
         self._ended_before = set()
+        # Called when peers have to learn of an order or an outcome.
+        self.on_change = lambda: None
 
     def adopt_orders(self, changes):
         """Follow the orders among the Changes of their table."""
@@ -199,21 +205,57 @@
                 self._unchecked.add(order)
                 self._rollouts.find(order.service).unconfirmed = True
                 self._must_read = True
+            elif adopted:
+                self.on_change()
 
     def _adopt(self, order, given_at, era):
         given_at = min(given_at, clock.now_s())
         adopted = self._rollouts.adopt(order, given_at, era)
         if adopted:
-            log.emit(
-                Event.ROLLOUT_ORDERED,
-                service=order.service,
-                target=order.target,
-                duration_s=order.duration_s,
-                revision=order.revision,
-            )
-            self._work.set()
+            self._on_adopted(order)
         return adopted
 
+    def _on_adopted(self, order):
+        """Begin to carry out a new order."""
+        log.emit(
+            Event.ROLLOUT_ORDERED,
+            service=order.service,
+            target=order.target,
+            duration_s=order.duration_s,
+            revision=order.revision,
+        )
+        self._work.set()
+
+    def list_forwarded(self, now):
+        """Return the ForwardedOrders that peers have to know."""
+        return rollout_forwarding.list_forwarded(self._rollouts, now)
+
+    def receive_forwarded(self, peer, orders, now):
+        """Follow the orders and outcomes that a gateway has read."""
+        for forwarded in orders:
+            if self._rollouts.adopt_forwarded(forwarded, peer, now):
+                self._on_adopted(forwarded.order)
+            rollout = self._rollouts.find(forwarded.order.service)
+            if rollout is not None and rollout.has_read(forwarded):
+                self._apply_forwarded(rollout, forwarded, peer, now)
+
+    def _apply_forwarded(self, rollout, forwarded, peer, now):
+        """Apply what a gateway has read of an order that is known here."""
+        rollout.given_at = min(rollout.given_at, now - forwarded.age_s)
+        rollout.reject(forwarded.rejected)
+        # Only the store changes an outcome that is known.
+        if forwarded.outcome is None or rollout.phase.final:
+            return
+        self._record_phase(rollout, forwarded.outcome, forwarded.reason, now)
+        log.emit(
+            Event.ROLLOUT_FOLLOWED,
+            service=rollout.order.service,
+            target=rollout.order.target,
+            phase=rollout.phase.value,
+            controller=peer,
+            reason=rollout.reason,
+        )
+
     def on_store_restored(self):
         """Read all rows of a store that may have lost some."""
         self._stored.clear()
@@ -318,16 +360,13 @@
                 rollout.reject((*row.rejected, row.order.target))
             return
         rollout.given_at = min(rollout.given_at, row.given_at)
+        rollout.forwarded_by = ''
         rollout.reject(row.rejected)
         before = rollout.phase
-        rollout.record_stored(row.phase, row.reason, now)
         controller = self._find_controller(rollout)
         if controller is not None:
             controller.record_claim(row.controller == self._board.name, now)
-            controller.control.record_phase(rollout.phase, now)
-            if rollout.phase.final and not before.final:
-                controller.plan = rollout.plan
-                self._push(controller, now)
+        self._record_phase(rollout, row.phase, row.reason, now)
         if rollout.phase is not before:
             log.emit(
                 Event.ROLLOUT_STORED,
@@ -337,6 +376,20 @@
                 reason=row.reason,
             )
 
+    def _record_phase(self, rollout, phase, reason, now):
+        """Record a phase that the store has, also for the hosts."""
+        before = rollout.phase
+        rollout.record_stored(phase, reason, now)
+        ended = rollout.phase.final and not before.final
+        controller = self._find_controller(rollout)
+        if controller is not None:
+            controller.control.record_phase(rollout.phase, now)
+            if ended:
+                controller.plan = rollout.plan
+                self._push(controller, now)
+        if ended:
+            self.on_change()
+
     async def _check_status(self):
         """Leave the orders alone whose end the status already tells."""
         for order in list(self._unchecked):
@@ -347,6 +400,7 @@
                 status = await self._rows.read_status(order.service)
                 if _has_ended(order, status):
                     self._ended_before.add(order)
+                    rollout.ended_before = True
                     rollout.record_stored(
                         status.phase, 'ended before', clock.now_s()
                     )
@@ -387,6 +441,15 @@
                 return True
         return self._board.peers.is_responsible(_name_subject(rollout), now)
 
+    def _may_control(self, rollout):
+        """Return whether this gateway knows enough to control an order.
+
+        One that the store has not told of may be old, or replaced.
+        """
+        if not self._loaded or rollout.order in self._unchecked:
+            return False
+        return not rollout.forwarded_by
+
     def _is_controlling(self, now):
         return any(
             self._is_responsible(rollout, now)
@@ -415,9 +478,10 @@
             if self._is_settled(rollout):
                 continue
             unsettled = True
+            self._warn_of_forwarded(rollout, now)
             if not rollout.phase.final:
                 self._report(rollout, now)
-            if not self._loaded or rollout.order in self._unchecked:
+            if not self._may_control(rollout):
                 continue
             if self._is_responsible(rollout, now):
                 self._control(rollout, now)
@@ -426,6 +490,23 @@
             # The rows are not followed until the next order.
             self._loaded = False
 
+    def _warn_of_forwarded(self, rollout, now):
+        """Log once that the store has not told of a forwarded order."""
+        if not rollout.forwarded_by or rollout.warned:
+            return
+        if now - rollout.received_at < FORWARDED_GRACE_S:
+            return
+        rollout.warned = True
+        log.emit(
+            Event.ROLLOUT_FORWARDED,
+            service=rollout.order.service,
+            target=rollout.order.target,
+            revision=rollout.order.revision,
+            era=rollout.era,
+            age_s=round(now - rollout.given_at, 3),
+            gateway=rollout.forwarded_by,
+        )
+
     def _report(self, rollout, now):
         """Send the evidence of the groups hosted here to the controller."""
         service = rollout.order.service
@@ -470,7 +551,7 @@
             self._send_plan(peer, rollout.plan, report, 0, now)
             return
         # Without the row it is not known how far a former controller was.
-        if not self._loaded:
+        if not self._loaded or rollout.forwarded_by:
             return
         controller = self._take_controller(rollout)
         controller.asked_at = now
--- a/persimmonroute/gateway/rollouts.py
+++ b/persimmonroute/gateway/rollouts.py
@@ -18,6 +18,9 @@
 # Registrations of the old endpoints, which stop at the completion, have
 # lapsed by then. Versions that come later need no order.
 COMPLETED_HOLD_S = 30.0
+# A forwarded order that is open for longer after its time has ended, since the
+# store and the outcome reach some gateway within seconds.
+FORWARDED_HOLD_S = 30.0
 # Stands for all versions other than the target in the evidence.
 OTHER_VERSIONS = ''
 # Earlier orders of a service that are remembered, and versions that were not
@@ -48,13 +51,23 @@
         self.given_at = given_at
         # Era of the store in which it was first read.
         self.era = era
+        # ServiceRollout of the order before, until the next one.
+        self.replaced = None
         # Versions of earlier orders that were not accepted.
         self.rejected = ()
         # Version that an earlier order completed, or None. A row that was
         # restored from an older copy may not tell that.
         self.accepted = None
-        # True until the store told whether the order ended long ago.
+        # True until the store told whether the order ended long ago, and
+        # whether it has.
         self.unconfirmed = False
+        self.ended_before = False
+        # Gateway that forwarded the order, until the store tells it; empty if
+        # it was read from the store.
+        self.forwarded_by = ''
+        # When a forwarded order was received, and whether that was logged.
+        self.received_at = -math.inf
+        self.warned = False
         # Newest phase that the store is known to have, and why.
         self.phase = Phase.WAITING
         self.reason = ''
@@ -92,6 +105,20 @@
         completed = self.plan.phase is Phase.COMPLETED
         return completed and now > self._ended_at + COMPLETED_HOLD_S
 
+    def has_read(self, forwarded):
+        """Return whether a ForwardedOrder is the one that is followed."""
+        return (self.order, self.era) == (forwarded.order, forwarded.era)
+
+    def is_outdated(self, now):
+        """Return whether a forwarded order ended without notice to this one.
+
+        Its sender may be cut off, and keep it open for ever.
+        """
+        if not self.forwarded_by or self.phase.final:
+            return False
+        ends_at = self.given_at + self.order.duration_s
+        return now > ends_at + FORWARDED_HOLD_S
+
     def apply_plan(self, plan, confirmed_at, now):
         """Follow a plan for this order, which a controller confirmed."""
         if plan.revision != self.order.revision:
@@ -104,6 +131,12 @@
             self._outcomes.apply(plan, confirmed_at)
             self._ended_at = min(self._ended_at, now)
 
+    def confirm(self, given_at, era):
+        """Record that the store has an order that was forwarded."""
+        self.forwarded_by = ''
+        self.given_at = min(self.given_at, given_at)
+        self.era = era
+
     def record_stored(self, phase, reason, now):
         """Record the phase in the store; a final one is never left.
 
@@ -224,6 +257,8 @@
         rollout = self._services.get(service)
         if rollout is None or rollout.is_over(now):
             return None
+        if rollout.is_outdated(now):
+            return None
         if rollout.unconfirmed and not self._has_others(rollout.order):
             return None
         return rollout
@@ -235,30 +270,79 @@
         )
 
     def adopt(self, order, given_at, era):
-        """Follow an order and return True if it is a new one.
+        """Follow an order of the store and return True if it is a new one.
 
         Row versions only grow within one era of the store. In a later era an
-        order is new unless it was known before.
+        order is new unless it was known before. given_at is the earliest time
+        at which the store can have told of it.
+        """
+        while True:
+            known = self._services.get(order.service)
+            if known is None or not known.forwarded_by:
+                break
+            if order == known.order:
+                known.confirm(given_at, era)
+                return False
+            if given_at < known.received_at or _is_newer(order, era, known):
+                break
+            # The store does not have what was forwarded.
+            self._drop_forwarded(known)
+        return self._adopt(order, given_at, era)
+
+    def adopt_forwarded(self, forwarded, peer, now):
+        """Follow an order that a gateway forwarded; return whether it is new.
+
+        It counts from the time at which it was issued.
         """
+        given_at = now - forwarded.age_s
+        if forwarded.outcome is None:
+            ends_at = given_at + forwarded.order.duration_s
+            if now > ends_at + FORWARDED_HOLD_S:
+                return False
+        adopted = self._adopt(forwarded.order, given_at, forwarded.era)
+        if adopted:
+            rollout = self._services[forwarded.order.service]
+            rollout.forwarded_by = peer
+            rollout.received_at = now
+        return adopted
+
+    def _adopt(self, order, given_at, era):
         service = order.service
         known = self._services.get(service)
         former = self._former.setdefault(service, [])
         if known is not None:
-            newer = order.revision > known.order.revision or era > known.era
+            newer = _is_newer(order, era, known)
             if not newer or order == known.order or order in former:
                 return False
             former.append(known.order)
             del former[:-MAX_FORMER]
         rollout = ServiceRollout(order, given_at, era)
+        rollout.replaced = known
         if known is not None:
             rollout.accepted = known.accepted
             if known.plan.phase is Phase.COMPLETED:
                 rollout.accepted = known.order.target
             else:
                 rollout.reject((*known.rejected, known.order.target))
+            known.replaced = None
         self._services[service] = rollout
         return True
 
+    def _drop_forwarded(self, rollout):
+        """Go back to what was known before an order was forwarded."""
+        service = rollout.order.service
+        former = self._former[service]
+        if rollout.replaced is None:
+            del self._services[service]
+            return
+        self._services[service] = rollout.replaced
+        former.remove(rollout.replaced.order)
+
+
+def _is_newer(order, era, known):
+    """Return whether an order was written after the known one."""
+    return (era, order.revision) > (known.era, known.order.revision)
+
 
 class GroupPolicy(rollout_exposure.VersionPolicy):
     """Limit the grants of a group that is hosted here by the plans."""
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -191,6 +191,9 @@
             rollout_bounds,
         )
         configuration_follower.on_orders = keeper.adopt_orders
+        link.list_forwarded = keeper.list_forwarded
+        link.receive_forwarded = keeper.receive_forwarded
+        keeper.on_change = link.schedule_reports
         keepers.append(keeper)
     followers = [
         configuration_follower,
--- a/standins/rollout_simulation.py
+++ b/standins/rollout_simulation.py
@@ -292,6 +292,8 @@
         ]
         self.sent = []
         self.message_bytes = []
+        # Lengths of the forwarded orders in the reports.
+        self.forwarded_bytes = []
         # Time between the reports of gateways to one another.
         self.peer_report_s = PEER_REPORT_S
         self._sequence = 0
@@ -413,6 +415,19 @@
                     ),
                     now,
                 )
+                if not first:
+                    self._forward_orders(other, gateway, now)
+
+    def _forward_orders(self, sender, receiver, now):
+        """Deliver the orders in a report as they arrive in a datagram."""
+        for forwarded in sender.keeper.list_forwarded(now):
+            data = admission_codec.encode_order(forwarded).SerializeToString()
+            self.forwarded_bytes.append(len(data))
+            decoded = admission_codec.decode_order(
+                admission_codec.pb.ForwardedOrder.FromString(data),
+                sender.client.era or 0,
+            )
+            receiver.keeper.receive_forwarded(sender.name, [decoded], now)
 
     async def _send_requests(self):
         """Grant requests at the host, whatever the gateways do."""
