Filter endpoints by version in one method of the scheduler

Cause: Scheduler.find_free did not ask the version policy, so during a rollout `persimmonroute where` named endpoints that a grant would not use. Besides, the command failed at the host of a group once it had granted a request: the host's scheduler reads `returning`, which a PendingRequest did not have.

Change: grants, shedding and find_free filter in _list_allowed. A PendingRequest is one of a new caller.

--- a/persimmonroute/gateway/messages.py
+++ b/persimmonroute/gateway/messages.py
@@ -48,6 +48,9 @@
         # Arrival of the caller's first attempt; retries after a rejection
         # are served before new requests of the same rank.
         self.first_arrived_at = now - age_s
+        # Only the host of a group knows the callers that it refused; to its
+        # scheduler, a request that is previewed is new.
+        self.returning = False
         self.sequence = 0
         # Failure domain from which distances to endpoints are measured; None
         # for that of this gateway.
--- a/persimmonroute/gateway/scheduler.py
+++ b/persimmonroute/gateway/scheduler.py
@@ -238,7 +238,18 @@
         free = self._slot_policy.find_free(
             pending.service, self.rank(pending, now), pending.tier, now
         )
-        return _list_accepted(pending, list(free))
+        return list(self._list_allowed(pending, free, now))
+
+    def _list_allowed(self, pending, views, now):
+        """Return the views that a request may be sent to by its version.
+
+        Grants, shedding and previews all ask here, so that a preview names no
+        endpoint that a grant would not use.
+        """
+        allowed = self.version_policy.filter(pending, views, now)
+        if not pending.excluded and pending.version is None:
+            return allowed
+        return [view for view in allowed if messages.accepts(pending, view)]
 
     def _rank_queue(self, service, now):
         queue = self._queue(service)
@@ -318,8 +329,7 @@
             if not free:
                 return False
             pending = entry.pending
-            allowed = self.version_policy.filter(pending, free, now)
-            views = _list_accepted(pending, allowed)
+            views = self._list_allowed(pending, free, now)
             view = self._placement.choose(pending, views, self.limit_of, now)
             if view is None:
                 continue
@@ -390,8 +400,7 @@
             pending = entry.pending
             service_time_s = self._service_time_s(pending)
             wait_s = None
-            allowed = self.version_policy.filter(pending, views, now)
-            accepted = _list_accepted(pending, allowed)
+            accepted = self._list_allowed(pending, views, now)
             if accepted:
                 # What is ahead may use all slots, a begun stream only those
                 # of its version.
@@ -450,13 +459,6 @@
         return self._queues.setdefault(service, {})
 
 
-def _list_accepted(pending, views):
-    """Return the views of the endpoints that a request may be sent to."""
-    if not pending.excluded and pending.version is None:
-        return views
-    return [view for view in views if messages.accepts(pending, view)]
-
-
 def _find_caller_wait_s(pending, now):
     """Return for how many seconds the caller is expected to wait."""
     wait_s = CALLER_WAIT_OBJECTIVES * pending.route.objective_s
--- a/persimmonroute/tests/commands/where_tests.py
+++ b/persimmonroute/tests/commands/where_tests.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import io
+import json
 import unittest
 
 from persimmonroute.commands import where
@@ -47,6 +48,26 @@
         self.assertRegex(printed, 'goes to: r')
         self.assertEqual(self._count_runs(), before)
 
+    async def test_gateway_that_hosts_the_group(self):
+        """Guards against a preview that fails once requests were granted."""
+        response = await self.deployment.call('/book/x')
+        self.assertEqual(response.status, 200)
+        address = self.deployment.settings[0].metrics_address
+        printed = io.StringIO()
+        with contextlib.redirect_stdout(printed):
+            await where.where(
+                address,
+                {
+                    'host': deployments.HOST,
+                    'path': '/book/x',
+                    'workspace': 'desk',
+                },
+                True,
+            )
+        (group,) = json.loads(printed.getvalue())['services'][0]['groups']
+        self.assertTrue(group['exact'])
+        self.assertIsNotNone(group['endpoint'])
+
     async def test_rejections_are_told(self):
         """Unknown routes and workspaces are told as callers get them."""
         printed = await self._ask(host=deployments.HOST, path='/none/x')
--- a/persimmonroute/tests/gateway/rollout_tests.py
+++ b/persimmonroute/tests/gateway/rollout_tests.py
@@ -539,6 +539,22 @@
         main = policy.list_main(fixtures.SERVICE, usable, 1.0)
         self.assertEqual(versions(main), {'v2'})
 
+    def test_preview_names_what_a_grant_would_use(self):
+        """Guards against an answer of `where` that a grant contradicts."""
+        self.board.rollouts.adopt(ORDER, 0.0, 1)
+        scheduler = self.host._find_group(GROUP, 0.0).scheduler
+        pending = fixtures.pending_request()
+        free = scheduler.find_free(pending, 0.0)
+        self.assertEqual(versions(free), {'v1'})
+        self._rollout.apply_plan(plan(Phase.CUTOVER, 1.0), 1.0, 1.0)
+        free = scheduler.find_free(pending, 1.0)
+        self.assertEqual(versions(free), {'v2'})
+        pending.version = 'v1'
+        free = scheduler.find_free(pending, 1.0)
+        self.assertEqual(versions(free), {'v1'})
+        # A question is no grant: it takes nothing from the share.
+        self.assertEqual(self._rollout.requests, 0)
+
     def test_stream_goes_on_at_the_target(self):
         """A stream that began there is not limited by the share."""
         self.board.rollouts.adopt(ORDER, 0.0, 1)
