Leave new versions alone without contact to the store and peers

Cause: a gateway that neither the store nor a peer can tell of an order used the endpoints of each version that it saw, also of the target of that order.

Change: where rollouts are served, endpoints of a version that was first seen after the last confirmation of the table op, by the store or by a peer, get no requests, unless the version is the target of a known order. The versions that a service begins with are known. A gauge tells which versions are held.

--- a/persimmonroute/gateway/metrics.py
+++ b/persimmonroute/gateway/metrics.py
@@ -261,6 +261,16 @@
 
     def _collect_rollouts(self):
         """Yield what the groups hosted here granted and got of rollouts."""
+        held = prometheus.GaugeMetricFamily(
+            'persimmonroute_rollout_held',
+            '1 while the version gets no requests: it was first seen after'
+            ' the last contact with the store or a peer.',
+            labels=['service', 'version'],
+        )
+        for labels in self._board.rollouts.list_held():
+            held.add_metric(labels, 1)
+        if held.samples:
+            yield held
         rollouts = list(self._board.rollouts)
         if not rollouts:
             return
--- a/persimmonroute/gateway/rollouts.py
+++ b/persimmonroute/gateway/rollouts.py
@@ -240,6 +240,9 @@
         self._services = {}
         # Earlier orders, which a restored store may list again.
         self._former = {}
+        # Freshness of the table that has the orders, here and at peers; None
+        # where no rollouts are served.
+        self.contact = None
 
     def __iter__(self):
         return iter(list(self._services.values()))
@@ -263,6 +266,41 @@
             return None
         return rollout
 
+    def list_known(self, service, views):
+        """Return the views whose version was known at the last contact.
+
+        A gateway that neither the store nor a peer has told since that there
+        is no order leaves new versions alone, other than a known target.
+        """
+        registry, contact = self._runner_registry, self.contact
+        if contact is None:
+            return views
+        confirmed_at = contact.confirmed_at
+        if registry.newest_version_at <= confirmed_at:
+            return views
+        rollout = self._services.get(service)
+        target = None if rollout is None else rollout.order.target
+        return [
+            view
+            for view in views
+            if view.record.version == target
+            or registry.first_seen_at(view.record) <= confirmed_at
+        ]
+
+    def list_held(self):
+        """Return the services and versions that list_known() leaves out."""
+        if self.contact is None:
+            return []
+        versions = {}
+        for view in self._runner_registry:
+            key = (view.record.service, view.record.version)
+            versions.setdefault(key, view)
+        return [
+            key
+            for key, view in versions.items()
+            if not self.list_known(key[0], [view])
+        ]
+
     def _has_others(self, order):
         return any(
             view.record.version != order.target and not view.leaving
@@ -353,6 +391,7 @@
 
     def filter(self, pending, views, now):
         """Return the views that the plan allows."""
+        views = self._rollouts.list_known(self._group.service, views)
         rollout = self._find(now)
         if rollout is None:
             return views
@@ -362,6 +401,7 @@
 
     def list_main(self, service, views, now):
         """Return the views that serve most new requests of the group."""
+        views = self._rollouts.list_known(service, views)
         rollout = self._find(now)
         if rollout is None:
             return views
@@ -408,6 +448,7 @@
 
     def filter(self, pending, views, now):
         """Return the views that are safe while an order is open."""
+        views = self._rollouts.list_known(pending.service, views)
         rollout = self._rollouts.find_limiting(pending.service, now)
         if rollout is None:
             return views
@@ -416,6 +457,7 @@
 
     def list_main(self, service, views, now):
         """Return the views that serve most new requests."""
+        views = self._rollouts.list_known(service, views)
         rollout = self._rollouts.find_limiting(service, now)
         if rollout is None:
             return views
--- a/persimmonroute/gateway/runners.py
+++ b/persimmonroute/gateway/runners.py
@@ -46,6 +46,8 @@
 LEAVING_REPORT_S = 10.0
 
 
+# Versions of a service of which it is remembered when they were first seen.
+MAX_SEEN_VERSIONS = 256
 # Versions of endpoints that are gone are remembered this long.
 VERSION_HISTORY_S = 60.0
 
@@ -271,6 +273,11 @@
         # When each version of a service was last seen with an endpoint that
         # is gone.
         self._former_versions = {}
+        # When each version of a service was first seen, by service; -infinity
+        # for those that the service began with.
+        self._first_seen = {}
+        # When a version was last seen for the first time.
+        self.newest_version_at = -math.inf
         # Services whose earlier versions the store has told.
         self._stored_services = frozenset()
         # Incarnations that said they are leaving, and when.
@@ -306,6 +313,7 @@
         """
         removed_views = []
         self._listed_at = min(self._listed_at, now)
+        self._record_versions(records, now)
         for record in records:
             self._held.pop(record.id, None)
             replaced = self._apply_record(record, now)
@@ -426,6 +434,28 @@
         self._removed.pop(record.incarnation, None)
         return view
 
+    def _record_versions(self, records, now):
+        """Record which versions of known services are new."""
+        known = set(self._first_seen)
+        for record in records:
+            versions = self._first_seen.setdefault(record.service, {})
+            if record.version in versions:
+                continue
+            new = record.service in known
+            versions[record.version] = now if new else -math.inf
+            if new:
+                self.newest_version_at = now
+            if len(versions) > MAX_SEEN_VERSIONS:
+                del versions[next(iter(versions))]
+
+    def first_seen_at(self, record):
+        """Return when the version of an endpoint was first seen.
+
+        It is -infinity for versions that the service began with.
+        """
+        versions = self._first_seen.get(record.service, {})
+        return versions.get(record.version, -math.inf)
+
     def find_versions(self, service, now):
         """Return the versions of a service seen lately.
 
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -97,6 +97,7 @@
 def build_rollout_keeper(board, scheduler, dispatcher, rows, bounds):
     """Build what serves rollouts, and connect it with the schedulers."""
     keeper = rollout_keeping.RolloutKeeper(board, dispatcher, rows, bounds)
+    board.rollouts.contact = board.configuration_freshness
     scheduler.version_policy = rollouts.OwnPolicy(board.rollouts)
     dispatcher.serve_rollouts(
         lambda group: rollouts.GroupPolicy(board.rollouts, group),
--- a/persimmonroute/tests/gateway/rollout_forwarding_tests.py
+++ b/persimmonroute/tests/gateway/rollout_forwarding_tests.py
@@ -439,6 +439,27 @@
 
         self.play(test)
 
+    def test_gateway_without_store_and_peers(self):
+        """Guards against a target that appears at a gateway cut off."""
+
+        async def test(fleet):
+            for gateway in fleet.gateways:
+                fleet.register(gateway, ('v1',))
+            await asyncio.sleep(3.0)
+            host = fleet.host
+            fleet.isolate(host)
+            self._cut_off(host)
+            await asyncio.sleep(1.0)
+            fleet.store.order(target='v3')
+            for gateway in fleet.gateways:
+                fleet.register(gateway, ('v1', 'v3'))
+            began_at = clock.now_s()
+            await asyncio.sleep(DURATION_S)
+            sent = {s.version for s in fleet.sent if s.at > began_at}
+            self.assertEqual(sent, {'v1'})
+
+        self.play(test)
+
     def test_nothing_is_sent_long_after_the_end(self):
         """Guards against reports that grow with each order ever given."""
 
@@ -476,3 +497,87 @@
                 self.assertEqual(len(warned(emit)), 1)
 
         self.play(test)
+
+
+class ContactTests(unittest.TestCase):
+    """Use versions while neither the store nor a peer confirms anything."""
+
+    def setUp(self):
+        """Prepare a gateway with endpoints of one version."""
+        self.board = fixtures.board(now=0.0, runners=['v1-0'])
+        self.board.rollouts.contact = self.board.configuration_freshness
+
+    def _start(self, version, now):
+        self.board.runner_registry.apply(
+            [fixtures.runner(f'{version}-0', version=version)], (), False, now
+        )
+
+    def _list_used(self, now):
+        """Return the versions that each of the policies uses."""
+        views = list(self.board.runner_registry.of_service(fixtures.SERVICE))
+        pending = fixtures.pending_request(now)
+        used = []
+        for policy in (
+            rollouts.GroupPolicy(self.board.rollouts, GROUP),
+            rollouts.OwnPolicy(self.board.rollouts),
+        ):
+            for found in (
+                policy.filter(pending, views, now),
+                policy.list_main(fixtures.SERVICE, views, now),
+            ):
+                used.append({view.record.version for view in found})
+        self.assertTrue(all(versions == used[0] for versions in used))
+        return used[0]
+
+    def test_version_that_is_seen_without_contact(self):
+        """Guards against the target of an order that nobody could tell."""
+        self._start('v2', 5.0)
+        self.assertEqual(self._list_used(6.0), {'v1'})
+        self.assertEqual(self._list_used(60.0), {'v1'})
+        self.assertEqual(
+            self.board.rollouts.list_held(), [(fixtures.SERVICE, 'v2')]
+        )
+        # A response from before does not tell of a later order.
+        self.board.configuration_freshness.confirm(4.9, 61.0)
+        self.assertEqual(self._list_used(61.0), {'v1'})
+        self.board.configuration_freshness.confirm(61.5, 62.0)
+        self.assertEqual(self._list_used(62.0), {'v1', 'v2'})
+        self.assertEqual(self.board.rollouts.list_held(), [])
+
+    def test_known_version_is_used_on(self):
+        """Guards against a gateway that refuses all after an outage."""
+        self._start('v2', 5.0)
+        self.board.configuration_freshness.confirm(6.0, 6.0)
+        self.board.runner_registry.apply((), ['v2-0'], False, 50.0)
+        self._start('v2', 60.0)
+        self.assertEqual(self._list_used(60.0), {'v1', 'v2'})
+
+    def test_versions_that_a_service_begins_with(self):
+        """The first endpoints of a service need no order."""
+        records = [
+            fixtures.runner(f'other-{version}', version=version)
+            for version in ('v7', 'v8')
+        ]
+        self.board.runner_registry.apply(
+            [record._replace(service='other') for record in records],
+            (),
+            False,
+            5.0,
+        )
+        self.assertEqual(self.board.rollouts.list_held(), [])
+
+    def test_target_of_a_known_order(self):
+        """The order itself limits its target, and completes it."""
+        self.board.rollouts.adopt(ORDER, 1.0, 1)
+        self._start('v2', 5.0)
+        self.assertEqual(self._list_used(6.0), {'v1'})
+        rollout = self.board.rollouts.find(fixtures.SERVICE)
+        rollout.record_stored(COMPLETED, '', 7.0)
+        self.assertEqual(self._list_used(7.0), {'v2'})
+
+    def test_gateway_without_the_settings(self):
+        """Guards against a part that is active without its settings."""
+        self.board.rollouts.contact = None
+        self._start('v2', 5.0)
+        self.assertEqual(self._list_used(6.0), {'v1', 'v2'})
+        self.assertEqual(self.board.rollouts.list_held(), [])
--- a/standins/rollout_simulation.py
+++ b/standins/rollout_simulation.py
@@ -220,6 +220,7 @@
         self.in_flight = 0
         self.board = fixtures.board(now=clock.now_s(), name=name, runners=())
         self.board.registrations_read = True
+        self.board.rollouts.contact = self.board.configuration_freshness
         self.client = SimulatedClient(fleet.store)
         self.dispatcher = SimulatedDispatcher(fleet, self)
         self.keeper = rollout_keeping.RolloutKeeper(
