--- a/persimmonroute/gateway/admission_host.py
+++ b/persimmonroute/gateway/admission_host.py
@@ -68,6 +68,8 @@
 
     prompt: tuple[model.PromptPart, ...]
     prompt_tokens: int = 0
+    # Most tokens that the response may have.
+    output_tokens: int = 0
 
 
 class HostedRequest:
@@ -81,8 +83,11 @@
         self.offer = offer
         # Domain of the gateway, from which distances are measured.
         self.origin = failure_domain
-        self.request = HostedWork(offer.prompt, offer.prompt_tokens)
-        self.expected_output = offer.output_tokens
+        self.request = HostedWork(
+            offer.prompt, offer.prompt_tokens, offer.output_tokens
+        )
+        # A gateway of a former version states the most only.
+        self.expected_output = offer.expected_output or offer.output_tokens
         self.route = HostedRoute(offer.route, offer.objective_s)
         self.service = offer.service
         self.tier = offer.tier
--- a/persimmonroute/gateway/admission_messages.py
+++ b/persimmonroute/gateway/admission_messages.py
@@ -57,6 +57,8 @@
     prompt_tokens: int = 0
     # What endpoints of the group told the gateway since its last message.
     loads: tuple[LoadReport, ...] = ()
+    # Tokens that the response is expected to have; 0 if it is not known.
+    expected_output: int = 0
 
 
 class Grant(typing.NamedTuple):
--- a/persimmonroute/gateway/metrics.py
+++ b/persimmonroute/gateway/metrics.py
@@ -262,6 +262,16 @@
 
     def _collect_rollouts(self):
         """Yield what the groups hosted here granted and got of rollouts."""
+        held = prometheus.GaugeMetricFamily(
+            'persimmonroute_rollout_held',
+            '1 while the version gets no requests: it was first seen after'
+            ' the last contact with the store or a peer.',
+            labels=['service', 'version'],
+        )
+        for labels in self._board.rollouts.list_held():
+            held.add_metric(labels, 1)
+        if held.samples:
+            yield held
         rollouts = list(self._board.rollouts)
         if not rollouts:
             return
@@ -281,6 +291,11 @@
             ' version, and bad responses of it.',
             labels=['service', 'version', 'kind'],
         )
+        forwarded = prometheus.GaugeMetricFamily(
+            'persimmonroute_rollout_forwarded',
+            '1 while the order is known from another gateway only.',
+            labels=['service', 'version'],
+        )
         for rollout in rollouts:
             plan, labels = rollout.plan, rollout.order[:2]
             phases.add_metric([*labels, plan.phase.value], 1)
@@ -289,7 +304,9 @@
             counts.add_metric([*labels, 'exposed'], rollout.exposed)
             bad = rollout.evidence.count(rollout.order.target).failed
             counts.add_metric([*labels, 'bad'], bad)
+            forwarded.add_metric(labels, bool(rollout.forwarded_by))
         yield phases
+        yield forwarded
         yield shares
         yield counts
 
--- a/persimmonroute/gateway/offers.py
+++ b/persimmonroute/gateway/offers.py
@@ -360,7 +360,7 @@
         return offer._replace(
             prompt_tokens=pending.request.prompt_tokens,
             loads=self._report_loads(state.group, state.host, now),
-            output_tokens=pending.expected_output,
+            expected_output=pending.expected_output,
         )
 
     def _report_loads(self, group, host, now):
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -101,6 +101,7 @@
 def build_rollout_keeper(board, scheduler, dispatcher, rows, bounds):
     """Build what serves rollouts, and connect it with the schedulers."""
     keeper = rollout_keeping.RolloutKeeper(board, dispatcher, rows, bounds)
+    board.rollouts.contact = board.configuration_freshness
     scheduler.version_policy = rollouts.OwnPolicy(board.rollouts)
     dispatcher.serve_rollouts(
         lambda group: rollouts.GroupPolicy(board.rollouts, group),
@@ -198,6 +199,9 @@
             rollout_bounds,
         )
         configuration_follower.on_orders = keeper.adopt_orders
+        link.list_forwarded = keeper.list_forwarded
+        link.receive_forwarded = keeper.receive_forwarded
+        keeper.on_change = link.schedule_reports
         keepers.append(keeper)
     followers = [
         configuration_follower,
--- a/standins/rollout_simulation.py
+++ b/standins/rollout_simulation.py
@@ -220,6 +220,7 @@
         self.in_flight = 0
         self.board = fixtures.board(now=clock.now_s(), name=name, runners=())
         self.board.registrations_read = True
+        self.board.rollouts.contact = self.board.configuration_freshness
         self.client = SimulatedClient(fleet.store)
         self.dispatcher = SimulatedDispatcher(fleet, self)
         self.keeper = rollout_keeping.RolloutKeeper(
@@ -292,6 +293,8 @@
         ]
         self.sent = []
         self.message_bytes = []
+        # Lengths of the forwarded orders in the reports.
+        self.forwarded_bytes = []
         # Time between the reports of gateways to one another.
         self.peer_report_s = PEER_REPORT_S
         self._sequence = 0
@@ -413,6 +416,19 @@
                     ),
                     now,
                 )
+                if not first:
+                    self._forward_orders(other, gateway, now)
+
+    def _forward_orders(self, sender, receiver, now):
+        """Deliver the orders in a report as they arrive in a datagram."""
+        for forwarded in sender.keeper.list_forwarded(now):
+            data = admission_codec.encode_order(forwarded).SerializeToString()
+            self.forwarded_bytes.append(len(data))
+            decoded = admission_codec.decode_order(
+                admission_codec.pb.ForwardedOrder.FromString(data),
+                sender.client.era or 0,
+            )
+            receiver.keeper.receive_forwarded(sender.name, [decoded], now)
 
     async def _send_requests(self):
         """Grant requests at the host, whatever the gateways do."""
