Leave connections to new callers beside unfinished bodies

Cause: where all connections had bodies that began or made progress within the last second, a new connection found nobody who gives way and was refused with "too many connections". A new connection that was accepted in between was also closed for the next one, before its request was read.

Change: bodies beyond three quarters of the connections give way to new connections, the one that began last first. Connections without a request are passed over for one second while others can give way, and a step of the event loop accepts no more connections than are left beside bodies.

--- a/persimmonroute/caller_account.py
+++ b/persimmonroute/caller_account.py
@@ -27,6 +27,11 @@
 # store (32), three ports with 8 connections and 8 that are just accepted
 # each (48), and callers' connections that are just accepted (64).
 OWN_DESCRIPTORS = 144
+# Connections accepted in one step of the event loop, which are also the
+# attempts when no descriptor is left.
+MAX_ACCEPTS = 32
+# Steps of the event loop from accepting a connection to reading its data.
+STEPS_UNTIL_READ = 3
 # Each request also takes a connection to an endpoint.
 DESCRIPTORS_PER_CONNECTION = 2
 # A process whose settings state too little still serves a few callers.
@@ -36,7 +41,11 @@
 # some to the others.
 LARGE_BODY_BYTES = 262_144
 LARGE_SHARE = 0.75
-# A request without progress for this long gives way to others in an overload.
+# Where all connections are taken, bodies that make progress keep this share of
+# them; the rest is left to new connections.
+BODY_CONNECTION_SHARE = 0.75
+# A request without progress for this long gives way to others in an overload,
+# and so does a connection without a request.
 # A caller on a link of 5 Mbit/s sends PROGRESS_BYTES in 7 ms.
 STALL_S = 1.0
 PROGRESS_BYTES = 4096
@@ -122,6 +131,9 @@
         self.request = 0
         # Requests that were complete.
         self.served = 0
+        # When the connection reached its stage, and when it last made
+        # progress.
+        self.entered_at = opened_at
         self.progress_at = opened_at
         self._progress_bytes = 0
 
@@ -150,6 +162,7 @@
         """Record that the connection reached a stage."""
         if stage is not self.stage and self.stage is not Stage.CLOSING:
             self.stage = stage
+            self.entered_at = now
             self.progress_at = now
             self._progress_bytes = 0
             self.served += stage is Stage.PASSED_ON
@@ -228,6 +241,16 @@
     return state['holding']
 
 
+def _may_give_way(holding, now, idle_s):
+    """Return whether a connection may be closed for a new one."""
+    quiet_s = now - holding.progress_at
+    if holding.stage in (Stage.IDLE, Stage.HEAD):
+        return quiet_s >= idle_s
+    if holding.stage is Stage.BODY:
+        return quiet_s >= STALL_S
+    return holding.stage is Stage.CLOSING
+
+
 class CallerAccount:
     """Account for all connections of callers of one process."""
 
@@ -247,11 +270,28 @@
         """Return the holdings of all connections."""
         return tuple(self._holdings)
 
+    @property
+    def accepts_per_step(self):
+        """Return how many connections are accepted at once.
+
+        Three steps pass until the first data of a connection are read. Until
+        then those that are accepted after it must not take its place.
+        """
+        if math.isinf(self.limits.connections):
+            return MAX_ACCEPTS
+        kept = math.floor(BODY_CONNECTION_SHARE * self.limits.connections)
+        spare = (self.limits.connections - kept) // STEPS_UNTIL_READ
+        return int(max(1, min(spare, MAX_ACCEPTS)))
+
     def open(self, now, close):
         """Return the Holding of a new connection, or None to refuse it."""
         holding = Holding(self, now, close)
         if len(self._holdings) >= self.limits.connections:
-            victim = self._find_idle(now)
+            victim = (
+                self._find_idle(now, STALL_S)
+                or self._find_newest_body()
+                or self._find_idle(now, 0.0)
+            )
             if victim is None:
                 return None
             victim.close(Reason.CONNECTIONS)
@@ -331,21 +371,18 @@
         holding.detach()
         holding.stage = Stage.CLOSING
 
-    def _find_idle(self, now):
+    def _find_idle(self, now, idle_s):
         """Return the connection that gives way to a new one, or None.
 
         Those that were refused go first, then those that never sent a
-        request, then the oldest.
+        request, then the oldest. A connection without a request gives way
+        after idle_s, which leaves a new one the time until it is read.
         """
         return max(
             (
                 holding
                 for holding in self._holdings
-                if holding.stage in (Stage.CLOSING, Stage.IDLE, Stage.HEAD)
-                or (
-                    holding.stage is Stage.BODY
-                    and now - holding.progress_at >= STALL_S
-                )
+                if _may_give_way(holding, now, idle_s)
             ),
             key=lambda h: (
                 h.stage is Stage.CLOSING,
@@ -355,6 +392,17 @@
             default=None,
         )
 
+    def _find_newest_body(self):
+        """Return the body that began last, or None.
+
+        None is returned while bodies are within their share of the
+        connections.
+        """
+        bodies = [h for h in self._holdings if h.stage is Stage.BODY]
+        if len(bodies) <= BODY_CONNECTION_SHARE * self.limits.connections:
+            return None
+        return max(bodies, key=lambda h: h.entered_at)
+
     def _find_stalled(self, now, needs_body=False):
         """Return who holds most for longest without progress, or None."""
         return max(
--- a/persimmonroute/caller_protocol.py
+++ b/persimmonroute/caller_protocol.py
@@ -55,11 +55,7 @@
 REFUSAL_BYTES = 1_048_576
 # Time after which a refused caller may come back.
 RETRY_S = 0.1
-# Connections accepted in one step of the event loop. It tries as many also
-# when no descriptor is left.
-ACCEPTS_PER_STEP = 32
-# Connections, and those accepted in one step, of a port that callers do not
-# use.
+# Connections of a port that callers do not use.
 SMALL_PORT_CONNECTIONS = 8
 # Bytes of released bodies after which unreachable objects are collected, and
 # the time in which their requests end. Requests are in reference cycles, so
@@ -163,12 +159,10 @@
         self,
         account=None,
         read_limits=ConnectionLimits,
-        accepts_per_step=ACCEPTS_PER_STEP,
     ):
         self.account = account or caller_account.CallerAccount()
         # Returns the ConnectionLimits that apply now.
         self.read_limits = read_limits
-        self.accepts_per_step = accepts_per_step
         self.parse_queue = ParseQueue()
         self._checked_at = None
         self._caught_up = False
@@ -219,10 +213,7 @@
 def build_small_guard():
     """Return the guard of a port for probes, metrics or peers."""
     limits = caller_account.AccountLimits(connections=SMALL_PORT_CONNECTIONS)
-    return ConnectionGuard(
-        caller_account.CallerAccount(limits),
-        accepts_per_step=SMALL_PORT_CONNECTIONS,
-    )
+    return ConnectionGuard(caller_account.CallerAccount(limits))
 
 
 class CallerProtocol(h11_impl.H11Protocol):
--- a/persimmonroute/http_server.py
+++ b/persimmonroute/http_server.py
@@ -214,6 +214,6 @@
         lifespan='off',
         timeout_keep_alive=KEEP_ALIVE_S,
         timeout_graceful_shutdown=int(grace_s),
-        backlog=guard.accepts_per_step,
+        backlog=guard.account.accepts_per_step,
     )
     return SignalFreeServer(config, accepted_grace_s, guard)
--- a/persimmonroute/tests/caller_account_tests.py
+++ b/persimmonroute/tests/caller_account_tests.py
@@ -67,6 +67,37 @@
         self.assertEqual(len(self.account.holdings), CONNECTIONS)
         self.assertIn('new', self.closed)
 
+    def test_bodies_that_all_just_began_leave_room(self):
+        """Guards against bodies that refuse ordinary callers in turn."""
+        for number in range(CONNECTIONS):
+            holding = self.open(number, Stage.BODY, now=number / 10)
+            holding.record_body(caller_account.PROGRESS_BYTES, 0.5)
+        self.assertIsNotNone(self.open('new', now=0.5))
+        self.assertEqual(self.closed, {CONNECTIONS - 1: Reason.CONNECTIONS})
+
+    def test_bodies_with_progress_keep_their_share(self):
+        """Guards against progress that is lost for new connections."""
+        for number in range(CONNECTIONS):
+            self.open(number, Stage.BODY, now=number / 10)
+        for number in range(100):
+            holding = self.open(f'new-{number}', now=0.5 + number / 1000)
+            holding.enter(Stage.BODY, 0.5 + number / 1000)
+        self.assertFalse({0, 1, 2} & self.closed.keys())
+
+    def test_connection_that_was_not_read_yet_keeps_its_place(self):
+        """Guards against ordinary callers closed before they are read."""
+        self.account.limits = caller_account.AccountLimits(connections=56)
+        for number in range(56):
+            self.open(number, Stage.BODY)
+        ordinary = self.open('ordinary', now=0.5)
+        steps = caller_account.STEPS_UNTIL_READ
+        for number in range(steps * self.account.accepts_per_step - 1):
+            self.open(f'other-{number}', now=0.6)
+        self.assertNotIn('ordinary', self.closed)
+        ordinary.enter(Stage.PASSED_ON, 0.6)
+        self.open('last', now=0.6)
+        self.assertNotIn('ordinary', self.closed)
+
     def test_closed_connections_count_no_more(self):
         """Guards against an account that only grows."""
         for number in range(3 * CONNECTIONS):
