Count unsent response bytes when they are written

Cause: the bytes that a connection has written and not sent were looked at every 0.5 s, so responses could exceed the memory in between. A change of their number counted as progress of the caller, also if it was an addition.

Change: the transport of a caller's connection reports each write, and the account closes connections then if the limit is exceeded. Progress is counted by the bytes that were sent. Refusals written meanwhile begin no second round.

--- a/persimmonroute/caller_account.py
+++ b/persimmonroute/caller_account.py
@@ -264,6 +264,9 @@
         self.responses_cut = 0
         self._holdings = {}
         self._search_at = -math.inf
+        # Whether connections are being closed. A refusal is written then,
+        # which counts as well.
+        self._relieving = False
 
     @property
     def holdings(self):
@@ -344,8 +347,15 @@
 
         A response is cut only if nothing else is left.
         """
-        if self._has_memory(0) or now < self._search_at:
+        if self._relieving or now < self._search_at:
             return
+        self._relieving = True
+        try:
+            self._relieve(now)
+        finally:
+            self._relieving = False
+
+    def _relieve(self, now):
         while not self._has_memory(0):
             victim = (
                 self._find_stalled(now)
--- a/persimmonroute/caller_protocol.py
+++ b/persimmonroute/caller_protocol.py
@@ -152,6 +152,39 @@
             super().resume_reading()
 
 
+class CountedTransport:
+    """Pass on the calls of a transport, and report each write."""
+
+    def __init__(self, transport, on_write):
+        self._transport = transport
+        self._on_write = on_write
+        self._written = 0
+
+    def __getattr__(self, name):
+        """Return a method of the transport."""
+        return getattr(self._transport, name)
+
+    @property
+    def unsent(self):
+        """Return the bytes that are written and not sent."""
+        return self._transport.get_write_buffer_size()
+
+    @property
+    def sent(self):
+        """Return the bytes that were sent."""
+        return self._written - self.unsent
+
+    def write(self, data):
+        """Write data, and report that."""
+        self._written += len(data)
+        self._transport.write(data)
+        self._on_write()
+
+    def detach(self):
+        """Forget the connection."""
+        self._on_write = _do_nothing
+
+
 class ConnectionGuard:
     """Check the connections of one server against their limits."""
 
@@ -236,15 +269,16 @@
         self._received = 0
         self._content = 0
         # When the connection was opened or its head began, when it was last
-        # read, and when its unsent bytes last changed.
+        # read, and when bytes were last found sent or none were left.
         self._began_at = self._read_at = self._sent_at = 0.0
-        self._unsent = 0
+        self._sent = 0
 
     def connection_made(self, transport):
         """Hand the means to reset the connection to the application."""
+        transport.max_size = caller_account.READ_BYTES
+        transport = CountedTransport(transport, self._count_written)
         super().connection_made(transport)
         self.flow = BoundedFlow(transport, self._has_backlog)
-        transport.max_size = caller_account.READ_BYTES
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         now = clock.now_s()
         self._began_at = self._read_at = self._sent_at = now
@@ -282,6 +316,7 @@
         # runs, which is late where many connections come and go.
         self._holding.close = _do_nothing
         self.flow.detach()
+        self.transport.detach()
         self.app_state = {}
 
     def timeout_keep_alive_handler(self):
@@ -293,6 +328,17 @@
             timeouts.CATCH_UP_S, super().timeout_keep_alive_handler
         )
 
+    def resume_writing(self):
+        """Account for what was sent, and let the application go on."""
+        self._count_written()
+        super().resume_writing()
+
+    def _count_written(self):
+        """Account for the bytes that are written and not sent."""
+        unsent = self.transport.unsent
+        if self._holding is not None and unsent != self._holding.written:
+            self._holding.set_written(unsent, clock.now_s())
+
     def data_received(self, data):
         """Parse data, or let them wait for their turn."""
         if self._ended_at is not None:
@@ -337,12 +383,12 @@
 
     def check(self, limits, now):
         """Close the connection if its time is over."""
-        unsent = self.transport.get_write_buffer_size()
-        if not unsent or unsent != self._unsent:
+        unsent, sent = self.transport.unsent, self.transport.sent
+        if not unsent or sent != self._sent:
             self._sent_at = now
             if unsent:
                 self._holding.record_read(now)
-        self._unsent = unsent
+        self._sent = sent
         self._holding.set_written(unsent, now)
         if self._ended_at is not None:
             if now - self._ended_at > REFUSAL_S:
--- a/persimmonroute/tests/caller_protocol_tests.py
+++ b/persimmonroute/tests/caller_protocol_tests.py
@@ -8,6 +8,7 @@
 
 from persimmonroute import caller_account
 from persimmonroute import caller_protocol
+from persimmonroute import clock
 from persimmonroute import http_server
 from standins import gateway_deployment as deployments
 
@@ -202,6 +203,50 @@
             while self.guard.account.holdings:
                 await asyncio.sleep(0.05)
 
+    async def test_unsent_bytes_are_counted_when_they_are_written(self):
+        """Guards against responses that exceed the memory between checks."""
+        self.guard.check = lambda connections, now: None
+        self.app.response_bytes = 16_000_000
+        self.writer.transport.pause_reading()
+        self.writer.write(REQUEST + b'content-length: 0\r\n\r\n')
+        (holding,) = self.guard.account.holdings
+        async with asyncio.timeout(END_S):
+            while not self.app.served:
+                await asyncio.sleep(0.01)
+            (connection,) = self.server.server_state.connections
+            unsent = connection.transport.get_write_buffer_size()
+            self.assertGreater(unsent, self.app.response_bytes // 2)
+            self.assertEqual(holding.written, unsent)
+            # What is sent is released without a check as well.
+            self.writer.transport.resume_reading()
+            await self._read_response()
+            while holding.written > caller_protocol.WRITE_BUFFER_BYTES:
+                await asyncio.sleep(0.01)
+
+    async def test_unread_response_that_is_written_is_cut(self):
+        """Guards against a limit that takes effect at the next check only."""
+        now = clock.now_s()
+        self.guard.check = lambda connections, now: None
+        self.app.response_bytes = 16_000_000
+        (holding,) = self.guard.account.holdings
+        account = self.guard.account
+        account.limits = caller_account.AccountLimits(memory_bytes=1_000_000)
+        closed = []
+        other = account.open(now, closed.append)
+        other.enter(
+            caller_account.Stage.PASSED_ON,
+            now - 2 * caller_account.UNREAD_STALL_S,
+        )
+        other.add_queued(500_000, now)
+        self.writer.transport.pause_reading()
+        self.writer.write(REQUEST + b'content-length: 0\r\n\r\n')
+        async with asyncio.timeout(END_S):
+            while not self.app.served:
+                await asyncio.sleep(0.01)
+        self.assertEqual(closed, [caller_account.Reason.MEMORY])
+        self.assertEqual(account.responses_cut, 1)
+        self.assertGreater(holding.written, 1_000_000)
+
     async def test_nothing_is_held_after_connections_end(self):
         """Guards against an account that only grows."""
         self.writer.write(REQUEST + b'content-length: 10\r\n\r\nabc')
