Pause accepting before descriptors run out

Cause: at the limit connections were accepted and refused, as fast as they came. Without max_descriptors, callers could take all descriptors of the process, and connections to endpoints and the store could not be opened.

Change: the reader of a listening socket is replaced by our own, which may be removed and added again. Accepting pauses while the descriptors in use reach the limit of the process less an eighth (128 at most; a quarter of that for the ports of probes, metrics and peers), unless an idle connection or a stalled body gives way. While all places are taken, it pauses until one is free, and every 0.1 s one step of connections is refused. Event 752, counter persimmonroute_accepting_pauses_total.

--- a/persimmonroute/caller_account.py
+++ b/persimmonroute/caller_account.py
@@ -40,6 +40,13 @@
 STEPS_UNTIL_READ = 3
 # Each request also takes a connection to an endpoint.
 DESCRIPTORS_PER_CONNECTION = 2
+# Share and number of the descriptors that accepting leaves to connections to
+# endpoints and the store, whatever the settings state.
+SPARE_SHARE = 0.125
+MAX_SPARE_DESCRIPTORS = 128
+# Share of these that ports for probes, metrics and peers leave, so that a
+# probe is answered while accepting callers pauses.
+SMALL_PORT_SHARE = 0.25
 # A process whose settings state too little still serves a few callers.
 MIN_MEMORY_BYTES = 8 * MEGABYTE
 MIN_CONNECTIONS = 8
@@ -119,6 +126,17 @@
     )
 
 
+def derive_max_used(limit, small_port=False):
+    """Return how many descriptors may be in use when accepting.
+
+    limit is how many the process may have.
+    """
+    if math.isinf(limit):
+        return limit
+    spare = min(SPARE_SHARE * limit, MAX_SPARE_DESCRIPTORS)
+    return int(limit - (SMALL_PORT_SHARE * spare if small_port else spare))
+
+
 def measure_headers(headers):
     """Return the bytes to be counted for the headers of an open request."""
     size = sum(len(name) + len(value) for name, value in headers)
@@ -274,6 +292,8 @@
         self.refusals = collections.Counter()
         # Responses that were cut so that others can be served.
         self.responses_cut = 0
+        # Pauses of accepting.
+        self.pauses = 0
         self._holdings = {}
         self._search_at = -math.inf
         # Whether connections are being closed. A refusal is written then,
@@ -302,25 +322,36 @@
         """Return the Holding of a new connection, or None to refuse it."""
         holding = Holding(self, now, close)
         if len(self._holdings) >= self.limits.connections:
-            victim = (
-                self._find_idle(now, STALL_S)
-                or self._find_newest_body()
-                or self._find_idle(now, 0.0)
-            )
-            if victim is None:
+            if not self.make_place(now):
                 return None
-            victim.close(Reason.CONNECTIONS)
-            self.close(victim)
         self._holdings[holding] = None
         self.used += CONNECTION_BYTES
         return holding
 
+    def make_place(self, now):
+        """Close a connection for a new one; return False if there is none."""
+        victim = (
+            self._find_idle(now, STALL_S)
+            or self._find_newest_body()
+            or self._find_idle(now, 0.0)
+        )
+        if victim is None:
+            return False
+        victim.close(Reason.CONNECTIONS)
+        self.close(victim)
+        return True
+
     def close(self, holding):
-        """Forget a connection that is closed, with all that it holds."""
-        if holding in self._holdings:
+        """Forget a connection that is closed, with all that it holds.
+
+        Returns whether it was counted.
+        """
+        counted = holding in self._holdings
+        if counted:
             holding.detach()
             del self._holdings[holding]
             self.used -= CONNECTION_BYTES
+        return counted
 
     def add(self, size):
         """Count bytes that are held, or released if negative."""
--- a/persimmonroute/caller_metrics.py
+++ b/persimmonroute/caller_metrics.py
@@ -59,3 +59,9 @@
     )
     cut.add_metric([], account.responses_cut)
     yield cut
+    pauses = prometheus.CounterMetricFamily(
+        'persimmonroute_accepting_pauses',
+        'Pauses of accepting for lack of places or descriptors.',
+    )
+    pauses.add_metric([], account.pauses)
+    yield pauses
--- a/persimmonroute/caller_protocol.py
+++ b/persimmonroute/caller_protocol.py
@@ -192,14 +192,20 @@
         self,
         account=None,
         read_limits=ConnectionLimits,
+        small_port=False,
     ):
         self.account = account or caller_account.CallerAccount()
+        # Whether the port is one that callers do not use.
+        self.small_port = small_port
+        # Set by the server: pause and resume accepting.
+        self.pause_accepting = self.resume_accepting = _do_nothing
         # Returns the ConnectionLimits that apply now.
         self.read_limits = read_limits
         self.parse_queue = ParseQueue()
         self._checked_at = None
         self._caught_up = False
         self._reported = collections.Counter()
+        self._reported_pauses = 0
         # Bytes of bodies that were released since the last collection.
         self._garbage = 0
 
@@ -241,12 +247,22 @@
                 held_bytes=self.account.used,
                 refused=dict(sorted(new.items())),
             )
+        pauses = self.account.pauses - self._reported_pauses
+        if pauses:
+            self._reported_pauses = self.account.pauses
+            log.emit(
+                Event.ACCEPTING_PAUSED,
+                connections=len(self.account.holdings),
+                pauses=pauses,
+            )
 
 
 def build_small_guard():
     """Return the guard of a port for probes, metrics or peers."""
     limits = caller_account.AccountLimits(connections=SMALL_PORT_CONNECTIONS)
-    return ConnectionGuard(caller_account.CallerAccount(limits))
+    return ConnectionGuard(
+        caller_account.CallerAccount(limits), small_port=True
+    )
 
 
 class CallerProtocol(h11_impl.H11Protocol):
@@ -294,6 +310,7 @@
             'holding': self._holding,
         }
         if refused:
+            self._guard.pause_accepting()
             self.refuse(Reason.CONNECTIONS)
 
     def _reset(self):
@@ -307,7 +324,8 @@
     def connection_lost(self, exc):
         """Release what the connection holds."""
         self._guard.record_released(self.loop, self._holding.body)
-        self._guard.account.close(self._holding)
+        if self._guard.account.close(self._holding):
+            self._guard.resume_accepting()
         self._waiting = b''
         super().connection_lost(exc)
         # The server leaves it after an error, and with it all buffers.
--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -238,6 +238,12 @@
         'response cut because its caller does not read; nothing else was left '
         'to release, or its time is over',
     )
+    ACCEPTING_PAUSED = EventKind(
+        752,
+        'WARNING',
+        'accepting connections paused because no place or descriptor was left '
+        'for them',
+    )
     RETRY_RESERVATIONS = EventKind(
         755, 'INFO', 'capacity was reserved for callers that were refused'
     )
--- a/persimmonroute/http_server.py
+++ b/persimmonroute/http_server.py
@@ -12,6 +12,7 @@
 
 import uvicorn
 
+from persimmonroute import accepting
 from persimmonroute import caller_account
 from persimmonroute.caller_account import Reason
 from persimmonroute import caller_protocol
@@ -113,13 +114,48 @@
         # Until when accepted connections may deliver a request; None for no
         # limit.
         self._ends_at = None
+        self._acceptors = []
 
     async def startup(self, sockets=None):
         """Listen, with a backlog that is longer than one step accepts."""
         await super().startup(sockets)
+        loop = asyncio.get_running_loop()
         for server in self.servers:
             for listener in server.sockets:
                 _set_backlog(listener.fileno(), BACKLOG)
+                acceptor = accepting.Acceptor(
+                    loop,
+                    listener.fileno(),
+                    self._build_protocol,
+                    self._guard.account,
+                    self._guard.small_port,
+                )
+                acceptor.start()
+                self._acceptors.append(acceptor)
+        self._guard.pause_accepting = self._pause_accepting
+        self._guard.resume_accepting = self._resume_accepting
+
+    def _build_protocol(self):
+        return self.config.http_protocol_class(
+            config=self.config,
+            server_state=self.server_state,
+            app_state=self.lifespan.state,
+        )
+
+    def _pause_accepting(self):
+        for acceptor in self._acceptors:
+            acceptor.pause()
+
+    def _resume_accepting(self):
+        for acceptor in self._acceptors:
+            acceptor.resume()
+
+    def _close_listeners(self):
+        for acceptor in self._acceptors:
+            acceptor.close()
+        # Set when the server has started.
+        for server in getattr(self, 'servers', ()):
+            server.close()
 
     async def on_tick(self, counter):
         """Check the connections from time to time."""
@@ -148,9 +184,7 @@
 
     def abort(self):
         """Close all sockets and cancel all requests at once."""
-        # Set when the server has started.
-        for server in getattr(self, 'servers', ()):
-            server.close()
+        self._close_listeners()
         for connection in list(self.server_state.connections):
             connection.transport.abort()
         for task in list(self.server_state.tasks):
@@ -170,9 +204,10 @@
         for server in self.servers:
             for listener in server.sockets:
                 _set_backlog(listener.fileno(), 0)
+        for acceptor in self._acceptors:
+            acceptor.drain()
         await asyncio.sleep(BACKLOG_DRAIN_S)
-        for server in self.servers:
-            server.close()
+        self._close_listeners()
         await asyncio.sleep(min(self._accepted_grace_s, self._find_left_s()))
         await super().shutdown(sockets)
 
@@ -214,6 +249,5 @@
         lifespan='off',
         timeout_keep_alive=KEEP_ALIVE_S,
         timeout_graceful_shutdown=int(grace_s),
-        backlog=guard.account.accepts_per_step,
     )
     return SignalFreeServer(config, accepted_grace_s, guard)
