Let peers and probes wait for a place instead of refusing them

Cause: the ports for peers, metrics and readiness have 8 places. Of 67 or 201 calls at once, one was refused in each of 15 bursts: the place of a connection that was accepted and not read yet was given to the next one, although others had been served. The control address is used by other gateways: each reads two tables at startup while the store does not answer, and the configuration when a peer reports a newer one.

Change: a connection that was served gives way before one that was accepted within the last 0.1 s. The small ports accept only when there is a place without a loss; else connections wait in the backlog.

--- a/persimmonroute/accepting.py
+++ b/persimmonroute/accepting.py
@@ -17,6 +17,8 @@
 # the last ones; they are refused at once if there still is none. A connection
 # that is closed ends the pause.
 PAUSE_S = 0.1
+# Time until a port that callers do not use looks again for a place.
+PLACE_WAIT_S = 0.01
 # Pause after accepting failed for lack of descriptors or memory.
 FAILURE_PAUSE_S = 1.0
 # Time between counts of all descriptors; a count of 4,000 takes about 1 ms.
@@ -62,8 +64,7 @@
         if self._closed or self._draining or self._timer is not None:
             return
         self._account.pauses += 1
-        self._loop.remove_reader(self._descriptor)
-        self._timer = self._loop.call_later(pause_s, self.resume)
+        self._wait(pause_s)
 
     def resume(self):
         """Go on after a pause."""
@@ -91,6 +92,9 @@
         """Accept the connections of one step."""
         count = self._account.accepts_per_step
         if not self._draining:
+            if self._small_port and not self._has_place():
+                self._wait(PLACE_WAIT_S)
+                return
             count = min(count, self._find_spare())
             if count <= 0 and not self._make_place():
                 return
@@ -113,6 +117,19 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    def _wait(self, wait_s):
+        self._loop.remove_reader(self._descriptor)
+        self._timer = self._loop.call_later(wait_s, self.resume)
+
+    def _has_place(self):
+        """Return whether another connection takes the place of nobody.
+
+        On a port that callers do not use, connections wait for that: peers
+        and probes may come at once, and are gone after one response.
+        """
+        pending = len(self._tasks)
+        return self._account.count_places(clock.now_s()) > pending
+
     def _find_spare(self):
         """Return how many connections may be accepted now."""
         limit = caller_account.derive_max_used(
--- a/persimmonroute/caller_account.py
+++ b/persimmonroute/caller_account.py
@@ -62,6 +62,9 @@
 # A caller on a link of 5 Mbit/s sends PROGRESS_BYTES in 7 ms.
 STALL_S = 1.0
 PROGRESS_BYTES = 4096
+# A connection may not have been read for this long after it was accepted. It
+# goes after those that were served.
+UNREAD_WAIT_S = 0.1
 # A response that is not read for this long may be cut if nothing else is left.
 UNREAD_STALL_S = 5.0
 # Time between two searches for someone who gives way, if there was none.
@@ -328,12 +331,31 @@
         self.used += CONNECTION_BYTES
         return holding
 
+    def count_places(self, now):
+        """Return how many connections find a place without a loss.
+
+        Free places are counted, those of connections that may give way and
+        have been read, and those of bodies beyond their share.
+        """
+        ready = sum(
+            _may_give_way(h, now, 0.0 if h.served else UNREAD_WAIT_S)
+            for h in self._holdings
+        )
+        bodies = sum(
+            h.stage is Stage.BODY and now - h.progress_at < STALL_S
+            for h in self._holdings
+        )
+        kept = BODY_CONNECTION_SHARE * self.limits.connections
+        ready += max(bodies - kept, 0)
+        return self.limits.connections - len(self._holdings) + ready
+
     def make_place(self, now):
         """Close a connection for a new one; return False if there is none."""
         victim = (
-            self._find_idle(now, STALL_S)
+            self._find_idle(now, STALL_S, STALL_S)
             or self._find_newest_body()
-            or self._find_idle(now, 0.0)
+            or self._find_idle(now, UNREAD_WAIT_S, 0.0)
+            or self._find_idle(now, 0.0, 0.0)
         )
         if victim is None:
             return False
@@ -424,18 +446,20 @@
         holding.detach()
         holding.stage = Stage.CLOSING
 
-    def _find_idle(self, now, idle_s):
+    def _find_idle(self, now, unserved_s, served_s):
         """Return the connection that gives way to a new one, or None.
 
         Those that were refused go first, then those that never sent a
         request, then the oldest. A connection without a request gives way
-        after idle_s, which leaves a new one the time until it is read.
+        after unserved_s if it never sent one, else after served_s.
         """
         return max(
             (
                 holding
                 for holding in self._holdings
-                if _may_give_way(holding, now, idle_s)
+                if _may_give_way(
+                    holding, now, served_s if holding.served else unserved_s
+                )
             ),
             key=lambda h: (
                 h.stage is Stage.CLOSING,
--- a/persimmonroute/tests/caller_account_tests.py
+++ b/persimmonroute/tests/caller_account_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 
 from persimmonroute import caller_account
@@ -98,6 +99,42 @@
         self.open('last', now=0.6)
         self.assertNotIn('ordinary', self.closed)
 
+    def test_served_connection_gives_way_to_one_that_was_not_read(self):
+        """Guards against peers refused in a burst of short calls."""
+        for number in range(CONNECTIONS - 1):
+            served = self.open(number, Stage.PASSED_ON, now=number / 1000)
+            served.enter(Stage.IDLE, number / 1000)
+        self.open('unread', now=0.01)
+        self.assertIsNotNone(self.open('new', now=0.02))
+        self.assertEqual(self.closed, {0: Reason.CONNECTIONS})
+
+    def test_abandoned_connection_gives_way_to_a_served_one(self):
+        """Guards against ordinary callers closed for abandoned connections."""
+        self.open('served', Stage.PASSED_ON).enter(Stage.IDLE, 0.0)
+        for number in range(CONNECTIONS - 1):
+            self.open(number, now=0.01)
+        now = 0.01 + caller_account.UNREAD_WAIT_S
+        self.assertIsNotNone(self.open('new', now=now))
+        self.assertNotIn('served', self.closed)
+
+    def test_places_are_counted_without_a_loss(self):
+        """Guards against ports that accept too much, or nothing any more."""
+        self.assertEqual(self.account.count_places(0.0), CONNECTIONS)
+        self.open('running', Stage.PASSED_ON)
+        self.open('unread')
+        self.open('served', Stage.PASSED_ON).enter(Stage.IDLE, 0.0)
+        self.open('head', Stage.HEAD)
+        self.assertEqual(self.account.count_places(0.0), 1)
+        now = caller_account.UNREAD_WAIT_S
+        self.assertEqual(self.account.count_places(now), 3)
+
+    def test_a_place_is_left_beside_bodies_with_progress(self):
+        """Guards against a probe that waits behind bodies without end."""
+        for number in range(CONNECTIONS):
+            self.open(number, Stage.BODY)
+        self.assertEqual(self.account.count_places(0.0), 1)
+        self.assertTrue(self.account.make_place(0.0))
+
     def test_closed_connections_count_no_more(self):
         """Guards against an account that only grows."""
         for number in range(3 * CONNECTIONS):
@@ -199,6 +236,14 @@
 class LimitTests(unittest.TestCase):
     """Derive limits from the settings of an instance."""
 
+    def test_descriptors_are_left_when_accepting_pauses(self):
+        """Guards against a process that cannot connect to endpoints."""
+        derive = caller_account.derive_max_used
+        self.assertEqual(derive(4100), 3972)
+        self.assertEqual(derive(4100, small_port=True), 4068)
+        self.assertEqual((derive(128), derive(128, True)), (112, 124))
+        self.assertEqual(derive(math.inf), math.inf)
+
     def test_nothing_is_limited_without_settings(self):
         """Guards against limits for deployments that state none."""
         limits = caller_account.derive_limits(None, 40, None, 1000)
