Test a server whose places are all taken by open requests

Three tests guard the pauses of accepting: callers beyond the places get 503, a place that becomes free is taken, and a planned stop ends a pause.

--- a/persimmonroute/tests/caller_protocol_tests.py
+++ b/persimmonroute/tests/caller_protocol_tests.py
@@ -55,6 +55,102 @@
         await send({'type': 'http.response.body', 'body': body})
 
 
+class HoldingApp:
+    """Answer no request before all are released."""
+
+    def __init__(self):
+        self.released = asyncio.Event()
+
+    async def __call__(self, scope, receive, send):
+        """Serve one request."""
+        await self.released.wait()
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': 200,
+                'headers': [(b'content-length', b'0')],
+            }
+        )
+        await send({'type': 'http.response.body', 'body': b''})
+
+
+class FullServerTests(unittest.IsolatedAsyncioTestCase):
+    """Take all places of a server with open requests."""
+
+    connections = 8
+
+    async def asyncSetUp(self):
+        """Start a server, and open as many requests as it has places."""
+        self.app = HoldingApp()
+        limits = caller_account.AccountLimits(connections=self.connections)
+        self.account = caller_account.CallerAccount(limits)
+        self.port = deployments.free_port()
+        self.server = http_server.build_server(
+            self.app,
+            f'127.0.0.1:{self.port}',
+            1.0,
+            guard=caller_protocol.ConnectionGuard(self.account),
+        )
+        self.task = asyncio.create_task(self.server.serve())
+        self.addAsyncCleanup(self._stop)
+        while not self.server.started:
+            await asyncio.sleep(0.01)
+        self.opened = [await self._send() for _ in range(self.connections)]
+        await self._wait_for(self.connections)
+
+    async def _stop(self):
+        self.app.released.set()
+        self.server.should_exit = self.server.force_exit = True
+        self.server.abort()
+        await self.task
+
+    async def _send(self):
+        reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        self.addCleanup(writer.close)
+        writer.write(REQUEST + b'content-length: 0\r\n\r\n')
+        return reader, writer
+
+    async def _wait_for(self, count):
+        async with asyncio.timeout(END_S):
+            while count != sum(h.is_complete for h in self.account.holdings):
+                await asyncio.sleep(0.01)
+
+    async def test_callers_beyond_the_places_are_refused(self):
+        """Guards against callers that wait behind a pause for ever."""
+        readers = [(await self._send())[0] for _ in range(self.connections)]
+        async with asyncio.timeout(END_S):
+            for reader in readers:
+                line = await reader.readline()
+                self.assertTrue(line.startswith(b'HTTP/1.1 503 '), line)
+        self.assertGreater(self.account.pauses, 0)
+        self.assertEqual(len(self.account.holdings), self.connections)
+
+    async def test_place_of_a_closed_connection_is_taken(self):
+        """Guards against a pause that does not end."""
+        await self._send()
+        async with asyncio.timeout(END_S):
+            while not self.account.pauses:
+                await asyncio.sleep(0.01)
+        self.opened[0][1].close()
+        await self._wait_for(self.connections - 1)
+        reader, _ = await self._send()
+        await self._wait_for(self.connections)
+        self.app.released.set()
+        async with asyncio.timeout(END_S):
+            line = await reader.readline()
+        self.assertTrue(line.startswith(b'HTTP/1.1 200 '), line)
+
+    async def test_stop_ends_a_pause(self):
+        """Guards against connections reset in the backlog by a stop."""
+        for acceptor in self.server._acceptors:
+            acceptor.pause(END_S)
+        reader, _ = await self._send()
+        self.server.stop(END_S)
+        async with asyncio.timeout(END_S):
+            line = await reader.readline()
+        self.assertTrue(line.startswith(b'HTTP/1.1 503 '), line)
+
+
 class CallerProtocolTests(unittest.IsolatedAsyncioTestCase):
     """Send requests that are out of bounds, and some that are not."""
 
