--- a/persimmonroute/caller_protocol.py
+++ b/persimmonroute/caller_protocol.py
@@ -26,6 +26,7 @@
 
 # SO_LINGER: close with a reset.
 LINGER_RESET = struct.pack('ii', 1, 0)
+TRANSFER_ENCODING = b'transfer-encoding'
 # Room for the request line, and for white space that is not counted in the
 # configuration's limit of the headers.
 HEAD_MARGIN_BYTES = 12_288
@@ -379,8 +380,10 @@
         """Release what the request held, and go on with the next one."""
         self._guard.record_released(self.loop, self._holding.body)
         self._holding.end_request()
-        # An idle connection would keep the headers of its last request.
-        self.headers = self.scope = self.cycle.scope = None
+        # An idle connection would keep the headers of its last request. Those
+        # that tell the framing are needed while the rest of a body is read.
+        self.headers = [h for h in self.headers if h[0] == TRANSFER_ENCODING]
+        self.scope = self.cycle.scope = None
         super().on_response_complete()
         if not self.transport.is_closing():
             self._continue()
@@ -585,7 +588,7 @@
     def _has_sized_body(self):
         """Return whether a body with a length is being received."""
         return self.conn.their_state is h11.SEND_BODY and not any(
-            name == b'transfer-encoding' for name, _ in self.headers
+            name == TRANSFER_ENCODING for name, _ in self.headers
         )
 
     def _update(self, now):
--- a/persimmonroute/tests/caller_protocol_tests.py
+++ b/persimmonroute/tests/caller_protocol_tests.py
@@ -28,6 +28,8 @@
     """Answer each request with the size of its body."""
 
     response_bytes = 0
+    # Whether a response waits for the end of the body.
+    reads_body = True
 
     def __init__(self):
         self.served = 0
@@ -35,7 +37,7 @@
     async def __call__(self, scope, receive, send):
         """Serve one request."""
         size = 0
-        while True:
+        while self.reads_body:
             message = await receive()
             if message['type'] == 'http.disconnect':
                 return
@@ -265,6 +267,16 @@
         self.writer.write(CHUNKED + b'2\r\nxy\r\n0\r\n\r\n')
         self.assertEqual(await self._read_response(), b'2')
 
+    async def test_rest_of_a_body_after_its_response_is_discarded(self):
+        """Guards against framing that is forgotten with the response."""
+        self.app.reads_body = False
+        self.writer.write(CHUNKED + b'1\r\nx\r\n')
+        self.assertEqual(await self._read_response(), b'0')
+        self.writer.write(b'1\r\nx\r\n' * 5000 + b'0\r\n\r\n')
+        self.writer.write(CHUNKED + b'0\r\n\r\n')
+        self.assertEqual(await self._read_response(), b'0')
+        self.assertEqual(self.app.served, 2)
+
     async def test_pipelined_requests_are_answered_in_order(self):
         """Guards against read-ahead that is bounded by dropping requests."""
         count = 400
