--- a/persimmonroute/caller_account.py
+++ b/persimmonroute/caller_account.py
@@ -16,9 +16,15 @@
 # Share of the memory beside the process's own that callers may take. The rest
 # is for copies made while a body is passed on, and for fragmentation.
 CALLER_SHARE = 0.5
-# Objects of a connection, and those of an open request.
+# Objects of a connection, and those of an open request with the connection to
+# its endpoint. A gateway holds 9 kB and 24 kB of them; caller_charges_tests
+# compares them.
 CONNECTION_BYTES = 12_000
 REQUEST_BYTES = 24_000
+# Objects of a header of an open request, beside the bytes of its name and
+# value. A process holds 300 bytes of them, and the bytes up to 1.2 times.
+HEADER_BYTES = 320
+HEADER_COPIES = 2
 # Largest read of a connection. As many bytes wait for their turn to be parsed,
 # and as many are kept by the parser.
 READ_BYTES = 16_384
@@ -27,8 +33,20 @@
 # store (32), three ports with 8 connections and 8 that are just accepted
 # each (48), and callers' connections that are just accepted (64).
 OWN_DESCRIPTORS = 144
+# Connections accepted in one step of the event loop, which are also the
+# attempts when no descriptor is left.
+MAX_ACCEPTS = 32
+# Steps of the event loop from accepting a connection to reading its data.
+STEPS_UNTIL_READ = 3
 # Each request also takes a connection to an endpoint.
 DESCRIPTORS_PER_CONNECTION = 2
+# Share and number of the descriptors that accepting leaves to connections to
+# endpoints and the store, whatever the settings state.
+SPARE_SHARE = 0.125
+MAX_SPARE_DESCRIPTORS = 128
+# Share of these that ports for probes, metrics and peers leave, so that a
+# probe is answered while accepting callers pauses.
+SMALL_PORT_SHARE = 0.25
 # A process whose settings state too little still serves a few callers.
 MIN_MEMORY_BYTES = 8 * MEGABYTE
 MIN_CONNECTIONS = 8
@@ -36,10 +54,17 @@
 # some to the others.
 LARGE_BODY_BYTES = 262_144
 LARGE_SHARE = 0.75
-# A request without progress for this long gives way to others in an overload.
+# Where all connections are taken, bodies that make progress keep this share of
+# them; the rest is left to new connections.
+BODY_CONNECTION_SHARE = 0.75
+# A request without progress for this long gives way to others in an overload,
+# and so does a connection without a request.
 # A caller on a link of 5 Mbit/s sends PROGRESS_BYTES in 7 ms.
 STALL_S = 1.0
 PROGRESS_BYTES = 4096
+# A connection may not have been read for this long after it was accepted. It
+# goes after those that were served.
+UNREAD_WAIT_S = 0.1
 # A response that is not read for this long may be cut if nothing else is left.
 UNREAD_STALL_S = 5.0
 # Time between two searches for someone who gives way, if there was none.
@@ -106,6 +131,23 @@
     )
 
 
+def derive_max_used(limit, small_port=False):
+    """Return how many descriptors may be in use when accepting.
+
+    limit is how many the process may have.
+    """
+    if math.isinf(limit):
+        return limit
+    spare = min(SPARE_SHARE * limit, MAX_SPARE_DESCRIPTORS)
+    return int(limit - (SMALL_PORT_SHARE * spare if small_port else spare))
+
+
+def measure_headers(headers):
+    """Return the bytes to be counted for the headers of an open request."""
+    size = sum(len(name) + len(value) for name, value in headers)
+    return HEADER_BYTES * len(headers) + HEADER_COPIES * size
+
+
 class Holding:
     """Store what one connection of a caller makes the process hold."""
 
@@ -124,6 +166,9 @@
         self.request = 0
         # Requests that were complete.
         self.served = 0
+        # When the connection reached its stage, and when it last made
+        # progress.
+        self.entered_at = opened_at
         self.progress_at = opened_at
         self._progress_bytes = 0
 
@@ -152,6 +197,7 @@
         """Record that the connection reached a stage."""
         if stage is not self.stage and self.stage is not Stage.CLOSING:
             self.stage = stage
+            self.entered_at = now
             self.progress_at = now
             self._progress_bytes = 0
             self.served += stage is Stage.PASSED_ON
@@ -191,10 +237,10 @@
         if size > 0:
             self._account.relieve(now)
 
-    def begin_request(self, now):
+    def begin_request(self, now, headers=()):
         """Count an open request; return False if there is no memory."""
-        self.request = REQUEST_BYTES
-        self._account.add(REQUEST_BYTES)
+        self.request = REQUEST_BYTES + measure_headers(headers)
+        self._account.add(self.request)
         return self._account.make_room(0, self, now)
 
     def take_body(self, size, now):
@@ -230,6 +276,16 @@
     return state['holding']
 
 
+def _may_give_way(holding, now, idle_s):
+    """Return whether a connection may be closed for a new one."""
+    quiet_s = now - holding.progress_at
+    if holding.stage in (Stage.IDLE, Stage.HEAD):
+        return quiet_s >= idle_s
+    if holding.stage is Stage.BODY:
+        return quiet_s >= STALL_S
+    return holding.stage is Stage.CLOSING
+
+
 class CallerAccount:
     """Account for all connections of callers of one process."""
 
@@ -241,33 +297,85 @@
         self.refusals = collections.Counter()
         # Responses that were cut so that others can be served.
         self.responses_cut = 0
+        # Pauses of accepting.
+        self.pauses = 0
         self._holdings = {}
         self._search_at = -math.inf
+        # Whether connections are being closed. A refusal is written then,
+        # which counts as well.
+        self._relieving = False
 
     @property
     def holdings(self):
         """Return the holdings of all connections."""
         return tuple(self._holdings)
 
+    @property
+    def accepts_per_step(self):
+        """Return how many connections are accepted at once.
+
+        Three steps pass until the first data of a connection are read. Until
+        then those that are accepted after it must not take its place.
+        """
+        if math.isinf(self.limits.connections):
+            return MAX_ACCEPTS
+        kept = math.floor(BODY_CONNECTION_SHARE * self.limits.connections)
+        spare = (self.limits.connections - kept) // STEPS_UNTIL_READ
+        return int(max(1, min(spare, MAX_ACCEPTS)))
+
     def open(self, now, close):
         """Return the Holding of a new connection, or None to refuse it."""
         holding = Holding(self, now, close)
         if len(self._holdings) >= self.limits.connections:
-            victim = self._find_idle(now)
-            if victim is None:
+            if not self.make_place(now):
                 return None
-            victim.close(Reason.CONNECTIONS)
-            self.close(victim)
         self._holdings[holding] = None
         self.used += CONNECTION_BYTES
         return holding
 
+    def count_places(self, now):
+        """Return how many connections find a place without a loss.
+
+        Free places are counted, those of connections that may give way and
+        have been read, and those of bodies beyond their share.
+        """
+        ready = sum(
+            _may_give_way(h, now, 0.0 if h.served else UNREAD_WAIT_S)
+            for h in self._holdings
+        )
+        bodies = sum(
+            h.stage is Stage.BODY and now - h.progress_at < STALL_S
+            for h in self._holdings
+        )
+        kept = BODY_CONNECTION_SHARE * self.limits.connections
+        ready += max(bodies - kept, 0)
+        return self.limits.connections - len(self._holdings) + ready
+
+    def make_place(self, now):
+        """Close a connection for a new one; return False if there is none."""
+        victim = (
+            self._find_idle(now, STALL_S, STALL_S)
+            or self._find_newest_body()
+            or self._find_idle(now, UNREAD_WAIT_S, 0.0)
+            or self._find_idle(now, 0.0, 0.0)
+        )
+        if victim is None:
+            return False
+        victim.close(Reason.CONNECTIONS)
+        self.close(victim)
+        return True
+
     def close(self, holding):
-        """Forget a connection that is closed, with all that it holds."""
-        if holding in self._holdings:
+        """Forget a connection that is closed, with all that it holds.
+
+        Returns whether it was counted.
+        """
+        counted = holding in self._holdings
+        if counted:
             holding.detach()
             del self._holdings[holding]
             self.used -= CONNECTION_BYTES
+        return counted
 
     def add(self, size):
         """Count bytes that are held, or released if negative."""
@@ -306,8 +414,15 @@
 
         A response is cut only if nothing else is left.
         """
-        if self._has_memory(0) or now < self._search_at:
+        if self._relieving or now < self._search_at:
             return
+        self._relieving = True
+        try:
+            self._relieve(now)
+        finally:
+            self._relieving = False
+
+    def _relieve(self, now):
         while not self._has_memory(0):
             victim = (
                 self._find_stalled(now)
@@ -341,20 +456,19 @@
         holding.detach()
         holding.stage = Stage.CLOSING
 
-    def _find_idle(self, now):
+    def _find_idle(self, now, unserved_s, served_s):
         """Return the connection that gives way to a new one, or None.
 
         Those that were refused go first, then those that never sent a
-        request, then the oldest.
+        request, then the oldest. A connection without a request gives way
+        after unserved_s if it never sent one, else after served_s.
         """
         return max(
             (
                 holding
                 for holding in self._holdings
-                if holding.stage in (Stage.CLOSING, Stage.IDLE, Stage.HEAD)
-                or (
-                    holding.stage is Stage.BODY
-                    and now - holding.progress_at >= STALL_S
+                if _may_give_way(
+                    holding, now, served_s if holding.served else unserved_s
                 )
             ),
             key=lambda h: (
@@ -365,6 +479,17 @@
             default=None,
         )
 
+    def _find_newest_body(self):
+        """Return the body that began last, or None.
+
+        None is returned while bodies are within their share of the
+        connections.
+        """
+        bodies = [h for h in self._holdings if h.stage is Stage.BODY]
+        if len(bodies) <= BODY_CONNECTION_SHARE * self.limits.connections:
+            return None
+        return max(bodies, key=lambda h: h.entered_at)
+
     def _find_stalled(self, now, needs_body=False):
         """Return who holds most for longest without progress, or None."""
         return max(
--- a/persimmonroute/caller_protocol.py
+++ b/persimmonroute/caller_protocol.py
@@ -26,6 +26,7 @@
 
 # SO_LINGER: close with a reset.
 LINGER_RESET = struct.pack('ii', 1, 0)
+TRANSFER_ENCODING = b'transfer-encoding'
 # Room for the request line, and for white space that is not counted in the
 # configuration's limit of the headers.
 HEAD_MARGIN_BYTES = 12_288
@@ -55,11 +56,7 @@
 REFUSAL_BYTES = 1_048_576
 # Time after which a refused caller may come back.
 RETRY_S = 0.1
-# Connections accepted in one step of the event loop. It tries as many also
-# when no descriptor is left.
-ACCEPTS_PER_STEP = 32
-# Connections, and those accepted in one step, of a port that callers do not
-# use.
+# Connections of a port that callers do not use.
 SMALL_PORT_CONNECTIONS = 8
 # Bytes of released bodies after which unreachable objects are collected, and
 # the time in which their requests end. Requests are in reference cycles, so
@@ -156,6 +153,39 @@
             super().resume_reading()
 
 
+class CountedTransport:
+    """Pass on the calls of a transport, and report each write."""
+
+    def __init__(self, transport, on_write):
+        self._transport = transport
+        self._on_write = on_write
+        self._written = 0
+
+    def __getattr__(self, name):
+        """Return a method of the transport."""
+        return getattr(self._transport, name)
+
+    @property
+    def unsent(self):
+        """Return the bytes that are written and not sent."""
+        return self._transport.get_write_buffer_size()
+
+    @property
+    def sent(self):
+        """Return the bytes that were sent."""
+        return self._written - self.unsent
+
+    def write(self, data):
+        """Write data, and report that."""
+        self._written += len(data)
+        self._transport.write(data)
+        self._on_write()
+
+    def detach(self):
+        """Forget the connection."""
+        self._on_write = _do_nothing
+
+
 class ConnectionGuard:
     """Check the connections of one server against their limits."""
 
@@ -163,16 +193,20 @@
         self,
         account=None,
         read_limits=ConnectionLimits,
-        accepts_per_step=ACCEPTS_PER_STEP,
+        small_port=False,
     ):
         self.account = account or caller_account.CallerAccount()
+        # Whether the port is one that callers do not use.
+        self.small_port = small_port
+        # Set by the server: pause and resume accepting.
+        self.pause_accepting = self.resume_accepting = _do_nothing
         # Returns the ConnectionLimits that apply now.
         self.read_limits = read_limits
-        self.accepts_per_step = accepts_per_step
         self.parse_queue = ParseQueue()
         self._checked_at = None
         self._caught_up = False
         self._reported = collections.Counter()
+        self._reported_pauses = 0
         # Bytes of bodies that were released since the last collection.
         self._garbage = 0
 
@@ -214,14 +248,21 @@
                 held_bytes=self.account.used,
                 refused=dict(sorted(new.items())),
             )
+        pauses = self.account.pauses - self._reported_pauses
+        if pauses:
+            self._reported_pauses = self.account.pauses
+            log.emit(
+                Event.ACCEPTING_PAUSED,
+                connections=len(self.account.holdings),
+                pauses=pauses,
+            )
 
 
 def build_small_guard():
     """Return the guard of a port for probes, metrics or peers."""
     limits = caller_account.AccountLimits(connections=SMALL_PORT_CONNECTIONS)
     return ConnectionGuard(
-        caller_account.CallerAccount(limits),
-        accepts_per_step=SMALL_PORT_CONNECTIONS,
+        caller_account.CallerAccount(limits), small_port=True
     )
 
 
@@ -245,15 +286,16 @@
         self._received = 0
         self._content = 0
         # When the connection was opened or its head began, when it was last
-        # read, and when its unsent bytes last changed.
+        # read, and when bytes were last found sent or none were left.
         self._began_at = self._read_at = self._sent_at = 0.0
-        self._unsent = 0
+        self._sent = 0
 
     def connection_made(self, transport):
         """Hand the means to reset the connection to the application."""
+        transport.max_size = caller_account.READ_BYTES
+        transport = CountedTransport(transport, self._count_written)
         super().connection_made(transport)
         self.flow = BoundedFlow(transport, self._has_backlog)
-        transport.max_size = caller_account.READ_BYTES
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         now = clock.now_s()
         self._began_at = self._read_at = self._sent_at = now
@@ -270,6 +312,7 @@
             'is_behind': self._is_behind,
         }
         if refused:
+            self._guard.pause_accepting()
             self.refuse(Reason.CONNECTIONS)
 
     def _is_behind(self):
@@ -287,7 +330,8 @@
     def connection_lost(self, exc):
         """Release what the connection holds."""
         self._guard.record_released(self.loop, self._holding.body)
-        self._guard.account.close(self._holding)
+        if self._guard.account.close(self._holding):
+            self._guard.resume_accepting()
         self._waiting = b''
         super().connection_lost(exc)
         # The server leaves it after an error, and with it all buffers.
@@ -296,6 +340,7 @@
         # runs, which is late where many connections come and go.
         self._holding.close = _do_nothing
         self.flow.detach()
+        self.transport.detach()
         self.app_state = {}
 
     def timeout_keep_alive_handler(self):
@@ -307,6 +352,17 @@
             timeouts.CATCH_UP_S, super().timeout_keep_alive_handler
         )
 
+    def resume_writing(self):
+        """Account for what was sent, and let the application go on."""
+        self._count_written()
+        super().resume_writing()
+
+    def _count_written(self):
+        """Account for the bytes that are written and not sent."""
+        unsent = self.transport.unsent
+        if self._holding is not None and unsent != self._holding.written:
+            self._holding.set_written(unsent, clock.now_s())
+
     def data_received(self, data):
         """Parse data, or let them wait for their turn."""
         if self._ended_at is not None:
@@ -329,6 +385,10 @@
         """Release what the request held, and go on with the next one."""
         self._guard.record_released(self.loop, self._holding.body)
         self._holding.end_request()
+        # An idle connection would keep the headers of its last request. Those
+        # that tell the framing are needed while the rest of a body is read.
+        self.headers = [h for h in self.headers if h[0] == TRANSFER_ENCODING]
+        self.scope = self.cycle.scope = None
         super().on_response_complete()
         if not self.transport.is_closing():
             self._continue()
@@ -351,12 +411,12 @@
 
     def check(self, limits, now):
         """Close the connection if its time is over."""
-        unsent = self.transport.get_write_buffer_size()
-        if not unsent or unsent != self._unsent:
+        unsent, sent = self.transport.unsent, self.transport.sent
+        if not unsent or sent != self._sent:
             self._sent_at = now
             if unsent:
                 self._holding.record_read(now)
-        self._unsent = unsent
+        self._sent = sent
         self._holding.set_written(unsent, now)
         if self._ended_at is not None:
             if now - self._ended_at > REFUSAL_S:
@@ -533,7 +593,7 @@
     def _has_sized_body(self):
         """Return whether a body with a length is being received."""
         return self.conn.their_state is h11.SEND_BODY and not any(
-            name == b'transfer-encoding' for name, _ in self.headers
+            name == TRANSFER_ENCODING for name, _ in self.headers
         )
 
     def _update(self, now):
--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -256,6 +256,12 @@
         'response cut off for lack of memory: its caller reads least of those '
         'that are behind',
     )
+    ACCEPTING_PAUSED = EventKind(
+        753,
+        'WARNING',
+        'accepting connections paused because no place or descriptor was left '
+        'for them',
+    )
     RETRY_RESERVATIONS = EventKind(
         755, 'INFO', 'capacity was reserved for callers that were refused'
     )
--- a/persimmonroute/tests/caller_protocol_tests.py
+++ b/persimmonroute/tests/caller_protocol_tests.py
@@ -8,6 +8,7 @@
 
 from persimmonroute import caller_account
 from persimmonroute import caller_protocol
+from persimmonroute import clock
 from persimmonroute import http_server
 from standins import gateway_deployment as deployments
 
@@ -27,6 +28,8 @@
     """Answer each request with the size of its body."""
 
     response_bytes = 0
+    # Whether a response waits for the end of the body.
+    reads_body = True
 
     def __init__(self):
         self.served = 0
@@ -34,7 +37,7 @@
     async def __call__(self, scope, receive, send):
         """Serve one request."""
         size = 0
-        while True:
+        while self.reads_body:
             message = await receive()
             if message['type'] == 'http.disconnect':
                 return
@@ -54,6 +57,102 @@
         await send({'type': 'http.response.body', 'body': body})
 
 
+class HoldingApp:
+    """Answer no request before all are released."""
+
+    def __init__(self):
+        self.released = asyncio.Event()
+
+    async def __call__(self, scope, receive, send):
+        """Serve one request."""
+        await self.released.wait()
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': 200,
+                'headers': [(b'content-length', b'0')],
+            }
+        )
+        await send({'type': 'http.response.body', 'body': b''})
+
+
+class FullServerTests(unittest.IsolatedAsyncioTestCase):
+    """Take all places of a server with open requests."""
+
+    connections = 8
+
+    async def asyncSetUp(self):
+        """Start a server, and open as many requests as it has places."""
+        self.app = HoldingApp()
+        limits = caller_account.AccountLimits(connections=self.connections)
+        self.account = caller_account.CallerAccount(limits)
+        self.port = deployments.free_port()
+        self.server = http_server.build_server(
+            self.app,
+            f'127.0.0.1:{self.port}',
+            1.0,
+            guard=caller_protocol.ConnectionGuard(self.account),
+        )
+        self.task = asyncio.create_task(self.server.serve())
+        self.addAsyncCleanup(self._stop)
+        while not self.server.started:
+            await asyncio.sleep(0.01)
+        self.opened = [await self._send() for _ in range(self.connections)]
+        await self._wait_for(self.connections)
+
+    async def _stop(self):
+        self.app.released.set()
+        self.server.should_exit = self.server.force_exit = True
+        self.server.abort()
+        await self.task
+
+    async def _send(self):
+        reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        self.addCleanup(writer.close)
+        writer.write(REQUEST + b'content-length: 0\r\n\r\n')
+        return reader, writer
+
+    async def _wait_for(self, count):
+        async with asyncio.timeout(END_S):
+            while count != sum(h.is_complete for h in self.account.holdings):
+                await asyncio.sleep(0.01)
+
+    async def test_callers_beyond_the_places_are_refused(self):
+        """Guards against callers that wait behind a pause for ever."""
+        readers = [(await self._send())[0] for _ in range(self.connections)]
+        async with asyncio.timeout(END_S):
+            for reader in readers:
+                line = await reader.readline()
+                self.assertTrue(line.startswith(b'HTTP/1.1 503 '), line)
+        self.assertGreater(self.account.pauses, 0)
+        self.assertEqual(len(self.account.holdings), self.connections)
+
+    async def test_place_of_a_closed_connection_is_taken(self):
+        """Guards against a pause that does not end."""
+        await self._send()
+        async with asyncio.timeout(END_S):
+            while not self.account.pauses:
+                await asyncio.sleep(0.01)
+        self.opened[0][1].close()
+        await self._wait_for(self.connections - 1)
+        reader, _ = await self._send()
+        await self._wait_for(self.connections)
+        self.app.released.set()
+        async with asyncio.timeout(END_S):
+            line = await reader.readline()
+        self.assertTrue(line.startswith(b'HTTP/1.1 200 '), line)
+
+    async def test_stop_ends_a_pause(self):
+        """Guards against connections reset in the backlog by a stop."""
+        for acceptor in self.server._acceptors:
+            acceptor.pause(END_S)
+        reader, _ = await self._send()
+        self.server.stop(END_S)
+        async with asyncio.timeout(END_S):
+            line = await reader.readline()
+        self.assertTrue(line.startswith(b'HTTP/1.1 503 '), line)
+
+
 class CallerProtocolTests(unittest.IsolatedAsyncioTestCase):
     """Send requests that are out of bounds, and some that are not."""
 
@@ -168,6 +267,16 @@
         self.writer.write(CHUNKED + b'2\r\nxy\r\n0\r\n\r\n')
         self.assertEqual(await self._read_response(), b'2')
 
+    async def test_rest_of_a_body_after_its_response_is_discarded(self):
+        """Guards against framing that is forgotten with the response."""
+        self.app.reads_body = False
+        self.writer.write(CHUNKED + b'1\r\nx\r\n')
+        self.assertEqual(await self._read_response(), b'0')
+        self.writer.write(b'1\r\nx\r\n' * 5000 + b'0\r\n\r\n')
+        self.writer.write(CHUNKED + b'0\r\n\r\n')
+        self.assertEqual(await self._read_response(), b'0')
+        self.assertEqual(self.app.served, 2)
+
     async def test_pipelined_requests_are_answered_in_order(self):
         """Guards against read-ahead that is bounded by dropping requests."""
         count = 400
@@ -202,6 +311,50 @@
             while self.guard.account.holdings:
                 await asyncio.sleep(0.05)
 
+    async def test_unsent_bytes_are_counted_when_they_are_written(self):
+        """Guards against responses that exceed the memory between checks."""
+        self.guard.check = lambda connections, now: None
+        self.app.response_bytes = 16_000_000
+        self.writer.transport.pause_reading()
+        self.writer.write(REQUEST + b'content-length: 0\r\n\r\n')
+        (holding,) = self.guard.account.holdings
+        async with asyncio.timeout(END_S):
+            while not self.app.served:
+                await asyncio.sleep(0.01)
+            (connection,) = self.server.server_state.connections
+            unsent = connection.transport.get_write_buffer_size()
+            self.assertGreater(unsent, self.app.response_bytes // 2)
+            self.assertEqual(holding.written, unsent)
+            # What is sent is released without a check as well.
+            self.writer.transport.resume_reading()
+            await self._read_response()
+            while holding.written > caller_protocol.WRITE_BUFFER_BYTES:
+                await asyncio.sleep(0.01)
+
+    async def test_unread_response_that_is_written_is_cut(self):
+        """Guards against a limit that takes effect at the next check only."""
+        now = clock.now_s()
+        self.guard.check = lambda connections, now: None
+        self.app.response_bytes = 16_000_000
+        (holding,) = self.guard.account.holdings
+        account = self.guard.account
+        account.limits = caller_account.AccountLimits(memory_bytes=1_000_000)
+        closed = []
+        other = account.open(now, closed.append)
+        other.enter(
+            caller_account.Stage.PASSED_ON,
+            now - 2 * caller_account.UNREAD_STALL_S,
+        )
+        other.add_queued(500_000, now)
+        self.writer.transport.pause_reading()
+        self.writer.write(REQUEST + b'content-length: 0\r\n\r\n')
+        async with asyncio.timeout(END_S):
+            while not self.app.served:
+                await asyncio.sleep(0.01)
+        self.assertEqual(closed, [caller_account.Reason.MEMORY])
+        self.assertEqual(account.responses_cut, 1)
+        self.assertGreater(holding.written, 1_000_000)
+
     async def test_nothing_is_held_after_connections_end(self):
         """Guards against an account that only grows."""
         self.writer.write(REQUEST + b'content-length: 10\r\n\r\nabc')
