Decide rollouts later, and by failures that are certain

Cause: at many requests a second the cutover began at three quarters of the time and spent its budget within half a second, so 13 of 60 versions that turn bad at 0.8 of the time were completed before they showed it. At 15 requests a second 4 of 60 good versions were rolled back: the others had few responses on a route that fails at times, and their rate was taken as known.

Change: the cutover begins 0.5 s before the time in which the rest of its budget is spent, where that is later.

--- a/persimmonroute/tests/gateway/rollout_tests.py
+++ b/persimmonroute/tests/gateway/rollout_tests.py
@@ -11,6 +11,7 @@
 from persimmonroute.gateway import groups
 from persimmonroute.gateway import model
 from persimmonroute.gateway.model import Ending
+from persimmonroute.gateway import rollout_control
 from persimmonroute.gateway.rollout_control import Order
 from persimmonroute.gateway.rollout_control import Phase
 from persimmonroute.gateway.rollout_control import RolloutPlan
@@ -277,6 +278,34 @@
             evidence.judge('v2').verdict, rollout_evidence.Verdict.BAD
         )
 
+    def test_few_responses_of_the_others(self):
+        """Guards against a rate of failures that is not known yet."""
+        evidence = rollout_evidence.VersionEvidence()
+        for number in range(9):
+            evidence.record('v1', 'draft', False, 0.1, number / 10)
+            evidence.record('v2', 'draft', number % 3 == 0, 0.1, number / 10)
+        self.assertIs(
+            evidence.judge('v2').verdict, rollout_evidence.Verdict.UNDECIDED
+        )
+        for number in range(400):
+            evidence.record('v1', 'draft', False, 0.1, number / 100)
+        self.assertIsNot(
+            evidence.judge('v2').verdict, rollout_evidence.Verdict.UNDECIDED
+        )
+
+    def test_last_moments_are_compared_with_the_usual_failures(self):
+        """Guards against a route that fails often, but not just now."""
+        evidence = rollout_evidence.VersionEvidence()
+        for number in range(1000):
+            failed = number % 7 == 0
+            evidence.record('v1', 'draft', failed, 0.1, number / 100)
+        for number in range(6):
+            evidence.record('v1', 'draft', False, 0.1, 20.0)
+            evidence.record('v2', 'draft', number % 2 == 0, 0.1, 20.0)
+        self.assertIsNot(
+            evidence.judge('v2', 20.0).verdict, rollout_evidence.Verdict.BAD
+        )
+
     def test_long_order_has_few_slices(self):
         """Guards against reports that grow with the duration."""
         slice_s = rollout_evidence.find_slice_s(3600.0)
@@ -288,6 +317,38 @@
         )
 
 
+class DecisionTimeTests(unittest.TestCase):
+    """Find the time at which the cutover begins."""
+
+    def _find_cutover(self, per_s):
+        """Return when an order of 12 s is decided at a rate of requests."""
+        control = rollout_control.RolloutControl(
+            ORDER, rollout_control.Bounds(0.1, 50.0, 5.0), 0.0
+        )
+        judgement = rollout_evidence.Judgement(
+            rollout_evidence.Verdict.GOOD, ''
+        )
+        for tick in range(120):
+            now = tick / 10
+            requests = int(per_s * now)
+            planned = control.advance(
+                rollout_control.Situation(
+                    now, judgement, requests, 0, 2, 2, 5, True
+                )
+            )
+            if planned.phase is Phase.CUTOVER:
+                return now
+            control.record_phase(planned.phase, now)
+        return None
+
+    def test_late_fault_is_seen_where_requests_are_many(self):
+        """Guards against a decision long before the budget is needed."""
+        self.assertAlmostEqual(self._find_cutover(10.0), 9.0, delta=0.11)
+        self.assertGreater(self._find_cutover(200.0), 9.6)
+        # The time for the cutover, and for the store, is left.
+        self.assertLess(self._find_cutover(100_000.0), 10.4)
+
+
 class ReportTests(unittest.TestCase):
     """Exchange reports, some of which are lost."""
 
