--- a/persimmonroute/tests/gateway/rollout_forwarding_tests.py
+++ b/persimmonroute/tests/gateway/rollout_forwarding_tests.py
@@ -11,6 +11,7 @@
 from persimmonroute.events import Event
 from persimmonroute.gateway import admission_codec
 from persimmonroute.gateway import groups
+from persimmonroute.gateway import metrics
 from persimmonroute.gateway import peer_link
 from persimmonroute.gateway.rollout_control import Order
 from persimmonroute.gateway.rollout_control import Phase
@@ -603,3 +604,26 @@
         self._start('v2', 5.0)
         self.assertEqual(self._list_used(6.0), {'v1', 'v2'})
         self.assertEqual(self.board.rollouts.list_held(), [])
+
+    def test_operators_see_what_is_held_and_forwarded(self):
+        """Guards against a gateway that is cut off unnoticed."""
+        gateway_metrics = metrics.GatewayMetrics(
+            self.board, fixtures.scheduler(self.board), None
+        )
+
+        def collect():
+            return {
+                (sample.name, sample.labels['version']): sample.value
+                for family in gateway_metrics._collect_rollouts()
+                for sample in family.samples
+                if sample.name.endswith(('_held', '_forwarded'))
+            }
+
+        self.assertEqual(collect(), {})
+        self._start('v2', 5.0)
+        self.assertEqual(collect(), {('persimmonroute_rollout_held', 'v2'): 1})
+        self.board.rollouts.adopt_forwarded(forward(), 'peer', 6.0)
+        name = 'persimmonroute_rollout_forwarded'
+        self.assertEqual(collect(), {(name, 'v2'): 1})
+        self.board.rollouts.adopt(ORDER, 6.0, 1)
+        self.assertEqual(collect(), {(name, 'v2'): 0})
