Divide the capacity of a tier among workspaces, without retry reservations

Cause: fair queueing of workspaces was switched together with retry reservations, which cost callers, so neither took effect.

Change: the setting share_workspaces, on by default, in effect only for services whose endpoints report the cost of work. Offers then carry the hash of the workspace.

--- a/persimmonroute/config/settings.py
+++ b/persimmonroute/config/settings.py
@@ -104,10 +104,15 @@
         default=False,
     ),
     'reserve_retries': options.Flag(
-        'Reserve capacity for callers that return after a refusal, and divide'
-        ' it among workspaces, for the same services.',
+        'Reserve capacity for callers that return after a refusal, for the'
+        ' same services.',
         default=False,
     ),
+    'share_workspaces': options.Flag(
+        'Divide the capacity of a tier among the workspaces that want it, for'
+        ' the same services.',
+        default=True,
+    ),
     'body_memory_mb': options.Number(
         0.1,
         1_000_000,
@@ -241,6 +246,7 @@
     endpoint_capacity_uses: list[str]
     bound_endpoint_memory: bool
     reserve_retries: bool
+    share_workspaces: bool
     unread_timeout_s: float
     memory_mb: float | None
     max_descriptors: int | None
--- a/persimmonroute/gateway/offers.py
+++ b/persimmonroute/gateway/offers.py
@@ -93,14 +93,17 @@
         directory,
         locality,
         identifies_callers=True,
+        identifies_workspaces=True,
         states_sizes=False,
     ):
         super().__init__()
         self._runner_registry = runner_registry
         self._directory = directory
         self._locality = locality
-        # Whether hosts may reserve capacity for the callers of offers.
+        # Whether hosts may reserve capacity for the callers of offers, and
+        # divide it among their workspaces.
         self._identifies_callers = identifies_callers
+        self._identifies_workspaces = identifies_workspaces
         # Whether hosts bound what endpoints hold.
         self._states_sizes = states_sizes
         self._offers = {}
@@ -351,9 +354,10 @@
         if not self._runner_registry.reports_cost(pending.service):
             return offer
         if self._identifies_callers:
+            offer = offer._replace(caller=pending.caller_hash)
+        if self._identifies_workspaces:
             offer = offer._replace(
-                caller=pending.caller_hash,
-                workspace=caller_identity.hash_workspace(pending.workspace),
+                workspace=caller_identity.hash_workspace(pending.workspace)
             )
         if not self._runner_registry.capacities.active:
             return offer
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -84,8 +84,9 @@
             board.runner_registry,
             directory,
             own_locality,
-            settings.reserve_retries,
-            settings.bound_endpoint_memory,
+            identifies_callers=settings.reserve_retries,
+            identifies_workspaces=settings.share_workspaces,
+            states_sizes=settings.bound_endpoint_memory,
         ),
         admission_host.AdmissionHost(
             board.runner_registry, scheduler.placement, own_locality
--- a/persimmonroute/tests/gateway/refused_grant_tests.py
+++ b/persimmonroute/tests/gateway/refused_grant_tests.py
@@ -18,6 +18,7 @@
     region='riga',
     regions=fixtures.REGIONS,
     reserve_retries=False,
+    share_workspaces=False,
     bound_endpoint_memory=False,
 )
 # More requests than the endpoint has places.
