--- a/persimmonroute/config/settings.py
+++ b/persimmonroute/config/settings.py
@@ -99,8 +99,9 @@
         default=['placement', 'order'],
     ),
     'bound_endpoint_memory': options.Flag(
-        'Send an endpoint no more requests at once than its memory (KvTokens'
-        ' of its service) holds by their prompts and longest responses.',
+        'Send an endpoint no more requests at once than its memory, which the'
+        ' configuration states in tokens, holds by their prompts and longest'
+        ' responses.',
         default=False,
     ),
     'reserve_retries': options.Flag(
