Review: lose streams by planned stops alone (case 9)

Two gateways are stopped in turn while two versions of a service are in use. Streams that the second one cuts at the end of its grace period are refused at the first one until their deadline.

--- a/review/9/scenario.py
+++ b/review/9/scenario.py
@@ -1,4 +1,4 @@
-"""Kill all gateways while two software versions of a service are in use."""
+"""Stop two gateways in turn while two versions of a service are in use."""
 
 from __future__ import annotations
 
@@ -13,22 +13,26 @@
 
 import harness_2 as harness  # noqa: E402
 
-SERVICE = 'llm-pool'
-PATH = '/counter-draft/'
+SERVICE = 'modelo-citas'
+PATH = '/asistente-cita/'
 VERSIONS = ('v1', 'v2')
 RUNNERS_PER_VERSION = 2
 STREAMS = 16
-EVENTS = 60
+# As asistente-cita on the sheet: 93 events on the mean, a deadline of 15 s.
+EVENTS = 93
 EVENT_S = 0.15
-# Deadline of the sheet's counter-draft.
-DEADLINE_S = 12.0
-# The platform starts killed processes again after a short delay.
+DEADLINE_S = 15.0
+GRACE_S = 8.0
+# The platform starts a process again after a short delay.
 RESTART_S = 0.5
+# From the moment at which the first gateway is ready again until the second
+# one is asked to stop.
+TURN_S = 1.0
 # A machine is in touch so long after its processes started.
 STABLE_S = 3.0
 # Pause between a caller's tries; longer than the Retry-After of refusals.
 TRY_PAUSE_S = 1.0
-# New streams begin this often once the machines are in touch.
+# New streams begin so often after the streams were cut.
 NEW_STREAMS = 16
 NEW_PAUSE_S = 0.1
 # Of so many streams that are taken up the share that goes on is judged.
@@ -82,14 +86,24 @@
         self.taken_up = False
         self.went_on = False
 
+    def allow(self, gateways):
+        """Set the gateways that the load balancer may choose for the rest."""
+        self._gateways = gateways
+
     async def read(self, number):
         """Read the stream until its end or its deadline."""
         ends_at = time.monotonic() + DEADLINE_S
         tries = 0
         while not self.complete and time.monotonic() < ends_at:
-            gateway = self._gateways[(number + tries) % len(self._gateways)]
+            # The load balancer: to those that are ready, all if none is.
+            ready = [g for g in self._gateways if g.in_rotation]
+            ready = ready or self._gateways
             tries += 1
-            await self._try(gateway, f'{self.name}-{tries}', ends_at)
+            await self._try(
+                ready[(number + tries) % len(ready)],
+                f'{self.name}-{tries}',
+                ends_at,
+            )
             if not self.complete:
                 await asyncio.sleep(TRY_PAUSE_S)
 
@@ -114,7 +128,7 @@
                         harness.request(
                             attempt,
                             PATH,
-                            body=b'draft',
+                            body=b'question',
                             headers=headers,
                             deadline=int(left_s * 1000),
                         )
@@ -155,6 +169,34 @@
                     self.began = True
 
 
+async def start(gateway):
+    """Start a gateway, and put it into rotation when it is ready."""
+    await gateway.start()
+    gateway.started_at = time.monotonic()
+    await gateway.wait_ready()
+    gateway.in_rotation = True
+
+
+async def stop(gateway, record):
+    """Stop a gateway as the platform does, and start it again."""
+    record.add(f'{gateway.name} gets SIGTERM')
+    gateway.signal(signal.SIGTERM)
+    # It says that it is not ready; the second miss takes it out.
+    asyncio.get_running_loop().call_later(
+        2.0, setattr, gateway, 'in_rotation', False
+    )
+    try:
+        await asyncio.wait_for(gateway.process.wait(), GRACE_S)
+    except TimeoutError:
+        gateway.signal(signal.SIGKILL)
+        await gateway.process.wait()
+    gateway.in_rotation = False
+    record.add(f'{gateway.name} has ended')
+    await asyncio.sleep(RESTART_S)
+    await start(gateway)
+    record.add(f'{gateway.name} is ready again')
+
+
 async def play(record, folder, gateways):
     """Return whether streams went on as often as new ones began."""
     store = harness.Store()
@@ -167,43 +209,44 @@
             store.put('servers', runner.id, runner.registration())
     routes = [
         harness.route(
-            'counter-draft',
+            'asistente-cita',
             SERVICE,
             Kind='streaming',
             StreamResume=True,
             TimeoutMs=int(DEADLINE_S * 1000),
-            TargetLatencyMs=500,
+            TargetLatencyMs=300,
         )
     ]
     store.put('op', 'config', harness.configuration(1, routes, [SERVICE]))
     first = harness.Gateway('edge-1', store.port, folder)
     seeds = [f'{harness.HOST}:{first.control}']
-    gateways += [first, harness.Gateway('edge-2', store.port, folder, seeds)]
-    for gateway in gateways:
-        await gateway.start()
-        gateway.started_at = time.monotonic()
+    second = harness.Gateway('edge-2', store.port, folder, seeds)
+    gateways += [first, second]
     for gateway in gateways:
-        await gateway.wait_ready()
+        await start(gateway)
     await asyncio.sleep(STABLE_S)
 
-    streams = [Stream(f's{n}', gateways, record) for n in range(STREAMS)]
+    stopping = None
+    if harness.TROUBLE:
+        stopping = asyncio.create_task(stop(first, record))
+        await asyncio.sleep(0.5)
+    # Callers whose connections lead to the second gateway.
+    streams = [Stream(f's{n}', [second], record) for n in range(STREAMS)]
     reading = [
         asyncio.create_task(stream.read(number))
         for number, stream in enumerate(streams)
     ]
-    await asyncio.sleep(2.0)
+    await asyncio.sleep(1.0)
     if sum(stream.began for stream in streams) < MIN_TAKEN_UP:
         raise harness.CannotRun('too few streams began')
-    if harness.TROUBLE:
-        record.add('all gateways are killed')
-        for gateway in gateways:
-            gateway.signal(signal.SIGKILL)
-            await gateway.process.wait()
-        await asyncio.sleep(RESTART_S)
-        for gateway in gateways:
-            await gateway.start()
-            gateway.started_at = time.monotonic()
-    await asyncio.sleep(STABLE_S + 0.5)
+    for stream in streams:
+        # The next tries go wherever the load balancer leads.
+        stream.allow(gateways)
+    if stopping is not None:
+        await stopping
+        await asyncio.sleep(TURN_S)
+        stopping = asyncio.create_task(stop(second, record))
+        await asyncio.sleep(GRACE_S)
     record.add('new streams begin')
     new_streams = [
         Stream(f'n{n}', gateways, record) for n in range(NEW_STREAMS)
@@ -214,6 +257,8 @@
     await asyncio.sleep(1.0)
     begun = sum(stream.began for stream in new_streams) / NEW_STREAMS
     await asyncio.gather(*reading[:STREAMS])
+    if stopping is not None:
+        await stopping
     for task in reading:
         task.cancel()
     taken_up = [stream for stream in streams if stream.taken_up]
