--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -160,7 +160,25 @@
         self._changed = asyncio.Event()
         self._server = None
         self.port = None
-        self._down = False
+        # While it is away every call gets 503.
+        self.away = False
+        # Number of times that it came back from an older copy, plus one.
+        self.era = 1
+
+    def has(self, table, key):
+        """Return whether a row exists."""
+        return (table, key) in self._rows
+
+    def copy(self):
+        """Return a copy of the rows, for restore()."""
+        return dict(self._rows), self._version
+
+    def restore(self, copied):
+        """Come back from a copy; versions go back and are given out again."""
+        rows, self._version = copied
+        self._rows = dict(rows)
+        self._log.clear()
+        self.era += 1
 
     async def start(self):
         """Serve on a free port."""
@@ -196,7 +214,9 @@
     async def _serve(self, reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.CancelledError):
             while (message := await read_message(reader, False)) is not None:
-                status, document = await self._answer(message)
+                status, document = 503, {}
+                if not self.away:
+                    status, document = await self._answer(message)
                 document['ObjectVersion'] = document.get(
                     'ObjectVersion', self._version
                 )
@@ -205,7 +225,10 @@
                     response(
                         status,
                         json.dumps(document).encode(),
-                        [('Content-Type', 'application/json')],
+                        [
+                            ('Content-Type', 'application/json'),
+                            ('Store-Era', self.era),
+                        ],
                     )
                 )
                 await writer.drain()
@@ -233,6 +256,8 @@
 
     async def _feed(self, fields):
         after = int(fields['After'])
+        if after > self._version:
+            return 410, {}
         ends_at = time.monotonic() + int(fields.get('WaitMs', 0)) / 1000
         while True:
             rows = {
