--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -420,10 +420,7 @@
         self.write_settings()
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         command = deploy['roles']['gateway']['run'].split()
-        command = [
-            str(self._path) if word.startswith('/etc/') else word
-            for word in command
-        ]
+        command[command.index('--config') + 1] = str(self._path)
         keep = ('PATH', 'HOME', 'LANG')
         env = {k: os.environ[k] for k in keep if k in os.environ}
         env['PYTHONPATH'] = str(ROOT / 'target/deps')
