--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -438,6 +438,7 @@
         )
         if isinstance(head, places.Place):
             return Replaced(head, 'no answer in time')
+        _check_origin(head)
         self._end_silence(pending, standby)
         if head.misdirected:
             # The intended endpoint did not receive the request.
@@ -828,6 +829,17 @@
         )
 
 
+def _check_origin(head):
+    """Raise EndpointBrokenError if no endpoint vouches for a response.
+
+    A faulty endpoint may write bytes that have the form of a response.
+    """
+    if 200 <= head.status < 300 and not head.signed:
+        raise exceptions.EndpointBrokenError('the success has no signature')
+    if not (head.named or head.signed or head.not_run):
+        raise exceptions.EndpointBrokenError('the answer names no request')
+
+
 def _can_go_on(route, progress):
     """Return whether another endpoint may write the rest of a stream."""
     return route.resumable and not progress.has_unnumbered
--- a/persimmonroute/gateway/model.py
+++ b/persimmonroute/gateway/model.py
@@ -173,6 +173,10 @@
     not_run: bool
     misdirected: bool
     load: RunnerLoad | None
+    # True if the response names the attempt that it belongs to.
+    named: bool = True
+    # True if the response bears the signature of the endpoint that ran it.
+    signed: bool = True
     # True if the endpoint is about to stop.
     leaving: bool = False
     # True if the body has no length and ends when the connection closes.
--- a/persimmonroute/platform/names.py
+++ b/persimmonroute/platform/names.py
@@ -19,6 +19,8 @@
 LAST_EVENT_ID = b'last-event-id'
 # Attempt that brought the first event of a stream that is taken up again.
 RESUMES = b'resumes'
+# Written by the endpoint that ran the request.
+SIGNATURE = b'upstream-signature'
 # Present if the endpoint did not execute the request.
 NOT_EXECUTED = b'not-executed'
 # Running requests, waiting requests and slots, separated by commas. A fourth
--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -112,10 +112,11 @@
         self._pool.record_answered(self._runner, self._conn, self._sent_at)
         close = b'close' in headers.get(b'connection', b'').lower()
         self._reusable = not close
-        not_run = (
-            names.NOT_EXECUTED in headers
-            or event.status_code == STATUS_MISDIRECTED
+        named = headers.get(names.ATTEMPT_ID) == self._attempt
+        misdirected = event.status_code == STATUS_MISDIRECTED and (
+            named or names.NOT_EXECUTED in headers
         )
+        not_run = names.NOT_EXECUTED in headers or misdirected
         if not_run:
             self._pool.record_refused(self._attempt)
         reported_load = headers.get(names.RUNNER_LOAD)
@@ -127,8 +128,10 @@
             status=event.status_code,
             headers=_select_forwarded(event.headers),
             not_run=not_run,
-            misdirected=event.status_code == STATUS_MISDIRECTED,
+            misdirected=misdirected,
             load=load,
+            named=named,
+            signed=bool(headers.get(names.SIGNATURE)),
             load_unreadable=load is None and reported_load is not None,
             ends_with_connection=self._conn.ends_response(event),
             content_type=_read_content_type(headers),
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -425,10 +425,8 @@
         return True
 
     async def _do_unframed(self, reply, headers):
-        reply.writer.write(
-            b'HTTP/1.1 200 OK\r\nattempt-id: ' + reply.attempt + b'\r\n\r\n'
-            b'answer ' + reply.attempt
-        )
+        reply.write_unframed_head()
+        reply.writer.write(b'answer ' + reply.attempt)
         await reply.writer.drain()
         return False
 
@@ -477,11 +475,7 @@
         return False
 
     async def _send_unframed_head(self, reply):
-        reply.writer.write(
-            b'HTTP/1.1 200 OK\r\nattempt-id: '
-            + reply.attempt
-            + b'\r\ncontent-type: text/event-stream\r\n\r\n'
-        )
+        reply.write_unframed_head(b'content-type: text/event-stream\r\n')
         await reply.writer.drain()
 
     async def _do_json_on_stream(self, reply, headers):
@@ -514,9 +508,7 @@
 
     async def _do_endless_body(self, reply, headers):
         """Send a body without a length until the peer closes."""
-        reply.writer.write(
-            b'HTTP/1.1 200 OK\r\nattempt-id: ' + reply.attempt + b'\r\n\r\n'
-        )
+        reply.write_unframed_head()
         return await self._send_endlessly(reply, b'0123456789')
 
     async def _send_endlessly(self, reply, data):
@@ -555,7 +547,8 @@
         return True
 
     async def _do_unframed_reset(self, reply, headers):
-        reply.writer.write(b'HTTP/1.1 200 OK\r\n\r\npart')
+        reply.write_unframed_head()
+        reply.writer.write(b'part')
         await reply.writer.drain()
         await asyncio.sleep(EVENT_PAUSE_S)
         reset(reply.writer)
@@ -615,6 +608,13 @@
         self.writer.write(self._http.send(event))
         await self.drain()
 
+    def write_unframed_head(self, lines=b''):
+        """Write the head of a response that ends with its connection."""
+        self.writer.write(
+            b'HTTP/1.1 200 OK\r\nattempt-id: %b\r\nupstream-signature: %b\r\n'
+            b'%b\r\n' % (self.attempt, SIGNATURE, lines)
+        )
+
     async def send_data(self, data):
         """Send a part of the body."""
         self.writer.write(self._http.send(h11.Data(data)))
