--- a/persimmonroute/platform/documents.py
+++ b/persimmonroute/platform/documents.py
@@ -284,7 +284,11 @@
         destinations=destinations,
         streaming=kind == 'streaming',
         idempotent=kind == 'idempotent',
-        resumable=bool(document.get('StreamResume')),
+        # The kind says what may be repeated, and a stream goes on by running
+        # once more.
+        resumable=(
+            document.get('StreamResume') is True and kind != 'non_idempotent'
+        ),
         timeout_s=timeout_s,
         objective_s=_number(objective_ms) / 1000,
         tier=_integer(document.get('Priority', 0)),
