--- a/persimmonroute/gateway/dispatcher.py
+++ b/persimmonroute/gateway/dispatcher.py
@@ -112,18 +112,31 @@
 
     def record_begun(self, pending, origin):
         """Remember which version began a stream."""
-        self._origins.record_begun(
-            pending.workspace, pending.attempt, origin, clock.now_s()
-        )
+        if pending.first_attempt is not None:
+            self._origins.record_begun(
+                pending.workspace,
+                pending.first_attempt,
+                origin,
+                clock.now_s(),
+            )
 
     def record_complete(self, pending):
         """Record that a stream needs no keeper any more."""
-        self._origins.record_complete(pending.workspace, pending.attempt)
+        if pending.first_attempt is not None:
+            self._origins.record_complete(
+                pending.workspace, pending.first_attempt
+            )
 
     def record_broken_off(self, pending):
-        """Record that a stream broke off before its end."""
-        self._origins.record_broken_off(pending.workspace, pending.attempt)
-        self.deliver_decisions()
+        """Record that a stream broke off before its end, or its caller left.
+
+        A stream that has ended already is left as it is.
+        """
+        if pending.first_attempt is not None:
+            self._origins.record_broken_off(
+                pending.workspace, pending.first_attempt
+            )
+            self.deliver_decisions()
 
     def release(self, pending, ending):
         """Release the slot that a request occupied at its endpoint."""
@@ -200,8 +213,13 @@
         self._host.set_services(services)
 
     def stop_hosting(self):
-        """Return the requests of other gateways, which find another host."""
+        """Leave to other gateways what this one does for them.
+
+        The requests that it hosts find another host, and its open streams
+        other keepers.
+        """
         self._host.stop()
+        self._origins.stop(clock.now_s())
         self.deliver_decisions()
 
     def deliver_decisions(self):
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -210,6 +210,8 @@
         except TimeoutError:
             await self._time_out(pending, caller, progress)
         finally:
+            if progress.event_relayed and pending.route.resumable:
+                self._dispatcher.record_broken_off(pending)
             if pending.workspace is not None and not pending.sends:
                 self._board.quotas.refund(pending.workspace, request)
 
@@ -627,9 +629,10 @@
 
     def _record_begun(self, pending, progress):
         """Bind a stream to the version that wrote its first event."""
-        if progress.event_relayed or pending.version is not None:
+        if progress.event_relayed:
             return
-        pending.version = pending.runner.record.version
+        if pending.version is None:
+            pending.version = pending.runner.record.version
         if pending.route.resumable:
             self._dispatcher.record_begun(
                 pending,
--- a/persimmonroute/gateway/messages.py
+++ b/persimmonroute/gateway/messages.py
@@ -92,6 +92,16 @@
         """Return the id of the caller's request."""
         return self.request.attempt
 
+    @property
+    def first_attempt(self):
+        """Return the attempt that brought the first event of the stream.
+
+        None if the caller takes a stream up and does not name it.
+        """
+        if self.request.last_event_id is None:
+            return self.attempt
+        return self.request.resumes
+
     @property
     def kind(self):
         """Return what the requests have in common that take similar times."""
--- a/persimmonroute/gateway/peers.py
+++ b/persimmonroute/gateway/peers.py
@@ -169,6 +169,29 @@
             if peer.failure_domain and not peer.stopping
         ]
 
+    def find_incarnation(self, name):
+        """Return the newest known start of a gateway; 0 if unknown."""
+        peer = self._peers.get(name)
+        return 0 if peer is None else peer.incarnation
+
+    def find_silent(self, now):
+        """Return the names of the peers that reported and do so no more."""
+        return frozenset(
+            peer.name
+            for peer in self._peers.values()
+            if peer.report is not None
+            and not peer.has_reported_within(UNRESPONSIVE_AFTER_INTERVALS, now)
+        )
+
+    def find_stopping(self, now):
+        """Return the names of the peers that stop and still respond."""
+        return [
+            peer.name
+            for peer in self._peers.values()
+            if peer.stopping
+            and peer.has_reported_within(UNRESPONSIVE_AFTER_INTERVALS, now)
+        ]
+
     def count_neighbours(self):
         """Return how many other gateways of the failure domain serve."""
         return sum(
@@ -229,6 +252,8 @@
             return None
         if not same:
             peer.former_incarnations.append(peer.incarnation)
+            # It knows nothing of what it was told before.
+            self.generation += 1
         peer.incarnation = report.incarnation
         peer.sequence = report.sequence
         peer.last_report_at = now
--- a/persimmonroute/gateway/stream_origins.py
+++ b/persimmonroute/gateway/stream_origins.py
@@ -2,10 +2,11 @@
 
 A caller may take a stream up again at a gateway that never saw it begin. A
 gateway that begins a stream tells two keepers, which every gateway can compute
-from the caller's attempt, so what it knew outlives it. A gateway that is asked
-to go on with an unknown stream asks the keepers of all regions, and in a small
-fleet all gateways. It costs messages for each stream that begins, not for each
-gateway.
+from the attempt, so what it knew outlives it. If a keeper stops, falls
+silent or starts again while the stream is open, another one is told. A gateway
+that is asked to go on with an unknown stream asks the keepers of all regions,
+and in a small fleet all gateways. It costs messages for each stream that
+begins, not for each gateway.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
 
 from persimmonroute import blackboard
 from persimmonroute.gateway import admission_messages
+from persimmonroute.gateway import open_streams
 from persimmonroute.gateway import runners
 from persimmonroute import timeouts
 
@@ -33,6 +35,8 @@
 # as unanswered. Gateways of other regions are tens of milliseconds away.
 RESEND_AFTER_S = 0.06
 GIVE_UP_AFTER_S = 0.2
+# Interval between looks for keepers that are silent.
+KEEPER_CHECK_S = 0.2
 # A longer pause between two ticks means that this process stood still.
 MAX_TICK_PAUSE_S = 0.1
 # Key of a stream whose first attempt the caller does not name.
@@ -73,6 +77,9 @@
         # The only service that the stream can have begun at, or None.
         self.service = service
         self.unanswered = set(asked)
+        # Gateways that stop may know the stream; they are not waited for if
+        # the others leave only one possible origin.
+        self.stopping = set()
         self.give_up_at = now + GIVE_UP_AFTER_S
         # True once it was extended because this process stood still.
         self.extended = False
@@ -119,30 +126,45 @@
         self._runner_registry = runner_registry
         # Origins with the time at which they were learned, oldest first.
         self._origins = collections.OrderedDict()
-        # Own streams that the keepers have not been told of yet.
-        self._untold = {}
+        self._open = open_streams.OpenStreams()
         self._questions = {}
         # Members by region, as of a generation of the peers.
         self._members = {}
         self._generation = -1
+        # Those that can keep streams, with the state that they are of, and the
+        # state of which open streams were told.
+        self._keeping = None, {}
+        self._told_state = None
+        self._silent = frozenset()
+        self._checked_at = -math.inf
+        self._stops = False
         self._ticked_at = math.inf
 
     def record_begun(self, workspace, attempt, origin, now):
         """Remember a stream of this gateway, and tell its keepers soon."""
         key = find_key(workspace, attempt)
         self._remember(key, origin, now)
-        self._untold[key] = origin
+        self._open.add(key, origin)
 
     def record_complete(self, workspace, attempt):
-        """Do not tell the keepers of a stream that is complete already."""
-        self._untold.pop(find_key(workspace, attempt), None)
+        """Do not tell further keepers of a stream that is complete."""
+        self._open.remove(find_key(workspace, attempt))
 
     def record_broken_off(self, workspace, attempt):
-        """Tell the keepers now, as the caller takes the stream up soon."""
+        """Tell the keepers now, as the caller takes the stream up soon.
+
+        They may have been told before, but datagrams are lost at times.
+        """
         key = find_key(workspace, attempt)
-        origin = self._untold.pop(key, None)
+        origin = self._open.remove(key)
         if origin is not None:
-            self._tell_keepers(key, origin)
+            for keeper in self._list_keepers(key):
+                self._tell(keeper, key, origin)
+
+    def stop(self, now):
+        """Leave the open streams to gateways that do not stop."""
+        self._stops = True
+        self._tell_keepers(now)
 
     def ask(self, workspace, attempt, service, now):
         """Return a Question; a Resolved effect follows.
@@ -161,6 +183,7 @@
             return question
         question.add_history(*self._history(service, now))
         question.unanswered.update(self._find_asked(key))
+        question.stopping.update(self._find_stopping(now))
         self._questions.setdefault(key, []).append(question)
         self._send_question(question)
         self._end_if_answered(question)
@@ -186,9 +209,7 @@
 
     def tick(self, now):
         """Tell the keepers of new streams, and end old questions."""
-        untold, self._untold = self._untold, {}
-        for key, origin in untold.items():
-            self._tell_keepers(key, origin)
+        self._tell_keepers(now)
         stood_still = now - self._ticked_at > MAX_TICK_PAUSE_S
         self._ticked_at = now
         for waiting in list(self._questions.values()):
@@ -201,10 +222,52 @@
                     question.resend_at += RESEND_AFTER_S
                     self._send_question(question)
 
-    def _tell_keepers(self, key, origin):
+    def _tell_keepers(self, now):
+        """Tell keepers of the open streams that they do not know yet."""
+        changed = self._check_keepers(now)
+        for key, origin, keeper in self._open.take_untold(
+            self._list_keepers, changed
+        ):
+            self._tell(keeper, key, origin)
+
+    def _tell(self, keeper, key, origin):
         message = admission_messages.StreamBegun(key, *origin)
-        for keeper in self._find_keepers(key, self._locality.region):
-            self._send(keeper, message)
+        self._send(keeper.name, message)
+
+    def _list_keepers(self, key):
+        """Return the Keepers of a stream of this gateway."""
+        _, members = self._keeping_by_region()
+        names = _find_keepers(key, self._locality.region, members)
+        return [
+            open_streams.Keeper(name, self._peers.find_incarnation(name))
+            for name in names
+        ]
+
+    def _check_keepers(self, now):
+        """Return whether the gateways that can keep streams have changed."""
+        if now - self._checked_at >= KEEPER_CHECK_S:
+            self._checked_at = now
+            self._silent = self._peers.find_silent(now)
+        former = self._told_state
+        self._told_state = self._keeping_by_region()[0]
+        return self._told_state != former
+
+    def _keeping_by_region(self):
+        """Return a state, and the gateways that can keep streams in it.
+
+        A gateway that stops is none, and neither is one that is silent.
+        """
+        state = self._peers.generation, self._silent, self._stops
+        if state != self._keeping[0]:
+            members = [
+                member
+                for member in self._peers.members()
+                if member.name not in self._silent
+            ]
+            if not self._stops:
+                members.append(self._own)
+            self._keeping = state, self._group_by_region(members)
+        return self._keeping
 
     def _find(self, key, now):
         origin, at = self._origins.get(key, (None, now))
@@ -246,13 +309,16 @@
                 self._end(question, origin)
             return
         for question in list(self._questions.get(message.key, ())):
-            if peer in question.unanswered:
+            if peer in question.unanswered | question.stopping:
                 question.unanswered.discard(peer)
+                question.stopping.discard(peer)
                 question.add_history(message.versions, message.complete)
                 self._end_if_answered(question)
 
     def _end_if_answered(self, question):
-        if not question.unanswered:
+        if question.unanswered:
+            return
+        if not question.stopping or question.conclude() is not None:
             self._conclude(question)
 
     def _conclude(self, question):
@@ -266,7 +332,7 @@
         message = admission_messages.StreamQuestion(
             question.key, question.service or ''
         )
-        for peer in sorted(question.unanswered):
+        for peer in sorted(question.unanswered | question.stopping):
             self._send(peer, message)
 
     def _send(self, peer, message):
@@ -278,7 +344,7 @@
         asked = dict.fromkeys(
             keeper
             for region in sorted(self._members_by_region())
-            for keeper in self._find_keepers(key, region)
+            for keeper in _find_keepers(key, region, self._members_by_region())
         )
         asked.update(
             dict.fromkeys(m.name for m in _order(key, self._peers.members()))
@@ -286,32 +352,42 @@
         asked.pop(self._own.name, None)
         return list(asked)[:MAX_ASKED]
 
-    def _find_keepers(self, key, region):
-        """Return the gateways that remember a stream begun in a region.
-
-        They are in unlike failure domains, of other regions if need be.
-        """
-        members = self._members_by_region()
-        keepers = {}
-        seen = []
-        for near in (region, *sorted(members.keys() - {region})):
-            for member in _order(key, members.get(near, ())):
-                keepers.setdefault(member.failure_domain, member.name)
-                if len(keepers) == KEEPERS:
-                    return list(keepers.values())
-                seen.append(member.name)
-        # There are fewer failure domains than keepers.
-        return list(dict.fromkeys([*keepers.values(), *seen]))[:KEEPERS]
+    def _find_stopping(self, now):
+        """Return gateways that stop and still respond, a few of them."""
+        return self._peers.find_stopping(now)[:MAX_ASKED]
 
     def _members_by_region(self):
         if self._generation != self._peers.generation:
             self._generation = self._peers.generation
-            self._members = {}
-            for member in (self._own, *self._peers.members()):
-                region = self._locality.region_of(member.failure_domain)
-                self._members.setdefault(region, []).append(member)
+            self._members = self._group_by_region(
+                [self._own, *self._peers.members()]
+            )
         return self._members
 
+    def _group_by_region(self, members):
+        by_region = {}
+        for member in members:
+            region = self._locality.region_of(member.failure_domain)
+            by_region.setdefault(region, []).append(member)
+        return by_region
+
+
+def _find_keepers(key, region, members):
+    """Return the gateways that remember a stream begun in a region.
+
+    They are in unlike failure domains, of other regions if need be.
+    """
+    keepers = {}
+    seen = []
+    for near in (region, *sorted(members.keys() - {region})):
+        for member in _order(key, members.get(near, ())):
+            keepers.setdefault(member.failure_domain, member.name)
+            if len(keepers) == KEEPERS:
+                return list(keepers.values())
+            seen.append(member.name)
+    # There are fewer failure domains than keepers.
+    return list(dict.fromkeys([*keepers.values(), *seen]))[:KEEPERS]
+
 
 def find_key(workspace, attempt):
     """Return the key of a workspace's stream, by its first attempt."""
