--- a/persimmonroute/draining.py
+++ b/persimmonroute/draining.py
@@ -16,6 +16,9 @@
 
 # Time to write the answer to a request that ends at its deadline.
 ANSWER_MARGIN_S = 0.3
+# Time before the end of a stop in which streams that outlast it are broken
+# off, each after an event. Callers come back before the process does.
+HANDOVER_S = 0.5
 # Time to close the connections of responses that are broken off.
 CLOSE_MARGIN_S = 0.05
 # Interval at which a stop looks whether its end has come.
@@ -42,6 +45,15 @@
         """Return when requests without a response are told that it ends."""
         return self.ends_at - ANSWER_MARGIN_S
 
+    def is_handover_due(self, now, deadline_at, expected_end_at):
+        """Return whether a stream is broken off, to go on elsewhere.
+
+        expected_end_at is infinity if it is not known.
+        """
+        if now < self.ends_at - HANDOVER_S:
+            return False
+        return min(deadline_at, expected_end_at) > self.ends_at
+
     def find_latest_send(self, deadline_at, expected_s):
         """Return until when a request may be passed on, at first or again.
 
--- a/persimmonroute/exceptions.py
+++ b/persimmonroute/exceptions.py
@@ -65,6 +65,12 @@
     remedy = 'check that the endpoint listens on the configured address'
 
 
+class StreamHandoverError(PersimmonRouteError):
+    """Report that a stream was broken off because its gateway stops."""
+
+    remedy = 'take the stream up again; another gateway goes on with it'
+
+
 class EndpointRefusedError(EndpointUnreachableError):
     """Report that nothing listens on the endpoint's address."""
 
--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -108,6 +108,8 @@
         self.slow_readers = slow_readers.SlowReaders(self.caller_account)
         # How the gateway stops; None while it serves.
         self.drain: draining.Drain | None = None
+        # Streams that were broken off in the stop, for others to go on with.
+        self.streams_handed_over = 0
         # Newest configuration version that a peer has reported.
         self.newest_reported_version = 0
         # Since when peers have had a newer configuration; None if they have
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -4,6 +4,7 @@
 
 import abc
 import asyncio
+import math
 import typing
 
 from persimmonroute import clock
@@ -209,6 +210,10 @@
                 await self._finish(progress.received, caller, progress)
         except TimeoutError:
             await self._time_out(pending, caller, progress)
+        except exceptions.StreamHandoverError as error:
+            self._board.streams_handed_over += 1
+            self._record_ended_by_stop(pending, progress)
+            self._abort_response(pending, caller, progress, error.problem)
         finally:
             if progress.event_relayed and pending.route.resumable:
                 self._dispatcher.record_broken_off(pending)
@@ -617,6 +622,8 @@
                 elif not event.is_comment:
                     progress.has_unnumbered = True
                 self._record_first_byte(pending)
+            if events:
+                self._check_handover(pending, progress)
         if splitter.in_event:
             return Failed(Ending.BROKEN, True, 'the stream ends in an event')
         if head.ends_with_connection and not received:
@@ -627,6 +634,24 @@
             await caller.send(splitter.rest)
         return Relayed(head.status, True)
 
+    def _check_handover(self, pending, progress):
+        """Raise StreamHandoverError if the rest is due at another gateway.
+
+        After an event the caller loses least: the next one is not due yet.
+        """
+        drain = self._board.drain
+        if drain is None or not _can_go_on(pending.route, progress):
+            return
+        expected_end_at = math.inf
+        durations = self._board.durations
+        if durations.is_known(pending.kind):
+            expected_end_at = pending.sent_at + durations.estimate_s(
+                pending.kind, pending.request.output_tokens
+            )
+        now = clock.now_s()
+        if drain.is_handover_due(now, pending.deadline_at, expected_end_at):
+            raise exceptions.StreamHandoverError(model.STOPPED.reason)
+
     def _record_begun(self, pending, progress):
         """Bind a stream to the version that wrote its first event."""
         if progress.event_relayed:
--- a/persimmonroute/gateway/server.py
+++ b/persimmonroute/gateway/server.py
@@ -117,6 +117,9 @@
         self._front.stop(drain.ends_at - clock.now_s())
         await serving[0]
         ending.cancel()
+        if self._board.streams_handed_over:
+            # Other gateways may ask which version began them.
+            await asyncio.sleep(max(drain.ends_at - clock.now_s(), 0.0))
         with draining.guard('close'):
             await self._shell.close()
         log.emit(Event.PROCESS_STOPPED)
--- a/persimmonroute/tests/draining_tests.py
+++ b/persimmonroute/tests/draining_tests.py
@@ -45,6 +45,24 @@
         self.assertTrue(self.drain.may_accept(102.6, math.inf, 9.0, 4.0))
         self.assertFalse(self.drain.may_accept(102.6, math.inf, 1.0, 4.5))
 
+    def test_stream_that_outlasts_the_stop_is_handed_over_near_its_end(self):
+        """Guards against streams that are cut between two events.
+
+        What ends within the stop, or at its deadline, is left alone.
+        """
+        for at, deadline_at, expected_at, due in (
+            (106.7, math.inf, math.inf, False),
+            (106.9, math.inf, math.inf, True),
+            (106.9, 120.0, 107.4, True),
+            (106.9, 120.0, 107.2, False),
+            (106.9, 107.2, math.inf, False),
+        ):
+            with self.subTest(at=at, deadline=deadline_at, end=expected_at):
+                self.assertEqual(
+                    self.drain.is_handover_due(at, deadline_at, expected_at),
+                    due,
+                )
+
     def test_stop_never_outlasts_its_grace_period(self):
         """A process that is killed at its end cuts off what is open."""
         for grace_s in (0.0, 0.3, 2.3, 7.3):
--- a/persimmonroute/tests/gateway/stream_keepers_tests.py
+++ b/persimmonroute/tests/gateway/stream_keepers_tests.py
@@ -291,11 +291,13 @@
         second = asyncio.create_task(self.deployment.stop_gateway(1))
         begun = await asyncio.gather(*streams)
         cut_after_s = time.monotonic() - stopped_at
+        self.assertFalse(second.done())
         await second
         self.assertGreater(cut_after_s, GRACE_S * 0.7)
         for response in begun:
             self.assertEqual(response.status, 200)
             self.assertFalse(response.complete)
+            self.assertTrue(response.body.endswith(b'\n\n'), response.body)
         rests = await asyncio.gather(
             *(
                 self._call(
