Confirm the end of answers that come before the request was read

Cause: the end of the sending side ends such a response, and the connection was closed at that moment, so nobody saw the reset. Two more ways led there: the kernel reports a reset that follows an end as an end, and the reader looked at the end before it looked at the error.

Fix: a response that began or ended before the endpoint had taken the request ends only when the rest was taken and 0.1 s have passed without a reset; a connection that was reset ends nothing in order. Sound early answers pass, in any framing, and answers to requests that were read wait for nothing (tests).

Status 000: ruled out, it gives 502 on each kind of route, on the code before as well; 503 comes only from a suspended endpoint, for requests that were not sent. x86-64.

--- a/persimmonroute/http_connection.py
+++ b/persimmonroute/http_connection.py
@@ -18,6 +18,7 @@
 
 import h11
 
+from persimmonroute import clock
 from persimmonroute import exceptions
 from persimmonroute import loop_errors
 from persimmonroute import timeouts
@@ -29,6 +30,13 @@
 # Receivers take this much unread. More may wait in the socket of a sound peer
 # that reads nothing for a while, which TCP_USER_TIMEOUT takes for a loss.
 MAX_TIMED_BYTES = 65_536
+# Interval at which a connection looks how much of a request was taken.
+SENT_CHECK_S = 0.01
+# A peer that answers before it has read a request may reset the connection
+# this long after the end of its response.
+RESET_WAIT_S = 0.1
+# State of a closed connection in the kernel's TCP_INFO.
+TCP_CLOSED = 7
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -52,6 +60,8 @@
         self._unread_bytes = 0
         self._waiter = None
         self._end_received = False
+        # True once the parser knows of the end.
+        self._end_parsed = False
         self._lost = False
         # Why the connection was lost; None if the peer closed it.
         self._error = None
@@ -59,6 +69,12 @@
         self._interim_count = 0
         self._user_timeout_ms = USER_TIMEOUT_MS
         self._responding = False
+        # True if the last request is long: a response may come before all of
+        # it has been taken, and did.
+        self._long_request = False
+        self._early = False
+        # True if the response that is read ends with the connection.
+        self._unframed = False
         self.request_count = 0
         # True if the other end is known to be the process that was meant.
         self.verified = False
@@ -76,6 +92,13 @@
             and not self._http.trailing_data[0]
         )
 
+    @property
+    def _end_is_due(self):
+        """Return whether the parser has to be told of an end in order."""
+        return (
+            self._end_received and not self._end_parsed and self._error is None
+        )
+
     @property
     def responding(self):
         """Return whether bytes have come since the last request was sent."""
@@ -90,6 +113,7 @@
     def data_received(self, data):
         """Buffer received bytes until the reader takes them."""
         self._responding = True
+        self._note_early()
         self._unread.append(data)
         self._unread_bytes += len(data)
         if self._unread_bytes > MAX_READ_AHEAD_BYTES:
@@ -97,15 +121,21 @@
         self._wake_reader()
 
     def eof_received(self):
-        """Record that the peer has closed its sending side."""
+        """Record that the peer has closed its sending side.
+
+        Returns whether to keep the connection open for the rest of a request.
+        """
+        self._note_early()
         self._end_received = True
+        if self._is_reset():
+            self._error = ConnectionResetError('reset after its end')
         self._wake_reader()
-        return False
+        return self._early
 
     def connection_lost(self, error):
         """Record that the connection is closed."""
         self._lost = True
-        self._error = error
+        self._error = self._error or error
         self._wake_reader()
 
     def send_request(self, method, target, headers, body):
@@ -113,14 +143,15 @@
         request = h11.Request(method=method, target=target, headers=headers)
         self._last_request = request
         self._interim_count = 0
-        self._responding = False
+        self._responding = self._early = self._unframed = False
         self.request_count += 1
         data = self._http.send(request)
         if body:
             data += self._http.send(h11.Data(body))
         data += self._http.send(h11.EndOfMessage())
         # A peer may answer before it has read a long request.
-        timed = len(data) <= MAX_TIMED_BYTES and not self._count_unsent()
+        self._long_request = len(data) > MAX_TIMED_BYTES
+        timed = not self._long_request and not self._count_unsent()
         self._set_user_timeout(USER_TIMEOUT_MS if timed else 0)
         self._transport.write(data)
 
@@ -134,6 +165,8 @@
             event = await self._next_any_event()
             if not isinstance(event, h11.InformationalResponse):
                 _check_status(event)
+                if isinstance(event, h11.Response):
+                    self._unframed = self.ends_response(event)
                 return event
             self._interim_count += 1
             if self._interim_count > MAX_INTERIM_RESPONSES:
@@ -150,6 +183,48 @@
         (queued,) = struct.unpack('i', field)
         return queued + self._transport.get_write_buffer_size()
 
+    def _note_early(self):
+        """Record whether the peer answers before it has taken the request."""
+        if self._long_request and not self._early:
+            self._early = self._count_unsent() > 0
+
+    def _is_reset(self):
+        """Return whether the kernel has closed the connection."""
+        if self._lost:
+            return True
+        sock = self._transport.get_extra_info('socket')
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        return info[0] == TCP_CLOSED
+
+    async def _confirm_end(self):
+        """Wait until the end of a response is known to be no break.
+
+        The connection ends the response, and the peer may have given up on
+        the request instead. Raises EndpointBrokenError if it has.
+        """
+        unsent, moved_at = self._count_unsent(), clock.now_s()
+        while unsent:
+            await asyncio.sleep(SENT_CHECK_S)
+            self._check_reset()
+            now, before = clock.now_s(), unsent
+            unsent = self._count_unsent()
+            if unsent < before:
+                moved_at = now
+            elif now - moved_at > USER_TIMEOUT_MS / 1000:
+                raise exceptions.EndpointBrokenError(
+                    'the response ended, and the request was not read'
+                )
+        waits_until = clock.now_s() + RESET_WAIT_S
+        while clock.now_s() < waits_until:
+            await asyncio.sleep(SENT_CHECK_S)
+            self._check_reset()
+
+    def _check_reset(self):
+        if self._is_reset():
+            raise exceptions.EndpointBrokenError(
+                'connection reset after the end of the response'
+            )
+
     def _set_user_timeout(self, timeout_ms):
         if timeout_ms == self._user_timeout_ms or self._lost:
             return
@@ -229,10 +304,12 @@
                 return event
             if self._unread:
                 self._feed_parser()
-            elif self._end_received:
-                self._end_received = False
+            elif self._end_is_due:
+                if self._unframed and self._early:
+                    await self._confirm_end()
+                self._end_parsed = True
                 self._http.receive_data(b'')
-            elif self._lost:
+            elif self._lost or self._end_received:
                 raise exceptions.EndpointBrokenError(
                     f'connection lost: {self._error!r}'
                 )
