Bound the memory and time that endless responses take

Cause: limits held for each response, none for all of them, and none for time. Buffers that grew to sizes of their own were freed and not used again: of 203 MB resident 30 were in use (traced). One read of 256 kB in chunks of one byte was parsed in one step of the event loop.

Fix: connections read 32 kB at a time into one buffer; what responses keep before they are relayed is bounded for the process and held in parts of 16 kB; parsing that takes over 1 ms at a time shares 0.4 of the processor and gives way; small pieces and events are joined as far as they have arrived; bytes on an idle connection close it; answers about a state are read up to 64 kB, of the store up to 4 MB.

--- a/persimmonroute/event_stream.py
+++ b/persimmonroute/event_stream.py
@@ -10,6 +10,7 @@
 SEPARATOR = b'\n\n'
 # Two line endings in a row, of any of the three kinds that streams may use.
 _BLANK_LINE = re.compile(rb'(?:\r\n|\n|\r(?!\n)){2}')
+MAX_BLANK_LINE_BYTES = 4
 # A status line, and a header that is no field of an event.
 _RESPONSE_HEAD = re.compile(
     rb'HTTP/1\.[01] [1-5]\d\d[^\r\n]*\r?\n'
@@ -65,12 +66,17 @@
     """Buffer stream data until an event is complete."""
 
     def __init__(self):
-        self._rest = b''
+        self._rest = bytearray()
 
     @property
     def rest(self):
         """Return the buffered bytes that complete no event."""
-        return self._rest
+        return bytes(self._rest)
+
+    @property
+    def rest_size(self):
+        """Return the number of the buffered bytes."""
+        return len(self._rest)
 
     @property
     def in_event(self):
@@ -86,16 +92,26 @@
 
         Raises EndpointBrokenError if an event does not end.
         """
-        buffered = self._rest + data
+        events = []
+        # A blank line ends in the new bytes.
+        searched_from = max(len(self._rest) - MAX_BLANK_LINE_BYTES + 1, 0)
+        self._rest += data
+        if _BLANK_LINE.search(self._rest, searched_from):
+            events = self._take_events()
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise exceptions.EndpointBrokenError('an event does not end')
+        return [StreamEvent(event, _read_id(event)) for event in events]
+
+    def _take_events(self):
+        buffered = bytes(self._rest)
         if b'\r' in buffered:
-            events, self._rest = _split_any_ending(buffered)
+            events, rest = _split_any_ending(buffered)
         else:
             parts = buffered.split(SEPARATOR)
-            self._rest = parts.pop()
+            rest = parts.pop()
             events = [part + SEPARATOR for part in parts]
-        if len(self._rest) > MAX_EVENT_BYTES:
-            raise exceptions.EndpointBrokenError('an event does not end')
-        return [StreamEvent(event, _read_id(event)) for event in events]
+        self._rest = bytearray(rest)
+        return events
 
 
 def _split_any_ending(data):
--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -21,6 +21,7 @@
 from persimmonroute.gateway import runners
 from persimmonroute.gateway import slow_readers
 from persimmonroute.gateway import stream_origins
+from persimmonroute import reading_budget
 
 
 # The store notifies all gateways of a configuration within milliseconds. One
@@ -106,6 +107,8 @@
         # What callers make the gateway hold.
         self.caller_account = caller_account.CallerAccount()
         self.slow_readers = slow_readers.SlowReaders(self.caller_account)
+        # What responses of endpoints make the gateway keep.
+        self.response_memory = reading_budget.ResponseMemory()
         # How the gateway stops; None while it serves.
         self.drain: draining.Drain | None = None
         # Streams that were broken off in the stop, for others to go on with.
--- a/persimmonroute/gateway/continuation.py
+++ b/persimmonroute/gateway/continuation.py
@@ -44,6 +44,22 @@
         self._unproven = False
         return True
 
+    def select(self, events, resumable):
+        """Return the events that the caller does not have yet.
+
+        The second value is the StreamMismatchError of the event after them,
+        or None. Without a second response nothing can come twice.
+        """
+        selected = []
+        for event in events:
+            try:
+                new = self.is_new(event)
+            except exceptions.StreamMismatchError as error:
+                return selected, error
+            if new or not resumable:
+                selected.append(event)
+        return selected, None
+
     def check_end(self):
         """Raise StreamMismatchError if the response did not go on.
 
--- a/persimmonroute/gateway/forwarding.py
+++ b/persimmonroute/gateway/forwarding.py
@@ -27,6 +27,7 @@
 from persimmonroute.gateway import standby as standbys
 from persimmonroute.gateway import stream_origins
 from persimmonroute import logs
+from persimmonroute import reading_budget
 from persimmonroute import timeouts
 
 log = logs.EventLog(__name__)
@@ -52,6 +53,8 @@
 # its new request takes nothing of the retry budget.
 LOOK_ON_OBJECTIVES = 4.0
 LOOK_ON_SHARE = 0.5
+# Data of a stream that are split into events at once.
+SPLIT_BYTES = 4096
 # Route name reported for requests that admission rejects.
 NO_ROUTE = '-'
 
@@ -158,6 +161,15 @@
             self.answering_since = now
         self.last_received_at = now
 
+    def record_relayed(self, events):
+        """Record which events the caller has."""
+        self.event_relayed = True
+        for event in events:
+            if event.id is not None:
+                self.last_event_id = event.id
+            elif not event.is_comment:
+                self.has_unnumbered = True
+
     def has_answered_for(self, seconds, now):
         """Return whether the current attempt began to answer so long ago."""
         since = self.answering_since
@@ -530,49 +542,48 @@
     def _has_attempts_left(self, pending):
         return pending.sends < pending.route.max_attempts
 
-    async def _relay_whole(
-        self, pending, head, call, caller, progress, parts=()
-    ):
-        parts = list(parts)
-        size = sum(len(part) for part in parts)
+    async def _relay_whole(self, pending, head, call, caller, progress):
+        with self._board.response_memory.hold(reading_budget.KeptBody) as body:
+            return await self._relay_body(
+                pending, head, call, caller, progress, body
+            )
+
+    async def _relay_body(self, pending, head, call, caller, progress, body):
+        """Relay a body that may have begun to be kept."""
         while (data := await call.next_data()) is not None:
-            parts.append(data)
-            size += len(data)
-            if not progress.begun and size > BUFFERED_RESPONSE_BYTES:
+            body.add(data)
+            if not _may_keep(body):
                 await self._begin(head, caller, progress)
             if progress.begun:
-                await caller.send(b''.join(parts))
-                parts.clear()
+                await _send_all(caller, body.take())
         self._record_first_byte(pending)
         await self._begin(head, caller, progress)
-        if parts:
-            await caller.send(b''.join(parts))
+        await _send_all(caller, body.take())
         return Relayed(head.status)
 
     async def _keep_error(
         self, pending, head, call, caller, progress, standby
     ):
         """Read an error response, to try another endpoint first."""
-        parts, size = [], 0
         began_at = clock.now_s()
         limit_s = self._start_timeout_s(pending)
-        while size <= BUFFERED_RESPONSE_BYTES:
-            left_s = max(began_at + limit_s - clock.now_s(), 0.0)
-            try:
-                data = await standby.read(call.next_data, left_s)
-            except exceptions.EndpointBrokenError:
-                return Failed(Ending.FAILED, True, f'status {head.status}')
-            if isinstance(data, places.Place):
-                return Replaced(data, 'the error stands still')
-            if data is None:
-                progress.kept = KeptResponse(head, b''.join(parts))
-                return Failed(Ending.FAILED, True, f'status {head.status}')
-            parts.append(data)
-            size += len(data)
-        standby.stop()
-        return await self._relay_whole(
-            pending, head, call, caller, progress, parts
-        )
+        with self._board.response_memory.hold(reading_budget.KeptBody) as body:
+            while _may_keep(body):
+                left_s = max(began_at + limit_s - clock.now_s(), 0.0)
+                try:
+                    data = await standby.read(call.next_data, left_s)
+                except exceptions.EndpointBrokenError:
+                    return Failed(Ending.FAILED, True, f'status {head.status}')
+                if isinstance(data, places.Place):
+                    return Replaced(data, 'the error stands still')
+                if data is None:
+                    progress.kept = KeptResponse(head, b''.join(body.take()))
+                    return Failed(Ending.FAILED, True, f'status {head.status}')
+                body.add(data)
+            standby.stop()
+            return await self._relay_body(
+                pending, head, call, caller, progress, body
+            )
 
     async def _begin(self, head, caller, progress):
         if not progress.begun:
@@ -587,45 +598,53 @@
             head = _without_length(head)
         splitter = event_stream.EventSplitter()
         goes_on = continuation.Continuation(progress.last_event_id)
+        turn = reading_budget.Turn(reading_budget.PROCESS_TIME)
         # Bytes that complete no event are no progress.
         idle_since = clock.now_s()
-        received = 0
-        while True:
-            data = await standby.read(
-                call.next_data,
-                self._stream_timeout_s(pending, progress, idle_since),
-            )
-            if isinstance(data, places.Place):
-                return Replaced(data, 'the stream stands still')
-            if data is None:
-                break
-            events = splitter.feed(data)
-            received += len(events)
-            progress.event_count += len(events)
-            if events:
-                idle_since = clock.now_s()
-                progress.record_event(idle_since)
-                if pending.first_byte_at is not None:
-                    pending.relayed_s = idle_since - pending.first_byte_at
-                self._end_silence(pending, standby)
-            for event in events:
-                new = goes_on.is_new(event)
-                # Without a second response nothing can come twice.
-                if not new and pending.route.resumable:
-                    continue
-                await self._begin(head, caller, progress)
-                self._record_begun(pending, progress)
-                await caller.send(event.data)
-                progress.event_relayed = True
-                if event.id is not None:
-                    progress.last_event_id = event.id
-                elif not event.is_comment:
-                    progress.has_unnumbered = True
-                self._record_first_byte(pending)
-            if events:
-                self._check_handover(pending, progress)
+        events_before = progress.event_count
+        with self._board.response_memory.hold() as kept:
+            while True:
+                data = await standby.read(
+                    call.next_data,
+                    self._stream_timeout_s(pending, progress, idle_since),
+                )
+                if isinstance(data, places.Place):
+                    return Replaced(data, 'the stream stands still')
+                if data is None:
+                    break
+                turn.begin()
+                for start in range(0, len(data), SPLIT_BYTES):
+                    with turn.measure():
+                        events = splitter.feed(
+                            data[start : start + SPLIT_BYTES]
+                        )
+                        chosen, mismatch = goes_on.select(
+                            events, pending.route.resumable
+                        )
+                    if events:
+                        idle_since = clock.now_s()
+                        self._record_events(pending, progress, len(events))
+                        self._end_silence(pending, standby)
+                    if chosen:
+                        await self._begin(head, caller, progress)
+                        self._record_begun(pending, progress)
+                        await caller.send(b''.join(e.data for e in chosen))
+                        progress.record_relayed(chosen)
+                        self._record_first_byte(pending)
+                    if mismatch is not None:
+                        raise mismatch
+                    if events:
+                        self._check_handover(pending, progress)
+                    if turn.over:
+                        await turn.give_way()
+                kept.set(splitter.rest_size)
+                if not kept.allowed:
+                    raise exceptions.EndpointBrokenError(
+                        'no memory for an event that does not end'
+                    )
         if splitter.in_event:
             return Failed(Ending.BROKEN, True, 'the stream ends in an event')
+        received = progress.event_count - events_before
         if head.ends_with_connection and not received:
             return Failed(Ending.BROKEN, True, 'the stream has no event')
         goes_on.check_end()
@@ -634,6 +653,13 @@
             await caller.send(splitter.rest)
         return Relayed(head.status, True)
 
+    def _record_events(self, pending, progress, count):
+        now = clock.now_s()
+        progress.event_count += count
+        progress.record_event(now)
+        if pending.first_byte_at is not None:
+            pending.relayed_s = now - pending.first_byte_at
+
     def _check_handover(self, pending, progress):
         """Raise StreamHandoverError if the rest is due at another gateway.
 
@@ -857,6 +883,16 @@
         )
 
 
+def _may_keep(body):
+    """Return whether a response is kept until it is complete."""
+    return body.allowed and body.size <= BUFFERED_RESPONSE_BYTES
+
+
+async def _send_all(caller, parts):
+    for part in parts:
+        await caller.send(part)
+
+
 def _check_origin(head):
     """Raise EndpointBrokenError if no endpoint vouches for a response.
 
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -32,6 +32,7 @@
 from persimmonroute.platform import runner_client
 from persimmonroute.platform import sources
 from persimmonroute.platform import tables
+from persimmonroute import reading_budget
 
 # Duration of a long poll as a share of the revocation bound. Its response
 # confirms the configuration, so the confirmation may get this old in between.
@@ -59,6 +60,9 @@
         settings.body_memory_mb * caller_account.MEGABYTE,
         BODY_COPIES,
     )
+    board.response_memory.limit_bytes = reading_budget.derive_response_bytes(
+        settings.memory_mb, OWN_MEMORY_MB
+    )
     return board
 
 
--- a/persimmonroute/http_connection.py
+++ b/persimmonroute/http_connection.py
@@ -21,10 +21,14 @@
 from persimmonroute import clock
 from persimmonroute import exceptions
 from persimmonroute import loop_errors
+from persimmonroute import reading_budget
 from persimmonroute import timeouts
 
-# Unread bytes above which reading from the socket is paused.
-MAX_READ_AHEAD_BYTES = 262_144
+# Largest read from the socket, and unread bytes above which reading is paused.
+READ_BYTES = 32_768
+MAX_READ_AHEAD_BYTES = 32_768
+# Data that come in smaller pieces are joined as far as they have arrived.
+SMALL_DATA_BYTES = 1024
 # TCP_USER_TIMEOUT: a peer that acknowledges no data for this long is lost.
 USER_TIMEOUT_MS = 2000
 # Receivers take this much unread. More may wait in the socket of a sound peer
@@ -47,10 +51,14 @@
 MAX_STATUS = 599
 # Largest response that is read into memory. The table service sends pages of
 # 1 MB, which base64 and the other fields of the rows enlarge.
-MAX_WHOLE_RESPONSE_BYTES = 8_388_608
+MAX_WHOLE_RESPONSE_BYTES = 4_194_304
+# Of the answer to a health check, or to a question for a state.
+MAX_REPORT_BYTES = 65_536
+# All connections read into it, one after the other.
+_READ_BUFFER = memoryview(bytearray(READ_BYTES))
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """Send requests and receive their responses sequentially."""
 
     def __init__(self):
@@ -59,6 +67,9 @@
         self._unread = collections.deque()
         self._unread_bytes = 0
         self._waiter = None
+        # Event that was parsed and not returned yet.
+        self._parsed = None
+        self._turn = reading_budget.Turn(reading_budget.PROCESS_TIME)
         self._end_received = False
         # True once the parser knows of the end.
         self._end_parsed = False
@@ -110,8 +121,18 @@
         sock = transport.get_extra_info('socket')
         set_socket_options(sock)
 
-    def data_received(self, data):
-        """Buffer received bytes until the reader takes them."""
+    def get_buffer(self, sizehint):
+        """Return where to write received bytes."""
+        return _READ_BUFFER
+
+    def buffer_updated(self, size):
+        """Keep received bytes until the reader takes them."""
+        if self.request_count and self._http.our_state is h11.IDLE:
+            # They belong to no request, and the connection is of no more use.
+            self._lost = True
+            self.abort()
+            return
+        data = bytes(_READ_BUFFER[:size])
         self._responding = True
         self._note_early()
         self._unread.append(data)
@@ -167,6 +188,8 @@
                 _check_status(event)
                 if isinstance(event, h11.Response):
                     self._unframed = self.ends_response(event)
+                if isinstance(event, h11.Data):
+                    return self._join_data(event)
                 return event
             self._interim_count += 1
             if self._interim_count > MAX_INTERIM_RESPONSES:
@@ -183,6 +206,29 @@
         (queued,) = struct.unpack('i', field)
         return queued + self._transport.get_write_buffer_size()
 
+    def _join_data(self, event):
+        """Return an event with the data that can be parsed at once.
+
+        Each event costs much more than the bytes in it.
+        """
+        if len(event.data) >= SMALL_DATA_BYTES:
+            return event
+        data = bytearray(event.data)
+        while not self._turn.over and len(data) < READ_BYTES:
+            try:
+                with self._turn.measure():
+                    following = self._http.next_event()
+            except h11.RemoteProtocolError:
+                # The parser tells it again.
+                break
+            if following is h11.NEED_DATA:
+                break
+            if not isinstance(following, h11.Data):
+                self._parsed = following
+                break
+            data += following.data
+        return h11.Data(bytes(data))
+
     def _note_early(self):
         """Record whether the peer answers before it has taken the request."""
         if self._long_request and not self._early:
@@ -288,8 +334,10 @@
 
     async def _next_any_event(self):
         while True:
+            if self._turn.over:
+                await self._turn.give_way()
             try:
-                event = self._http.next_event()
+                event = self._parse_event()
             except h11.RemoteProtocolError as error:
                 raise exceptions.EndpointBrokenError(
                     f'the answer is not valid HTTP: {error}'
@@ -316,6 +364,13 @@
             else:
                 await self._wait_for_data()
 
+    def _parse_event(self):
+        event, self._parsed = self._parsed, None
+        if event is None:
+            with self._turn.measure():
+                event = self._http.next_event()
+        return event
+
     def _feed_parser(self):
         data = self._unread.popleft()
         self._unread_bytes -= len(data)
@@ -327,6 +382,7 @@
         self._waiter = asyncio.get_running_loop().create_future()
         try:
             await self._waiter
+            self._turn.begin()
         finally:
             self._waiter = None
 
@@ -386,12 +442,13 @@
     body: bytes
 
 
-async def read_response(conn, timeout_s):
+async def read_response(conn, timeout_s, max_bytes=MAX_WHOLE_RESPONSE_BYTES):
     """Read a complete response and return it as a WholeResponse.
 
     Raises EndpointBrokenError if the response breaks off or is too large.
     """
-    status, headers, parts, size = 0, {}, [], 0
+    status, headers = 0, {}
+    body = reading_budget.KeptBody(reading_budget.ResponseMemory())
     async with timeouts.timeout(timeout_s):
         while True:
             event = await conn.next_event()
@@ -399,11 +456,10 @@
                 status = event.status_code
                 headers = dict(event.headers)
             elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-                size += len(event.data)
-                if size > MAX_WHOLE_RESPONSE_BYTES:
+                body.add(event.data)
+                if body.size > max_bytes:
                     raise exceptions.EndpointBrokenError(
                         'the response is too large'
                     )
             elif isinstance(event, h11.EndOfMessage):
-                return WholeResponse(status, headers, b''.join(parts))
+                return WholeResponse(status, headers, b''.join(body.take()))
--- a/persimmonroute/platform/runner_client.py
+++ b/persimmonroute/platform/runner_client.py
@@ -225,7 +225,7 @@
                 'GET', REPORT_PATH, [('host', runner.address)], b''
             )
             report = await http_connection.read_response(
-                conn, REPORT_TIMEOUT_S
+                conn, REPORT_TIMEOUT_S, http_connection.MAX_REPORT_BYTES
             )
         except (exceptions.EndpointBrokenError, TimeoutError) as error:
             conn.abort()
--- a/persimmonroute/sidecar/endpoints.py
+++ b/persimmonroute/sidecar/endpoints.py
@@ -23,6 +23,8 @@
 PROBE_TIMEOUT_S = 2.0
 # Longest response that is forwarded, as much as the sidecar keeps in memory.
 MAX_RESPONSE_BYTES = responses.MAX_RETAINED_BYTES
+# Largest list of retained streams.
+MAX_LIST_BYTES = 1_048_576
 # Requests per second that the endpoint takes.
 REQUEST_LIMIT = b'request-limit'
 TOKEN_EVENT_PREFIX = b'data: {'
@@ -143,12 +145,20 @@
         None if that is not known.
         """
 
-    async def _request(self, method, path, body=b''):
+    async def _request(
+        self,
+        method,
+        path,
+        body=b'',
+        max_bytes=http_connection.MAX_REPORT_BYTES,
+    ):
         """Return the WholeResponse to a request that is not an attempt."""
         conn = await self._open()
         try:
             self._send(conn, method, path, {}, body)
-            return await http_connection.read_response(conn, PROBE_TIMEOUT_S)
+            return await http_connection.read_response(
+                conn, PROBE_TIMEOUT_S, max_bytes
+            )
         finally:
             conn.abort()
 
@@ -258,7 +268,9 @@
     async def list_streams(self):
         """Return the stream ids of the engine, or None without a list."""
         try:
-            response = await self._request('GET', '/v1/streams')
+            response = await self._request(
+                'GET', '/v1/streams', max_bytes=MAX_LIST_BYTES
+            )
             listed = json_text.parse(response.body)
             return frozenset(listed['streams'])
         except (*PROBE_ERRORS, ValueError, KeyError, TypeError):
