--- a/persimmonroute/gateway/following.py
+++ b/persimmonroute/gateway/following.py
@@ -281,9 +281,36 @@
     def __init__(self, board, source, peer_rows, on_change, on_removed):
         super().__init__(board, source, peer_rows, on_change)
         self._on_removed = on_removed
+        self._poll_s = polling.MAX_POLL_S
+        # When it was last looked for whether this gateway has to poll often.
+        self._looked_at = 0.0
+
+    def _prepare_watch(self, now):
+        """Let a few gateways poll often: all polls may be lost at once."""
+        self._poll_s = polling.MAX_POLL_S
+        if self._is_sentinel(now):
+            self._poll_s = polling.SENTINEL_POLL_S
+        self._looked_at = now
+        self._source.set_wait_s(self._poll_s)
+
+    def _must_take_over(self, now):
+        """Return whether a gateway that polled often has stopped."""
+        if self._poll_s <= polling.SENTINEL_POLL_S:
+            return False
+        if now - self._looked_at <= polling.SENTINEL_POLL_S:
+            return False
+        self._looked_at = now
+        return self._is_sentinel(now)
+
+    def _is_sentinel(self, now):
+        return self._board.peers.is_among_first(
+            self._source.name, polling.SENTINELS, now
+        )
 
     def check_age(self, now):
         """Ask the store at once if peers know of more changes."""
+        if self._available and self._must_take_over(now):
+            self._interrupted.set()
         # Gateways gather changes for a while before they read them.
         patience_s = self._change_pause_s(False) + MISSED_CHANGE_S
         changes = self._board.registration_changes
--- a/persimmonroute/gateway/peers.py
+++ b/persimmonroute/gateway/peers.py
@@ -288,24 +288,39 @@
         """Return whether this gateway is the one to act on a subject."""
         return self.find_responsible(subject, now) == self._own_name
 
+    def is_among_first(self, subject, count, now):
+        """Return whether this gateway is one of so many to act on a subject.
+
+        The gateways that respond choose the same ones.
+        """
+        own = compute_tie_breaker(subject, self._own_name)
+        before = sum(
+            compute_tie_breaker(subject, name) < own
+            for name in self._find_responding(now)
+        )
+        return before < count
+
     def find_responsible(self, subject, now, excluded=()):
         """Return the name of the gateway that is to act on a subject.
 
         The gateways that respond choose the same one. It is this one if all
         are excluded.
         """
-        responding = [
-            peer.name
-            for peer in self._peers.values()
-            if not peer.stopping
-            and peer.has_reported_within(UNRESPONSIVE_AFTER_INTERVALS, now)
-        ]
+        responding = self._find_responding(now)
         return min(
             (n for n in (self._own_name, *responding) if n not in excluded),
             key=lambda name: compute_tie_breaker(subject, name),
             default=self._own_name,
         )
 
+    def _find_responding(self, now):
+        return [
+            peer.name
+            for peer in self._peers.values()
+            if not peer.stopping
+            and peer.has_reported_within(UNRESPONSIVE_AFTER_INTERVALS, now)
+        ]
+
     def find_gone(self, listed, now):
         """Return the listed gateways whose rows this gateway has to remove.
 
--- a/persimmonroute/gateway/polling.py
+++ b/persimmonroute/gateway/polling.py
@@ -16,6 +16,11 @@
 POLL_SHARERS = 8
 # A watch is no longer than this, so that a lost connection is noticed.
 MAX_POLL_S = 20.0
+# Gateways that watch the registrations in short polls, so that a poll whose
+# answer is lost is noticed soon. The others learn from them that they missed a
+# change. More than one, as any of them may be cut off.
+SENTINELS = 3
+SENTINEL_POLL_S = 3.0
 # Shared watches last between these multiples of their mean, so that gateways
 # that started together do not all ask, and confirm, at the same time.
 POLL_SPREAD = (0.75, 1.25)
--- a/persimmonroute/tests/gateway/following_tests.py
+++ b/persimmonroute/tests/gateway/following_tests.py
@@ -4,12 +4,19 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from persimmonroute import clock
+from persimmonroute import exceptions
 from persimmonroute.gateway import following
+from persimmonroute.gateway import peers
 from persimmonroute.gateway import polling
+from persimmonroute.platform import tables
 from standins import gateway_fixtures as fixtures
 
+# Bounds of the smallest deployment, in seconds.
+STABLE_S = 3.0
+DRAIN_S = 2.5
 NO_CHANGES = following.Changes(None, (), (), False, 0.0)
 
 
@@ -108,6 +115,33 @@
         )
 
 
+class SilentStoreSource(LostAnswerSource):
+    """Answer no long poll: each ends with its time."""
+
+    wait_s = None
+
+    def set_wait_s(self, wait_s):
+        """Set the time of the next poll."""
+        self.wait_s = wait_s
+
+    async def watch(self, long_poll):
+        """Fail at the end of a long poll."""
+        if long_poll:
+            self.watches += 1
+            await asyncio.sleep(self.wait_s)
+            raise exceptions.PlatformUnavailableError('no answer')
+        return await super().watch(False)
+
+
+def report(board, names, now):
+    """Let other gateways report to a board."""
+    for name in names:
+        board.peers.update_peer(name, 'x:1', now, 'riga-a')
+        board.peers.apply_report(
+            peers.PeerReport(name, 1, int(now * 10) + 1, {}, {}, {}), now
+        )
+
+
 class RunnerFollowerTests(unittest.IsolatedAsyncioTestCase):
     """Follow the registrations of endpoints."""
 
@@ -131,6 +165,73 @@
         self.assertTrue(board.runner_registry.find('r1').leaving)
         self.assertEqual(source.watches, 2)
 
+    async def test_lost_poll_of_a_lone_gateway_ends_soon(self):
+        """Guards against a silent store that hides leaving endpoints.
+
+        It swallows the polls of all gateways, so that no peer knows either.
+        """
+        board, source = fixtures.board(), SilentStoreSource()
+        follower = following.RunnerFollower(
+            board, source, None, lambda now: None, lambda r: None
+        )
+        with mock.patch.object(polling, 'SENTINEL_POLL_S', 0.1):
+            task = asyncio.create_task(follower.run())
+            self.addCleanup(task.cancel)
+            async with asyncio.timeout(2.0):
+                while not board.runner_registry.find('r1'):
+                    await asyncio.sleep(0.001)
+                while not board.runner_registry.find('r1').leaving:
+                    await asyncio.sleep(0.01)
+        self.assertEqual(source.watches, 2)
+
+    async def test_few_gateways_poll_often(self):
+        """The calls do not grow with the fleet, and some always do."""
+        for count in (1, 2, 3, 4, 31, 300):
+            with self.subTest(count=count):
+                names = [f'g{n}' for n in range(count)]
+                waits = [self._find_wait_s(name, names) for name in names]
+                often = waits.count(polling.SENTINEL_POLL_S)
+                self.assertEqual(often, min(count, polling.SENTINELS))
+                self.assertLessEqual(max(waits), polling.MAX_POLL_S)
+
+    async def test_lost_poll_is_known_before_endpoints_leave(self):
+        """The bounds are those of the smallest deployment.
+
+        A store counts as sound some time after a silence; a change that it
+        takes then is known in time.
+        """
+        known_s = polling.SENTINEL_POLL_S + tables.WATCH_GRACE_S
+        told_s = polling.CHANGE_PAUSE_S + following.MISSED_CHANGE_S
+        self.assertLess(known_s + told_s, STABLE_S + DRAIN_S)
+
+    def _find_wait_s(self, name, names):
+        board, source = fixtures.board(name=name), SilentStoreSource()
+        report(board, [n for n in names if n != name], 0.0)
+        follower = following.RunnerFollower(
+            board, source, None, lambda now: None, lambda r: None
+        )
+        follower._prepare_watch(0.0)
+        return source.wait_s
+
+    async def test_gateway_takes_the_place_of_one_that_stopped(self):
+        """Guards against a long poll that began before."""
+        names = [f'g{n}' for n in range(5)]
+        waits = {name: self._find_wait_s(name, names) for name in names}
+        seldom = [n for n in names if waits[n] == polling.MAX_POLL_S]
+        interrupted = 0
+        for name in seldom:
+            board, source = fixtures.board(name=name), SilentStoreSource()
+            report(board, [n for n in names if n != name], 0.0)
+            follower = following.RunnerFollower(
+                board, source, None, lambda now: None, lambda r: None
+            )
+            follower._prepare_watch(0.0)
+            follower.check_age(4.0)
+            report(board, [n for n in seldom if n != name], 4.0)
+            self.assertTrue(follower._is_sentinel(4.0))
+            interrupted += follower._interrupted.is_set()
+        self.assertEqual(interrupted, len(seldom))
+
     async def test_changes_are_watched_at_once_after_the_list(self):
         """An endpoint that leaves right after a start is known to leave."""
         source = ListedSource()
