--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -213,6 +213,11 @@
         'WARNING',
         'stream begins at a version that the store may not know',
     )
+    VERSIONS_UNCERTAIN = EventKind(
+        738,
+        'WARNING',
+        'restored store may lack versions; stream that nobody knows refused',
+    )
     PEERS_LISTED = EventKind(732, 'DEBUG', 'list of gateways received')
     GATEWAY_ROW_REMOVED = EventKind(
         734, 'INFO', 'row of a gateway that is gone removed'
--- a/persimmonroute/gateway/version_keeping.py
+++ b/persimmonroute/gateway/version_keeping.py
@@ -26,6 +26,12 @@
 # A stream waits no longer for the row of its version; a transaction takes some
 # milliseconds.
 CONFIRM_TIMEOUT_S = 0.3
+# Era of a store that was never restored from an older copy.
+FIRST_ERA = 1
+# After a restore endpoints register again within about two seconds, and the
+# versions that the copy lacks are known then. A process that starts cannot
+# tell when the store was restored.
+RESTORED_SETTLE_S = 3.0
 # Gateways that have to confirm the same version ask for its row at different
 # times, so that in a large fleet most find the row of another.
 CONFIRM_SPREAD_PER_GATEWAY_S = 0.0005
@@ -66,6 +72,9 @@
         self._newest = {}
         self._read_at = -math.inf
         self._reading = asyncio.Lock()
+        # Era of the store, and since when it is known here.
+        self._era = None
+        self._era_known_at = math.inf
 
     def on_store_restored(self):
         """Compare with the rows of a store that may have lost some."""
@@ -97,7 +106,8 @@
         """Return whether a service can have had streams of no other version.
 
         The store is asked now: this gateway and its peers may have missed
-        that a version came. Without the store the answer is no.
+        that a version came. Without the store the answer is no, and also while
+        a store that was restored may lack versions.
         """
         try:
             async with timeouts.timeout(CONFIRM_TIMEOUT_S):
@@ -105,8 +115,20 @@
         except (exceptions.PlatformUnavailableError, TimeoutError) as error:
             log.emit(Event.STORE_CALL_FAILED, problem=repr(error))
             return False
+        if not self._has_settled(clock.now_s()):
+            log.emit(Event.VERSIONS_UNCERTAIN, era=self._era)
+            return False
         return {v for s, v in stored if s == service} == {version}
 
+    def _has_settled(self, now):
+        """Return whether endpoints have registered since a restore."""
+        era = self._board.store_era
+        if era != self._era:
+            self._era, self._era_known_at = era, now
+        if era is not None and era <= FIRST_ERA:
+            return True
+        return now - self._era_known_at >= RESTORED_SETTLE_S
+
     async def _read_newest(self):
         """Return rows that were read after the call of this method.
 
@@ -148,6 +170,7 @@
         self._must_read = True
 
     async def _synchronize(self):
+        self._has_settled(clock.now_s())
         registry = self._board.runner_registry
         if self._must_read or self._restored:
             former, self._stored = self._stored, await self._rows.read()
--- a/persimmonroute/tests/gateway/stream_version_tests.py
+++ b/persimmonroute/tests/gateway/stream_version_tests.py
@@ -10,6 +10,7 @@
 
 from persimmonroute.gateway import row_keeping
 from persimmonroute.gateway import runners
+from persimmonroute.gateway import version_keeping
 from standins import gateway_deployment as deployments
 from standins import stalls
 from tools.soak import proxy
@@ -250,6 +251,56 @@
         self.assertEqual(versions_of(begun.body, rest.body), {b'v2'})
         self.assertEqual(rest.status, 503)
 
+    async def test_restored_store_lacks_a_version_after_a_restart_of_all(self):
+        """Guards against streams joined after a restore and a kill of all.
+
+        The store comes back from a copy of before a version, whose endpoints
+        have not registered again when callers come back.
+        """
+        platform = self.deployment.platform
+        for runner in self.deployment.runners:
+            if runner.version != 'v1':
+                runner.version, runner.born = 'v1', 2
+                self.deployment.register(runner)
+        with mock.patch.object(runners, 'VERSION_HISTORY_S', 0.5):
+            await self._wait_until_only_version('v1')
+            copied = platform.tables.copy()
+            late = self.deployment.runners[0]
+            late.version, late.born = 'v2', 3
+            self.deployment.register(late)
+            begun = await self._begin_at(late)
+            await self.deployment.stop_gateways()
+        platform.restore(copied)
+        await self.deployment.start_gateways()
+        for number in range(GATEWAYS):
+            rest = await self._resume(begun, number)
+            self.assertEqual(rest.status, 503)
+        self.deployment.register(late)
+        with mock.patch.object(version_keeping, 'RESTORED_SETTLE_S', 0.0):
+            await asyncio.sleep(SETTLE_S)
+            rest = await self._resume(begun, 1)
+        self.assertEqual(versions_of(begun.body, rest.body), {b'v2'})
+
+    async def test_restored_store_refuses_streams_for_a_while_only(self):
+        """One version that serves all the time goes on with its streams."""
+        for runner in self.deployment.runners:
+            if runner.version != 'v1':
+                runner.version, runner.born = 'v1', 2
+                self.deployment.register(runner)
+        with mock.patch.object(runners, 'VERSION_HISTORY_S', 0.5):
+            await self._wait_until_only_version('v1')
+            begun = await self._begin()
+            await self.deployment.stop_gateways()
+        self.deployment.platform.restore(
+            self.deployment.platform.tables.copy()
+        )
+        with mock.patch.object(version_keeping, 'RESTORED_SETTLE_S', 1.5):
+            await self.deployment.start_gateways()
+            await asyncio.sleep(2.0)
+            rest = await self._resume(begun, 1)
+        self.assertEqual(rest.status, 200)
+        self.assertEqual(versions_of(begun.body, rest.body), {b'v1'})
+
     async def test_stream_begins_only_at_a_known_process(self):
         """Guards against a process that replaced the registered one.
 
--- a/persimmonroute/tests/gateway/version_keeping_tests.py
+++ b/persimmonroute/tests/gateway/version_keeping_tests.py
@@ -55,8 +55,11 @@
         patch.start()
         self.addCleanup(patch.stop)
 
-    def _build(self, name):
-        return fixtures.board(now=clock.now_s(), name=name)
+    def _build(self, name, era=version_keeping.FIRST_ERA):
+        board = fixtures.board(now=clock.now_s(), name=name)
+        # As after the first response of the store.
+        board.raise_store_era(era)
+        return board
 
     async def _run(self, *boards):
         """Keep the rows for a moment."""
@@ -70,6 +73,30 @@
         for task in tasks:
             task.cancel()
 
+    async def test_restored_store_tells_nothing_for_a_while(self):
+        """Guards against a version that the copy of the store lacks."""
+        await self._run(self.board)
+        ((service, version),) = self.rows.rows
+        restored = self._build('gateway-2', version_keeping.FIRST_ERA + 1)
+        keeper = version_keeping.VersionKeeper(restored, self.rows)
+        self.assertFalse(await keeper.is_only_version(service, version))
+        with mock.patch.object(version_keeping, 'RESTORED_SETTLE_S', 0.0):
+            self.assertTrue(await keeper.is_only_version(service, version))
+        self.assertFalse(await keeper.is_only_version(service, version))
+        # Another restore begins another while.
+        with mock.patch.object(version_keeping, 'RESTORED_SETTLE_S', 0.05):
+            await asyncio.sleep(0.06)
+            restored.raise_store_era(version_keeping.FIRST_ERA + 2)
+            self.assertFalse(await keeper.is_only_version(service, version))
+
+    async def test_store_whose_era_is_not_known_tells_nothing(self):
+        """A gateway that has had no response may not guess."""
+        await self._run(self.board)
+        ((service, version),) = self.rows.rows
+        fresh = fixtures.board(now=clock.now_s(), name='gateway-2')
+        keeper = version_keeping.VersionKeeper(fresh, self.rows)
+        self.assertFalse(await keeper.is_only_version(service, version))
+
     async def test_gateway_that_starts_again_knows_the_versions(self):
         """Without another version no other can have begun a stream."""
         await self._run(self.board)
