Return freed bodies to the system

Cause: glibc raises the size from which freed blocks go back to the system with each block that is freed. After the first bodies the others were put on the heap and stayed there between blocks in use.

Fix: the size is fixed at 128 kB when a process starts.

--- a/persimmonroute/process.py
+++ b/persimmonroute/process.py
@@ -25,6 +25,7 @@
 from persimmonroute import exceptions
 from persimmonroute import logs
 from persimmonroute import loop_errors
+from persimmonroute import memory_allocation
 from persimmonroute import process_exit
 from persimmonroute import reloading
 from persimmonroute import startup_signals
@@ -52,6 +53,7 @@
     A process that was stopped has ended instead. signals are the
     StartupSignals that it was started with.
     """
+    memory_allocation.return_large_blocks()
     arguments = docopt.docopt(
         __doc__, argv, version=persimmonroute.__version__
     )
