Let the soak write successes that no endpoint vouches for

They now also write successes without a signature, with and without the name of the attempt, drawn after all other faults, so that seeds keep theirs. The soak checks that a success is signed; a mutant passes on what is not.

--- a/persimmonroute/tests/soak_tests.py
+++ b/persimmonroute/tests/soak_tests.py
@@ -39,6 +39,11 @@
 KEYS = {'key-0': 'desk-0', 'key-1': 'desk-1'}
 
 
+def signed_headers(attempt):
+    """Return the headers of the response of an endpoint."""
+    return {b'attempt-id': attempt, b'upstream-signature': b'signature'}
+
+
 def outcome(attempt='a', **changes):
     """Return the outcome of a served request, with some fields changed."""
     served = records.Outcome(
@@ -50,10 +55,13 @@
         sent_at=10.0,
         ended_at=10.1,
         status=200,
-        headers={b'attempt-id': attempt.encode()},
+        headers=signed_headers(attempt.encode()),
         body=endpoints.plain_body(attempt.encode()),
         complete=True,
     )
+    if changes.get('status', 200) != 200:
+        # Written by the gateway.
+        served.headers.pop(b'upstream-signature')
     return served._replace(**changes)
 
 
@@ -132,7 +140,7 @@
         self._execute()
         wrong = (
             outcome(body=b'answer'),
-            outcome(headers={b'attempt-id': b'b'}),
+            outcome(headers=signed_headers(b'b')),
             outcome(route='resume', body=endpoints.event(b'a', 1)),
         )
         for wrong_outcome in wrong:
@@ -141,6 +149,12 @@
                 self.journal.outcomes.clear()
                 self.assertEqual(self._check(wrong_outcome), {'whole answer'})
 
+    def test_success_without_a_signature(self):
+        """Callers receive no success that no endpoint vouches for."""
+        self._execute()
+        unsigned = outcome(headers={b'attempt-id': b'a'})
+        self.assertEqual(self._check(unsigned), {'signed success'})
+
     def test_forged_workspace(self):
         """Endpoints receive the workspace of the key only."""
         self._execute(workspace='somebody-else')
@@ -260,7 +274,7 @@
                     'b',
                     route='single',
                     body=body,
-                    headers={b'attempt-id': b'b'},
+                    headers=signed_headers(b'b'),
                     resumes='a',
                     last_event_id=1,
                 )
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -478,6 +478,27 @@
         reply.write_unframed_head(b'content-type: text/event-stream\r\n')
         await reply.writer.drain()
 
+    async def _do_unsigned(self, reply, headers):
+        """Answer with bytes that no endpoint vouches for."""
+        name = b'attempt-id: %b\r\n' % reply.attempt
+        return self._write_unsigned(reply, headers, name)
+
+    async def _do_nameless(self, reply, headers):
+        """Do the same without the name of the attempt."""
+        return self._write_unsigned(reply, headers, b'')
+
+    def _write_unsigned(self, reply, headers, name):
+        content_type, body = b'text/plain', b'nobody wrote this'
+        if _wants_stream(headers):
+            content_type = b'text/event-stream'
+            body = b'id: 1\ndata: nobody wrote this\n\n'
+        reply.writer.write(
+            b'HTTP/1.1 200 OK\r\n%bcontent-type: %b\r\n'
+            b'content-length: %d\r\n\r\n%b'
+            % (name, content_type, len(body), body)
+        )
+        return False
+
     async def _do_json_on_stream(self, reply, headers):
         """Answer a request for a stream with a whole JSON document."""
         await reply.send_complete(
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -106,6 +106,11 @@
     def _check_response(self, outcome):
         if outcome.status != 200 or not outcome.complete:
             return
+        if not outcome.headers.get(b'upstream-signature'):
+            self._add_finding(
+                'signed success',
+                f'{outcome.attempt} on {outcome.route} got {outcome.body!r}',
+            )
         received_id = outcome.headers.get(b'attempt-id', b'').decode()
         version = next(iter(endpoints.versions_of(outcome.body)), '')
         bodies = endpoints.expected_bodies(
--- a/tools/soak/mutants.py
+++ b/tools/soak/mutants.py
@@ -67,6 +67,10 @@
             ),
         ),
     ),
+    Mutant(
+        'passes on successes that nobody signed',
+        (Edit(FORWARDING, '        _check_origin(head)\n', ''),),
+    ),
     Mutant(
         'takes streams that end inside an event for complete',
         (Edit(FORWARDING, 'if splitter.in_event:', 'if False:'),),
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -109,6 +109,11 @@
     Kind('stop_again', 0.3, 3.0),
     Kind('stop_beside_reload', 0.3, 3.0),
 )
+# Answers that no endpoint vouches for, drawn after all others.
+UNSIGNED_KINDS = (
+    Kind('endpoint_unsigned', 2.5, 0.5),
+    Kind('endpoint_nameless', 2.5, 0.5),
+)
 STOP_KINDS = ('stop', *(kind.name for kind in SIGNAL_KINDS))
 # Silences of one endpoint, of all but one and of all, drawn as a series.
 SILENT_KINDS = (
@@ -166,6 +171,10 @@
     if later.random() < LATER_SHARE:
         kind = later.choice(SIGNAL_KINDS)
         faults.append(_draw_fault(later, kind, gateways, endpoints))
+    later = random.Random(repr(faults) + 'unsigned')
+    if later.random() < LATER_SHARE:
+        kind = later.choice(UNSIGNED_KINDS)
+        faults.append(_draw_fault(later, kind, gateways, endpoints))
     return sorted(faults)
 
 
--- a/tools/soak/seed_run.py
+++ b/tools/soak/seed_run.py
@@ -78,6 +78,8 @@
     'partial_stream',
     'empty_stream',
     'unframed_whole_stream',
+    'unsigned',
+    'nameless',
 )
 
 
