Send data to callers that keep up as they are

Cause: split them in AsgiCaller.send, so that little is written to a caller that falls behind.

It is not needed: what comes from an endpoint is 32 kB at most, and what is kept comes in parts of 16 or 32 kB; only a kept failure is longer, 256 kB at most, as before.

--- a/persimmonroute/platform/ingress.py
+++ b/persimmonroute/platform/ingress.py
@@ -21,9 +21,6 @@
 # Bytes over the body limit that are read and discarded, because many clients
 # read the response only after they have sent the complete body.
 MAX_DISCARDED_BYTES = 1_048_576
-# Longer data are sent in parts, so that little is written to a caller that
-# falls behind.
-SEND_BYTES = 32_768
 TOO_LARGE = object()
 NO_MEMORY = object()
 # Larger values of callers are taken for these, so that they fit into messages
@@ -158,14 +155,12 @@
 
     async def send(self, data):
         """Send a chunk of the response body, or keep it for later."""
-        for start in range(0, len(data), SEND_BYTES):
-            part = data[start : start + SEND_BYTES]
-            if self.behind:
-                if self._unread is None:
-                    self._unread = self._build_unread()
-                await self._unread.add(part)
-            else:
-                await self._send_body(part)
+        if self.behind:
+            if self._unread is None:
+                self._unread = self._build_unread()
+            await self._unread.add(data)
+        else:
+            await self._send_body(data)
 
     async def flush(self):
         """Wait until the caller has got what was sent."""
