Drop what refused requests and closed connections have read

An instance that is killed for its memory breaks off all its requests.

Cause: the parser keeps what it has read, up to 57 kB. A refusal replaced it in the connection, but the request held it as well, and request and connection refer to each other. So it stayed until the garbage collector ran by itself.

The data are now dropped when a request is refused, and when a connection ends. Both new tests fail on the code before.

--- a/persimmonroute/caller_protocol.py
+++ b/persimmonroute/caller_protocol.py
@@ -338,6 +338,7 @@
         self._unset_keepalive_if_required()
         # Reference cycles would keep the buffers until the garbage collector
         # runs, which is late where many connections come and go.
+        self._drop_received()
         self._holding.close = _do_nothing
         self.flow.detach()
         self.transport.detach()
@@ -499,8 +500,7 @@
             self._reset()
             return
         self._end()
-        # The parser keeps what it has read.
-        self.conn = h11.Connection(h11.SERVER)
+        self._drop_received()
         self.transport.write(output)
         try:
             self.transport.write_eof()
@@ -524,6 +524,16 @@
             cycle.waiting_for_100_continue = False
             cycle.message_event.set()
 
+    def _drop_received(self):
+        """Drop what the parser and the request keep of the data read.
+
+        The request may not be sending a response.
+        """
+        self.conn = h11.Connection(h11.SERVER)
+        if self.cycle is not None:
+            self.cycle.conn = self.conn
+            self.cycle.body = bytearray()
+
     def _parse(self, data):
         """Parse data, at most a slice of them if they have many lines."""
         if (
--- a/persimmonroute/tests/caller_protocol_tests.py
+++ b/persimmonroute/tests/caller_protocol_tests.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import contextlib
+import gc
 import unittest
+import weakref
 
 from persimmonroute import caller_account
 from persimmonroute import caller_protocol
@@ -355,6 +357,37 @@
         self.assertEqual(account.responses_cut, 1)
         self.assertGreater(holding.written, 1_000_000)
 
+    def _watch_parser(self):
+        """Return a reference to the parser, and collect no garbage."""
+        gc.disable()
+        self.addCleanup(gc.enable)
+        (connection,) = self.server.server_state.connections
+        return weakref.ref(connection.conn)
+
+    async def test_refused_request_keeps_no_data(self):
+        """Guards against buffers that stay while a caller reads no refusal."""
+        parser = self._watch_parser()
+        trailers = b'x: yyyyyyyyyy\r\n' * 10_000
+        self.writer.write(CHUNKED + b'1\r\nx\r\n0\r\n' + trailers)
+        async with asyncio.timeout(END_S):
+            await self.reader.readuntil(b'\r\n\r\n')
+        self.assertEqual(len(self.guard.account.holdings), 1)
+        self.assertIsNone(parser())
+
+    async def test_closed_connection_keeps_no_data(self):
+        """Guards against buffers that stay until garbage is collected."""
+        parser = self._watch_parser()
+        trailers = b'x: yyyyyyyyyy\r\n' * 100
+        self.writer.write(CHUNKED + b'1\r\nx\r\n0\r\n' + trailers)
+        (holding,) = self.guard.account.holdings
+        async with asyncio.timeout(END_S):
+            while holding.unparsed < len(trailers):
+                await asyncio.sleep(0.01)
+            self.writer.close()
+            while self.guard.account.holdings:
+                await asyncio.sleep(0.01)
+        self.assertIsNone(parser())
+
     async def test_nothing_is_held_after_connections_end(self):
         """Guards against an account that only grows."""
         self.writer.write(REQUEST + b'content-length: 10\r\n\r\nabc')
