Tell two other gateways of each stream that begins

Callers saw "the version that began the stream is not known" (503) for streams that they took up after two gateways were killed at once, while two versions served.

Cause: a gateway could be one of the two keepers of its own streams. Then only one other gateway knew them, and with three or four gateways that was common.

Each question goes to three candidates of a region, since any of them may have begun the stream, and to at most 24 gateways in place of 16, so that eight regions are still covered.

A stop tells nobody in addition, as both keepers are other gateways already. Three gateways killed at the same moment are not covered.

--- a/persimmonroute/gateway/dispatcher.py
+++ b/persimmonroute/gateway/dispatcher.py
@@ -215,11 +215,9 @@
     def stop_hosting(self):
         """Leave to other gateways what this one does for them.
 
-        The requests that it hosts find another host, and its open streams
-        other keepers.
+        The requests that it hosts find another host.
         """
         self._host.stop()
-        self._origins.stop(clock.now_s())
         self.deliver_decisions()
 
     def deliver_decisions(self):
--- a/persimmonroute/gateway/stream_origins.py
+++ b/persimmonroute/gateway/stream_origins.py
@@ -1,12 +1,12 @@
 """Remember which software version began a stream, and find it again.
 
 A caller may take a stream up again at a gateway that never saw it begin. A
-gateway that begins a stream tells two keepers, which every gateway can compute
-from the attempt, so what it knew outlives it. If a keeper stops, falls
-silent or starts again while the stream is open, another one is told. A gateway
-that is asked to go on with an unknown stream asks the keepers of all regions,
-and in a small fleet all gateways. It costs messages for each stream that
-begins, not for each gateway.
+gateway that begins a stream tells two others, its keepers, which every gateway
+can compute from the attempt, so what it knew outlives any two gateways. If a
+keeper stops, falls silent or starts again while the stream is open, another
+one is told. A gateway that is asked to go on with an unknown stream asks the
+keepers of all regions, and in a small fleet all gateways. It costs messages
+for each stream that begins, not for each gateway.
 """
 
 from __future__ import annotations
@@ -27,10 +27,10 @@
 # longest time that callers wait.
 STREAM_LIFE_S = runners.VERSION_HISTORY_S
 MAX_STREAMS = 20_000
-# Gateways of a region that remember a stream for the one that began it.
+# Gateways that remember a stream beside the one that began it.
 KEEPERS = 2
 # Gateways asked about one stream. In a fleet of that size all are asked.
-MAX_ASKED = 16
+MAX_ASKED = 24
 # Pauses before a question without a reply is sent again, and before it counts
 # as unanswered. Gateways of other regions are tens of milliseconds away.
 RESEND_AFTER_S = 0.06
@@ -137,7 +137,6 @@
         self._told_state = None
         self._silent = frozenset()
         self._checked_at = -math.inf
-        self._stops = False
         self._ticked_at = math.inf
 
     def record_begun(self, workspace, attempt, origin, now):
@@ -164,11 +163,6 @@
             self._tell(keeper, key, origin)
         return True
 
-    def stop(self, now):
-        """Leave the open streams to gateways that do not stop."""
-        self._stops = True
-        self._tell_keepers(now)
-
     def ask(self, workspace, attempt, service, now):
         """Return a Question; a Resolved effect follows.
 
@@ -240,11 +234,12 @@
     def _list_keepers(self, key):
         """Return the Keepers of a stream of this gateway."""
         _, members = self._keeping_by_region()
-        names = _find_keepers(key, self._locality.region, members)
+        names = _find_candidates(key, self._locality.region, members)
         return [
             open_streams.Keeper(name, self._peers.find_incarnation(name))
             for name in names
-        ]
+            if name != self._own.name
+        ][:KEEPERS]
 
     def _check_keepers(self, now):
         """Return whether the gateways that can keep streams have changed."""
@@ -260,16 +255,14 @@
 
         A gateway that stops is none, and neither is one that is silent.
         """
-        state = self._peers.generation, self._silent, self._stops
+        state = self._peers.generation, self._silent
         if state != self._keeping[0]:
-            members = [
+            others = [
                 member
                 for member in self._peers.members()
                 if member.name not in self._silent
             ]
-            if not self._stops:
-                members.append(self._own)
-            self._keeping = state, self._group_by_region(members)
+            self._keeping = state, self._group_by_region([self._own, *others])
         return self._keeping
 
     def _find(self, key, now):
@@ -339,15 +332,15 @@
             self._send(peer, message)
 
     def _send(self, peer, message):
-        if peer != self._own.name:
-            self.put(Send(peer, message))
+        self.put(Send(peer, message))
 
     def _find_asked(self, key):
         """Return the gateways to ask: the keepers of all regions, others."""
+        members = self._members_by_region()
         asked = dict.fromkeys(
-            keeper
-            for region in sorted(self._members_by_region())
-            for keeper in _find_keepers(key, region, self._members_by_region())
+            name
+            for region in sorted(members)
+            for name in _find_candidates(key, region, members)
         )
         asked.update(
             dict.fromkeys(m.name for m in _order(key, self._peers.members()))
@@ -375,21 +368,23 @@
         return by_region
 
 
-def _find_keepers(key, region, members):
-    """Return the gateways that remember a stream begun in a region.
+def _find_candidates(key, region, members):
+    """Return the gateways that may keep a stream begun in a region.
 
-    They are in unlike failure domains, of other regions if need be.
+    They are one more than the keepers, as one of them may have begun it. They
+    are in unlike failure domains, of other regions if need be.
     """
-    keepers = {}
+    count = KEEPERS + 1
+    candidates = {}
     seen = []
     for near in (region, *sorted(members.keys() - {region})):
         for member in _order(key, members.get(near, ())):
-            keepers.setdefault(member.failure_domain, member.name)
-            if len(keepers) == KEEPERS:
-                return list(keepers.values())
+            candidates.setdefault(member.failure_domain, member.name)
+            if len(candidates) == count:
+                return list(candidates.values())
             seen.append(member.name)
-    # There are fewer failure domains than keepers.
-    return list(dict.fromkeys([*keepers.values(), *seen]))[:KEEPERS]
+    # There are fewer failure domains.
+    return list(dict.fromkeys([*candidates.values(), *seen]))[:count]
 
 
 def find_key(workspace, attempt):
--- a/persimmonroute/tests/gateway/stream_keepers_tests.py
+++ b/persimmonroute/tests/gateway/stream_keepers_tests.py
@@ -64,9 +64,6 @@
     def stop(self, name):
         """Begin the planned stop of a gateway."""
         self.stopping.add(name)
-        gateway = self.gateways[name]
-        gateway.stop(self.now)
-        self._collect(name, gateway)
         self.report()
 
     def restart(self, name):
@@ -158,6 +155,17 @@
                 found = [fleet.ask(asked, f'a{n}') for n in range(STREAMS)]
                 self.assertEqual(found, [BEGUN] * STREAMS)
 
+    def test_any_two_gateways_are_killed_at_once(self):
+        """Guards against a gateway that counts as a keeper of its streams."""
+        for size in (3, 4, 12):
+            for second in range(1, size):
+                with self.subTest(size=size, second=second):
+                    fleet = self._begin_at_the_first(size)
+                    fleet.silent = {'g0', f'g{second}'}
+                    asked = 'g2' if second == 1 else 'g1'
+                    found = [fleet.ask(asked, f'a{n}') for n in range(STREAMS)]
+                    self.assertEqual(found, [BEGUN] * STREAMS)
+
     def test_stream_that_begins_at_a_gateway_that_stops(self):
         """Its keepers are other gateways, however short it lasts."""
         for size in (2, 4, 68):
