Let the soak signal several gateways in turn and at once, in fleets of any size

Half of the schedules now end with two gateways killed at the same moment, or with stops, kills and reloads of several in turn, which overlap if the pause is short. Every second caller keeps to its open connections. `--gateways` sets the number of processes.

The faults that seeds drew before stay as they were.

--- a/persimmonroute/tests/soak_tests.py
+++ b/persimmonroute/tests/soak_tests.py
@@ -742,6 +742,27 @@
         self.assertEqual(set(drawn), signals)
         self.assertGreater(len(drawn), 35)
 
+    def test_signals_meet_several_gateways(self):
+        """Half of the schedules end with a series, which may overlap."""
+        pauses_s, pairs, lone = [], 0, 0
+        for seed in range(100):
+            series = schedule.draw_series(random.Random(seed), 3, 3)
+            kinds = {fault.kind for fault in series}
+            self.assertLessEqual(kinds, set(schedule.SERIES_PARTS))
+            targets = [fault.target for fault in series]
+            self.assertEqual(len(set(targets)), len(targets))
+            if len(series) == 2:
+                pairs += 1
+                self.assertEqual(series[0].at, series[1].at)
+                continue
+            pauses_s.append(series[1].at - series[0].at)
+            lone += kinds == {'kill'}
+        self.assertGreater(pairs, 30)
+        self.assertLess(lone, 5)
+        # Stops take up to six seconds.
+        self.assertLess(min(pauses_s), 1.1)
+        self.assertGreater(max(pauses_s), 2.5)
+
     def test_a_quarter_of_the_seeds_play_a_rollout(self):
         """Guards against a soak without good or without bad versions."""
         drawn = [schedule.draw_rollout(seed) for seed in range(200)]
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -1,8 +1,8 @@
 """Run gateways as processes under random faults and check the promises.
 
 Usage:
-  soak [--seeds N] [--first N] [--jobs N] [--keep FOLDER]
-  soak --seed N [--keep FOLDER]
+  soak [--seeds N] [--first N] [--jobs N] [--keep FOLDER] [--gateways N]
+  soak --seed N [--keep FOLDER] [--gateways N]
   soak --mutants [--name TEXT] [--seeds N] [--jobs N]
 
 Options:
@@ -10,6 +10,7 @@
   --seeds N      Number of consecutive seeds to run [default: 5].
   --first N      First of these seeds (random if omitted).
   --jobs N       Number of seeds to run concurrently [default: 4].
+  --gateways N   Number of gateway processes of a run [default: 3].
   --keep FOLDER  Keep the logs of runs with findings in this folder.
   --mutants      Check that the soak detects each mutant of the source code.
   --name TEXT    Check only the mutant with this name.
@@ -52,16 +53,15 @@
 def main(argv=None):
     """Run seeds or check mutants and return the exit status."""
     arguments = docopt.docopt(__doc__, argv)
-    keep_folder = arguments['--keep']
+    options = seeds.Options(arguments['--keep'], int(arguments['--gateways']))
     if arguments['--seed']:
-        result = seeds.run_seed(int(arguments['--seed']), keep_folder)
+        result = seeds.run_seed(int(arguments['--seed']), options)
         print_result(result, verbose=True)
         return 1 if result.findings else 0
     count, jobs = int(arguments['--seeds']), int(arguments['--jobs'])
     if arguments['--mutants']:
-        return mutants.run(
-            seeds.run_seeds, range(1, count + 1), jobs, arguments['--name']
-        )
+        numbers = range(1, count + 1)
+        return mutants.run(numbers, jobs, arguments['--name'])
     first = arguments['--first']
     start = (
         int(first)
@@ -70,7 +70,7 @@
     )
     failed = 0
     numbers = range(start, start + count)
-    for result in seeds.run_seeds(numbers, jobs, keep_folder):
+    for result in seeds.run_seeds(numbers, jobs, options):
         print_result(result)
         failed += bool(result.findings)
     print(f'{count} seeds from {start}: {failed} with findings')
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -24,7 +24,8 @@
 LONG_ROUTES = ('seek', 'long')
 # Requests of these routes must not be repeated.
 AT_MOST_ONCE_ROUTES = ('book', 'draft')
-# Share of requests that may reuse an open connection.
+# Share of requests that may reuse an open connection, of callers that open
+# new ones at times.
 REUSE_SHARE = 0.7
 # Gateways must ignore the workspace that callers send.
 FORGED_WORKSPACE = 'somebody-else'
--- a/tools/soak/mutants.py
+++ b/tools/soak/mutants.py
@@ -8,6 +8,7 @@
 import typing
 
 from tools.soak import records
+from tools.soak import seeds
 
 ROOT = pathlib.Path(__file__).parents[2]
 PACKAGE = 'persimmonroute'
@@ -295,7 +296,7 @@
 )
 
 
-def run(run_seeds, seeds, jobs, name=None):
+def run(numbers, jobs, name=None):
     """Run seeds against all mutants or one; return the exit status."""
     undetected = 0
     for mutant in MUTANTS:
@@ -304,11 +305,11 @@
         with tempfile.TemporaryDirectory(prefix='mutant-') as folder:
             tree = write_tree(pathlib.Path(folder), mutant)
             seed, promise = _find_failing_seed(
-                run_seeds(seeds, jobs, None, tree)
+                seeds.run_seeds(numbers, jobs, seeds.Options(tree=tree))
             )
         if seed is None:
             undetected += 1
-            print(f'{mutant.name}: NOT CAUGHT in {len(seeds)} seeds')
+            print(f'{mutant.name}: NOT CAUGHT in {len(numbers)} seeds')
         else:
             print(f'{mutant.name}: seed {seed}, {promise}', flush=True)
     return 1 if undetected else 0
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -114,7 +114,17 @@
     Kind('endpoint_unsigned', 2.5, 0.5),
     Kind('endpoint_nameless', 2.5, 0.5),
 )
+# Signals to several gateways, drawn after these: kills at the same moment, or
+# stops, kills and reloads in turn. The strength is the time between two of
+# them, in seconds; stops overlap if it is short.
+SERIES_KINDS = (
+    Kind('kill_two', 0.5, 0),
+    Kind('signal_series', 0.5, 3.0),
+)
 STOP_KINDS = ('stop', *(kind.name for kind in SIGNAL_KINDS))
+# What a series consists of, and the gateways that it meets at most.
+SERIES_PARTS = ('stop', 'stop', 'stop_again', 'stop_beside_reload', 'kill')
+MAX_SERIES = 8
 # Silences of one endpoint, of all but one and of all, drawn as a series.
 SILENT_KINDS = (
     'endpoint_silent',
@@ -175,9 +185,28 @@
     if later.random() < LATER_SHARE:
         kind = later.choice(UNSIGNED_KINDS)
         faults.append(_draw_fault(later, kind, gateways, endpoints))
+    later = random.Random(repr(faults) + 'series')
+    if later.random() < LATER_SHARE:
+        faults += draw_series(later, gateways, endpoints)
     return sorted(faults)
 
 
+def draw_series(rng, gateways, endpoints):
+    """Return faults of several gateways, at once or in turn."""
+    first = _draw_fault(rng, rng.choice(SERIES_KINDS), gateways, endpoints)
+    order = rng.sample(range(gateways), min(gateways, MAX_SERIES))
+    if first.kind == 'kill_two':
+        return [first._replace(kind='kill', target=n) for n in order[:2]]
+    return [
+        first._replace(
+            at=round(first.at + number * first.strength, 3),
+            kind=rng.choice(SERIES_PARTS),
+            target=target,
+        )
+        for number, target in enumerate(order)
+    ]
+
+
 def draw_rollout(seed):
     """Return the Rollout of a seed, or None.
 
--- a/tools/soak/seed_run.py
+++ b/tools/soak/seed_run.py
@@ -26,6 +26,9 @@
 from tools.soak import starvation
 
 ROOT = pathlib.Path(__file__).parents[2]
+GATEWAYS = ENDPOINTS = 3
+# Callers, of which every second one keeps to its open connections; there are
+# as many as gateways at least.
 CALLERS = 8
 # Mean pause between two requests of a caller.
 MEAN_PAUSE_S = 0.12
@@ -86,7 +89,9 @@
 class SeedRun:
     """Run a deployment while the faults of a seed are injected."""
 
-    def __init__(self, seed, folder, tree=ROOT, gateways=3, endpoints=3):
+    def __init__(
+        self, seed, folder, tree=ROOT, gateways=GATEWAYS, endpoints=ENDPOINTS
+    ):
         self.journal = records.Journal()
         self.faults = ()
         # schedule.Rollout of the seed, or None.
@@ -139,7 +144,7 @@
                 starvation.watch(self._gateways, self.journal, self.now)
             )
             async with asyncio.TaskGroup() as group:
-                for number in range(CALLERS):
+                for number in range(max(CALLERS, self._counts[0])):
                     group.create_task(self._run_caller(number))
                 await asyncio.gather(
                     *(self._run_fault(fault) for fault in self.faults),
@@ -260,10 +265,11 @@
 
     async def _run_caller(self, number):
         caller = callers.Caller(f'c{number}', self.journal, self.now)
+        keeps = number % 2 == 0
         try:
             while not self._finished:
                 target = self._choose_target()
-                reuse = self._rng.random() < callers.REUSE_SHARE
+                reuse = self._rng.random() < callers.REUSE_SHARE or keeps
                 outcome = await caller.send_request(target, reuse)
                 if outcome is None:
                     await asyncio.sleep(MEAN_PAUSE_S)
--- a/tools/soak/seeds.py
+++ b/tools/soak/seeds.py
@@ -37,14 +37,24 @@
     rollout: str
 
 
-def run_seed(seed, keep_folder=None, tree=seed_run.ROOT):
+class Options(typing.NamedTuple):
+    """Set what all seeds of a soak have in common."""
+
+    # Where the logs of runs with findings are kept, or None.
+    keep_folder: str | None = None
+    gateways: int = seed_run.GATEWAYS
+    # Source code of the gateways.
+    tree: pathlib.Path = seed_run.ROOT
+
+
+def run_seed(seed, options=Options()):
     """Run a seed in a temporary folder and return its SeedResult."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix='soak-'))
     try:
-        run = seed_run.SeedRun(seed, folder, tree)
+        run = seed_run.SeedRun(seed, folder, options.tree, options.gateways)
         findings = asyncio.run(run.run())
-        if findings and keep_folder is not None:
-            target = pathlib.Path(keep_folder) / f'seed-{seed}'
+        if findings and options.keep_folder is not None:
+            target = pathlib.Path(options.keep_folder) / f'seed-{seed}'
             shutil.copytree(folder, target, dirs_exist_ok=True)
         outcomes = run.journal.outcomes
         return SeedResult(
@@ -63,12 +73,12 @@
         shutil.rmtree(folder, ignore_errors=True)
 
 
-def run_seeds(seeds, jobs, keep_folder=None, tree=seed_run.ROOT):
+def run_seeds(seeds, jobs, options=Options()):
     """Yield the SeedResults of seeds as the runs finish."""
     # Forked processes would share the threads' locks of gRPC.
     context = multiprocessing.get_context('spawn')
     with concurrent.futures.ProcessPoolExecutor(jobs, context) as pool:
-        futures = [pool.submit(run_seed, s, keep_folder, tree) for s in seeds]
+        futures = [pool.submit(run_seed, seed, options) for seed in seeds]
         try:
             for future in concurrent.futures.as_completed(futures):
                 yield future.result()
