Compare streams that are taken up with those that begin at the same time

No refusal was about the version.

So the check is wrong: callers take streams up when streams break off, and it compared that with all other times. It now compares each with the new streams that are sent at the same time at undisturbed gateways, and leaves out keys that are refused.

--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -31,8 +31,11 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_TOLERATED_SHARE = 1.5
 LIMIT_TOLERATED_REQUESTS = 5
-# Streams that callers took up, from which on their share is judged.
+# Streams that callers took up, from which on their share is judged, and the
+# time around each in which it is compared with streams that begin.
 LEAST_TAKEN_UP = 6
+NEAR_S = 0.5
+UNKNOWN_KEY = 401
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 # Minimum share of the requests in the recovery window that are served.
 MIN_RECOVERED_SHARE = 0.8
@@ -140,36 +143,46 @@
                 )
 
     def _check_taken_up(self):
-        """Check that streams go on half as often as new ones begin."""
+        """Check that streams go on half as often as new ones begin.
+
+        They are compared with those that begin at the same time, as streams
+        break off where others fail as well.
+        """
         first_by_attempt = {o.attempt: o for o in self._journal.outcomes}
-        counts = {True: [0, 0], False: [0, 0]}
+        new, taken_up = [], []
         for outcome in self._journal.outcomes:
-            kind = callers.kind_of(outcome.route)
-            if kind not in callers.RESUMABLE_ROUTES:
-                continue
-            resumed = outcome.resumes is not None
             first = first_by_attempt[outcome.resumes or outcome.attempt]
-            if not self._gateway_undisturbed(
-                outcome.gateway, first.sent_at, outcome.ended_at
-            ):
+            if not self._is_judged(first, outcome):
                 continue
-            if resumed and self._count_serving(first, outcome) < 2:
-                continue
-            progressed = outcome.complete and outcome.status == 200
-            counts[resumed][0] += progressed or bool(
-                endpoints.versions_of(outcome.body)
-            )
-            counts[resumed][1] += 1
-        (went_on, taken_up), (begun, new) = counts[True], counts[False]
-        if taken_up >= LEAST_TAKEN_UP and went_on / taken_up < 0.5 * (
-            begun / new
-        ):
+            if outcome.resumes is None:
+                new.append(outcome)
+            elif self._count_serving(first, outcome) >= 2:
+                taken_up.append(outcome)
+        went_on, expected = [], []
+        for outcome in taken_up:
+            begun = [_has_progressed(o) for o in new if _is_near(o, outcome)]
+            if begun:
+                went_on.append(_has_progressed(outcome))
+                expected.append(sum(begun) / len(begun))
+        count = len(went_on)
+        if count >= LEAST_TAKEN_UP and sum(went_on) < 0.5 * sum(expected):
             self._add_finding(
                 'taken up',
-                f'{went_on} of {taken_up} streams went on, {begun} of {new} '
-                f'began',
+                f'{sum(went_on)} of {count} streams went on, '
+                f'{sum(expected):.1f} would have begun',
             )
 
+    def _is_judged(self, first, outcome):
+        """Return whether a stream should have begun, or gone on."""
+        return (
+            callers.kind_of(outcome.route) in callers.RESUMABLE_ROUTES
+            # The key may have been revoked in between.
+            and outcome.status != UNKNOWN_KEY
+            and self._gateway_undisturbed(
+                outcome.gateway, first.sent_at, outcome.ended_at
+            )
+        )
+
     def _count_serving(self, first, outcome):
         """Count the endpoints that could go on with a stream."""
         versions = endpoints.versions_of(first.body)
@@ -451,3 +464,15 @@
 
 def _sent_at(outcome):
     return outcome.sent_at
+
+
+def _has_progressed(outcome):
+    """Return whether a stream was answered with an event or its end."""
+    whole = outcome.complete and outcome.status == 200
+    return whole or bool(endpoints.versions_of(outcome.body))
+
+
+def _is_near(other, outcome):
+    """Return whether another request was sent about when this one was."""
+    begin, end = outcome.sent_at - NEAR_S, outcome.ended_at + NEAR_S
+    return begin <= other.sent_at <= end
