--- a/persimmonroute/gateway/stream_origins.py
+++ b/persimmonroute/gateway/stream_origins.py
@@ -251,7 +251,7 @@
         return self._told_state != former
 
     def _keeping_by_region(self):
-        """Return a state, and the gateways that can keep streams in it.
+        """Return a state, and this gateway and those that can keep streams.
 
         A gateway that stops is none, and neither is one that is silent.
         """
