Let requests overlap where all versions have to serve some

Hypotheses: a gateway does not know the endpoints of the second version; the order without bounds keeps requests from them; or nothing makes a gateway use them. The log of a failed run has all four endpoints at both gateways before the first request, and all 730 requests got 200. Counts by endpoint, in runs that pass too: each gateway keeps to one of its idle endpoints, to which it has a connection (r0 344, r1 363, t0 6, t1 7 where it fails; r0 85, r1 1, t0 29, t1 2 where it passes). Requests took no time there, so one endpoint was enough, and which one is chance.

So the test's premise is wrong.

--- a/persimmonroute/tests/gateway/rollout_process_tests.py
+++ b/persimmonroute/tests/gateway/rollout_process_tests.py
@@ -12,6 +12,7 @@
 
 DURATION_S = 4.0
 PAUSE_S = 0.01
+SERVICE_S = 0.05
 SETTINGS = {
     'rollout_exposure_share': 0.1,
     'rollout_exposure_slack': 50,
@@ -185,6 +186,9 @@
         """Leave the setting out."""
         self.changes = {k: v for k, v in self.changes.items() if v is not None}
         await super().asyncSetUp()
+        # Requests overlap, so that one endpoint is not enough for them.
+        for runner in (*self.deployment.runners, *self.target):
+            runner.service_s = SERVICE_S
 
     async def test_order_has_no_effect(self):
         """All versions serve requests, and no row is written."""
