Move endpoints to one version in one place of the stream tests

They call _move_to_one_version now; no assertion, time or order changes. 14 tests of the module and the three checks passed (x86-64, 41 s); no other test was run for this.

--- a/persimmonroute/tests/gateway/stream_version_tests.py
+++ b/persimmonroute/tests/gateway/stream_version_tests.py
@@ -202,10 +202,7 @@
 
     async def test_restart_of_all_gateways_with_one_version(self):
         """The store tells that only one version can have begun a stream."""
-        for runner in self.deployment.runners:
-            if runner.version != 'v1':
-                runner.version, runner.born = 'v1', 2
-                self.deployment.register(runner)
+        self._move_to_one_version()
         with mock.patch.object(runners, 'VERSION_HISTORY_S', 0.5):
             await self._wait_until_only_version('v1')
             begun = await self._begin()
@@ -225,10 +222,7 @@
         The version that began a stream came just before the kill and is gone
         after it, so nothing but the store can tell that it served.
         """
-        for runner in self.deployment.runners:
-            if runner.version != 'v1':
-                runner.version, runner.born = 'v1', 2
-                self.deployment.register(runner)
+        self._move_to_one_version()
         with (
             mock.patch.object(runners, 'VERSION_HISTORY_S', 0.5),
             mock.patch.object(row_keeping, 'CHECK_INTERVAL_S', 0.05),
@@ -258,10 +252,7 @@
         have not registered again when callers come back.
         """
         platform = self.deployment.platform
-        for runner in self.deployment.runners:
-            if runner.version != 'v1':
-                runner.version, runner.born = 'v1', 2
-                self.deployment.register(runner)
+        self._move_to_one_version()
         with mock.patch.object(runners, 'VERSION_HISTORY_S', 0.5):
             await self._wait_until_only_version('v1')
             copied = platform.tables.copy()
@@ -283,10 +274,7 @@
 
     async def test_restored_store_refuses_streams_for_a_while_only(self):
         """One version that serves all the time goes on with its streams."""
-        for runner in self.deployment.runners:
-            if runner.version != 'v1':
-                runner.version, runner.born = 'v1', 2
-                self.deployment.register(runner)
+        self._move_to_one_version()
         with mock.patch.object(runners, 'VERSION_HISTORY_S', 0.5):
             await self._wait_until_only_version('v1')
             begun = await self._begin()
@@ -362,10 +350,7 @@
             )
         )
         self.deployment.platform.put_row('op', 'config', document)
-        for runner in self.deployment.runners:
-            if runner.version != 'v1':
-                runner.version, runner.born = 'v1', 2
-                self.deployment.register(runner)
+        self._move_to_one_version()
         link = proxy.Proxy()
         link.target = self.deployment.store
         await link.start()
@@ -400,6 +385,13 @@
                 return begun
         self.fail(f'no stream begins at {runner.id}')
 
+    def _move_to_one_version(self):
+        """Let all endpoints start again with the version 'v1'."""
+        for runner in self.deployment.runners:
+            if runner.version != 'v1':
+                runner.version, runner.born = 'v1', 2
+                self.deployment.register(runner)
+
     async def _wait_until_only_version(self, version):
         """Wait until the store tells of no other version any more."""
         tables = self.deployment.platform.tables
