Log where a configuration came from, and how late the event loop runs

The log told that a version came into force, but not from whom, how old it was or how long a newer one had been known of; failed calls to peers were hidden at the level of debugging, and nothing told a busy process from a slow link.

--- a/persimmonroute/events.py
+++ b/persimmonroute/events.py
@@ -43,6 +43,12 @@
         'no descriptors or memory left; raise the limit of open files, or '
         'lower the number of connections',
     )
+    EVENT_LOOP_LATE = EventKind(
+        112,
+        'WARNING',
+        'event loop runs late; with a processor share at its limit, callers '
+        'send more than the process can serve',
+    )
     REQUEST_ROUTED = EventKind(200, 'INFO', 'request offered to a sidecar')
     REQUEST_SHED = EventKind(201, 'INFO', 'request shed before it started')
     REQUEST_REROUTED = EventKind(
@@ -196,7 +202,7 @@
         731, 'DEBUG', 'report could not be sent to a peer'
     )
     PEER_ROWS_UNAVAILABLE = EventKind(
-        733, 'DEBUG', 'rows could not be loaded from a peer'
+        733, 'WARNING', 'rows could not be loaded from a peer'
     )
     CHANGE_MISSED = EventKind(
         737,
--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 import typing
 
 from persimmonroute import caller_account
@@ -21,6 +22,7 @@
 from persimmonroute.gateway import runners
 from persimmonroute.gateway import slow_readers
 from persimmonroute.gateway import stream_origins
+from persimmonroute import loop_delay
 from persimmonroute import reading_budget
 
 
@@ -104,6 +106,7 @@
         # How far the callers' estimates of the output can be trusted.
         self.output_hints = output_hints.OutputHints()
         self.open_requests = draining.OpenRequests()
+        self.loop_delay = loop_delay.LoopDelay()
         # What callers make the gateway hold.
         self.caller_account = caller_account.CallerAccount()
         self.slow_readers = slow_readers.SlowReaders(self.caller_account)
@@ -115,9 +118,10 @@
         self.streams_handed_over = 0
         # Newest configuration version that a peer has reported.
         self.newest_reported_version = 0
-        # Since when peers have had a newer configuration; None if they have
-        # not.
+        # Since when peers have had a newer configuration, None if they have
+        # not, and when that was last said to be overdue.
         self._behind_since = None
+        self._overdue_at = -math.inf
         # Number of times that the store was restored from an older copy, or
         # None before the first response.
         self.store_era = None
@@ -199,14 +203,29 @@
 
         It is then due again after another MISSED_CONFIGURATION_S.
         """
+        if self.behind_s(now) == 0.0:
+            return False
+        since = max(self._behind_since, self._overdue_at)
+        if now - since < MISSED_CONFIGURATION_S:
+            return False
+        self._overdue_at = now
+        return True
+
+    def behind_s(self, now):
+        """Return how long peers have had a newer configuration, in seconds."""
         if self.newest_reported_version <= self.version:
             self._behind_since = None
-        elif self._behind_since is None:
+            return 0.0
+        if self._behind_since is None:
             self._behind_since = now
-        elif now - self._behind_since >= MISSED_CONFIGURATION_S:
-            self._behind_since = now
-            return True
-        return False
+        return now - self._behind_since
+
+    def record_reported_version(self, version, now):
+        """Record the configuration version that a peer reports."""
+        self.newest_reported_version = max(
+            self.newest_reported_version, version
+        )
+        self.behind_s(now)
 
     def apply_peer_report(self, report, now):
         """Apply a peer's report; return False if it is outdated."""
--- a/persimmonroute/gateway/following.py
+++ b/persimmonroute/gateway/following.py
@@ -4,6 +4,7 @@
 
 import abc
 import asyncio
+import enum
 import typing
 
 from persimmonroute import clock
@@ -24,6 +25,13 @@
 MISSED_CHANGE_S = 0.5
 
 
+class Origin(enum.Enum):
+    """Tell who sent rows."""
+
+    STORE = 'store'
+    PEER = 'peer'
+
+
 class Changes(typing.NamedTuple):
     """Store the decoded result of one read or watch of a table."""
 
@@ -44,6 +52,7 @@
     newest_change: int = 0
     # Orders to move services to other versions.
     orders: tuple[rollout_control.Order, ...] = ()
+    origin: Origin = Origin.STORE
 
 
 class Source(abc.ABC):
@@ -193,9 +202,10 @@
                 rows=len(newest.values),
                 age_s=round(clock.now_s() - newest.confirmed_at, 3),
             )
-            self._apply(
-                self._source.import_rows(newest.values, newest.confirmed_at)
+            changes = self._source.import_rows(
+                newest.values, newest.confirmed_at
             )
+            self._apply(changes._replace(origin=Origin.PEER))
 
     def _record_unavailable(self, error):
         if self._available:
@@ -263,9 +273,14 @@
             self.on_orders(changes)
         configuration = changes.configuration
         if configuration is not None:
+            behind_s = self._board.behind_s(now)
             if self._board.adopt_configuration(configuration, now):
                 log.emit(
-                    Event.CONFIGURATION_IN_FORCE, version=configuration.version
+                    Event.CONFIGURATION_IN_FORCE,
+                    version=configuration.version,
+                    origin=changes.origin.value,
+                    age_s=round(now - changes.responded_at, 3),
+                    behind_s=round(behind_s, 3),
                 )
         # A store that was restored from an older copy may lack a version
         # that peers have applied, so it confirms nothing older.
--- a/persimmonroute/gateway/metrics.py
+++ b/persimmonroute/gateway/metrics.py
@@ -138,6 +138,21 @@
             'Version of the active configuration.',
             board.version,
         )
+        yield _gauge(
+            'persimmonroute_configuration_behind_seconds',
+            'Time for which peers have had a newer configuration.',
+            board.behind_s(now),
+        )
+        yield _gauge(
+            'persimmonroute_loop_delay_seconds',
+            'Delay of the latest periodic step of the event loop.',
+            board.loop_delay.latest_s,
+        )
+        yield _gauge(
+            'persimmonroute_loop_delay_longest_seconds',
+            'Longest delay of a periodic step since the start.',
+            board.loop_delay.longest_s,
+        )
         yield _gauge(
             'persimmonroute_gateways_heard_share',
             'Share of gateways with a recent load report, own included.',
--- a/persimmonroute/gateway/peer_link.py
+++ b/persimmonroute/gateway/peer_link.py
@@ -123,9 +123,7 @@
         )
 
     def _apply_report(self, message, report, now):
-        self._board.newest_reported_version = max(
-            self._board.newest_reported_version, message.configuration_version
-        )
+        self._board.record_reported_version(message.configuration_version, now)
         if message.store_era:
             self._board.raise_store_era(message.store_era)
         if self._board.apply_peer_report(report, now):
--- a/persimmonroute/gateway/shell.py
+++ b/persimmonroute/gateway/shell.py
@@ -94,8 +94,10 @@
     async def _tick(self):
         ticks = 0
         while True:
+            due_at = clock.now_s() + TICK_S
             await asyncio.sleep(TICK_S)
             now = clock.now_s()
+            self._board.loop_delay.record(now - due_at, now)
             if ticks % PEER_TICKS == 0:
                 self._board.refresh_peers(now)
             self._dispatcher.tick(now)
