Read rows from any gateway that reports newer ones

Callers saw gateways that handled requests by a configuration up to 20 s old, though a gateway in reach had the newest, while the store turned them away.

Cause: rows came from the seeds of the settings alone, three at most, which may be gone or behind, and of several replies the one confirmed last was taken, whatever its version. The store was asked first each time, with its timeouts and pauses, and endpoints' rows were read from peers only before the first read.

Each report now tells where its sender gives rows, what it has read, and whether the store serves it. A gateway that is turned away, or behind for 0.5 s, asks one that reports newer rows, beside its calls to the store; the same goes for endpoints' rows, once a second at most. Turns are drawn so that each holder is asked by about one gateway in an interval, and whoever has received a change reports and is asked in turn. Replies are ordered by era, version and age, and older ones change nothing, from peers or from the store.

--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -88,6 +88,8 @@
         # When the configuration was last confirmed to be the newest.
         self.configuration_freshness = freshness.Freshness()
         self.runner_registry = runners.RunnerRegistry()
+        # True while the store does not serve this gateway.
+        self.store_away = False
         # True once all registrations of endpoints have been read.
         self.registrations_read = False
         # How far the registrations have been read, here and by peers.
@@ -122,6 +124,10 @@
         # not, and when that was last said to be overdue.
         self._behind_since = None
         self._overdue_at = -math.inf
+        # Versions that came into force of late, and the newest of those that
+        # all gateways should have read since.
+        self._adoptions = collections.deque()
+        self._settled_version = 0
         # Number of times that the store was restored from an older copy, or
         # None before the first response.
         self.store_era = None
@@ -168,6 +174,7 @@
             return False
         if self.route_table is not None:
             self._remember_routes(self.route_table.configuration, now)
+        self._adoptions.append((now, configuration.version))
         self.route_table = routes.RouteTable(configuration)
         self.quotas.apply(configuration.workspaces, now)
         return True
@@ -220,6 +227,13 @@
             self._behind_since = now
         return now - self._behind_since
 
+    def is_ahead_of(self, report, now):
+        """Return whether a peer lacks what it should have read by itself."""
+        adoptions = self._adoptions
+        while adoptions and now - adoptions[0][0] >= MISSED_CONFIGURATION_S:
+            _, self._settled_version = adoptions.popleft()
+        return report.configuration_version < self._settled_version
+
     def record_reported_version(self, version, now):
         """Record the configuration version that a peer reports."""
         self.newest_reported_version = max(
--- a/persimmonroute/gateway/change_tracking.py
+++ b/persimmonroute/gateway/change_tracking.py
@@ -32,6 +32,10 @@
         """Return the version of the newest change that was read in an era."""
         return self._newest_change if era == self._era else NO_VERSION
 
+    def complete_to(self, era):
+        """Return the version up to which an era's changes were read."""
+        return self._complete_to if era == self._era else NO_VERSION
+
     def record_read(self, era, complete_to, newest_change):
         """Record that all changes up to a version were read."""
         if era != self._era:
--- a/persimmonroute/gateway/following.py
+++ b/persimmonroute/gateway/following.py
@@ -5,12 +5,15 @@
 import abc
 import asyncio
 import enum
+import math
 import typing
 
 from persimmonroute import clock
 from persimmonroute.events import Event
 from persimmonroute import exceptions
+from persimmonroute.gateway import board as boards
 from persimmonroute.gateway import model
+from persimmonroute.gateway import peer_choice
 from persimmonroute.gateway import polling
 from persimmonroute.gateway import rollout_control
 from persimmonroute import logs
@@ -23,6 +26,11 @@
 # Beyond the time that gateways take to read a change, one that peers have read
 # is asked for again.
 MISSED_CHANGE_S = 0.5
+# The registrations are read from peers this often at most, and each of those
+# that have newer ones is asked about once in the second time: the rows of many
+# endpoints are long, and change all the time.
+PEER_REGISTRATIONS_S = 1.0
+PEER_REGISTRATIONS_ASK_S = 0.4
 
 
 class Origin(enum.Enum):
@@ -79,19 +87,21 @@
 
     @abc.abstractmethod
     def export_rows(self):
-        """Return the values of all rows by key, for a peer.
-
-        None if the table has not been read.
-        """
+        """Return a Snapshot for a peer, or None before the first read."""
 
     @abc.abstractmethod
-    def import_rows(self, values, responded_at):
-        """Return the Changes in rows that a peer exported."""
+    def import_rows(self, received):
+        """Return the Changes in PeerRows; None if they are older."""
 
 
 class Follower:
     """Keep the board's copy of one table up to date."""
 
+    # Shortest time between two reads of the table from peers.
+    _peer_interval_s = 0.0
+    # Time in which each peer with newer rows is asked about once.
+    _ask_interval_s = 0.1
+
     def __init__(self, board, source, peer_rows, on_change):
         self._board = board
         self._source = source
@@ -103,9 +113,62 @@
         self._outdated = asyncio.Event()
         # Set to end a watch before its time, which then starts again.
         self._interrupted = asyncio.Event()
+        self._choice = peer_choice.PeerChoice(self._ask_interval_s)
+        self._checked_at = -math.inf
+        # Reads the table from a peer; the store is asked all the while.
+        self._peer_read = None
+        self._peer_read_at = -math.inf
 
     def check_age(self, now):
-        """Ask the store at once if what is known is too old."""
+        """Ask the store at once, or a peer, if what is known is too old."""
+        step_s = min(now - self._checked_at, self._ask_interval_s)
+        self._checked_at = now
+        if self._peer_read is not None and not self._peer_read.done():
+            return
+        if now - self._peer_read_at < self._peer_interval_s:
+            return
+        if not self._may_ask_peers(now):
+            return
+        address = self._choice.find_holder(
+            self._find_holders(now), self._count_responding(now), step_s
+        )
+        if address is not None:
+            self._peer_read_at = now
+            self._peer_read = asyncio.ensure_future(
+                self._read_from_peer(address)
+            )
+
+    def _may_ask_peers(self, now):
+        """Return whether the store does not tell of changes in time."""
+        return not self._available
+
+    def _count_responding(self, now):
+        return 1 + len(self._board.peers.list_reports(now))
+
+    def _find_holders(self, now):
+        """Return the Holders of newer rows among the peers that respond."""
+        holders = [
+            peer_choice.Holder(report.rows_address, self._read_version(report))
+            for report in self._board.peers.list_reports(now)
+            if report.rows_address
+        ]
+        known = self._known_version
+        return [holder for holder in holders if holder.version > known]
+
+    def _read_version(self, report):
+        """Return the version of a peer's rows that compares with these."""
+        return 0
+
+    @property
+    def _known_version(self):
+        """Return the version of the rows that are known here."""
+        return 0
+
+    async def close(self):
+        """Stop reading from a peer."""
+        if self._peer_read is not None:
+            self._peer_read.cancel()
+            await asyncio.gather(self._peer_read, return_exceptions=True)
 
     def read_again(self):
         """Stop waiting for changes and read the whole table."""
@@ -131,14 +194,14 @@
             except exceptions.PlatformUnavailableError as error:
                 self._record_unavailable(error)
                 if not loaded or self._peers_are_newer():
-                    await self._read_from_peers()
+                    await self._read_from_seeds()
                 await asyncio.sleep(self._backoff.draw_s(self._gateways()))
                 continue
             self._record_available()
             urgent = self._is_urgent(changes)
             self._apply(changes)
             if self._peers_are_newer():
-                await self._read_from_peers()
+                await self._read_from_seeds()
             if not changes.complete and (changes.runners or changes.removed):
                 # One more call brings all changes of this time.
                 await asyncio.sleep(self._change_pause_s(urgent))
@@ -192,20 +255,35 @@
         """Return whether peers reported a newer version."""
         return False
 
-    async def _read_from_peers(self):
-        """Apply the newest rows of a peer in place of the store's."""
+    async def _read_from_seeds(self):
+        """Apply the newest rows of the seeds unless a peer is known."""
+        if self._find_holders(clock.now_s()):
+            return
         newest = await self._peer_rows.read(self._source.name)
         if newest is not None:
-            log.emit(
-                Event.ROWS_FROM_PEER,
-                table=self._source.name,
-                rows=len(newest.values),
-                age_s=round(clock.now_s() - newest.confirmed_at, 3),
-            )
-            changes = self._source.import_rows(
-                newest.values, newest.confirmed_at
-            )
-            self._apply(changes._replace(origin=Origin.PEER))
+            self._import(newest)
+
+    async def _read_from_peer(self, address):
+        """Apply the rows of a peer in place of the store's."""
+        received = await self._peer_rows.read_from(address, self._source.name)
+        if received is None or not self._import(received):
+            self._choice.record_failure(address)
+        else:
+            self._choice.record_success()
+
+    def _import(self, received):
+        """Apply PeerRows; return False if they are outdated."""
+        changes = self._source.import_rows(received)
+        if changes is None:
+            return False
+        log.emit(
+            Event.ROWS_FROM_PEER,
+            table=self._source.name,
+            rows=len(received.values),
+            age_s=round(clock.now_s() - received.confirmed_at, 3),
+        )
+        self._apply(changes)
+        return True
 
     def _record_unavailable(self, error):
         if self._available:
@@ -252,9 +330,38 @@
         self._schedule = polling.PollSchedule(poll_s)
         # Receives the orders in the Changes.
         self.on_orders = lambda changes: None
+        # Called when the peers have to learn something before they are due.
+        self.on_news = lambda: None
+
+    @property
+    def _known_version(self):
+        return self._board.version
+
+    def _read_version(self, report):
+        return report.configuration_version
+
+    def _is_awaited(self, now):
+        """Return whether a peer can learn of a change from peers alone."""
+        reports = self._board.peers.list_reports(now)
+        return any(report.store_away for report in reports)
+
+    def _record_unavailable(self, error):
+        super()._record_unavailable(error)
+        if not self._board.store_away:
+            self._board.store_away = True
+            self.on_news()
+
+    def _record_available(self):
+        super()._record_available()
+        self._board.store_away = False
+
+    def _may_ask_peers(self, now):
+        behind_s = self._board.behind_s(now)
+        return not self._available or behind_s >= boards.MISSED_CONFIGURATION_S
 
     def check_age(self, now):
         """Ask the store at once if peers do not confirm often enough."""
+        super().check_age(now)
         age_s = self._board.configuration_freshness.age_s(now)
         if self._available and self._schedule.ask_now(age_s, now):
             self._source.set_wait_s(self._poll_s)
@@ -282,6 +389,8 @@
                     age_s=round(now - changes.responded_at, 3),
                     behind_s=round(behind_s, 3),
                 )
+                if changes.origin is Origin.PEER or self._is_awaited(now):
+                    self.on_news()
         # A store that was restored from an older copy may lack a version
         # that peers have applied, so it confirms nothing older.
         if self._board.version and not self._peers_are_newer():
@@ -293,6 +402,9 @@
 class RunnerFollower(Follower):
     """Keep the board's endpoints current."""
 
+    _peer_interval_s = PEER_REGISTRATIONS_S
+    _ask_interval_s = PEER_REGISTRATIONS_ASK_S
+
     def __init__(self, board, source, peer_rows, on_change, on_removed):
         super().__init__(board, source, peer_rows, on_change)
         self._on_removed = on_removed
@@ -322,8 +434,19 @@
             self._source.name, polling.SENTINELS, now
         )
 
+    @property
+    def _known_version(self):
+        era = self._board.store_era or 0
+        return self._board.registration_changes.complete_to(era)
+
+    def _read_version(self, report):
+        # Versions of unlike eras cannot be compared.
+        same_era = report.store_era == (self._board.store_era or 0)
+        return report.registrations_version if same_era else 0
+
     def check_age(self, now):
         """Ask the store at once if peers know of more changes."""
+        super().check_age(now)
         if self._available and self._must_take_over(now):
             self._interrupted.set()
         # Gateways gather changes for a while before they read them.
@@ -368,6 +491,10 @@
         if changes.complete:
             listed = {record.id for record in changes.runners}
             removed |= {v.id for v in self._board.runner_registry} - listed
+        # A peer may have read the rows of a store that was away just now.
+        recovering = (
+            now < self._recovering_until or changes.origin is Origin.PEER
+        )
         return self._board.runner_registry.apply(
-            changes.runners, removed, now < self._recovering_until, now
+            changes.runners, removed, recovering, now
         )
--- a/persimmonroute/gateway/peer_link.py
+++ b/persimmonroute/gateway/peer_link.py
@@ -52,10 +52,20 @@
 class PeerLink(asyncio.DatagramProtocol):
     """Send this gateway's reports to all peers and apply theirs."""
 
-    def __init__(self, board, scheduler, address, locality, dispatcher, cores):
+    def __init__(
+        self,
+        board,
+        scheduler,
+        address,
+        locality,
+        dispatcher,
+        cores,
+        rows_address='',
+    ):
         self._board = board
         self._scheduler = scheduler
         self._address = address
+        self._rows_address = rows_address
         self._locality = locality
         self._dispatcher = dispatcher
         self._cores = cores
@@ -129,6 +139,8 @@
         if self._board.apply_peer_report(report, now):
             self._newest_sent_at_ms[message.name] = message.sent_at_ms
             self._confirm_configuration(message, now)
+            if self._board.is_ahead_of(report, now):
+                self.schedule_reports()
             if report.orders:
                 self.receive_forwarded(report.name, report.orders, now)
             self._board.registration_changes.record_peer(
@@ -267,6 +279,8 @@
             store_era=board.store_era or 0,
             cores=self._cores,
             stopping=board.draining,
+            rows_address=self._rows_address,
+            store_away=board.store_away,
             registrations_version=board.registration_changes.newest_change(
                 board.store_era or 0
             ),
@@ -351,6 +365,14 @@
     peer_reading.read_number(message.cores, 0.0, peer_reading.MAX_CORES)
 
 
+def _read_rows_address(value):
+    """Return an address, empty if a peer states none that is usable."""
+    try:
+        return peer_reading.read_address(value)
+    except ValueError:
+        return ''
+
+
 def _read_suspect(suspect):
     read_number(suspect.specificity, 0, peer_reading.MAX_SPECIFICITY)
     crash_ages_s = {
@@ -423,6 +445,11 @@
         crash_findings=_decode_findings(message, parts),
         interval_s=interval_s or peers.IDLE_INTERVAL_S,
         stopping=message.stopping,
+        configuration_version=message.configuration_version,
+        registrations_version=message.registrations_version,
+        store_era=message.store_era,
+        rows_address=_read_rows_address(message.rows_address),
+        store_away=message.store_away,
         leaving=tuple(
             parts.read_all('leaving endpoint', message.leaving, _read_leaving)
         ),
--- a/persimmonroute/gateway/peers.py
+++ b/persimmonroute/gateway/peers.py
@@ -96,6 +96,13 @@
     interval_s: float = DEFAULT_REPORT_INTERVAL_S
     # True in the last report of a gateway that stops.
     stopping: bool = False
+    # What the gateway has read, and where peers get it; empty for nowhere.
+    configuration_version: int = 0
+    registrations_version: int = 0
+    store_era: int = 0
+    rows_address: str = ''
+    # True if the store does not serve the gateway.
+    store_away: bool = False
 
 
 class Peer:
@@ -314,8 +321,12 @@
         )
 
     def _find_responding(self, now):
+        return [report.name for report in self.list_reports(now)]
+
+    def list_reports(self, now):
+        """Return the latest reports of the peers that respond."""
         return [
-            peer.name
+            peer.report
             for peer in self._peers.values()
             if not peer.stopping
             and peer.has_reported_within(UNRESPONSIVE_AFTER_INTERVALS, now)
--- a/persimmonroute/gateway/server.py
+++ b/persimmonroute/gateway/server.py
@@ -175,11 +175,11 @@
         source = self._sources.get(request.path_params['table'])
         if source is None or self._board.route_table is None:
             return responses.JSONResponse({'error': 'not known'}, 404)
-        rows = source.export_rows()
-        if rows is None:
+        snapshot = source.export_rows()
+        if snapshot is None:
             return responses.JSONResponse({'error': 'not read yet'}, 404)
         age_s = self._board.configuration_freshness.age_s(clock.now_s())
-        return responses.JSONResponse(peer_rows.encode_rows(rows, age_s))
+        return responses.JSONResponse(peer_rows.encode_rows(snapshot, age_s))
 
     async def _serve_ready(self, request):
         problem = self._find_unready_reason()
--- a/persimmonroute/gateway/shell.py
+++ b/persimmonroute/gateway/shell.py
@@ -90,6 +90,8 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        for follower in self._followers:
+            await follower.close()
 
     async def _tick(self):
         ticks = 0
--- a/persimmonroute/gateway_composition.py
+++ b/persimmonroute/gateway_composition.py
@@ -146,6 +146,7 @@
         build_locality(settings),
         dispatcher,
         own.cores,
+        settings.control_address or '',
     )
     board.runner_registry.limits.on_change = dispatcher.record_limit
     board.runner_registry.capacities.on_change = dispatcher.record_capacity
@@ -195,6 +196,7 @@
         on_table_change,
         CONFIGURATION_POLL_SHARE * settings.revocation_s,
     )
+    configuration_follower.on_news = link.schedule_reports
     if rollout_bounds is not None:
         keeper = build_rollout_keeper(
             board,
--- a/persimmonroute/platform/sources.py
+++ b/persimmonroute/platform/sources.py
@@ -11,6 +11,7 @@
 from persimmonroute.events import Event
 from persimmonroute import exceptions
 from persimmonroute.gateway import following
+from persimmonroute.gateway import peer_rows
 from persimmonroute.gateway import quarantine_keeping
 from persimmonroute.gateway import rollout_keeping
 from persimmonroute.gateway import version_keeping
@@ -37,6 +38,8 @@
         self._era = None
         # Latest known value of every row, by key; None before the first read.
         self._values = None
+        # Version of rows that a peer sent, up to which they are complete.
+        self._imported_version = 0
         self.name = table
 
     def set_wait_s(self, wait_s):
@@ -47,6 +50,11 @@
         """Read all rows of the table."""
         page = await self._tables.read(self.name)
         restored = self._era is not None and page.era > self._era
+        if self._is_outdated(page):
+            raise exceptions.PlatformUnavailableError(
+                f'rows of {self.name!r} are older than those of a peer'
+            )
+        self._imported_version = 0
         self._version = page.version
         self._era = page.era
         self._values = {}
@@ -54,23 +62,40 @@
         return changes._replace(restored=restored)
 
     def export_rows(self):
-        """Return the values of all rows by key, to send to a peer.
+        """Return a Snapshot to send to a peer; None before the first read."""
+        if self._values is None:
+            return None
+        return peer_rows.Snapshot(
+            self._values, self._complete_to, self._era or 0
+        )
 
-        None if the table has not been read.
-        """
-        return self._values
+    @property
+    def _complete_to(self):
+        return max(self._version, self._imported_version)
 
-    def import_rows(self, values, responded_at):
-        """Return the Changes for a snapshot of rows received from a peer."""
+    def import_rows(self, received):
+        """Return the Changes in PeerRows; None if they are older."""
+        era = received.era if self._era is None else self._era
+        if received.era != era or received.version < self._complete_to:
+            return None
         rows = [
             _tables.TableRow(self.name, '', key, value, 0)
-            for key, value in values.items()
+            for key, value in received.values.items()
         ]
         self._values = {}
-        return self._apply_page(
-            _tables.Page(tuple(rows), 0, responded_at), True
+        self._imported_version = received.version
+        page = _tables.Page(
+            tuple(rows), received.version, received.confirmed_at, era
+        )
+        changes = self._apply_page(page, True)
+        return changes._replace(
+            origin=following.Origin.PEER, newest_change=received.version
         )
 
+    def _is_outdated(self, page):
+        """Return whether a peer sent newer rows meanwhile."""
+        return page.era == self._era and page.version < self._imported_version
+
     async def watch(self, long_poll):
         """Return the next changes; wait for them only if long_poll."""
         wait_s = self._wait_s if long_poll else 0.0
@@ -81,6 +106,8 @@
                 f' {self.name!r} belongs to era {self._era}'
             )
         self._version = max(self._version, page.version)
+        if self._is_outdated(page):
+            page = page._replace(rows=())
         return self._apply_page(page, False)
 
     def _apply_page(self, page, complete):
@@ -106,8 +133,19 @@
         self._newest_row = {}
 
     def export_rows(self):
-        """Return the newest configuration that was ever read, by key."""
-        return self._newest_row
+        """Return a Snapshot of the newest configuration ever read."""
+        return peer_rows.Snapshot(self._newest_row, self._newest_version)
+
+    def import_rows(self, received):
+        """Return the Changes in PeerRows; None if they are older."""
+        if received.version < self._newest_version:
+            return None
+        rows = tuple(
+            _tables.TableRow(self.name, '', key, value, 0)
+            for key, value in received.values.items()
+        )
+        page = _tables.Page(rows, 0, received.confirmed_at)
+        return self._decode(page, True)._replace(origin=following.Origin.PEER)
 
     def _decode(self, page, complete):
         configuration = None
--- a/persimmonroute/tests/gateway/following_tests.py
+++ b/persimmonroute/tests/gateway/following_tests.py
@@ -54,7 +54,7 @@
         """Return no rows."""
         return {}
 
-    def import_rows(self, values, responded_at):
+    def import_rows(self, received):
         """Return no changes."""
         return NO_CHANGES
 
