Run what keeps a gateway in touch before the work of its callers

A change, a report, a health check or a stop took its turn behind all callers at each of its steps, so a crowd delayed it by several rounds of the loop, and asyncio received one datagram of the peers a round.

Callbacks now belong to a lane, which tasks and sockets inherit from whoever started them: what a connection of a caller causes is in the callers' lane, all else in the control lane. Two metrics tell the delay of each lane.

--- a/persimmonroute/accepting.py
+++ b/persimmonroute/accepting.py
@@ -12,6 +12,7 @@
 from persimmonroute import caller_account
 from persimmonroute import clock
 from persimmonroute import loop_errors
+from persimmonroute import loop_lanes
 
 # Time until some connections are accepted although there was no place for
 # the last ones; they are refused at once if there still is none. A connection
@@ -43,6 +44,10 @@
         self._account = account
         # Whether the port is one that callers do not use.
         self._small_port = small_port
+        # Of all that connections cause.
+        self._context = loop_lanes.build_context(
+            loop_lanes.Lane.CONTROL if small_port else loop_lanes.Lane.CALLERS
+        )
         self._timer = None
         # Descriptors at the last count, when that was, and connections that
         # were accepted since.
@@ -57,7 +62,12 @@
     def start(self):
         """Accept connections from now on."""
         self._socket.setblocking(False)
-        self._loop.add_reader(self._descriptor, self._accept)
+        self._listen()
+
+    def _listen(self):
+        self._context.run(
+            self._loop.add_reader, self._descriptor, self._accept
+        )
 
     def pause(self, pause_s=PAUSE_S):
         """Accept nothing for some time, unless resume() is called."""
@@ -71,7 +81,7 @@
         if self._timer is not None and not self._closed:
             self._timer.cancel()
             self._timer = None
-            self._loop.add_reader(self._descriptor, self._accept)
+            self._listen()
 
     def drain(self):
         """Accept what is in the backlog, without pauses."""
--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -109,6 +109,8 @@
         self.output_hints = output_hints.OutputHints()
         self.open_requests = draining.OpenRequests()
         self.loop_delay = loop_delay.LoopDelay()
+        # How long the latest measured step for callers waited for its turn.
+        self.callers_delay_s = 0.0
         # What callers make the gateway hold.
         self.caller_account = caller_account.CallerAccount()
         self.slow_readers = slow_readers.SlowReaders(self.caller_account)
--- a/persimmonroute/gateway/metrics.py
+++ b/persimmonroute/gateway/metrics.py
@@ -148,6 +148,11 @@
             'Delay of the latest periodic step of the event loop.',
             board.loop_delay.latest_s,
         )
+        yield _gauge(
+            'persimmonroute_callers_delay_seconds',
+            'Delay of the latest measured step of work for callers.',
+            board.callers_delay_s,
+        )
         yield _gauge(
             'persimmonroute_loop_delay_longest_seconds',
             'Longest delay of a periodic step since the start.',
--- a/persimmonroute/gateway/shell.py
+++ b/persimmonroute/gateway/shell.py
@@ -8,10 +8,12 @@
 
 from persimmonroute import background
 from persimmonroute import clock
+from persimmonroute import datagrams
 from persimmonroute import draining
 from persimmonroute.events import Event
 from persimmonroute import exceptions
 from persimmonroute import logs
+from persimmonroute import loop_lanes
 
 log = logs.EventLog(__name__)
 
@@ -55,15 +57,17 @@
         self._keepers = keepers
         self._tasks = []
         self._store_restored = asyncio.Event()
+        self._callers_context = loop_lanes.build_context(
+            loop_lanes.Lane.CALLERS
+        )
+        # Whether a step for callers that measures their delay is due.
+        self._probing = False
         board.on_store_restored = self._read_again
 
     async def start(self, peer_address):
         """Start watching the store and exchanging reports with peers."""
         host, _, port = peer_address.rpartition(':')
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self._link, (host, int(port))
-        )
+        datagrams.DatagramEndpoint(self._link, host.strip('[]'), int(port))
         functions = [follower.run for follower in self._followers]
         functions += [
             self._tick,
@@ -100,6 +104,7 @@
             await asyncio.sleep(TICK_S)
             now = clock.now_s()
             self._board.loop_delay.record(now - due_at, now)
+            self._probe_callers(now)
             if ticks % PEER_TICKS == 0:
                 self._board.refresh_peers(now)
             self._dispatcher.tick(now)
@@ -114,6 +119,19 @@
             if ticks % CLEANUP_TICKS == 0:
                 self._clean_up(now)
 
+    def _probe_callers(self, now):
+        """Measure how long a step for callers waits for its turn."""
+        if self._probing:
+            return
+        self._probing = True
+
+        def record():
+            self._probing = False
+            self._board.callers_delay_s = clock.now_s() - now
+
+        loop = asyncio.get_running_loop()
+        self._callers_context.run(loop.call_soon, record)
+
     def _clean_up(self, now):
         for view in self._board.runner_registry.drop_lapsed(now):
             log.emit(Event.RUNNER_GONE, runner=view.id, lapsed=True)
--- a/persimmonroute/process.py
+++ b/persimmonroute/process.py
@@ -25,6 +25,7 @@
 from persimmonroute import exceptions
 from persimmonroute import logs
 from persimmonroute import loop_errors
+from persimmonroute import loop_lanes
 from persimmonroute import memory_allocation
 from persimmonroute import process_exit
 from persimmonroute import reloading
@@ -70,7 +71,8 @@
         return 0
     logs.setup_logs(settings.instance, settings.log_level, settings.log_format)
     try:
-        asyncio.run(_run(path, file_version, settings, signals))
+        with asyncio.Runner(loop_factory=loop_lanes.LaneLoop) as runner:
+            runner.run(_run(path, file_version, settings, signals))
     finally:
         logs.close_logs()
     return 0
