Let the soak turn gateways away and crowd one, with the bound of a change

The soak had no store that serves one gateway while another is killed, and no gateway with the callers of many.

--- a/tools/soak/gateways.py
+++ b/tools/soak/gateways.py
@@ -9,12 +9,14 @@
 import subprocess
 import sys
 
+from persimmonroute import http_connection
 from standins import gateway_deployment as deployments
 from tools.soak import proxy
 
 # The time that the platform leaves between SIGTERM and SIGKILL.
 STOP_GRACE_S = 6.0
 POLL_S = 0.02
+VERSION_METRIC = 'persimmonroute_configuration_version'
 
 
 class Gateway:
@@ -90,6 +92,22 @@
             await self._wait_for_exit()
         return exited
 
+    async def read_version(self, timeout_s):
+        """Return the configuration version on the metrics address."""
+        conn = await http_connection.open_connection(
+            self.settings['metrics_address'], timeout_s
+        )
+        try:
+            conn.send_request('GET', '/metrics', [('host', 'x')], b'')
+            response = await http_connection.read_response(conn, timeout_s)
+        finally:
+            conn.abort()
+        for line in response.body.decode().splitlines():
+            name, _, value = line.partition(' ')
+            if name == VERSION_METRIC:
+                return int(float(value))
+        return 0
+
     async def close(self):
         """Kill the process, stop the proxies and close the log."""
         self.exited_early = not self.running
--- a/tools/soak/operators.py
+++ b/tools/soak/operators.py
@@ -42,6 +42,11 @@
         self._timeout_ms = TIMEOUT_MS
         self._long_timeout_ms = LONG_TIMEOUT_MS
 
+    @property
+    def version(self):
+        """Return the newest version of the configuration."""
+        return self._version
+
     @property
     def storm_routes(self):
         """Return the names of the routes that a storm added and kept."""
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -20,6 +20,7 @@
     CUT_UP = 'cut up'
     CUT_DOWN = 'cut down'
     SILENT = 'silent'
+    REFUSE = 'refuse'
 
 
 class Proxy:
@@ -72,6 +73,9 @@
         task = asyncio.current_task()
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        if self.mode is Mode.REFUSE:
+            platform_runner.reset(writer)
+            return
         host, _, port = self.target.rpartition(':')
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
--- a/tools/soak/schedule.py
+++ b/tools/soak/schedule.py
@@ -121,6 +121,13 @@
     Kind('kill_two', 0.5, 0),
     Kind('signal_series', 0.5, 3.0),
 )
+# A store that turns away all gateways but one, and one gateway that has the
+# callers of many, drawn after all others. In both the configuration changes;
+# the strength is the pause between two changes, in seconds.
+CHANGE_KINDS = (
+    Kind('turned_away', 6.0, 1.5),
+    Kind('crowd', 5.0, 1.5),
+)
 STOP_KINDS = ('stop', *(kind.name for kind in SIGNAL_KINDS))
 # What a series consists of, and the gateways that it meets at most.
 SERIES_PARTS = ('stop', 'stop', 'stop_again', 'stop_beside_reload', 'kill')
@@ -188,6 +195,10 @@
     later = random.Random(repr(faults) + 'series')
     if later.random() < LATER_SHARE:
         faults += draw_series(later, gateways, endpoints)
+    later = random.Random(repr(faults) + 'changes')
+    if later.random() < LATER_SHARE:
+        kind = later.choice(CHANGE_KINDS)
+        faults.append(_draw_fault(later, kind, gateways, endpoints))
     return sorted(faults)
 
 
--- a/tools/soak/seed_run.py
+++ b/tools/soak/seed_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import math
 import pathlib
@@ -67,6 +68,14 @@
     'cut_down': proxy.Mode.CUT_DOWN,
     'silent': proxy.Mode.SILENT,
 }
+# Faults beside which changes of the configuration come into force in time.
+CHANGES_IN_TIME = ('turned_away', 'crowd')
+# Callers of a crowd, and the mean pause between two requests of one.
+CROWD = 60
+CROWD_PAUSE_S = 0.01
+CROWD_ROUTE = 'find'
+VERSION_POLL_S = 0.1
+METRICS_TIMEOUT_S = 1.0
 # Times that a caller takes a stream up again, and the pause before each.
 MAX_TAKE_UPS = 2
 TAKE_UP_PAUSE_S = 0.02
@@ -111,6 +120,8 @@
             self._platform, self.journal, self._rng, self.now
         )
         self._endpoint_starts = 0
+        # Faults that go on, by the component that they affect.
+        self._running_faults = collections.Counter()
         self._finished = False
 
     @property
@@ -315,7 +326,9 @@
         await asyncio.sleep(max(fault.at - self.now(), 0))
         component = self._find_component(fault)
         begin = self.now()
+        self._running_faults[component] += 1
         await self._inject(fault)
+        self._running_faults[component] -= 1
         if component is not None:
             self.journal.disturbances.append(
                 records.Disturbance(component, begin, self.now(), fault.kind)
@@ -413,6 +426,9 @@
         kind = fault.kind
         if kind in ('version', 'revoke', 'storm', 'endpoint_leave', 'reload'):
             return None
+        if kind in CHANGES_IN_TIME:
+            # The bound of a change holds all the while.
+            return None
         if kind in schedule.SILENT_KINDS:
             # Silence excuses nothing.
             return None
@@ -653,6 +669,89 @@
             self._operator.change_at_random()
             await asyncio.sleep(fault.strength)
 
+    async def _do_turned_away(self, fault):
+        """Let the store serve one gateway while another is replaced."""
+        served, *others = self._rotate_gateways(fault.target)
+        replacing = asyncio.create_task(self._kill_beside(others[0]))
+        for gateway in others:
+            gateway.store_link.set_mode(proxy.Mode.REFUSE)
+            gateway.store_link.reset_all()
+        try:
+            await self._change_and_check(fault, [served, *others[1:]])
+        finally:
+            for gateway in others:
+                gateway.store_link.set_mode(proxy.Mode.PASS)
+            await replacing
+
+    async def _do_crowd(self, fault):
+        """Let many callers use one gateway, with hardly a pause."""
+        crowded, over = self._gateways[fault.target], asyncio.Event()
+        crowd = [
+            asyncio.create_task(self._press(number, crowded, over))
+            for number in range(CROWD)
+        ]
+        try:
+            await self._change_and_check(fault, [crowded])
+        finally:
+            over.set()
+            await asyncio.gather(*crowd)
+
+    def _rotate_gateways(self, first):
+        return self._gateways[first:] + self._gateways[:first]
+
+    async def _kill_beside(self, gateway):
+        begin = self.now()
+        if gateway.running and not gateway.restarting:
+            await self._replace(gateway, signal.SIGKILL, RESTORE_S)
+        self.journal.disturbances.append(
+            records.Disturbance(gateway.name, begin, self.now(), 'kill')
+        )
+
+    async def _press(self, number, gateway, over):
+        """Send requests that only load a gateway; nobody judges them."""
+        caller = callers.Caller(f'x{number}', records.Journal(), self.now)
+        key = self._operator.choose_key()
+        try:
+            while not over.is_set():
+                target = callers.Target(CROWD_ROUTE, key, gateway)
+                await caller.send_request(target, number % 2 == 0)
+                pause_s = self._rng.expovariate(1 / CROWD_PAUSE_S)
+                await asyncio.sleep(pause_s)
+        finally:
+            caller.close()
+
+    async def _change_and_check(self, fault, gateways):
+        """Change the configuration, and check when gateways have each."""
+        ends_at = self.now() + fault.duration_s
+        while self.now() < ends_at:
+            self._operator.change_at_random()
+            await asyncio.sleep(fault.strength)
+        version, since = self._operator.version, self.now()
+        await asyncio.gather(
+            *(self._check_version(g, version, since) for g in gateways)
+        )
+
+    async def _check_version(self, gateway, version, since):
+        """Check by its metrics that a gateway has a version in time."""
+        begin = since - checks.STABILIZATION_S
+        while self.now() < since + checks.CONFIGURATION_S:
+            with contextlib.suppress(Exception):
+                if await gateway.read_version(METRICS_TIMEOUT_S) >= version:
+                    return
+            await asyncio.sleep(VERSION_POLL_S)
+        disturbed = gateway.restarting or any(
+            d.component in (gateway.name, '*') and d.end >= begin
+            for d in self.journal.disturbances
+        )
+        if not disturbed and not (
+            self._running_faults[gateway.name] or self._running_faults['*']
+        ):
+            self.journal.add_finding(
+                'configuration in force',
+                f'{gateway.name} has not taken version {version} within'
+                f' {checks.CONFIGURATION_S} s',
+            )
+
     async def _do_endpoint_silent(self, fault):
         await self._silence([self._endpoints[fault.target]], fault)
 
