Read whole numbers and missing fields of a configuration in either form

A configuration with 2.0 for 2, or null for a field that has a default, was refused whole: callers kept the version before, at all gateways. Numbers without a fraction are read as whole ones, and null as missing; 7.5 for a version is still refused. Two of the three tests fail on the code before. Registrations of endpoints stay as strict.

--- a/persimmonroute/platform/documents.py
+++ b/persimmonroute/platform/documents.py
@@ -71,7 +71,7 @@
     try:
         document = json_text.parse(data)
         return model.Configuration(
-            version=_integer(document['Version']),
+            version=_whole(document['Version']),
             routes=tuple(_decode_route(r) for r in document['Routes']),
             services=tuple(_decode_service(s) for s in document['Services']),
             workspaces=tuple(
@@ -291,8 +291,8 @@
         ),
         timeout_s=timeout_s,
         objective_s=_number(objective_ms) / 1000,
-        tier=_integer(document.get('Priority', 0)),
-        max_attempts=max(_integer(document.get('MaxAttempts', 1)), 1),
+        tier=_whole(_find(document, 'Priority', 0)),
+        max_attempts=max(_whole(_find(document, 'MaxAttempts', 1)), 1),
         public=bool(document.get('Public')),
     )
 
@@ -301,9 +301,9 @@
     engine = document.get('Engine') or {}
     return model.Service(
         name=_string(document['Name']),
-        max_connections=_integer(document.get('MaxConnections') or 0),
-        slots=_integer(engine.get('Slots') or 0),
-        kv_tokens=_integer(engine.get('KvTokens') or 0),
+        max_connections=_whole(document.get('MaxConnections') or 0),
+        slots=_whole(engine.get('Slots') or 0),
+        kv_tokens=_whole(engine.get('KvTokens') or 0),
         is_engine=bool(engine),
     )
 
@@ -323,7 +323,7 @@
     return model.Workspace(
         name=_string(document['Name']),
         keys=tuple(_string(key) for key in document.get('ApiKeys') or ()),
-        tier=None if tier is None else _integer(tier),
+        tier=None if tier is None else _whole(tier),
         quota=quota,
     )
 
@@ -331,12 +331,13 @@
 def _decode_limits(document):
     default = model.Limits()
     return model.Limits(
-        header_bytes=_integer(
-            document.get('MaxHeaderBytes', default.header_bytes)
+        header_bytes=_whole(
+            _find(document, 'MaxHeaderBytes', default.header_bytes)
         ),
-        body_bytes=_integer(document.get('MaxBodyBytes', default.body_bytes)),
-        header_timeout_s=_number(document.get('HeaderTimeoutMs', 3000)) / 1000,
-        idle_timeout_s=_number(document.get('IdleTimeoutMs', 15000)) / 1000,
+        body_bytes=_whole(_find(document, 'MaxBodyBytes', default.body_bytes)),
+        header_timeout_s=_number(_find(document, 'HeaderTimeoutMs', 3000))
+        / 1000,
+        idle_timeout_s=_number(_find(document, 'IdleTimeoutMs', 15000)) / 1000,
     )
 
 
@@ -366,6 +367,19 @@
     return value
 
 
+def _whole(value):
+    """Return an integer; operators may write it as 2.0."""
+    if isinstance(value, float) and value.is_integer():
+        value = int(value)
+    return _integer(value)
+
+
+def _find(document, name, default):
+    """Return a field; one that is null counts as missing."""
+    value = document.get(name)
+    return default if value is None else value
+
+
 def _number(value):
     number = float(value)
     if not math.isfinite(number):
--- a/persimmonroute/tests/platform/documents_tests.py
+++ b/persimmonroute/tests/platform/documents_tests.py
@@ -10,6 +10,7 @@
 
 from persimmonroute import exceptions
 from persimmonroute.platform import documents
+from standins import gateway_deployment
 
 SOUND = {
     'Service': 'llm',
@@ -275,3 +276,46 @@
         for data in (b'', NESTED, b'[]', b'{"born": 1e400}', b'{"born": -1}'):
             with self.subTest(data=data[:20]):
                 self.assertIsNone(documents.read_start(data))
+
+
+class ConfigurationFormTests(unittest.TestCase):
+    """Read configurations in other forms of the same values."""
+
+    def _read(self, document):
+        return documents.read_configuration(json.dumps(document).encode())
+
+    def test_whole_numbers_may_have_a_fraction_of_zero(self):
+        """Guards against a change that one field keeps from all callers."""
+        usual = gateway_deployment.configuration(7)
+        other = json.loads(json.dumps(usual))
+        other['Version'] = 7.0
+        for route in other['Routes']:
+            route['Priority'] = float(route['Priority'])
+            route['MaxAttempts'] = float(route['MaxAttempts'])
+        other['Services'][0]['MaxConnections'] = 50.0
+        other['Limits']['MaxBodyBytes'] = 10_000.0
+        self.assertEqual(self._read(other), self._read(usual))
+
+    def test_null_counts_as_missing(self):
+        """Guards against a change that one field keeps from all callers."""
+        usual = gateway_deployment.configuration(7)
+        other = json.loads(json.dumps(usual))
+        for document in (usual, other):
+            for route in document['Routes']:
+                del route['Priority'], route['MaxAttempts']
+            document['Limits'] = {}
+        for route in other['Routes']:
+            route['Priority'] = route['MaxAttempts'] = None
+        other['Limits'] = {
+            'MaxHeaderBytes': None,
+            'MaxBodyBytes': None,
+            'HeaderTimeoutMs': None,
+            'IdleTimeoutMs': None,
+        }
+        self.assertEqual(self._read(other), self._read(usual))
+
+    def test_parts_of_a_whole_are_refused(self):
+        """Guards against versions that are rounded."""
+        document = gateway_deployment.configuration(7.5)
+        with self.assertRaises(exceptions.DocumentError):
+            self._read(document)
