Let an unreadable configuration not confirm the one before

A configuration that could not be decoded counted as an answer without a change, and so confirmed the version before: a gateway trusted its keys and said it was ready for ever, and its peers took the confirmation from it.

--- a/persimmonroute/gateway/following.py
+++ b/persimmonroute/gateway/following.py
@@ -61,6 +61,8 @@
     # Orders to move services to other versions.
     orders: tuple[rollout_control.Order, ...] = ()
     origin: Origin = Origin.STORE
+    # False while the store has a newer configuration that cannot be decoded.
+    confirms: bool = True
 
 
 class Source(abc.ABC):
@@ -393,7 +395,8 @@
                     self.on_news()
         # A store that was restored from an older copy may lack a version
         # that peers have applied, so it confirms nothing older.
-        if self._board.version and not self._peers_are_newer():
+        is_newest = changes.confirms and not self._peers_are_newer()
+        if self._board.version and is_newest:
             self._board.configuration_freshness.confirm(
                 changes.responded_at, now
             )
--- a/persimmonroute/platform/sources.py
+++ b/persimmonroute/platform/sources.py
@@ -131,6 +131,8 @@
         self._newest_version = 0
         # Row of the newest configuration; a restored store may hold an older.
         self._newest_row = {}
+        # Whether the store's configuration is one that cannot be decoded.
+        self._unreadable = False
 
     def export_rows(self):
         """Return a Snapshot of the newest configuration ever read."""
@@ -145,7 +147,17 @@
             for key, value in received.values.items()
         )
         page = _tables.Page(rows, 0, received.confirmed_at)
-        return self._decode(page, True)._replace(origin=following.Origin.PEER)
+        # A peer that has the same version tells nothing of a newer one.
+        unreadable = self._unreadable and (
+            received.version == self._newest_version
+        )
+        changes = self._decode(page, True)
+        self._unreadable |= unreadable
+        if changes.configuration is None:
+            return None
+        return changes._replace(
+            origin=following.Origin.PEER, confirms=not self._unreadable
+        )
 
     def _decode(self, page, complete):
         configuration = None
@@ -155,10 +167,12 @@
                 continue
             try:
                 configuration = documents.read_configuration(row.value)
+                self._unreadable = False
                 if configuration.version >= self._newest_version:
                     self._newest_version = configuration.version
                     self._newest_row = {row.key: row.value}
             except exceptions.DocumentError as error:
+                self._unreadable = True
                 log.emit(Event.DOCUMENT_UNREADABLE, problem=error.problem)
         return following.Changes(
             configuration,
@@ -168,6 +182,7 @@
             page.responded_at,
             page.era,
             orders=orders,
+            confirms=not self._unreadable,
         )
 
     def _decode_orders(self, page):
--- a/persimmonroute/tests/gateway/turned_away_tests.py
+++ b/persimmonroute/tests/gateway/turned_away_tests.py
@@ -151,6 +151,23 @@
 
         self._run(30, play)
 
+    def test_unreadable_newest_does_not_confirm_the_one_before(self):
+        """Guards against keys that count as current for ever."""
+
+        async def play(fleet):
+            fleet.put('op', 'config', {'Version': 2, 'Routes': 7})
+            await asyncio.sleep(SETTLE_S)
+            now = clock.now_s()
+            for gateway in fleet.gateways:
+                self.assertEqual(gateway.board.version, 1)
+                freshness = gateway.board.configuration_freshness
+                self.assertGreater(freshness.age_s(now), SETTLE_S - 0.5)
+            await self._change(fleet, 3, CONFIGURATION_S)
+            freshness = fleet.gateways[0].board.configuration_freshness
+            self.assertLess(freshness.age_s(clock.now_s()), SETTLE_S)
+
+        self._run(5, play)
+
     def test_restored_store_takes_nothing_back(self):
         """Guards against older rows of a peer or of the store."""
 
--- a/standins/table_fleet.py
+++ b/standins/table_fleet.py
@@ -246,7 +246,7 @@
     def configure(self, version):
         """Write a configuration."""
         document = gateway_deployment.configuration(version)
-        self._put('op', 'config', document)
+        self.put('op', 'config', document)
 
     def register(self, name, **changes):
         """Write the registration of an endpoint."""
@@ -261,7 +261,7 @@
             'Sequence': 1,
             'born': 1,
         }
-        self._put('servers', name, {**document, **changes})
+        self.put('servers', name, {**document, **changes})
 
     def deliver(self, sender, report):
         """Give a report to all gateways that it reaches."""
@@ -272,7 +272,8 @@
                 continue
             gateway.receive(report, now)
 
-    def _put(self, table, key, document):
+    def put(self, table, key, document):
+        """Write a row."""
         data = json.dumps(document).encode()
         self.store.tables.commit([], [((table, '', key), data)])
         self.store.wake()
