Take the version of a peer's configuration from the configuration

Rows of a gateway of an earlier release state no version, so a seed of it was taken for outdated by a gateway of this one that the store turns away: in a rolling upgrade it stayed on its version. The version is that of the decoded configuration now; the new test fails on the code before. The versions that a gateway remembers to tell late peers are bounded, as one without peers kept all.

--- a/persimmonroute/gateway/board.py
+++ b/persimmonroute/gateway/board.py
@@ -29,6 +29,8 @@
 # The store notifies all gateways of a configuration within milliseconds. One
 # that peers have had for longer is missing in a store that was restored.
 MISSED_CONFIGURATION_S = 0.5
+# Versions that are remembered until all gateways should have read them.
+MAX_ADOPTIONS = 64
 # Earlier route tables that are remembered, for the life of a stream.
 MAX_FORMER_TABLES = 256
 
@@ -128,7 +130,7 @@
         self._overdue_at = -math.inf
         # Versions that came into force of late, and the newest of those that
         # all gateways should have read since.
-        self._adoptions = collections.deque()
+        self._adoptions = collections.deque(maxlen=MAX_ADOPTIONS)
         self._settled_version = 0
         # Number of times that the store was restored from an older copy, or
         # None before the first response.
--- a/persimmonroute/platform/sources.py
+++ b/persimmonroute/platform/sources.py
@@ -140,20 +140,18 @@
 
     def import_rows(self, received):
         """Return the Changes in PeerRows; None if they are older."""
-        if received.version < self._newest_version:
-            return None
         rows = tuple(
             _tables.TableRow(self.name, '', key, value, 0)
             for key, value in received.values.items()
         )
         page = _tables.Page(rows, 0, received.confirmed_at)
-        # A peer that has the same version tells nothing of a newer one.
-        unreadable = self._unreadable and (
-            received.version == self._newest_version
-        )
+        known_version, unreadable = self._newest_version, self._unreadable
         changes = self._decode(page, True)
-        self._unreadable |= unreadable
-        if changes.configuration is None:
+        # A peer that has no newer version tells nothing of what the store has.
+        configuration = changes.configuration
+        if configuration is None or configuration.version <= known_version:
+            self._unreadable = unreadable
+        if configuration is None or configuration.version < known_version:
             return None
         return changes._replace(
             origin=following.Origin.PEER, confirms=not self._unreadable
--- a/persimmonroute/tests/gateway/turned_away_tests.py
+++ b/persimmonroute/tests/gateway/turned_away_tests.py
@@ -168,6 +168,18 @@
 
         self._run(5, play)
 
+    def test_peer_that_states_no_version_of_its_rows_is_believed(self):
+        """Guards against seeds that run an earlier release."""
+
+        async def play(fleet):
+            first, second = fleet.gateways
+            fleet.seeds = [second]
+            fleet.states_versions = False
+            first.client.reach = table_fleet.Reach.REFUSED
+            await self._change(fleet, 2, CONFIGURATION_S)
+
+        self._run(2, play)
+
     def test_restored_store_takes_nothing_back(self):
         """Guards against older rows of a peer or of the store."""
 
--- a/standins/table_fleet.py
+++ b/standins/table_fleet.py
@@ -72,9 +72,11 @@
         self._fleet = fleet
 
     async def read(self, table):
-        """Return nothing: the seeds of the settings are gone."""
-        await asyncio.sleep(PEER_TIMEOUT_S)
-        return None
+        """Return the rows of the first seed, if there is any left."""
+        if not self._fleet.seeds:
+            await asyncio.sleep(PEER_TIMEOUT_S)
+            return None
+        return await self.read_from(self._fleet.seeds[0].address, table)
 
     async def read_from(self, address, table):
         """Return the rows of one gateway, or None if it is gone."""
@@ -88,6 +90,8 @@
         document = target.export(table)
         if document is None:
             return None
+        if not self._fleet.states_versions:
+            del document['version'], document['era']
         return peer_rows.decode_rows(document, requested_at)
 
 
@@ -219,7 +223,9 @@
                     era
                 ),
                 store_era=era,
-                rows_address=self.address,
+                rows_address=(
+                    self.address if self.fleet.states_versions else ''
+                ),
                 store_away=board.store_away,
             ),
         )
@@ -236,6 +242,10 @@
             IDLE_REPORT_S, IDLE_REPORT_PER_GATEWAY_S * gateways
         )
         self.min_report_s = max(MIN_REPORT_S, REPORT_PER_GATEWAY_S * gateways)
+        # Gateways in the settings of all. An earlier release states neither
+        # the versions of its rows nor where it gives them.
+        self.seeds = []
+        self.states_versions = True
         # Pairs of names between which nothing arrives.
         self.cut = set()
 
