Let the soak know endpoints that were lost before anything reached them

The logs show that each was reset at the link of an endpoint that had registered 0.1 s before and was gone: what refuses was looked for among endpoints that had been reached once, and this one never was. It is looked for among all endpoints that were started; a gateway's refusal still excuses nothing. The new test fails on the code before.

--- a/persimmonroute/tests/soak_tests.py
+++ b/persimmonroute/tests/soak_tests.py
@@ -530,6 +530,20 @@
                 ended = cut(ended_at=10.12)
                 self.assertIs(self._find_cause(ended), expected)
 
+    def test_endpoint_that_is_lost_before_anything_reaches_it(self):
+        """Only endpoints that were started can have refused a request."""
+        self.journal.services['r9'] = records.Service('v1', 9.0)
+        ended = outcome(status=502)
+        for component, expected in (
+            ('r9', attribution.Cause.ENDPOINT_LINK),
+            ('gateway-1', None),
+        ):
+            with self.subTest(component=component):
+                self.journal.refusals[:] = [
+                    records.Refusal(component, ended.sent_at + 0.01)
+                ]
+                self.assertIs(self._find_cause(ended), expected)
+
     def test_gateway_that_does_not_listen(self):
         """A process that is not there has not read the request."""
         ended = cut(status=None, ended_at=10.5)
--- a/tools/soak/attribution.py
+++ b/tools/soak/attribution.py
@@ -188,6 +188,8 @@
         """Return why an endpoint that was sent to may not have got it."""
         kinds = [f'endpoint_link_{mode}' for mode in LINK_BREAKS]
         endpoints = {visit.endpoint for visit in self._journal.visits}
+        # Some are lost before anything reaches them.
+        endpoints |= self._journal.services.keys()
         components = {d.component for d in self._journal.disturbances}
         if self._was_refused(endpoints, since, outcome) or (
             self._has_disturbance(components, kinds, since, outcome.ended_at)
