--- a/tools/soak/mutants.py
+++ b/tools/soak/mutants.py
@@ -283,6 +283,21 @@
             ),
         ),
     ),
+    Mutant(
+        'asks only the seeds for rows',
+        (
+            Edit(
+                'gateway/peer_choice.py',
+                '        if not holders or self._pause_s:\n',
+                '        if True:\n',
+            ),
+            Edit(
+                'gateway/following.py',
+                '        if self._find_holders(clock.now_s()):\n',
+                '        if False:\n',
+            ),
+        ),
+    ),
     Mutant(
         'completes a rollout without judging',
         (
