Let a blocked loop not age the configuration in a test of memory

The bound of the age is 60 s in this test now; what it asserts about memory and answers is unchanged.

--- a/persimmonroute/tests/gateway/caller_charges_tests.py
+++ b/persimmonroute/tests/gateway/caller_charges_tests.py
@@ -41,6 +41,8 @@
 # About what a head may contain beside the fields that a request needs.
 SPARE_HEADER_BYTES = 15_000
 WAIT_S = 20.0
+# Of the configuration, far above the time of a test.
+AGE_BOUND_S = 60
 HELD = re.compile(
     r'^persimmonroute_callers_held_bytes\{.*\} (\S+)$', re.MULTILINE
 )
@@ -67,7 +69,13 @@
         )
         self.addAsyncCleanup(self._end_endpoint)
         address = (await self.endpoint.stdout.readline()).decode().strip()
-        self.deployment = deployments.GatewayDeployment(0, gateways=0)
+        # The collection of garbage may block the loop for seconds.
+        self.deployment = deployments.GatewayDeployment(
+            0,
+            gateways=0,
+            configuration_s=AGE_BOUND_S,
+            revocation_s=AGE_BOUND_S,
+        )
         self.addAsyncCleanup(self.deployment.stop)
         await self.deployment.start()
         document = deployments.configuration(2)
