--- a/persimmonroute/tests/soak_tests.py
+++ b/persimmonroute/tests/soak_tests.py
@@ -35,6 +35,8 @@
 # 2: answers ended while endpoints were silent;
 # 24: silences beside a storm of changes, and an endpoint that crashes.
 REGRESSION_SEEDS = (2, 7, 14, 24, 108)
+# A store that serves one gateway, and a crowd at one.
+CHANGE_SEEDS = {248: 'turned_away', 4: 'crowd'}
 JOBS = 3
 KEYS = {'key-0': 'desk-0', 'key-1': 'desk-1'}
 
@@ -822,6 +824,13 @@
         )
         self.assertIn('1 seeds from 1: ', ended.stdout, ended.stderr)
 
+    def test_changes_come_into_force_beside_turned_away_and_crowded(self):
+        """Guards against gateways that are left behind, seen from outside."""
+        for result in seeds.run_seeds(CHANGE_SEEDS, JOBS):
+            with self.subTest(seed=result.seed):
+                self.assertIn(CHANGE_SEEDS[result.seed], result.faults)
+                self.assertEqual(result.findings, [])
+
     def test_regression_seeds_keep_the_promises(self):
         """Seeds that had a finding in the past have none now."""
         for result in seeds.run_seeds(REGRESSION_SEEDS, JOBS):
