Keep what all need out of the lane of the caller that began it

A timer or a connection belongs to the lane of whoever makes it: a report that a request caused waited behind the callers, and so did changes that were read on a connection that a request had opened to the store before. The timer of reports and connections to the store are in the control lane whoever begins them. Both new tests fail on the code before.

--- a/persimmonroute/gateway/peer_link.py
+++ b/persimmonroute/gateway/peer_link.py
@@ -22,6 +22,7 @@
 from persimmonroute.gateway import rollout_forwarding
 from persimmonroute.generated import peers_pb2 as pb
 from persimmonroute import logs
+from persimmonroute import loop_lanes
 
 log = logs.EventLog(__name__)
 
@@ -77,6 +78,8 @@
         self._clock_origin_ms = random.getrandbits(CLOCK_ORIGIN_BITS)
         self._transport = None
         self._handle = None
+        # Requests schedule reports, too.
+        self._context = loop_lanes.build_context(loop_lanes.Lane.CONTROL)
         self._schedules = [ReportSchedule(distance) for distance in Distance]
         # Newest sent_at_ms received from each peer, echoed in reports to it.
         self._newest_sent_at_ms = {}
@@ -185,7 +188,9 @@
             if self._handle.when() <= loop.time() + delay:
                 return
             self._handle.cancel()
-        self._handle = loop.call_later(delay, self._send)
+        self._handle = loop.call_later(
+            delay, self._send, context=self._context
+        )
 
     def _due_at(self, schedule):
         known_peers = self._board.peers
--- a/persimmonroute/loop_lanes.py
+++ b/persimmonroute/loop_lanes.py
@@ -35,6 +35,13 @@
     return context
 
 
+async def run_in(chosen, coroutine):
+    """Return the result of a coroutine that runs in a lane."""
+    loop = asyncio.get_running_loop()
+    context = build_context(chosen)
+    return await loop.create_task(coroutine, context=context)
+
+
 class ReadyQueue:
     """Order the callbacks that are ready, as the deque of a loop."""
 
--- a/persimmonroute/platform/tables.py
+++ b/persimmonroute/platform/tables.py
@@ -12,6 +12,7 @@
 from persimmonroute import exceptions
 from persimmonroute import http_connection
 from persimmonroute import json_text
+from persimmonroute import loop_lanes
 from persimmonroute.platform import names
 
 CONNECT_TIMEOUT_S = 1.0
@@ -290,8 +291,10 @@
             if conn.reusable:
                 return conn
             conn.abort()
-        return await http_connection.open_connection(
-            self._address, CONNECT_TIMEOUT_S
+        # Whoever opens it, others use it later.
+        return await loop_lanes.run_in(
+            loop_lanes.Lane.CONTROL,
+            http_connection.open_connection(self._address, CONNECT_TIMEOUT_S),
         )
 
 
--- a/persimmonroute/tests/loop_lanes_tests.py
+++ b/persimmonroute/tests/loop_lanes_tests.py
@@ -6,9 +6,15 @@
 import socket
 import time
 import unittest
+from unittest import mock
 
 from persimmonroute import datagrams
+from persimmonroute import exceptions
+from persimmonroute.gateway import peer_link
+from persimmonroute import http_connection
 from persimmonroute import loop_lanes
+from persimmonroute.platform import tables
+from standins import gateway_fixtures
 
 CALLERS = 400
 # Processor time of a callback of a caller.
@@ -124,6 +130,56 @@
         self.assertGreater(self._run(play), 100)
 
 
+class SharedWorkTests(unittest.IsolatedAsyncioTestCase):
+    """Begin work for all from the request of a caller."""
+
+    def setUp(self):
+        """Record the lanes in which work runs."""
+        self.lanes = []
+
+    async def _run_for_caller(self, coroutine):
+        return await loop_lanes.run_in(loop_lanes.Lane.CALLERS, coroutine)
+
+    async def test_connection_to_the_store_is_no_caller_s(self):
+        """Guards against changes that are read on a caller's connection."""
+
+        async def open_connection(address, timeout_s):
+            self.lanes.append(loop_lanes.lane.get())
+            raise exceptions.EndpointUnreachableError('not open')
+
+        client = tables.TableClient('127.0.0.1:1')
+        patch = mock.patch.object(
+            http_connection, 'open_connection', open_connection
+        )
+        with patch, self.assertRaises(exceptions.PlatformUnavailableError):
+            await self._run_for_caller(client.read('op'))
+        self.assertEqual(self.lanes, [loop_lanes.Lane.CONTROL])
+
+    async def test_report_that_a_request_causes_is_no_caller_s(self):
+        """Guards against gateways that seem gone while callers press."""
+        board = gateway_fixtures.board()
+        link = peer_link.PeerLink(
+            board,
+            gateway_fixtures.scheduler(board),
+            '127.0.0.1:1',
+            gateway_fixtures.LOCALITY,
+            None,
+            1.0,
+        )
+        link.connection_made(mock.Mock(is_closing=lambda: False))
+        self.addCleanup(link.close)
+        link._send_due = lambda now: self.lanes.append(loop_lanes.lane.get())
+
+        async def change():
+            link.schedule_reports()
+
+        await asyncio.sleep(0.05)
+        self.lanes.clear()
+        await self._run_for_caller(change())
+        await asyncio.sleep(0.5)
+        self.assertEqual(set(self.lanes), {loop_lanes.Lane.CONTROL})
+
+
 class ReadyQueueTests(unittest.TestCase):
     """Order callbacks without a loop."""
 
