Believe the store when a peer states a version that it does not have

After rows of a peer, older ones of the store are dropped. A faulty peer that states a version of the future would have kept the store's rows away for good. An answer to a call that began after the rows came is the store's present state, so one that is older makes the gateway read the whole table; one that was under way is asked for again. The new test fails on the code before.

--- a/persimmonroute/platform/sources.py
+++ b/persimmonroute/platform/sources.py
@@ -48,9 +48,12 @@
 
     async def read(self):
         """Read all rows of the table."""
+        imported_before = self._imported_version
         page = await self._tables.read(self.name)
         restored = self._era is not None and page.era > self._era
-        if self._is_outdated(page):
+        # The store knows better than what a peer sent before it was asked.
+        newly_imported = self._imported_version > imported_before
+        if newly_imported and self._is_outdated(page):
             raise exceptions.PlatformUnavailableError(
                 f'rows of {self.name!r} are older than those of a peer'
             )
@@ -99,14 +102,22 @@
     async def watch(self, long_poll):
         """Return the next changes; wait for them only if long_poll."""
         wait_s = self._wait_s if long_poll else 0.0
+        imported_before = self._imported_version
         page = await self._tables.watch(self.name, self._version, wait_s)
         if page.era != self._era:
             raise exceptions.HistoryLostError(
                 f'the store was restored; version {self._version} of'
                 f' {self.name!r} belongs to era {self._era}'
             )
-        self._version = max(self._version, page.version)
-        if self._is_outdated(page):
+        if not self._is_outdated(page):
+            self._version = max(self._version, page.version)
+        elif self._imported_version == imported_before:
+            raise exceptions.HistoryLostError(
+                f'a peer sent a version of {self.name!r} that the store does'
+                ' not have'
+            )
+        else:
+            # The next watch brings them again, with what came since.
             page = page._replace(rows=())
         return self._apply_page(page, False)
 
--- a/persimmonroute/tests/gateway/turned_away_tests.py
+++ b/persimmonroute/tests/gateway/turned_away_tests.py
@@ -6,6 +6,7 @@
 import unittest
 
 from persimmonroute import clock
+from persimmonroute.gateway import peer_rows
 from standins import table_fleet
 from standins import virtual_time
 
@@ -180,6 +181,25 @@
 
         self._run(2, play)
 
+    def test_peer_that_states_a_version_of_the_future_is_not_believed(self):
+        """Guards against a faulty peer that keeps the store's rows away."""
+
+        async def play(fleet):
+            first = fleet.gateways[0]
+            source = first.followers[1].source
+            snapshot = source.export_rows()
+            source.import_rows(
+                peer_rows.PeerRows(
+                    snapshot.values, clock.now_s(), 10**9, snapshot.era
+                )
+            )
+            fleet.register('r7')
+            await asyncio.sleep(CONFIGURATION_S)
+            registry = first.board.runner_registry
+            self.assertIsNotNone(registry.find('r7'))
+
+        self._run(2, play)
+
     def test_restored_store_takes_nothing_back(self):
         """Guards against older rows of a peer or of the store."""
 
