Remove what reading rows and measuring the loop said twice

Change: one page builder, the others inlined or removed; a follower without them raises NotImplementedError, as for _apply_changes.

--- a/persimmonroute/gateway/following.py
+++ b/persimmonroute/gateway/following.py
@@ -131,8 +131,9 @@
             return
         if not self._may_ask_peers(now):
             return
+        gateways = 1 + len(self._board.peers.list_reports(now))
         address = self._choice.find_holder(
-            self._find_holders(now), self._count_responding(now), step_s
+            self._find_holders(now), gateways, step_s
         )
         if address is not None:
             self._peer_read_at = now
@@ -144,9 +145,6 @@
         """Return whether the store does not tell of changes in time."""
         return not self._available
 
-    def _count_responding(self, now):
-        return 1 + len(self._board.peers.list_reports(now))
-
     def _find_holders(self, now):
         """Return the Holders of newer rows among the peers that respond."""
         holders = [
@@ -159,12 +157,12 @@
 
     def _read_version(self, report):
         """Return the version of a peer's rows that compares with these."""
-        return 0
+        raise NotImplementedError
 
     @property
     def _known_version(self):
         """Return the version of the rows that are known here."""
-        return 0
+        raise NotImplementedError
 
     async def close(self):
         """Stop reading from a peer."""
--- a/persimmonroute/loop_lanes.py
+++ b/persimmonroute/loop_lanes.py
@@ -102,11 +102,6 @@
         # BaseEventLoop offers no way to order its callbacks but this queue.
         self._ready = ReadyQueue()
 
-    @property
-    def waiting_callers(self):
-        """Return the number of callers' callbacks that are ready."""
-        return self._ready.waiting_callers
-
     def _add_callback(self, handle):
         # A socket stays ready, and is reported again, until its callback ran.
         if handle not in self._ready:
--- a/persimmonroute/platform/sources.py
+++ b/persimmonroute/platform/sources.py
@@ -81,20 +81,21 @@
         era = received.era if self._era is None else self._era
         if received.era != era or received.version < self._complete_to:
             return None
-        rows = [
-            _tables.TableRow(self.name, '', key, value, 0)
-            for key, value in received.values.items()
-        ]
         self._values = {}
         self._imported_version = received.version
-        page = _tables.Page(
-            tuple(rows), received.version, received.confirmed_at, era
-        )
-        changes = self._apply_page(page, True)
+        changes = self._apply_page(self._build_page(received, era), True)
         return changes._replace(
             origin=following.Origin.PEER, newest_change=received.version
         )
 
+    def _build_page(self, received, era):
+        """Return the Page of PeerRows in an era."""
+        rows = tuple(
+            _tables.TableRow(self.name, '', key, value, 0)
+            for key, value in received.values.items()
+        )
+        return _tables.Page(rows, received.version, received.confirmed_at, era)
+
     def _is_outdated(self, page):
         """Return whether a peer sent newer rows meanwhile."""
         return page.era == self._era and page.version < self._imported_version
@@ -151,13 +152,9 @@
 
     def import_rows(self, received):
         """Return the Changes in PeerRows; None if they are older."""
-        rows = tuple(
-            _tables.TableRow(self.name, '', key, value, 0)
-            for key, value in received.values.items()
-        )
-        page = _tables.Page(rows, 0, received.confirmed_at)
         known_version, unreadable = self._newest_version, self._unreadable
-        changes = self._decode(page, True)
+        # Versions of configurations belong to no era.
+        changes = self._decode(self._build_page(received, 0), True)
         # A peer that has no newer version tells nothing of what the store has.
         configuration = changes.configuration
         if configuration is None or configuration.version <= known_version:
